--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -0,0 +1,134 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.radishspur.model.catalogue.OrganisationRule;
+
+/**
+ * Keeps what organisations may use, over all entries together.
+ *
+ * <p>Each entry keeps the same token bucket for an organisation and takes from it what it admits itself and, a moment
+ * later, what the others say they have admitted. What several entries admit in the same moment brings the bucket below
+ * zero, and is made up for before anything more is admitted, so that the excess doesn't grow with time.
+ */
+public final class QuotaLedger {
+    private final Tolerance tolerance;
+    private final Map<String, Bucket> buckets = new HashMap<>();
+    private final Map<String, Long> usedHere = new HashMap<>();
+    private final Map<String, Map<String, Long>> usedElsewhere = new HashMap<>();
+
+    /**
+     * Creates a ledger without use.
+     *
+     * @param tolerance how far the limits may be exceeded.
+     */
+    public QuotaLedger(Tolerance tolerance) {
+        this.tolerance = tolerance;
+    }
+
+    /**
+     * Takes the cost of a request from its organisation's limit.
+     *
+     * @param organisation the organisation.
+     * @param cost the cost in the unit of the limit.
+     * @param now the clock in milliseconds.
+     * @return nothing where it is admitted, else after how many milliseconds there will be room again.
+     */
+    public Optional<Long> take(OrganisationRule organisation, double cost, long now) {
+        if (organisation.ratePerSecond() <= 0) {
+            return Optional.empty();
+        }
+        Bucket bucket = bucketOf(organisation, now);
+        if (bucket.level <= 0) {
+            double rate = organisation.ratePerSecond() / 1_000;
+            return Optional.of((long) Math.ceil((cost - bucket.level) / rate));
+        }
+        bucket.level -= cost;
+        usedHere.merge(organisation.name(), (long) cost, Long::sum);
+        return Optional.empty();
+    }
+
+    /**
+     * Gives back the cost of a request that has not run.
+     *
+     * @param organisation the organisation.
+     * @param cost the cost that was taken.
+     */
+    public void giveBack(OrganisationRule organisation, double cost) {
+        Bucket bucket = buckets.get(organisation.name());
+        if (bucket != null && organisation.ratePerSecond() > 0) {
+            bucket.level += cost;
+            usedHere.merge(organisation.name(), -(long) cost, Long::sum);
+        }
+    }
+
+    /**
+     * Returns what this entry has admitted since it started.
+     *
+     * @return the use by organisation.
+     */
+    public Map<String, Long> usedHere() {
+        return usedHere;
+    }
+
+    /**
+     * Takes note of what another entry has admitted since it started.
+     *
+     * @param entry the run of the other entry.
+     * @param organisation the organisation.
+     * @param total the use.
+     */
+    public void usedElsewhere(String entry, String organisation, long total) {
+        Map<String, Long> seen = usedElsewhere.computeIfAbsent(entry, key -> new HashMap<>());
+        Long before = seen.put(organisation, total);
+        Bucket bucket = buckets.get(organisation);
+        if (bucket != null && before != null) {
+            bucket.level -= total - before;
+        } else if (bucket != null && total > 0) {
+            // The first word of an entry that this one has not heard before: what it used in the meantime is bounded by
+            // the bucket, which can't be more than empty for it.
+            bucket.level = Math.min(bucket.level, Math.max(0, bucket.level - total));
+        }
+    }
+
+    private Bucket bucketOf(OrganisationRule organisation, long now) {
+        double rate = organisation.ratePerSecond() * (1 + tolerance.share());
+        double capacity = organisation.burst() + tolerance.amount();
+        Bucket bucket = buckets.get(organisation.name());
+        if (bucket == null) {
+            bucket = new Bucket(capacity, now);
+            buckets.put(organisation.name(), bucket);
+        }
+        bucket.refill(rate, capacity, now);
+        return bucket;
+    }
+
+    /**
+     * Says how far a limit may be exceeded, so that what is within it is never refused because entries disagree.
+     *
+     * @param share the part by which the rate may be exceeded.
+     * @param amount what may be used beyond the burst, in the unit of the limit.
+     */
+    public record Tolerance(double share, double amount) {
+        /** Allows no excess. */
+        public static final Tolerance NONE = new Tolerance(0, 0);
+    }
+
+    /** Holds what is left of one limit. */
+    private static final class Bucket {
+        private double level;
+        private long filledAt;
+
+        Bucket(double level, long now) {
+            this.level = level;
+            this.filledAt = now;
+        }
+
+        void refill(double rate, double capacity, long now) {
+            level = Math.min(capacity, level + rate * Math.max(0, now - filledAt) / 1_000);
+            filledAt = now;
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -0,0 +1,90 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Stands for one request that asks for a place at an upstream.
+ */
+public final class Ticket {
+    private final String name;
+    private final int rank;
+    private final long arrivedAt;
+    private final long patientUntil;
+    private final VersionRule versions;
+    private final Set<String> avoided = new HashSet<>();
+    private long sequence;
+
+    /**
+     * Creates a ticket.
+     *
+     * @param name the request, for logs.
+     * @param rank how urgent it is; 0 is the most urgent.
+     * @param arrivedAt when the request came, in milliseconds.
+     * @param patientUntil until when waiting for a place makes sense, in milliseconds of the same clock.
+     * @param versions the versions that may serve it.
+     */
+    public Ticket(String name, int rank, long arrivedAt, long patientUntil, VersionRule versions) {
+        this.name = name;
+        this.rank = rank;
+        this.arrivedAt = arrivedAt;
+        this.patientUntil = patientUntil;
+        this.versions = versions;
+    }
+
+    /**
+     * Keeps the request from an upstream, where others can serve it.
+     *
+     * @param run the run of the upstream.
+     */
+    public void avoid(String run) {
+        avoided.add(run);
+    }
+
+    /**
+     * Returns the request's name.
+     *
+     * @return the name.
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns how urgent the request is.
+     *
+     * @return the rank; 0 is the most urgent.
+     */
+    public int rank() {
+        return rank;
+    }
+
+    /**
+     * Returns when the request came.
+     *
+     * @return the clock in milliseconds.
+     */
+    public long arrivedAt() {
+        return arrivedAt;
+    }
+
+    long patientUntil() {
+        return patientUntil;
+    }
+
+    VersionRule versions() {
+        return versions;
+    }
+
+    boolean avoids(String run) {
+        return avoided.contains(run);
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    void number(long given) {
+        sequence = given;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -0,0 +1,194 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.radishspur.model.catalogue.Upstream;
+
+/**
+ * Holds the upstreams of one pool as one entry knows them, and chooses the one that should serve a request.
+ */
+public final class UpstreamBoard {
+    /** How much a full upstream counts as slower than an empty one; it spreads work over equals. */
+    private static final double CROWDING = 0.5;
+
+    /** How much an upstream in another failure domain counts as slower; it settles ties between equals only. */
+    private static final double DISTANCE = 1.04;
+
+    /** At most this share of a pool may be paused for failures, lest a fault of the requests empties the pool. */
+    private static final double LARGEST_PAUSED_SHARE = 0.5;
+
+    private final String ownDomain;
+    private final int slotsByDefault;
+    private final Map<String, UpstreamLoad> loads = new HashMap<>();
+    private final Set<String> gone = new HashSet<>();
+
+    /**
+     * Creates a board without upstreams.
+     *
+     * @param ownDomain the failure domain of this entry.
+     * @param slotsByDefault how many requests an upstream runs at once where the host list doesn't tell.
+     */
+    public UpstreamBoard(String ownDomain, int slotsByDefault) {
+        this.ownDomain = ownDomain;
+        this.slotsByDefault = slotsByDefault;
+    }
+
+    /**
+     * Takes over the newest host list.
+     *
+     * @param listed the upstreams of this pool.
+     */
+    public void refresh(Collection<Upstream> listed) {
+        Set<String> runs = new HashSet<>();
+        for (Upstream upstream : listed) {
+            runs.add(upstream.run());
+            UpstreamLoad known = loads.get(upstream.run());
+            if (known == null) {
+                loads.put(upstream.run(), new UpstreamLoad(upstream));
+            } else {
+                known.update(upstream);
+            }
+        }
+        gone.clear();
+        loads.keySet().stream().filter(run -> !runs.contains(run)).forEach(gone::add);
+        loads.entrySet()
+                .removeIf(entry ->
+                        gone.contains(entry.getKey()) && entry.getValue().own() == 0);
+    }
+
+    /**
+     * Chooses an upstream with a free place.
+     *
+     * @param ticket the request.
+     * @param now the clock in milliseconds.
+     * @return the upstream, or nothing where no place is free.
+     */
+    public Optional<UpstreamLoad> choose(Ticket ticket, long now) {
+        List<UpstreamLoad> usable = usable(ticket, now);
+        Optional<UpstreamLoad> found = best(usable, ticket, now, true);
+        if (found.isPresent()) {
+            return found;
+        }
+        // Where every upstream that is left was tried before, one of them is better than none.
+        boolean othersExist =
+                usable.stream().anyMatch(load -> !ticket.avoids(load.upstream().run()));
+        return othersExist ? Optional.empty() : best(usable, ticket, now, false);
+    }
+
+    /**
+     * Finds an upstream by its run.
+     *
+     * @param run the run.
+     * @return the upstream, or nothing where it is unknown.
+     */
+    public Optional<UpstreamLoad> find(String run) {
+        return Optional.ofNullable(loads.get(run));
+    }
+
+    /**
+     * Returns all upstreams that are listed or still at work for this entry.
+     *
+     * @return the upstreams.
+     */
+    public Collection<UpstreamLoad> loads() {
+        return loads.values();
+    }
+
+    /**
+     * Returns how many places are listed, free or taken, at upstreams that take new work.
+     *
+     * @param now the clock in milliseconds.
+     * @return the number.
+     */
+    public int places(long now) {
+        return loads.values().stream()
+                .filter(load -> takesWork(load) && !load.isUnreachable(now))
+                .mapToInt(this::slots)
+                .sum();
+    }
+
+    /**
+     * Returns the usual share of failed answers in the pool.
+     *
+     * @return the median over its upstreams.
+     */
+    public double usualFailures() {
+        double[] shares = loads.values().stream()
+                .mapToDouble(UpstreamLoad::failureShare)
+                .sorted()
+                .toArray();
+        return shares.length == 0 ? 0 : shares[shares.length / 2];
+    }
+
+    /**
+     * Tells whether the upstreams allow a choice between versions.
+     *
+     * @param version a version.
+     * @return whether an upstream of that version takes work.
+     */
+    public boolean hasVersion(String version) {
+        return loads.values().stream()
+                .anyMatch(load -> takesWork(load) && load.upstream().version().equals(version));
+    }
+
+    private List<UpstreamLoad> usable(Ticket ticket, long now) {
+        List<UpstreamLoad> listed = new ArrayList<>();
+        int reachable = 0;
+        int paused = 0;
+        for (UpstreamLoad load : loads.values()) {
+            if (takesWork(load) && ticket.versions().allows(load.upstream().version()) && !load.isUnreachable(now)) {
+                listed.add(load);
+                reachable++;
+                paused += load.isPaused(now) ? 1 : 0;
+            }
+        }
+        boolean heedsPauses = paused <= reachable * LARGEST_PAUSED_SHARE;
+        listed.removeIf(load -> load.isSilent(now) || heedsPauses && load.isPaused(now));
+        return listed;
+    }
+
+    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket ticket, long now, boolean untried) {
+        double fastest = usable.stream()
+                .filter(UpstreamLoad::isPaceKnown)
+                .mapToDouble(UpstreamLoad::paceMillis)
+                .min()
+                .orElse(1);
+        UpstreamLoad best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (UpstreamLoad load : usable) {
+            boolean free = load.inProgress() < (load.isOnProbation() ? 1 : slots(load));
+            if (!free || untried && ticket.avoids(load.upstream().run())) {
+                continue;
+            }
+            double cost = cost(load, fastest);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = load;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double cost(UpstreamLoad load, double fastest) {
+        // An upstream that nobody has tried counts as one of the fastest, so that its speed is learnt at once.
+        double pace = load.isPaceKnown() ? load.paceMillis() : fastest;
+        double crowd = 1 + CROWDING * load.inProgress() / slots(load);
+        double distance = load.upstream().failureDomain().equals(ownDomain) ? 1 : DISTANCE;
+        return pace * crowd * distance;
+    }
+
+    private boolean takesWork(UpstreamLoad load) {
+        return !load.upstream().leaving() && !gone.contains(load.upstream().run());
+    }
+
+    private int slots(UpstreamLoad load) {
+        return Math.max(1, load.upstream().slots() > 0 ? load.upstream().slots() : slotsByDefault);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -0,0 +1,259 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.radishspur.model.catalogue.Upstream;
+
+/**
+ * Holds what one entry knows of one run of an upstream: what is in progress there, how fast it answers, and whether it
+ * can be trusted with more.
+ */
+public final class UpstreamLoad {
+    /** The part of the newest answer in an average of times; about ten answers outweigh the older ones. */
+    private static final double TIME_WEIGHT = 0.1;
+
+    /** The part of the newest answer in the share of failures; five failures in a row bring it above one half. */
+    private static final double FAILURE_WEIGHT = 0.15;
+
+    /** So many answers must stand behind a share of failures before it counts. */
+    private static final long JUDGED_ANSWERS = 5;
+
+    /** So many failures in a row make an upstream suspect, whatever its share of failures. */
+    private static final int FAILURES_IN_A_ROW = 3;
+
+    /** How long an upstream with failures gets nothing, in milliseconds; long enough to spare some ten requests. */
+    private static final long FAILED_PAUSE_MILLIS = 1_500;
+
+    /** The first pause after a failed connection, in milliseconds; it doubles with each further one. */
+    private static final long CONNECT_PAUSE_MILLIS = 200;
+
+    /** The longest pause after a failed connection, in milliseconds; a restarted upstream is found again by then. */
+    private static final long LONGEST_CONNECT_PAUSE_MILLIS = 1_600;
+
+    /** No answer within this time looks like silence, in milliseconds; healthy upstreams start well below it. */
+    public static final long SHORTEST_SILENCE_MILLIS = 600;
+
+    /** Silence is this many usual times to the first byte. */
+    private static final double SILENCE_FACTOR = 5;
+
+    private Upstream upstream;
+    private int own;
+    private final Map<String, Integer> others = new HashMap<>();
+    private int othersTotal;
+    private final Average firstMillis = new Average(TIME_WEIGHT);
+    private final Average paceMillis = new Average(TIME_WEIGHT);
+    private final Average failures = new Average(FAILURE_WEIGHT);
+    private int failuresInARow;
+    private int connectFailures;
+    private long pausedUntil;
+    private boolean onProbation;
+    private boolean unreachable;
+    private final Map<Object, Long> unanswered = new HashMap<>();
+    private long lastByteAt;
+
+    UpstreamLoad(Upstream upstream) {
+        this.upstream = upstream;
+    }
+
+    /**
+     * Returns the description of the upstream.
+     *
+     * @return the newest one.
+     */
+    public Upstream upstream() {
+        return upstream;
+    }
+
+    void update(Upstream newer) {
+        // Leaving wins: a list that lags may still show an upstream as live after another one has shown it leaving.
+        boolean leaving = upstream.leaving() || newer.leaving();
+        upstream = new Upstream(
+                newer.id(),
+                newer.incarnation(),
+                newer.pool(),
+                newer.address(),
+                newer.failureDomain(),
+                newer.version(),
+                newer.slots(),
+                leaving);
+    }
+
+    /**
+     * Notes that a request is sent.
+     *
+     * @param request identifies the request.
+     * @param now the clock in milliseconds.
+     */
+    public void began(Object request, long now) {
+        own++;
+        if (unanswered.isEmpty()) {
+            lastByteAt = now;
+        }
+        unanswered.put(request, now);
+    }
+
+    /**
+     * Notes that the answer to a request has begun.
+     *
+     * @param request identifies the request.
+     * @param millis the time since the request was sent.
+     * @param now the clock in milliseconds.
+     */
+    public void answered(Object request, long millis, long now) {
+        unanswered.remove(request);
+        lastByteAt = now;
+        firstMillis.add(millis);
+    }
+
+    /**
+     * Notes that bytes have come.
+     *
+     * @param now the clock in milliseconds.
+     */
+    public void heard(long now) {
+        lastByteAt = now;
+    }
+
+    /**
+     * Notes that a request has ended, however it ended.
+     *
+     * @param request identifies the request.
+     */
+    public void ended(Object request) {
+        own--;
+        unanswered.remove(request);
+    }
+
+    /**
+     * Notes how fast a whole answer came.
+     *
+     * @param millis the time for one event of a stream, or for a whole plain answer.
+     */
+    public void paced(double millis) {
+        paceMillis.add(millis);
+    }
+
+    /**
+     * Notes an answer of this entry or of another one.
+     *
+     * @param good whether it was whole and no failure of the upstream.
+     * @param poolFailures the usual share of failures in the pool, which may have its cause in the requests.
+     * @param now the clock in milliseconds.
+     */
+    public void judged(boolean good, double poolFailures, long now) {
+        failures.add(good ? 0 : 1);
+        if (good) {
+            failuresInARow = 0;
+            connectFailures = 0;
+            unreachable = false;
+            onProbation = false;
+            return;
+        }
+        failuresInARow++;
+        boolean often = failures.samples() >= JUDGED_ANSWERS && failures.value() > poolFailures + 0.25;
+        if (failuresInARow >= FAILURES_IN_A_ROW || often || onProbation) {
+            pausedUntil = now + FAILED_PAUSE_MILLIS;
+            onProbation = true;
+        }
+    }
+
+    /**
+     * Notes that no connection could be made.
+     *
+     * @param now the clock in milliseconds.
+     */
+    public void unreachable(long now) {
+        long pause = Math.min(LONGEST_CONNECT_PAUSE_MILLIS, CONNECT_PAUSE_MILLIS << Math.min(connectFailures, 5));
+        connectFailures++;
+        pausedUntil = now + pause;
+        onProbation = true;
+        unreachable = true;
+    }
+
+    /**
+     * Notes how many requests another entry has in progress here.
+     *
+     * @param entry the other entry.
+     * @param count the number, 0 once it is gone.
+     */
+    public void othersHave(String entry, int count) {
+        Integer before = count == 0 ? others.remove(entry) : others.put(entry, count);
+        othersTotal += count - (before == null ? 0 : before);
+    }
+
+    /**
+     * Returns how many requests all entries together have in progress here, as far as this entry knows.
+     *
+     * @return the number.
+     */
+    public int inProgress() {
+        return own + othersTotal;
+    }
+
+    /**
+     * Returns how many requests this entry has in progress here.
+     *
+     * @return the number.
+     */
+    public int own() {
+        return own;
+    }
+
+    boolean isPaused(long now) {
+        return now < pausedUntil;
+    }
+
+    boolean isUnreachable(long now) {
+        return unreachable && isPaused(now);
+    }
+
+    /**
+     * Tells whether the upstream may get one request only, to see whether it is well again.
+     *
+     * @return whether it is on probation.
+     */
+    public boolean isOnProbation() {
+        return onProbation;
+    }
+
+    /**
+     * Tells whether the upstream owes answers and has sent nothing for so long that it seems to hang.
+     *
+     * <p>Guards against an upstream that has fallen silent without a reset: its requests stay unanswered, and no new one
+     * must join them. A busy engine sends events of some stream all the while, so that silence is told from load.
+     *
+     * @param now the clock in milliseconds.
+     * @return whether it seems to hang.
+     */
+    public boolean isSilent(long now) {
+        if (unanswered.isEmpty()) {
+            return false;
+        }
+        double usual = firstMillis.isKnown() ? firstMillis.value() * SILENCE_FACTOR : 0;
+        double limit = Math.max(SHORTEST_SILENCE_MILLIS, usual);
+        if (now - lastByteAt <= limit) {
+            return false;
+        }
+        long oldest =
+                unanswered.values().stream().mapToLong(Long::longValue).min().orElse(now);
+        return now - oldest > limit;
+    }
+
+    boolean isPaceKnown() {
+        return paceMillis.isKnown();
+    }
+
+    double paceMillis() {
+        return paceMillis.value();
+    }
+
+    double failureShare() {
+        return failures.value();
+    }
+
+    /** Returns the usual time to the first byte in milliseconds, or 0 where nothing was answered yet. */
+    double firstMillis() {
+        return firstMillis.isKnown() ? firstMillis.value() : 0;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
@@ -0,0 +1,33 @@
+package org.radishspur.model.catalogue;
+
+/**
+ * Describes one upstream as a host list reports it.
+ *
+ * @param id the identity of the instance.
+ * @param incarnation when the instance started, in milliseconds since the epoch, or 0 where it isn't told.
+ * @param pool the pool that the instance belongs to.
+ * @param address the IP number and port.
+ * @param failureDomain the failure domain that it stands in.
+ * @param version the version of its software.
+ * @param slots how many requests it runs at once, or 0 where it isn't told.
+ * @param leaving whether it is to get no new work.
+ */
+public record Upstream(
+        String id,
+        long incarnation,
+        String pool,
+        String address,
+        String failureDomain,
+        String version,
+        int slots,
+        boolean leaving) {
+
+    /**
+     * Names this run of the instance: an instance that has started again is another upstream.
+     *
+     * @return a text that no other run shares.
+     */
+    public String run() {
+        return id + '@' + incarnation + '@' + address;
+    }
+}
--- a/node/src/main/java/org/radishspur/node/caller/CallerServices.java
+++ b/node/src/main/java/org/radishspur/node/caller/CallerServices.java
@@ -19,6 +19,8 @@
     private final NodeSettings settings;
     private final NodeCore core;
     private final NodeMetrics metrics;
+    private static final int MOST_RETRIES_AT_ONCE = 100;
+
     private final RetryBudget retries;
     private final Map<EventLoop, UpstreamConnections> connections = new ConcurrentHashMap<>();
     private final Set<RequestKey> localClaims = ConcurrentHashMap.newKeySet();
@@ -35,7 +37,7 @@
         this.settings = settings;
         this.core = core;
         this.metrics = metrics;
-        this.retries = new RetryBudget(settings.limits().retryShare());
+        this.retries = new RetryBudget(settings.limits().retryShare(), MOST_RETRIES_AT_ONCE);
     }
 
     NodeSettings settings() {
@@ -59,7 +61,12 @@
     }
 
     UpstreamConnections connections(EventLoop loop) {
-        return connections.computeIfAbsent(loop, key -> new UpstreamConnections(key, settings.timeouts()));
+        return connections.computeIfAbsent(
+                loop,
+                key -> new UpstreamConnections(
+                        key,
+                        settings.timeouts().connectMillis(),
+                        settings.timeouts().upstreamKeepMillis()));
     }
 
     void began() {
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -62,7 +62,12 @@
         this.permitDesk = new PermitDesk(loop, settings.node(), incarnation, this::send, links::isConnected);
         this.ownerDesk = new OwnerDesk(loop, settings.node() + '/' + incarnation, this::send, new Reporter());
         this.replicaHost = settings.isControl()
-                ? Optional.of(new ReplicaHost(settings, loop, links, this::onApplied))
+                ? Optional.of(new ReplicaHost(
+                        ReplicaHost.setupOf(settings),
+                        loop,
+                        (from, to, message) ->
+                                links.send(ReplicaHost.nodeOf(to), new PeerMessage.Raft(from, to, message)),
+                        this::onApplied))
                 : Optional.empty();
         this.leaderDesk = replicaHost.map(host -> new LeaderDesk(settings, loop, host, this::send));
         loop.repeat(this::heartbeat, settings.timeouts().heartbeatMillis());
@@ -274,7 +279,7 @@
 
     private void dispatch(String node, PeerMessage message) {
         if (message instanceof PeerMessage.Raft raft) {
-            replicaHost.ifPresent(host -> host.receive(raft));
+            replicaHost.ifPresent(host -> host.receive(raft.from(), raft.to(), raft.message()));
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             leaderDesk.ifPresent(desk -> desk.onHeartbeat(heartbeat.status()));
         } else if (message instanceof PeerMessage.HeartbeatReply reply) {
--- a/node/src/main/java/org/radishspur/node/control/ReplicaHost.java
+++ b/node/src/main/java/org/radishspur/node/control/ReplicaHost.java
@@ -5,14 +5,13 @@
 import java.util.Random;
 
 import org.radishspur.node.log.PartLog;
-import org.radishspur.node.peer.PeerLinks;
-import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.settings.NodeSettings;
 import org.radishspur.replication.control.ControlReplica;
 import org.radishspur.replication.control.Proposal;
 import org.radishspur.replication.disk.DataFolder;
 import org.radishspur.replication.disk.FileDisk;
 import org.radishspur.replication.disk.Identity;
+import org.radishspur.replication.raft.RaftMessage;
 import org.radishspur.replication.raft.RaftOptions;
 import org.radishspur.replication.raft.Recovered;
 import org.radishspur.replication.raft.Role;
@@ -23,78 +22,123 @@
 /**
  * Runs the control replica of this node on the control thread.
  */
-final class ReplicaHost implements AutoCloseable {
+public final class ReplicaHost implements AutoCloseable {
     private static final int ENTRIES_PER_MESSAGE = 256;
     private static final int SNAPSHOT_PART_BYTES = 1 << 18;
     private static final int TRAILING_ENTRIES = 1_000;
     private static final int MAXIMUM_PENDING = 20_000;
     private static final double LEASE_SHARE = 0.8;
+    private static final int TICKS_PER_HEARTBEAT = 4;
 
     private final ControlLoop loop;
-    private final PeerLinks links;
     private final Identity identity;
     private final ControlReplica replica;
     private final DiskWriter writer;
     private boolean flushScheduled;
     private Role lastRole = Role.FOLLOWER;
 
-    ReplicaHost(NodeSettings settings, ControlLoop loop, PeerLinks links, ControlReplica.AppliedListener applied) {
+    /**
+     * Starts the replica from what its disk holds.
+     *
+     * @param setup the disk, the identity and the times of the replica.
+     * @param loop the control thread.
+     * @param network carries messages to other replicas.
+     * @param applied hears of changes of the state.
+     */
+    public ReplicaHost(Setup setup, ControlLoop loop, Network network, ControlReplica.AppliedListener applied) {
         this.loop = loop;
-        this.links = links;
-        DataFolder folder = new DataFolder(settings.dataFolder().orElseThrow());
-        identity = folder.identity(settings.cluster(), settings.node());
-        FileDisk disk = new FileDisk(folder, identity);
+        identity = setup.identity();
+        FileDisk disk = new FileDisk(setup.folder(), identity);
         Recovered recovered = disk.recover();
         PartLog.CONTROL.info("Replica " + identity.replica() + " starts with "
                 + recovered.entries().size() + " entries behind index "
                 + recovered.snapshot().lastIndex() + '.');
-        writer = new DiskWriter(loop, disk, folder, settings.limits().minimumFreeBytes(), this::requestFlush);
+        writer = new DiskWriter(loop, disk, setup.folder(), setup.minimumFreeBytes(), this::requestFlush);
         replica = new ControlReplica(
-                optionsOf(settings),
+                setup.options(),
                 identity.replica(),
                 recovered,
                 new ControlReplica.Surroundings(
-                        (to, message) -> links.send(nodeOf(to), new PeerMessage.Raft(identity.replica(), to, message)),
-                        writer,
-                        applied,
-                        new Random()),
+                        (to, message) -> network.send(identity.replica(), to, message), writer, applied, new Random()),
                 loop.nowMillis());
-        loop.repeat(this::tick, Math.max(1, settings.timeouts().raftHeartbeatMillis() / 4));
+        loop.repeat(this::tick, Math.max(1, setup.options().raft().heartbeatMillis() / TICKS_PER_HEARTBEAT));
         requestFlush();
     }
 
-    private static ControlReplica.Options optionsOf(NodeSettings settings) {
-        long election = settings.timeouts().electionMillis();
-        RaftOptions raft = new RaftOptions(
-                settings.timeouts().raftHeartbeatMillis(),
-                election,
-                (long) (election * LEASE_SHARE),
+    static Setup setupOf(NodeSettings settings) {
+        DataFolder folder = new DataFolder(settings.dataFolder().orElseThrow());
+        RaftOptions raft = raftOptions(
+                settings.timeouts().raftHeartbeatMillis(), settings.timeouts().electionMillis());
+        StateOptions state = new StateOptions(
+                settings.timeouts().claimKeepMillis(), settings.timeouts().suspectKeepMillis());
+        return new Setup(
+                folder,
+                folder.identity(settings.cluster(), settings.node()),
+                new ControlReplica.Options(raft, state, settings.limits().entriesPerSnapshot(), MAXIMUM_PENDING),
+                settings.limits().minimumFreeBytes());
+    }
+
+    /**
+     * Makes the options of the consensus core from its two main times.
+     *
+     * @param heartbeatMillis how often a leader shows that it leads, in milliseconds.
+     * @param electionMillis how long a follower waits at least before it seeks an election, in milliseconds.
+     * @return the options.
+     */
+    public static RaftOptions raftOptions(long heartbeatMillis, long electionMillis) {
+        return new RaftOptions(
+                heartbeatMillis,
+                electionMillis,
+                (long) (electionMillis * LEASE_SHARE),
                 ENTRIES_PER_MESSAGE,
                 SNAPSHOT_PART_BYTES,
                 TRAILING_ENTRIES);
-        StateOptions state = new StateOptions(
-                settings.timeouts().claimKeepMillis(), settings.timeouts().suspectKeepMillis());
-        return new ControlReplica.Options(raft, state, settings.limits().entriesPerSnapshot(), MAXIMUM_PENDING);
     }
 
-    static String nodeOf(String replica) {
+    /**
+     * Returns the node of a replica.
+     *
+     * @param replica the identity of the replica.
+     * @return the name of its node.
+     */
+    public static String nodeOf(String replica) {
         return replica.substring(0, replica.indexOf('#'));
     }
 
-    void receive(PeerMessage.Raft envelope) {
+    /**
+     * Takes a message from another replica.
+     *
+     * @param from the identity of the sender.
+     * @param to the identity that is meant.
+     * @param message the message.
+     */
+    public void receive(String from, String to, RaftMessage message) {
         // A message for an earlier disk of this node must not be taken by the new one.
-        if (envelope.to().equals(identity.replica())) {
-            replica.receive(envelope.from(), envelope.message(), loop.nowMillis());
+        if (to.equals(identity.replica())) {
+            replica.receive(from, message, loop.nowMillis());
             requestFlush();
         }
     }
 
-    void propose(ControlCommand command, Proposal.Listener listener) {
+    /**
+     * Proposes a command.
+     *
+     * @param command the command.
+     * @param listener hears how it ends, on the control thread.
+     */
+    public void propose(ControlCommand command, Proposal.Listener listener) {
         replica.propose(command, listener, loop.nowMillis());
         requestFlush();
     }
 
-    boolean replace(String learner, String replaced) {
+    /**
+     * Starts the replacement of a lost replica.
+     *
+     * @param learner the identity of the blank replica.
+     * @param replaced the identity of the lost one, or an empty text to add one.
+     * @return whether the change was started.
+     */
+    public boolean replace(String learner, String replaced) {
         boolean started = replica.replace(learner, replaced);
         requestFlush();
         return started;
@@ -105,26 +149,51 @@
         return replica.core().mayRead(loop.nowMillis()) ? Optional.of(replica.state()) : Optional.empty();
     }
 
-    boolean isLeader() {
+    /**
+     * Tells whether this replica leads, as far as it knows.
+     *
+     * @return whether it leads.
+     */
+    public boolean isLeader() {
         return replica.core().role() == Role.LEADER;
     }
 
-    boolean transferLeadership() {
+    /**
+     * Hands leadership to a follower, as before a planned stop.
+     *
+     * @return whether a follower was asked.
+     */
+    public boolean transferLeadership() {
         boolean asked = replica.core().transferLeadership();
         requestFlush();
         return asked;
     }
 
-    String identity() {
+    /**
+     * Returns the identity of this replica.
+     *
+     * @return the identity.
+     */
+    public String identity() {
         return identity.replica();
     }
 
-    String leaderNode() {
+    /**
+     * Returns the node of the leader.
+     *
+     * @return the name, or an empty text where none is known.
+     */
+    public String leaderNode() {
         String leader = replica.core().leader();
         return leader.isEmpty() ? "" : nodeOf(leader);
     }
 
-    long term() {
+    /**
+     * Returns the present term.
+     *
+     * @return the term.
+     */
+    public long term() {
         return replica.core().term();
     }
 
@@ -132,11 +201,21 @@
         return replica.core().commitIndex();
     }
 
-    List<String> voters() {
+    /**
+     * Returns the replicas that vote.
+     *
+     * @return their identities.
+     */
+    public List<String> voters() {
         return List.copyOf(replica.core().configuration().voters());
     }
 
-    List<String> learners() {
+    /**
+     * Returns the replicas that are catching up.
+     *
+     * @return their identities.
+     */
+    public List<String> learners() {
         return List.copyOf(replica.core().configuration().learners().keySet());
     }
 
@@ -166,4 +245,57 @@
             });
         }
     }
+
+    /**
+     * Returns the state as this replica has applied it, whether or not it is the latest one.
+     *
+     * @return the state.
+     */
+    public ControlState state() {
+        return replica.state();
+    }
+
+    /**
+     * Tells whether a majority has confirmed after a moment that this replica leads.
+     *
+     * @param since the clock of the control thread in milliseconds when the read began.
+     * @return whether the state may be answered from.
+     */
+    public boolean confirmedSince(long since) {
+        return replica.core().confirmedSince(since);
+    }
+
+    /**
+     * Tells whether a replica votes or learns here.
+     *
+     * @param other the identity of the replica.
+     * @return whether the latest configuration holds it.
+     */
+    public boolean knows(String other) {
+        return replica.core().configuration().contains(other);
+    }
+
+    /**
+     * Holds what a replica is made of.
+     *
+     * @param folder the folder of its disk.
+     * @param identity the identity of that disk.
+     * @param options sizes and times.
+     * @param minimumFreeBytes the free space below which nothing is proposed.
+     */
+    public record Setup(DataFolder folder, Identity identity, ControlReplica.Options options, long minimumFreeBytes) {}
+
+    /**
+     * Carries messages between replicas.
+     */
+    public interface Network {
+        /**
+         * Sends a message, which may be lost.
+         *
+         * @param from the identity of the sender.
+         * @param to the identity of the receiver.
+         * @param message the message.
+         */
+        void send(String from, String to, RaftMessage message);
+    }
 }
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -0,0 +1,571 @@
+package org.radishspur.node.entry;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.PoolDispatcher.Decision;
+import org.radishspur.decision.dispatch.Ticket;
+import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.VersionRule;
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.model.catalogue.RouteRule;
+import org.radishspur.node.dialect.CallerDialect.RequestHead;
+import org.radishspur.node.log.EventCode;
+
+/**
+ * Brings one request from its head to its one final answer. All of it happens on the traffic thread.
+ */
+final class CallerExchange {
+    /** The part of a route's target time that a request may wait for a place; the rest is for the answer. */
+    private static final double FRESH_PATIENCE = 0.5;
+
+    /** The part of its remaining time that a request may wait that can't be on time any more. */
+    private static final double LATE_PATIENCE = 0.4;
+
+    /** A refused caller is asked back within this part of the time it has left. */
+    private static final double LATEST_RETURN = 0.33;
+
+    /** Callers that are refused in the same moment come back spread from this part of their time on. */
+    private static final double EARLIEST_RETURN = 0.2;
+
+    /** The time a caller has that states none, in milliseconds, where its route's timeout doesn't end it sooner. */
+    private static final long UNSTATED_DEADLINE_MILLIS = 30_000;
+
+    /** To how many upstreams a request is offered at most that none has run; each offer takes a way there and back. */
+    private static final int MOST_OFFERS = 4;
+
+    /** With less time than this left another upstream isn't tried, in milliseconds. */
+    private static final long LEAST_RETRY_MILLIS = 60;
+
+    /** After which time a caller should come back that found the entry without a confirmed catalogue, in milliseconds. */
+    private static final long UNCONFIRMED_RETURN_MILLIS = 500;
+
+    private final EntryServices services;
+    private final FrontConnection connection;
+    private final ChannelHandlerContext context;
+    private final HttpRequest request;
+    private final long arrivedAt;
+    private final ByteBuf body = Unpooled.buffer(0);
+
+    private RequestHead head;
+    private RouteRule route;
+    private Optional<OrganisationRule> organisation = Optional.empty();
+    private double quotaCost;
+    private PoolDispatcher pool;
+    private String poolName = "";
+    private int rank;
+    private boolean bodyWhole;
+    private boolean counted;
+    private boolean done;
+    private long endsAt;
+    private int offers;
+    private int runs;
+    private Ticket ticket;
+    private UpstreamAttempt attempt;
+    private ScheduledFuture<?> timer;
+    private boolean headWritten;
+    private boolean firstSeen;
+    private long firstMillis;
+    private EventSplitter splitter;
+
+    CallerExchange(
+            EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
+        this.services = services;
+        this.connection = connection;
+        this.context = context;
+        this.request = request;
+        this.arrivedAt = services.now();
+    }
+
+    void begin() {
+        services.began();
+        counted = true;
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    boolean isBodyWhole() {
+        return bodyWhole;
+    }
+
+    void onBody(HttpContent content) {
+        try {
+            if (done) {
+                return;
+            }
+            if (body.readableBytes() + content.content().readableBytes()
+                    > services.limits().bodyBytes()) {
+                bodyWhole = true;
+                refuse(EndReason.BODY_TOO_LARGE, 0, true);
+                return;
+            }
+            body.writeBytes(content.content());
+            if (content instanceof LastHttpContent) {
+                bodyWhole = true;
+                proceed();
+            }
+        } finally {
+            content.release();
+        }
+    }
+
+    private void proceed() {
+        head = services.dialect().read(request);
+        if (head.request().isEmpty()) {
+            refuse(EndReason.MALFORMED, 0, false);
+            return;
+        }
+        long stated = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNSTATED_DEADLINE_MILLIS;
+        endsAt = arrivedAt + stated;
+        if (!services.isCurrent()) {
+            refuse(EndReason.UNCONFIRMED, UNCONFIRMED_RETURN_MILLIS, false);
+            return;
+        }
+        Catalogue catalogue = services.view().catalogue().orElseThrow();
+        Optional<RouteRule> matched = catalogue.match(head.host(), head.path());
+        if (matched.isEmpty()) {
+            refuse(EndReason.ROUTE_UNKNOWN, 0, false);
+            return;
+        }
+        route = matched.get();
+        organisation = head.key().flatMap(catalogue::holderOf);
+        if (!route.anonymous() && !catalogue.organisations().isEmpty() && organisation.isEmpty()) {
+            refuse(EndReason.KEY_UNKNOWN, 0, false);
+            return;
+        }
+        endsAt = Math.min(endsAt, arrivedAt + route.timeoutMillis());
+        if (admitQuota()) {
+            timer = services.loop()
+                    .schedule(this::onTimeout, Math.max(1, endsAt - services.now()), TimeUnit.MILLISECONDS);
+            seekPlace(catalogue, stated);
+        }
+    }
+
+    private boolean admitQuota() {
+        if (organisation.isEmpty()) {
+            return true;
+        }
+        quotaCost = organisation.get().cost(head.promptTokens() + head.outputTokens());
+        Optional<Long> wait = services.quotas().take(organisation.get(), quotaCost, services.now());
+        if (wait.isPresent()) {
+            quotaCost = 0;
+            refuse(EndReason.QUOTA, Math.max(1, Math.min(wait.get(), latestReturn())), false);
+            return false;
+        }
+        return true;
+    }
+
+    private void seekPlace(Catalogue catalogue, long stated) {
+        poolName = route.choosePool(ThreadLocalRandom.current().nextDouble());
+        pool = services.pools().dispatcher(poolName, Optional.of(catalogue));
+        services.pools().budget(poolName).requested();
+        rank = organisation
+                .map(OrganisationRule::priority)
+                .filter(priority -> priority >= 0)
+                .orElse(route.priority());
+        boolean late = services.isReturning(route.name(), stated);
+        double patience = late || route.targetLatencyMillis() <= 0
+                ? (endsAt - arrivedAt) * LATE_PATIENCE
+                : route.targetLatencyMillis() * FRESH_PATIENCE;
+        splitter = new EventSplitter(head.resumeAfter());
+        offer(arrivedAt + (long) patience, services.pools().versions(poolName, true));
+    }
+
+    private void offer(long patientUntil, VersionRule versions) {
+        offers++;
+        long now = services.now();
+        Ticket next = new Ticket(head.request(), rank, now, Math.min(patientUntil, endsAt), versions);
+        if (attempt != null) {
+            next.avoid(attempt.upstream().upstream().run());
+        }
+        ticket = next;
+        attempt = null;
+        Decision decision = pool.offer(next, now);
+        if (decision instanceof Decision.Waits) {
+            services.waits(next, this);
+        } else {
+            onDecision(decision);
+        }
+    }
+
+    /** Takes what was decided for the request, at once or after it has waited. */
+    void onDecision(Decision decision) {
+        if (decision instanceof Decision.Granted granted) {
+            send(granted.upstream());
+        } else if (decision instanceof Decision.Refused refused) {
+            ticket = null;
+            if (runs > 0) {
+                fail(EndReason.UPSTREAM_FAILED, "no other upstream has a place");
+                return;
+            }
+            long earliest = (long) ((endsAt - services.now()) * EARLIEST_RETURN);
+            long spread = (long) (earliest
+                    + (latestReturn() - earliest) * ThreadLocalRandom.current().nextDouble());
+            long returnMillis = Math.min(latestReturn(), Math.max(spread, refused.returnMillis()));
+            logRefusal(EndReason.OVERLOAD, returnMillis, refused.waiting(), refused.places());
+            finishRefused(EndReason.OVERLOAD, returnMillis, false);
+        }
+    }
+
+    private long latestReturn() {
+        return Math.max(1, (long) ((endsAt - services.now()) * LATEST_RETURN));
+    }
+
+    private void send(UpstreamLoad upstream) {
+        long now = services.now();
+        if (!services.isCurrent() || !stillAllowed()) {
+            // Guards against a pause of the whole process between the check on arrival and this moment.
+            services.pools().release(pool, upstream, ticket, now);
+            ticket = null;
+            refuse(EndReason.UNCONFIRMED, UNCONFIRMED_RETURN_MILLIS, false);
+            return;
+        }
+        services.metrics().waited(now - arrivedAt);
+        attempt = new UpstreamAttempt(this, services, pool, upstream, ticket);
+        services.runs(this);
+        attempt.start();
+    }
+
+    /** Tells whether the catalogue in force now still lets this caller's request go to its pool. */
+    private boolean stillAllowed() {
+        Catalogue catalogue = services.view().catalogue().orElseThrow();
+        boolean routed = catalogue
+                .match(head.host(), head.path())
+                .filter(found ->
+                        found.shares().stream().anyMatch(share -> share.pool().equals(poolName)))
+                .isPresent();
+        boolean known = organisation.isEmpty()
+                || head.key()
+                        .flatMap(catalogue::holderOf)
+                        .filter(holder ->
+                                holder.name().equals(organisation.get().name()))
+                        .isPresent();
+        return routed && known;
+    }
+
+    /** Looks whether an answer has stopped coming that another upstream may give as well. */
+    void look(long now) {
+        if (!done && attempt != null && mayRunAgain() && attempt.isSilent(now)) {
+            attempt.giveUp();
+            onBroken("silence");
+        }
+    }
+
+    private boolean mayRunAgain() {
+        return route.mayRepeat()
+                && runs < route.maximumUpstreams()
+                && (route.kind() == RequestKind.STREAM || !headWritten)
+                && endsAt - services.now() > LEAST_RETRY_MILLIS;
+    }
+
+    /** Learns that the request is on its way, so that from now on it may run. */
+    void onSent() {
+        runs++;
+    }
+
+    /** Learns that the upstream has provably not run the request. */
+    void onNotRun(String reason, boolean arrived) {
+        runs -= arrived ? 1 : 0;
+        boolean allowed = runs == 0 ? endsAt - services.now() > LEAST_RETRY_MILLIS : mayRunAgain();
+        if (allowed
+                && offers < MOST_OFFERS
+                && (!arrived || services.pools().budget(poolName).take())) {
+            again(reason);
+        } else {
+            refuse(EndReason.NOT_TAKEN, latestReturn(), false);
+        }
+    }
+
+    /** Learns that the upstream has failed in a way that leaves open whether the request has run. */
+    void onBroken(String reason) {
+        if (mayRunAgain() && services.pools().budget(poolName).take()) {
+            splitter.restart();
+            again(reason);
+        } else {
+            fail(EndReason.UPSTREAM_FAILED, reason);
+        }
+    }
+
+    /** Tells whether a failure that the upstream answers with should be tried elsewhere instead. */
+    boolean triesElsewhere() {
+        return !headWritten
+                && mayRunAgain()
+                && services.pools().budget(poolName).take();
+    }
+
+    /** Sends the request to another upstream. */
+    void again(String reason) {
+        services.metrics().retried(reason);
+        services.events()
+                .emitFor(
+                        EventCode.RETRIED,
+                        head.request(),
+                        reason,
+                        attempt.upstream().upstream().id(),
+                        offers,
+                        services.now() - arrivedAt);
+        long left = endsAt - services.now();
+        offer(services.now() + (long) (left * LATE_PATIENCE), services.pools().versions(poolName, false));
+    }
+
+    private void onTimeout() {
+        if (done) {
+            return;
+        }
+        if (attempt != null || runs > 0) {
+            fail(EndReason.TIMEOUT, "timeout");
+        } else {
+            refuse(EndReason.EXPIRED, 0, false);
+        }
+    }
+
+    void onCallerGone() {
+        if (done) {
+            return;
+        }
+        services.metrics().left();
+        if (head != null) {
+            String upstream =
+                    attempt == null ? "" : attempt.upstream().upstream().id();
+            services.events().emitFor(EventCode.LEFT, head.request(), upstream, services.now() - arrivedAt);
+        }
+        release(runs == 0 && attempt == null);
+    }
+
+    void onCallerWritable() {
+        if (attempt != null && context.channel().isWritable()) {
+            attempt.read();
+        }
+    }
+
+    boolean isCallerWritable() {
+        return context.channel().isWritable();
+    }
+
+    /** Writes the head of the upstream's answer, once. */
+    void writeHead(HttpResponse upstreamHead, boolean keepLength) {
+        if (headWritten) {
+            return;
+        }
+        headWritten = true;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status());
+        org.radishspur.node.upstream.UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        if (!keepLength || !HttpUtil.isContentLengthSet(response)) {
+            response.headers().remove("Content-Length");
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        HttpUtil.setKeepAlive(response, keepsConnection());
+        context.write(response);
+    }
+
+    /** Writes a part of the answer, which is passed on at the next flush. */
+    void writeContent(ByteBuf content) {
+        if (content.isReadable()) {
+            context.write(new DefaultHttpContent(content));
+        } else {
+            content.release();
+        }
+    }
+
+    void flush() {
+        context.flush();
+    }
+
+    /** Writes a whole answer of the upstream. */
+    void writeWhole(HttpResponse upstreamHead, ByteBuf content) {
+        headWritten = true;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status(), content);
+        org.radishspur.node.upstream.UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        HttpUtil.setContentLength(response, content.readableBytes());
+        HttpUtil.setKeepAlive(response, keepsConnection());
+        endWith(response);
+    }
+
+    /** Ends an answer that was passed on part by part. */
+    void writeEnd() {
+        endWith(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    private void endWith(Object last) {
+        boolean keeps = keepsConnection();
+        var written = context.writeAndFlush(last);
+        if (!keeps) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        release(false);
+        connection.ended(context, !keeps);
+    }
+
+    private boolean keepsConnection() {
+        return HttpUtil.isKeepAlive(request) && !services.isStopping();
+    }
+
+    void noteFirst(long millis) {
+        if (!firstSeen) {
+            firstSeen = true;
+            firstMillis = services.now() - arrivedAt;
+        }
+    }
+
+    void logAnswered(int status, UpstreamLoad upstream) {
+        long millis = services.now() - arrivedAt;
+        services.metrics().answered(firstMillis, millis);
+        if (status >= HttpResponseStatus.BAD_REQUEST.code() || services.events().samples(head.request())) {
+            services.events()
+                    .emitFor(
+                            EventCode.ANSWERED,
+                            head.request(),
+                            status,
+                            upstream.upstream().id(),
+                            firstMillis,
+                            millis,
+                            splitter.events());
+        }
+    }
+
+    private void refuse(EndReason reason, long returnMillis, boolean close) {
+        if (runs > 0) {
+            // A refusal says that nothing has run, which would not be true here.
+            fail(EndReason.UPSTREAM_FAILED, reason.code());
+            return;
+        }
+        logRefusal(reason, returnMillis, 0, 0);
+        finishRefused(reason, returnMillis, close);
+    }
+
+    private void logRefusal(EndReason reason, long returnMillis, int waiting, int places) {
+        services.metrics().refused(reason.code());
+        services.events()
+                .emitFor(
+                        EventCode.REFUSED,
+                        head == null ? "" : head.request(),
+                        reason.code(),
+                        reason.status(),
+                        returnMillis,
+                        services.now() - arrivedAt,
+                        waiting,
+                        places,
+                        services.view().revision());
+    }
+
+    private void finishRefused(EndReason reason, long returnMillis, boolean close) {
+        release(true);
+        answerOwn(reason, returnMillis, close);
+    }
+
+    private void fail(EndReason reason, String cause) {
+        services.metrics().failed(reason.code());
+        services.events()
+                .emitFor(
+                        EventCode.FAILED,
+                        head.request(),
+                        reason.code(),
+                        reason.status(),
+                        attempt == null ? "" : attempt.upstream().upstream().id(),
+                        services.now() - arrivedAt,
+                        cause);
+        release(false);
+        if (headWritten) {
+            // The answer has begun: an end that does not look complete is all that can still be said.
+            context.close();
+            return;
+        }
+        answerOwn(reason, 0, false);
+    }
+
+    private void answerOwn(EndReason reason, long returnMillis, boolean close) {
+        FullHttpResponse response = AnswerHead.of(reason, returnMillis);
+        boolean keeps = keepsConnection() && !close;
+        HttpUtil.setKeepAlive(response, keeps);
+        var written = context.writeAndFlush(response);
+        if (!keeps) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        connection.ended(context, !keeps);
+    }
+
+    /** Gives everything back that the request holds. */
+    private void release(boolean refund) {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        if (ticket != null) {
+            services.waitsNoMore(ticket);
+            if (pool.withdraw(ticket)) {
+                ticket = null;
+            }
+        }
+        if (attempt != null) {
+            attempt.giveUp();
+        }
+        services.runsNoMore(this);
+        if (refund && quotaCost > 0) {
+            services.quotas().giveBack(organisation.orElseThrow(), quotaCost);
+        }
+        body.release();
+        if (counted) {
+            services.ended();
+        }
+    }
+
+    HttpRequest request() {
+        return request;
+    }
+
+    ByteBuf bodyCopy() {
+        return body.retainedDuplicate();
+    }
+
+    RequestHead head() {
+        return head;
+    }
+
+    RouteRule route() {
+        return route;
+    }
+
+    Optional<OrganisationRule> organisation() {
+        return organisation;
+    }
+
+    EventSplitter splitter() {
+        return splitter;
+    }
+
+    long millisLeft() {
+        return Math.max(1, endsAt - services.now());
+    }
+
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
+    boolean isHeadWritten() {
+        return headWritten;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
@@ -0,0 +1,217 @@
+package org.radishspur.node.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.node.fleet.Moment;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+
+/**
+ * Follows the control leader for an entry, on the control thread: asks what is in force, several times a second, and finds
+ * the leader again when it is lost.
+ */
+final class ControlFollower {
+    /** How often the leader is asked, in milliseconds; a tenth of the time in which an edit must be in force. */
+    private static final long ASK_MILLIS = 200;
+
+    /** After so long without a confirmation every known control host is asked, in milliseconds. */
+    private static final long LEADER_LOST_MILLIS = 500;
+
+    /** Questions that were not answered for so long are forgotten, in milliseconds. */
+    private static final long QUESTION_MILLIS = 3_000;
+
+    private final ControlLoop loop;
+    private final FleetLinks links;
+    private final OperatorDialect dialect;
+    private final EventLog events;
+    private final String self;
+    private final long run;
+    private final TallySource tallies;
+    private final ViewListener listener;
+    private final Set<String> seeds = new TreeSet<>();
+    private final Set<String> controls = new TreeSet<>();
+    private final Map<Long, Moment> questions = new HashMap<>();
+    private EntryView view = EntryView.NOTHING;
+    private String leader = "";
+    private boolean lost = true;
+    private long nextNonce;
+
+    ControlFollower(
+            ControlLoop loop,
+            FleetLinks links,
+            OperatorDialect dialect,
+            EventLog events,
+            String self,
+            TallySource tallies,
+            ViewListener listener) {
+        this.loop = loop;
+        this.links = links;
+        this.dialect = dialect;
+        this.events = events;
+        this.self = self;
+        this.run = System.currentTimeMillis();
+        this.tallies = tallies;
+        this.listener = listener;
+        loop.repeat(this::ask, ASK_MILLIS);
+    }
+
+    void seeds(Set<String> addresses) {
+        seeds.clear();
+        seeds.addAll(addresses);
+        want();
+        ask();
+    }
+
+    void onFollowed(FleetMessage.Followed answer) {
+        if (!answer.controls().isEmpty() && answer.confirmed()) {
+            controls.clear();
+        }
+        controls.addAll(answer.controls());
+        if (!answer.confirmed()) {
+            onHint(answer.leader());
+            want();
+            return;
+        }
+        Moment askedAt = questions.remove(answer.nonce());
+        if (askedAt == null) {
+            return;
+        }
+        if (lost) {
+            lost = false;
+            events.emit(
+                    EventCode.CONTROL, "followed", answer.leader(), Moment.now().since(view.confirmedAt()));
+        }
+        leader = answer.leader();
+        takeOver(answer, askedAt);
+        want();
+    }
+
+    private void onHint(String hinted) {
+        if (!hinted.isEmpty() && !hinted.equals(leader)) {
+            leader = hinted;
+            controls.add(hinted);
+            want();
+            ask();
+        }
+    }
+
+    private void takeOver(FleetMessage.Followed answer, Moment askedAt) {
+        EntryView next = view;
+        if (answer.document().isPresent() && answer.document().get().revision() > next.revision()) {
+            Catalogue catalogue = dialect.catalogue(answer.document().get().text());
+            next = next.withCatalogue(catalogue);
+            events.emit(
+                    EventCode.CATALOGUE,
+                    catalogue.revision(),
+                    catalogue.routes().size(),
+                    catalogue.organisations().size());
+        }
+        if (answer.list().isPresent() && answer.list().get().isLaterThan(next.hosts())) {
+            HostList hosts = answer.list().get();
+            next = next.withHosts(hosts);
+            long leaving = hosts.upstreams().stream().filter(Upstream::leaving).count();
+            events.emit(
+                    EventCode.HOST_LIST,
+                    hosts.term(),
+                    hosts.reading(),
+                    hosts.upstreams().size(),
+                    leaving);
+        }
+        // The answer confirms this entry's catalogue only if the entry now holds the one that the leader told of. An
+        // answer that was overtaken by a later one confirms nothing newer than that one did.
+        boolean current = next.revision() >= answer.revision();
+        boolean newer = askedAt.steadyMillis() >= next.confirmedAt().steadyMillis();
+        if (current && newer) {
+            next = next.confirmed(answer.rollouts(), answer.entries(), askedAt);
+        }
+        view = next;
+        listener.onView(next);
+    }
+
+    private void ask() {
+        Moment now = Moment.now();
+        questions.values().removeIf(asked -> now.since(asked) > QUESTION_MILLIS);
+        long age = now.since(view.confirmedAt());
+        boolean missing = age > LEADER_LOST_MILLIS;
+        if (missing && !lost) {
+            lost = true;
+            events.emit(EventCode.CONTROL, "lost", leader, age);
+        }
+        Set<String> asked = new TreeSet<>();
+        if (!leader.isEmpty()) {
+            asked.add(leader);
+        }
+        if (missing || leader.isEmpty()) {
+            asked.addAll(wanted());
+        }
+        List<FleetMessage.VersionTally> seen = tallies.tallies();
+        for (String address : asked) {
+            long nonce = ++nextNonce;
+            questions.put(nonce, now);
+            links.send(
+                    address,
+                    new FleetMessage.Follow(
+                            nonce,
+                            self,
+                            run,
+                            view.revision(),
+                            view.hosts().term(),
+                            view.hosts().reading(),
+                            seen));
+        }
+    }
+
+    /** Returns the control hosts to stay connected with: the seeds only as long as nothing better is known. */
+    private Set<String> wanted() {
+        Set<String> wanted = new TreeSet<>(controls);
+        if (controls.isEmpty() || lost) {
+            wanted.addAll(seeds);
+        }
+        if (!leader.isEmpty()) {
+            wanted.add(leader);
+        }
+        return wanted;
+    }
+
+    private void want() {
+        Set<String> wanted = wanted();
+        wanted.addAll(view.entries());
+        wanted.remove(self);
+        links.want(wanted);
+    }
+
+    /**
+     * Takes a changed view, on the control thread.
+     */
+    interface ViewListener {
+        /**
+         * Takes the view.
+         *
+         * @param view the view.
+         */
+        void onView(EntryView view);
+    }
+
+    /**
+     * Collects what the entry has seen of versions; callable from any thread.
+     */
+    interface TallySource {
+        /**
+         * Returns the counts.
+         *
+         * @return one tally for each pool, version and route.
+         */
+        List<FleetMessage.VersionTally> tallies();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -0,0 +1,180 @@
+package org.radishspur.node.entry;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.dialect.CallerDialect;
+import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.fleet.FleetInbox;
+import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetServer;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.settings.FleetSettings;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Supervisor;
+
+/**
+ * Runs an entry: the traffic thread, the control thread and the edges, under one supervisor.
+ */
+public final class EntryProcess implements FleetInbox, AutoCloseable {
+    /**
+     * How often entries share what has changed, in milliseconds. At a thousand requests a second and entry a place is
+     * seen free within a twentieth of the shortest target time.
+     */
+    private static final long SHARE_MILLIS = 40;
+
+    /** How often waiting requests and silent answers are looked after, in milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** How often a planned stop looks whether it is done, in milliseconds. */
+    private static final long POLL_MILLIS = 50;
+
+    /** How long callers may still arrive after the balancer was told, in milliseconds: it asks once a second, twice. */
+    private static final long REROUTE_MILLIS = 2_300;
+
+    /** How long idle callers' connections are left open in a planned stop, in milliseconds. */
+    private static final long IDLE_STOP_MILLIS = 4_500;
+
+    /** How long before the end of the grace a planned stop ends in any case, in milliseconds. */
+    private static final long GRACE_MARGIN_MILLIS = 400;
+
+    private final FleetSettings settings;
+    private final EventLog events;
+    private final ControlLoop control = new ControlLoop();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop traffic = group.next();
+    private final FleetLinks links;
+    private final EntryServices services;
+    private final ControlFollower follower;
+    private final FrontServer front;
+    private final Supervisor.Scheduler.ForThread scheduler = new Supervisor.Scheduler.ForThread();
+    private final Supervisor root;
+    private final CountDownLatch failed = new CountDownLatch(1);
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings the settings of the process.
+     * @param callers reads callers' requests and upstreams' answers.
+     * @param operators reads catalogues.
+     * @param events takes structured events.
+     */
+    public EntryProcess(FleetSettings settings, CallerDialect callers, OperatorDialect operators, EventLog events) {
+        this.settings = settings;
+        this.events = events;
+        control.onFailure(cause -> failed.countDown());
+        events.emit(EventCode.STARTED, "entry", settings.failureDomain(), settings.founding());
+        EntryMetrics metrics = new EntryMetrics();
+        VersionTallies tallies = new VersionTallies();
+        links = new FleetLinks(traffic, this);
+        services = new EntryServices(settings, callers, events, metrics, traffic, links, tallies);
+        metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
+        metrics.registry().register("catalogue.revision", (Gauge<Long>)
+                () -> services.view().revision());
+        follower = new ControlFollower(
+                control,
+                links,
+                operators,
+                events,
+                settings.peerAddress().toString(),
+                tallies,
+                view -> traffic.execute(() -> services.onView(view)));
+        front = new FrontServer(settings.callerAddress().orElseThrow(), traffic, services);
+        root = new Supervisor("entry", scheduler, control::nowMillis)
+                .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
+                .supervise(
+                        "ready-server",
+                        () -> new ReadyServer(settings.readyAddress().orElseThrow(), traffic, services))
+                .supervise("front-server", () -> front);
+        root.start(cause -> failed.countDown());
+        control.execute(() -> follower.seeds(addresses(settings.seeds())));
+        traffic.scheduleAtFixedRate(services::share, SHARE_MILLIS, SHARE_MILLIS, TimeUnit.MILLISECONDS);
+        traffic.scheduleAtFixedRate(services::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onMessage(Sender sender, FleetMessage message) {
+        if (message instanceof FleetMessage.Load load) {
+            traffic.execute(() -> services.onLoad(load));
+        } else if (message instanceof FleetMessage.Followed answer) {
+            control.execute(() -> follower.onFollowed(answer));
+        }
+    }
+
+    /**
+     * Takes over settings that have changed while the process runs.
+     *
+     * @param changed the new settings; only the seeds may differ.
+     */
+    public void reload(FleetSettings changed) {
+        events.emit(EventCode.RELOADED, changed.seeds());
+        control.execute(() -> follower.seeds(addresses(changed.seeds())));
+    }
+
+    /**
+     * Waits until a part of the process has failed for good.
+     *
+     * @throws InterruptedException if the waiting thread is interrupted.
+     */
+    public void awaitFailure() throws InterruptedException {
+        failed.await();
+    }
+
+    /**
+     * Stops as planned: tells the balancer first, goes on serving until it has turned callers away, and lets every request
+     * in progress end.
+     */
+    public void shutDown() {
+        events.emit(EventCode.STOPPING, services.inProgress());
+        services.stop();
+        long beganAt = System.nanoTime();
+        long latest = settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
+        while (true) {
+            long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganAt);
+            boolean quiet = services.inProgress() == 0;
+            boolean empty = quiet && front.connections() == 0 && elapsed > REROUTE_MILLIS;
+            if (empty || quiet && elapsed > IDLE_STOP_MILLIS || elapsed > latest) {
+                break;
+            }
+            pause();
+        }
+        events.emit(EventCode.STOPPED, services.inProgress());
+        events.close();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        root.close();
+        scheduler.close();
+        links.close();
+        control.close();
+        group.shutdownGracefully();
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Set<String> addresses(List<HostPort> hosts) {
+        Set<String> addresses = new TreeSet<>();
+        hosts.forEach(host -> addresses.add(host.toString()));
+        return addresses;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -0,0 +1,101 @@
+package org.radishspur.node.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import org.radishspur.model.error.ErrorCode;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
+
+/**
+ * Takes callers' connections, and closes those that stay idle.
+ */
+final class FrontServer implements Child {
+    /** The greatest size of the first line and of all headers; callers keep to the catalogue's smaller limit. */
+    private static final int HEAD_BYTES = 65_536;
+
+    private static final int CHUNK_BYTES = 16_384;
+    private static final int BACKLOG = 1_024;
+    private static final long SWEEP_MILLIS = 1_000;
+
+    private final HostPort address;
+    private final EventLoop loop;
+    private final EntryServices services;
+    private final Map<Channel, FrontConnection> connections = new HashMap<>();
+    private Channel channel;
+
+    FrontServer(HostPort address, EventLoop loop, EntryServices services) {
+        this.address = address;
+        this.loop = loop;
+        this.services = services;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void start(FailureListener listener) {
+        channel = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline()
+                                .addLast(new HttpServerCodec(HEAD_BYTES, HEAD_BYTES, CHUNK_BYTES))
+                                .addLast(new FrontConnection(services, FrontServer.this));
+                    }
+                })
+                .bind(address.toSocketAddress())
+                .syncUninterruptibly()
+                .channel();
+        loop.scheduleAtFixedRate(this::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void opened(Channel accepted, FrontConnection connection) {
+        connections.put(accepted, connection);
+    }
+
+    void closed(Channel accepted) {
+        connections.remove(accepted);
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private void closeIdle() {
+        long now = services.now();
+        long allowed = services.limits().idleMillis();
+        connections.entrySet().stream()
+                .filter(entry ->
+                        entry.getValue().isIdle() && now - entry.getValue().idleSince() > allowed)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(Channel::close);
+    }
+
+    /** Reports that the address stopped listening, which only a fault of the process can cause. */
+    static RadishspurException stopped() {
+        return new RadishspurException(ErrorCode.CALL_INVALID, "the callers' address stopped listening");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/MetricsText.java
@@ -0,0 +1,45 @@
+package org.radishspur.node.entry;
+
+import java.util.Locale;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+
+/**
+ * Writes metrics as the usual text exposition, one sample a line.
+ */
+enum MetricsText {
+    /** The only instance. */
+    INSTANCE;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+    String write(MetricRegistry registry) {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters().forEach((name, counter) -> sample(text, name + "_total", "", counter.getCount()));
+        registry.getGauges().forEach((name, gauge) -> {
+            if (gauge.getValue() instanceof Number number) {
+                sample(text, name, "", number.doubleValue());
+            }
+        });
+        registry.getTimers().forEach((name, timer) -> {
+            Snapshot snapshot = timer.getSnapshot();
+            for (double quantile : QUANTILES) {
+                String label = "{quantile=\"" + quantile + "\"}";
+                sample(text, name + "_seconds", label, snapshot.getValue(quantile) / NANOS_PER_SECOND);
+            }
+            sample(text, name + "_seconds_count", "", timer.getCount());
+        });
+        return text.toString();
+    }
+
+    private static void sample(StringBuilder text, String name, String label, double value) {
+        text.append("radishspur_")
+                .append(name.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9_]", "_"))
+                .append(label)
+                .append(' ')
+                .append(value)
+                .append('\n');
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/ReadyServer.java
@@ -0,0 +1,104 @@
+package org.radishspur.node.entry;
+
+import java.nio.charset.StandardCharsets;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
+
+/**
+ * Tells the balancer whether the entry takes callers, and anybody on the same address its metrics.
+ */
+final class ReadyServer implements Child {
+    private static final int BODY_BYTES = 8_192;
+
+    private final HostPort address;
+    private final EventLoop loop;
+    private final EntryServices services;
+    private Channel channel;
+
+    ReadyServer(HostPort address, EventLoop loop, EntryServices services) {
+        this.address = address;
+        this.loop = loop;
+        this.services = services;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void start(FailureListener listener) {
+        channel = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(BODY_BYTES))
+                                .addLast(new Reception());
+                    }
+                })
+                .bind(address.toSocketAddress())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /**
+     * Answers the questions of one connection.
+     */
+    private final class Reception extends SimpleChannelInboundHandler<FullHttpRequest> {
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean metrics = request.uri().startsWith("/metrics");
+            boolean well = metrics || services.isReady();
+            ByteBuf body = metrics
+                    ? Unpooled.copiedBuffer(MetricsText.INSTANCE.write(registry()), StandardCharsets.UTF_8)
+                    : Unpooled.EMPTY_BUFFER;
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, well ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, body);
+            HttpUtil.setContentLength(response, body.readableBytes());
+            HttpUtil.setKeepAlive(response, HttpUtil.isKeepAlive(request));
+            var written = context.writeAndFlush(response);
+            if (!HttpUtil.isKeepAlive(request)) {
+                written.addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+            }
+        }
+
+        private MetricRegistry registry() {
+            return services.metrics().registry();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -0,0 +1,358 @@
+package org.radishspur.node.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.Ticket;
+import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.node.dialect.CallerDialect.AnswerKind;
+import org.radishspur.node.dialect.CallerDialect.Forward;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.upstream.UpstreamExchange;
+import org.radishspur.node.upstream.UpstreamHeaders;
+import org.radishspur.node.upstream.UpstreamListener;
+
+/**
+ * Carries a request to one upstream and its answer back.
+ */
+final class UpstreamAttempt implements UpstreamListener {
+    /** Plain answers up to this size are held until they are whole, so that a broken one can be got again, in bytes. */
+    private static final int HELD_BYTES = 256 << 10;
+
+    private final CallerExchange caller;
+    private final EntryServices services;
+    private final PoolDispatcher pool;
+    private final UpstreamLoad upstream;
+    private final Ticket ticket;
+    private UpstreamExchange exchange;
+    private Phase phase = Phase.CONNECTING;
+    private long sentAt;
+    private long lastByteAt;
+    private HttpResponse answer;
+    private AnswerKind kind;
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
+    private boolean answered;
+    private boolean released;
+    private long eventsBefore;
+
+    UpstreamAttempt(
+            CallerExchange caller, EntryServices services, PoolDispatcher pool, UpstreamLoad upstream, Ticket ticket) {
+        this.caller = caller;
+        this.services = services;
+        this.pool = pool;
+        this.upstream = upstream;
+        this.ticket = ticket;
+        this.eventsBefore = caller.splitter().events();
+    }
+
+    void start() {
+        exchange = services.connections().open(upstream.upstream().address(), this);
+    }
+
+    UpstreamLoad upstream() {
+        return upstream;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onConnected() {
+        if (phase != Phase.CONNECTING) {
+            exchange.abort();
+            return;
+        }
+        phase = Phase.RUNNING;
+        sentAt = services.now();
+        lastByteAt = sentAt;
+        caller.onSent();
+        logSent();
+        exchange.write(forwarded());
+        exchange.read();
+    }
+
+    private void logSent() {
+        if (services.events().samples(caller.head().request())) {
+            services.events()
+                    .emitFor(
+                            EventCode.SENT,
+                            caller.head().request(),
+                            upstream.upstream().id(),
+                            upstream.inProgress(),
+                            sentAt - caller.arrivedAt(),
+                            caller.millisLeft(),
+                            services.view().revision());
+        }
+    }
+
+    private FullHttpRequest forwarded() {
+        FullHttpRequest copy = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                caller.request().method(),
+                caller.request().uri(),
+                caller.bodyCopy());
+        HttpHeaders headers = copy.headers();
+        UpstreamHeaders.INSTANCE.copyEndToEnd(caller.request().headers(), headers);
+        boolean hasBody = copy.content().isReadable() || HttpUtil.isContentLengthSet(caller.request());
+        headers.remove("Content-Length");
+        if (hasBody) {
+            HttpUtil.setContentLength(copy, copy.content().readableBytes());
+        }
+        long resumeAfter = caller.route().kind() == RequestKind.STREAM
+                ? caller.splitter().lastId()
+                : caller.head().resumeAfter();
+        services.dialect()
+                .prepare(
+                        headers,
+                        new Forward(
+                                upstream.upstream().id(),
+                                caller.organisation().map(OrganisationRule::name),
+                                caller.millisLeft(),
+                                resumeAfter));
+        return copy;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onConnectFailed() {
+        if (phase != Phase.CONNECTING) {
+            return;
+        }
+        upstream.unreachable(services.now());
+        services.events().emit(EventCode.EJECTED, upstream.upstream().id(), "no connection");
+        end();
+        caller.onNotRun("connect-failed", false);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onHead(HttpResponse response) {
+        if (phase != Phase.RUNNING) {
+            return;
+        }
+        kind = services.dialect().judge(response, caller.head().request());
+        if (kind == AnswerKind.OTHER_REQUEST) {
+            exchange.skipAnswer();
+            return;
+        }
+        long now = services.now();
+        lastByteAt = now;
+        answer = response;
+        switch (kind) {
+            case SUCCESS -> onSuccess();
+            case FAILURE -> onFailure();
+            case NOT_RUN, WRONG_INSTANCE -> phase = Phase.DRAINING;
+            default -> {
+                judged(false);
+                exchange.abort();
+                end();
+                caller.onBroken("spoilt");
+            }
+        }
+    }
+
+    private void onSuccess() {
+        if (passesEvents()) {
+            caller.writeHead(answer, !caller.route().resumable());
+        } else {
+            held = Unpooled.buffer();
+        }
+    }
+
+    private void onFailure() {
+        boolean server = answer.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        if (server && caller.triesElsewhere()) {
+            judged(false);
+            phase = Phase.DRAINING;
+            release();
+            caller.again("upstream-failure");
+            return;
+        }
+        held = Unpooled.buffer();
+    }
+
+    private boolean passesEvents() {
+        return kind == AnswerKind.SUCCESS && caller.route().kind() == RequestKind.STREAM;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onContent(ByteBuf content) {
+        try {
+            if (phase != Phase.RUNNING || answer == null) {
+                return;
+            }
+            noteBytes();
+            if (passesEvents()) {
+                ByteBuf whole = caller.splitter().take(content);
+                caller.writeContent(caller.route().resumable() ? whole : content.retain());
+                if (!caller.route().resumable()) {
+                    whole.release();
+                }
+            } else {
+                hold(content);
+            }
+        } finally {
+            content.release();
+        }
+    }
+
+    private void hold(ByteBuf content) {
+        if (caller.isHeadWritten()) {
+            caller.writeContent(content.retain());
+            return;
+        }
+        held.writeBytes(content);
+        if (held.readableBytes() > HELD_BYTES) {
+            caller.writeHead(answer, true);
+            caller.writeContent(held);
+            held = Unpooled.EMPTY_BUFFER;
+        }
+    }
+
+    private void noteBytes() {
+        long now = services.now();
+        lastByteAt = now;
+        upstream.heard(now);
+        if (!answered) {
+            answered = true;
+            upstream.answered(ticket, now - sentAt, now);
+            caller.noteFirst(now - sentAt);
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onPause() {
+        if (phase == Phase.RUNNING) {
+            caller.flush();
+            if (caller.isCallerWritable()) {
+                exchange.read();
+            }
+        } else if (phase == Phase.DRAINING) {
+            exchange.read();
+        }
+    }
+
+    void read() {
+        if (phase == Phase.RUNNING) {
+            exchange.read();
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onEnd() {
+        Phase before = phase;
+        if (before == Phase.DRAINING && (kind == AnswerKind.NOT_RUN || kind == AnswerKind.WRONG_INSTANCE)) {
+            notRun();
+            return;
+        }
+        if (before != Phase.RUNNING) {
+            return;
+        }
+        boolean good = answer.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        judged(good);
+        end();
+        if (good) {
+            notePace();
+        }
+        caller.logAnswered(answer.status().code(), upstream);
+        if (passesEvents()) {
+            caller.writeContent(caller.route().resumable() ? caller.splitter().rest() : Unpooled.EMPTY_BUFFER);
+            caller.writeEnd();
+        } else if (caller.isHeadWritten()) {
+            caller.writeEnd();
+        } else {
+            ByteBuf whole = held;
+            held = Unpooled.EMPTY_BUFFER;
+            caller.writeWhole(answer, whole);
+        }
+    }
+
+    private void notRun() {
+        end();
+        caller.onNotRun(kind == AnswerKind.NOT_RUN ? "not-run" : "wrong-instance", true);
+    }
+
+    private void notePace() {
+        long millis = services.now() - sentAt;
+        if (passesEvents()) {
+            long events = caller.splitter().events() - eventsBefore;
+            if (events > 1) {
+                upstream.paced((double) millis / events);
+            }
+        } else {
+            upstream.paced(millis);
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onBroken(Throwable cause) {
+        if (phase == Phase.DRAINING && (kind == AnswerKind.NOT_RUN || kind == AnswerKind.WRONG_INSTANCE)) {
+            notRun();
+            return;
+        }
+        if (phase != Phase.RUNNING) {
+            return;
+        }
+        judged(false);
+        end();
+        caller.onBroken("broken: " + cause.getMessage());
+    }
+
+    boolean isSilent(long now) {
+        boolean waits = phase == Phase.RUNNING && upstream.isSilent(now);
+        return waits && now - lastByteAt > UpstreamLoad.SHORTEST_SILENCE_MILLIS;
+    }
+
+    private void judged(boolean good) {
+        String route = caller.route().name();
+        long first = answered ? lastByteAt - sentAt : services.now() - sentAt;
+        services.judged(pool, upstream, route, good, first, 0);
+    }
+
+    /** Gives the attempt up: cancels the request at the upstream and gives its place back. */
+    void giveUp() {
+        if (phase == Phase.ENDED) {
+            return;
+        }
+        boolean drains = phase == Phase.DRAINING;
+        end();
+        if (!drains && exchange != null) {
+            exchange.abort();
+        }
+    }
+
+    private void end() {
+        phase = Phase.ENDED;
+        release();
+    }
+
+    private void release() {
+        if (!released) {
+            released = true;
+            services.pools().release(pool, upstream, ticket, services.now());
+        }
+    }
+
+    /** Names how far the attempt is. */
+    private enum Phase {
+        /** Nothing was sent yet. */
+        CONNECTING,
+        /** The request was sent. */
+        RUNNING,
+        /** The rest of an answer comes that nobody is to get. */
+        DRAINING,
+        /** Nothing is to be expected any more. */
+        ENDED
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -0,0 +1,246 @@
+package org.radishspur.node.fleet;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.radishspur.node.log.PartLog;
+import org.radishspur.node.peer.PeerCodec;
+import org.radishspur.node.settings.HostPort;
+
+/**
+ * Keeps one connection to each wanted address and sends messages over it. A message to an address without a connection
+ * is dropped: whoever sends one repeats it if it matters.
+ *
+ * <p>Guards against a connection that falls silent for good without a reset: each link that has heard nothing for a
+ * moment sends a ping, and one that still hears nothing is closed and made anew.
+ */
+public final class FleetLinks implements AutoCloseable {
+    /** How long making a connection may take, in milliseconds; the longest ways take some ten. */
+    private static final int CONNECT_MILLIS = 500;
+
+    /** How long to wait before the next attempt, in milliseconds; short beside an election. */
+    private static final long RECONNECT_MILLIS = 150;
+
+    /** How often links are looked after, in milliseconds; a ping is due after so much silence. */
+    private static final long CARE_MILLIS = 300;
+
+    /** So much silence means that the connection is dead, in milliseconds: three pings went unanswered. */
+    private static final long SILENCE_MILLIS = 1_000;
+
+    /** How many bytes may wait for a peer that does not read; beyond them the connection is made anew. */
+    private static final int BACKLOG_BYTES = 32 << 20;
+
+    private final EventLoop loop;
+    private final FleetInbox inbox;
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final ScheduledFuture<?> care;
+    private volatile boolean closed;
+
+    /**
+     * Creates links to nobody.
+     *
+     * @param loop the thread of the transport.
+     * @param inbox receives what comes over the links.
+     */
+    public FleetLinks(EventLoop loop, FleetInbox inbox) {
+        this.loop = loop;
+        this.inbox = inbox;
+        this.care = loop.scheduleAtFixedRate(this::care, CARE_MILLIS, CARE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sets the addresses to which connections are kept.
+     *
+     * @param addresses the wanted addresses; links to others are closed.
+     */
+    public void want(Set<String> addresses) {
+        links.forEach((address, link) -> {
+            if (!addresses.contains(address)) {
+                links.remove(address);
+                link.drop();
+            }
+        });
+        for (String address : addresses) {
+            if (!closed && !links.containsKey(address)) {
+                Link link = new Link(address);
+                links.put(address, link);
+                loop.execute(link::connect);
+            }
+        }
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param address the address of the receiver.
+     * @param message the message.
+     */
+    public void send(String address, FleetMessage message) {
+        Link link = links.get(address);
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    /**
+     * Counts the connections that were made to an address, so that a sender of changes knows when to start over.
+     *
+     * @param address the address.
+     * @return the number; 0 where there is no connection now.
+     */
+    public int connection(String address) {
+        Link link = links.get(address);
+        return link == null || link.channel == null ? 0 : link.connections;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        closed = true;
+        care.cancel(false);
+        links.values().forEach(Link::drop);
+        links.clear();
+    }
+
+    private void care() {
+        long now = System.nanoTime();
+        links.values().forEach(link -> link.care(now));
+    }
+
+    /**
+     * Keeps one connection.
+     */
+    private final class Link extends SimpleChannelInboundHandler<FleetMessage> {
+        private final String address;
+        private volatile Channel channel;
+        private volatile int connections;
+        private volatile boolean dropped;
+        private volatile long heardAt;
+
+        Link(String address) {
+            this.address = address;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean isSharable() {
+            return true;
+        }
+
+        void connect() {
+            if (dropped || closed) {
+                return;
+            }
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(
+                            ChannelOption.WRITE_BUFFER_WATER_MARK,
+                            new WriteBufferWaterMark(BACKLOG_BYTES / 2, BACKLOG_BYTES))
+                    .handler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel made) {
+                            PeerCodec.install(made, FleetServer.FRAME_BYTES, FleetMessage.class);
+                            made.pipeline().addLast(Link.this);
+                        }
+                    })
+                    .connect(HostPort.parse(address).toSocketAddress())
+                    .addListener((ChannelFuture future) -> {
+                        if (!future.isSuccess()) {
+                            again();
+                        }
+                    });
+        }
+
+        void send(FleetMessage message) {
+            Channel present = channel;
+            if (present == null) {
+                return;
+            }
+            // Guards against filling the memory with messages for a process that has frozen but whose connection
+            // stands.
+            if (!present.isWritable()) {
+                present.close();
+                return;
+            }
+            present.writeAndFlush(message, present.voidPromise());
+        }
+
+        void care(long now) {
+            Channel present = channel;
+            if (present == null) {
+                return;
+            }
+            long silent = TimeUnit.NANOSECONDS.toMillis(now - heardAt);
+            if (silent > SILENCE_MILLIS) {
+                PartLog.PEER.info("The link to " + address + " is silent and is made anew.");
+                present.close();
+            } else if (silent >= CARE_MILLIS / 2) {
+                send(new FleetMessage.Ping());
+            }
+        }
+
+        void drop() {
+            dropped = true;
+            Channel present = channel;
+            if (present != null) {
+                present.close();
+            }
+        }
+
+        private void again() {
+            if (!dropped && !closed && !loop.isShuttingDown()) {
+                loop.schedule(this::connect, RECONNECT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            heardAt = System.nanoTime();
+            connections++;
+            channel = context.channel();
+            if (dropped) {
+                context.close();
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            channel = null;
+            again();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
+            heardAt = System.nanoTime();
+            if (!(message instanceof FleetMessage.Pong)) {
+                inbox.onMessage(reply -> send(reply), message);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
@@ -0,0 +1,101 @@
+package org.radishspur.node.fleet;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import org.radishspur.model.error.ErrorCode;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.log.PartLog;
+import org.radishspur.node.peer.PeerCodec;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
+
+/**
+ * Takes connections from other processes of the system.
+ */
+public final class FleetServer implements Child {
+    /** The largest frame in bytes: a catalogue of some ten thousand routes, or a snapshot part beside it. */
+    static final int FRAME_BYTES = 16 << 20;
+
+    /** A connection that brings nothing for so long is dead; the other end sends a ping several times a second. */
+    private static final int SILENCE_SECONDS = 5;
+
+    private final HostPort address;
+    private final EventLoopGroup group;
+    private final FleetInbox inbox;
+    private Channel channel;
+
+    /**
+     * Creates a server that doesn't listen yet.
+     *
+     * @param address where to listen.
+     * @param group the threads of the transport.
+     * @param inbox receives what comes.
+     */
+    public FleetServer(HostPort address, EventLoopGroup group, FleetInbox inbox) {
+        this.address = address;
+        this.group = group;
+        this.inbox = inbox;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void start(FailureListener listener) {
+        channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline().addLast(new ReadTimeoutHandler(SILENCE_SECONDS));
+                        PeerCodec.install(accepted, FRAME_BYTES, FleetMessage.class);
+                        accepted.pipeline().addLast(new Reception());
+                    }
+                })
+                .bind(address.toSocketAddress())
+                .syncUninterruptibly()
+                .channel();
+        channel.closeFuture()
+                .addListener(future -> listener.onFailure(
+                        new RadishspurException(ErrorCode.FRAME_INVALID, "the fleet address stopped listening")));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /**
+     * Takes the messages of one connection.
+     */
+    private final class Reception extends SimpleChannelInboundHandler<FleetMessage> {
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
+            if (message instanceof FleetMessage.Ping) {
+                context.writeAndFlush(new FleetMessage.Pong());
+            } else {
+                inbox.onMessage(reply -> context.writeAndFlush(reply), message);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            PartLog.PEER.info("Closed a connection from " + context.channel().remoteAddress() + ": " + cause + '.');
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -0,0 +1,215 @@
+package org.radishspur.node.group;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.dialect.HostListDialect;
+import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.fleet.FleetInbox;
+import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetServer;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.settings.FleetSettings;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Supervisor;
+import org.radishspur.replication.control.ControlReplica;
+import org.radishspur.replication.disk.DataFolder;
+import org.radishspur.replication.disk.Identity;
+import org.radishspur.replication.state.StateOptions;
+
+/**
+ * Runs a control host: one thread for control state, one for the transport, one for the disk.
+ */
+public final class ControlProcess implements FleetInbox, AutoCloseable {
+    private static final String CLUSTER = "fleet";
+
+    /** How often a leader shows that it leads, in milliseconds; a read waits for up to one such round. */
+    private static final long HEARTBEAT_MILLIS = 60;
+
+    /** How long a follower waits at least before an election, in milliseconds; ten heartbeats may be late or lost. */
+    private static final long ELECTION_MILLIS = 600;
+
+    /** A catalogue is some hundred kilobytes: this many entries stay well below the smallest disks of 128 MB. */
+    private static final int ENTRIES_PER_SNAPSHOT = 60;
+
+    private static final int MAXIMUM_PENDING = 1_000;
+
+    /** Below so much free space nothing is proposed; room for one snapshot of the state beside the journal. */
+    private static final long MINIMUM_FREE_BYTES = 4L << 20;
+
+    /** How long a planned stop waits for a follower to take over, in milliseconds; an election takes some ten. */
+    private static final long HANDOVER_MILLIS = 150;
+
+    private static final int SUFFIX_BOUND = 1 << 30;
+
+    private final FleetSettings settings;
+    private final EventLog events;
+    private final ControlLoop loop = new ControlLoop();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final FleetLinks links;
+    private final ReplicaHost replica;
+    private final MemberWatch members;
+    private final FollowDesk follow;
+    private final Supervisor.Scheduler.ForThread scheduler = new Supervisor.Scheduler.ForThread();
+    private final Supervisor root;
+    private final CountDownLatch failed = new CountDownLatch(1);
+    private String lastRole = "";
+
+    /**
+     * Starts a control host.
+     *
+     * @param settings the settings of the process.
+     * @param operators reads operators' calls.
+     * @param hostList reads the platform's host list.
+     * @param events takes structured events.
+     */
+    public ControlProcess(
+            FleetSettings settings, OperatorDialect operators, HostListDialect hostList, EventLog events) {
+        this.settings = settings;
+        this.events = events;
+        loop.onFailure(cause -> failed.countDown());
+        events.emit(EventCode.STARTED, "control", settings.failureDomain(), settings.founding());
+        DataFolder folder = new DataFolder(settings.dataFolder().orElseThrow());
+        ReplicaHost.Setup setup = new ReplicaHost.Setup(
+                folder,
+                identityOf(folder),
+                new ControlReplica.Options(
+                        ReplicaHost.raftOptions(HEARTBEAT_MILLIS, ELECTION_MILLIS),
+                        StateOptions.STANDARD,
+                        ENTRIES_PER_SNAPSHOT,
+                        MAXIMUM_PENDING),
+                MINIMUM_FREE_BYTES);
+        links = new FleetLinks(group.next(), this);
+        replica = new ReplicaHost(
+                setup,
+                loop,
+                (from, to, message) -> links.send(ReplicaHost.nodeOf(to), new FleetMessage.Raft(from, to, message)),
+                state -> {});
+        members = new MemberWatch(
+                loop, replica, links, events, settings.peerAddress().toString());
+        HostListReader reader =
+                new HostListReader(loop, group.next(), replica, hostList, settings.hostListAddress(), events);
+        RolloutDriver rollouts = new RolloutDriver(loop, replica, events);
+        follow = new FollowDesk(loop, replica, members, reader, rollouts);
+        OperatorDesk desk = new OperatorDesk(loop, replica, follow, operators, settings.operatorPort(), events);
+        root = new Supervisor("control", scheduler, loop::nowMillis)
+                .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
+                .supervise(
+                        "operator-server",
+                        () -> new OperatorServer(settings.operatorAddress().orElseThrow(), group, desk));
+        root.start(cause -> failed.countDown());
+        loop.execute(() -> members.seeds(addresses(settings.seeds())));
+        loop.repeat(this::look, HEARTBEAT_MILLIS / 2);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onMessage(Sender sender, FleetMessage message) {
+        loop.execute(() -> {
+            if (message instanceof FleetMessage.Raft raft) {
+                members.onRaft(raft.from());
+                replica.receive(raft.from(), raft.to(), raft.message());
+                follow.settle();
+            } else if (message instanceof FleetMessage.Candidate candidate) {
+                members.onCandidate(candidate);
+            } else if (message instanceof FleetMessage.Follow question) {
+                follow.onFollow(sender, question);
+            }
+        });
+    }
+
+    /**
+     * Takes over settings that have changed while the process runs.
+     *
+     * @param changed the new settings; only the seeds may differ.
+     */
+    public void reload(FleetSettings changed) {
+        events.emit(EventCode.RELOADED, changed.seeds());
+        loop.execute(() -> members.seeds(addresses(changed.seeds())));
+    }
+
+    /**
+     * Waits until a part of the process has failed for good.
+     *
+     * @throws InterruptedException if the waiting thread is interrupted.
+     */
+    public void awaitFailure() throws InterruptedException {
+        failed.await();
+    }
+
+    /** Stops as planned: hands leadership over, then ends. */
+    public void shutDown() {
+        events.emit(EventCode.STOPPING, 0);
+        loop.execute(replica::transferLeadership);
+        try {
+            Thread.sleep(HANDOVER_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        events.emit(EventCode.STOPPED, 0);
+        events.close();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        root.close();
+        scheduler.close();
+        links.close();
+        replica.close();
+        loop.close();
+        group.shutdownGracefully();
+    }
+
+    private void look() {
+        follow.settle();
+        String role = replica.isLeader() ? "leader" : "follower";
+        if (!role.equals(lastRole)) {
+            lastRole = role;
+            events.emit(EventCode.ROLE, role, replica.term(), replica.voters());
+        }
+    }
+
+    /**
+     * Gives a blank disk its identity. At the first start of the whole system the seeds found the group; at any other
+     * time a blank disk belongs to a host that is new or has lost its state, and joins under a new name.
+     */
+    private Identity identityOf(DataFolder folder) {
+        String node = settings.peerAddress().toString();
+        if (!folder.isFormatted()) {
+            Set<String> founders = addresses(settings.seeds());
+            boolean founds = settings.founding() && founders.contains(node);
+            String suffix = Integer.toString(new Random().nextInt(SUFFIX_BOUND), Character.MAX_RADIX);
+            folder.format(
+                    founds ? Identity.ofFounder(CLUSTER, node, founders) : Identity.ofJoiner(CLUSTER, node, suffix));
+        }
+        return folder.identity(CLUSTER, node);
+    }
+
+    private static Set<String> addresses(List<HostPort> hosts) {
+        Set<String> addresses = new TreeSet<>();
+        hosts.forEach(host -> addresses.add(host.toString()));
+        return addresses;
+    }
+
+    /**
+     * Names the folder of the state within the folder that the platform gives.
+     *
+     * @param given the platform's folder.
+     * @return the folder of the state.
+     */
+    public static Path stateFolder(Path given) {
+        return given.resolve("state");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/FollowDesk.java
@@ -0,0 +1,147 @@
+package org.radishspur.node.group;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.fleet.FleetInbox;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.replication.state.CatalogueState;
+
+/**
+ * Tells entries what is in force, once a majority has confirmed after their question that this replica leads.
+ */
+final class FollowDesk {
+    /** An entry that has not asked for so long is not named to others any more, in milliseconds. */
+    private static final long ENTRY_LOST_MILLIS = 3_000;
+
+    /** A read that a majority has not confirmed by then is given up, in milliseconds; callers ask again sooner. */
+    private static final long READ_MILLIS = 900;
+
+    private final ControlLoop loop;
+    private final ReplicaHost replica;
+    private final MemberWatch members;
+    private final HostListReader hostList;
+    private final RolloutDriver rollouts;
+    private final Map<String, Long> entries = new HashMap<>();
+    private final Deque<PendingRead> pending = new ArrayDeque<>();
+
+    FollowDesk(
+            ControlLoop loop,
+            ReplicaHost replica,
+            MemberWatch members,
+            HostListReader hostList,
+            RolloutDriver rollouts) {
+        this.loop = loop;
+        this.replica = replica;
+        this.members = members;
+        this.hostList = hostList;
+        this.rollouts = rollouts;
+    }
+
+    void onFollow(FleetInbox.Sender sender, FleetMessage.Follow question) {
+        entries.put(question.entry(), loop.nowMillis());
+        if (!replica.isLeader()) {
+            sender.send(new FleetMessage.Followed(
+                    question.nonce(),
+                    false,
+                    replica.leaderNode(),
+                    0,
+                    Optional.empty(),
+                    Optional.empty(),
+                    List.of(),
+                    List.of(),
+                    members.controls()));
+            return;
+        }
+        rollouts.onTallies(question.entry() + '/' + question.run(), question.tallies());
+        read(new ReadListener() {
+            @Override
+            public void onConfirmed(CatalogueState state) {
+                sender.send(answer(question, state));
+            }
+
+            @Override
+            public void onUnconfirmed() {
+                // The entry asks again, and by then perhaps another leader.
+            }
+        });
+    }
+
+    /**
+     * Reads the latest state.
+     *
+     * @param listener hears how it ends.
+     */
+    void read(ReadListener listener) {
+        pending.addLast(new PendingRead(loop.nowMillis(), listener));
+        settle();
+    }
+
+    /** Answers the reads that are confirmed by now and gives up those that are too old. */
+    void settle() {
+        long now = loop.nowMillis();
+        while (!pending.isEmpty()) {
+            PendingRead first = pending.peekFirst();
+            if (replica.confirmedSince(first.askedAt())) {
+                pending.removeFirst().listener().onConfirmed(replica.state().catalogue());
+            } else if (!replica.isLeader() || now - first.askedAt() > READ_MILLIS) {
+                pending.removeFirst().listener().onUnconfirmed();
+            } else {
+                return;
+            }
+        }
+    }
+
+    private FleetMessage.Followed answer(FleetMessage.Follow question, CatalogueState state) {
+        HostList list = hostList.latest();
+        boolean listNewer = list.isLaterThan(new HostList(question.listTerm(), question.listReading(), List.of()));
+        boolean documentNewer = state.document().revision() > question.revision();
+        return new FleetMessage.Followed(
+                question.nonce(),
+                true,
+                replica.leaderNode(),
+                state.document().revision(),
+                documentNewer ? Optional.of(state.document()) : Optional.empty(),
+                listNewer ? Optional.of(list) : Optional.empty(),
+                new ArrayList<>(state.rollouts()),
+                liveEntries(),
+                members.controls());
+    }
+
+    private List<String> liveEntries() {
+        long now = loop.nowMillis();
+        entries.values().removeIf(heardAt -> now - heardAt > ENTRY_LOST_MILLIS);
+        return entries.keySet().stream().sorted().toList();
+    }
+
+    /**
+     * Hears how a read ends, on the control thread.
+     */
+    interface ReadListener {
+        /**
+         * Takes the latest state.
+         *
+         * @param state the state.
+         */
+        void onConfirmed(CatalogueState state);
+
+        /** Learns that no majority has confirmed the read. */
+        void onUnconfirmed();
+    }
+
+    /**
+     * Remembers a read.
+     *
+     * @param askedAt when it began, by the clock of the control thread.
+     * @param listener hears how it ends.
+     */
+    private record PendingRead(long askedAt, ReadListener listener) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -0,0 +1,224 @@
+package org.radishspur.node.group;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.dialect.HostListDialect;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.upstream.UpstreamConnections;
+import org.radishspur.node.upstream.UpstreamExchange;
+import org.radishspur.node.upstream.UpstreamListener;
+
+/**
+ * Reads the platform's host list while this replica leads, so that all entries share one reader and the platform's limit
+ * on calls is kept whatever their number. A new leader takes the reading over.
+ */
+final class HostListReader {
+    /**
+     * The time from one reading to the next, in milliseconds: together with the entries' questions it puts a change in
+     * force within a second, a third of what is allowed, at some four calls in three seconds.
+     */
+    private static final long PERIOD_MILLIS = 750;
+
+    /** How long one page may take, in milliseconds. */
+    private static final long PAGE_MILLIS = 1_200;
+
+    /** More pages than this are taken for a fault of the list; 50 hosts on a page make some 50,000 hosts. */
+    private static final int MOST_PAGES = 1_000;
+
+    private static final long CONNECT_MILLIS = 500;
+    private static final long KEEP_MILLIS = 10_000;
+
+    private final ControlLoop loop;
+    private final EventLoop transport;
+    private final ReplicaHost replica;
+    private final HostListDialect dialect;
+    private final HostPort address;
+    private final EventLog events;
+    private final UpstreamConnections connections;
+    private HostList latest = HostList.NONE;
+    private long readings;
+    private boolean reading;
+
+    HostListReader(
+            ControlLoop loop,
+            EventLoop transport,
+            ReplicaHost replica,
+            HostListDialect dialect,
+            HostPort address,
+            EventLog events) {
+        this.loop = loop;
+        this.transport = transport;
+        this.replica = replica;
+        this.dialect = dialect;
+        this.address = address;
+        this.events = events;
+        this.connections = new UpstreamConnections(transport, CONNECT_MILLIS, KEEP_MILLIS);
+        loop.repeat(this::readIfLeading, PERIOD_MILLIS);
+    }
+
+    HostList latest() {
+        return latest;
+    }
+
+    private void readIfLeading() {
+        if (!replica.isLeader() || reading) {
+            return;
+        }
+        reading = true;
+        readPage(Optional.empty(), new ArrayList<>(), 1);
+    }
+
+    private void readPage(Optional<String> page, List<Upstream> sofar, int number) {
+        transport.execute(() -> new PageCall(
+                        dialect.path(page),
+                        body -> loop.execute(() -> {
+                            try {
+                                onPage(dialect.page(body), sofar, number);
+                            } catch (RadishspurException exception) {
+                                onFailure(exception.getMessage());
+                            }
+                        }))
+                .start());
+    }
+
+    private void onPage(HostListDialect.Page page, List<Upstream> sofar, int number) {
+        sofar.addAll(page.upstreams());
+        if (page.next().isPresent() && number < MOST_PAGES) {
+            readPage(page.next(), sofar, number + 1);
+            return;
+        }
+        reading = false;
+        readings++;
+        boolean changed = latest.term() != replica.term() || !latest.upstreams().equals(sofar);
+        if (changed) {
+            latest = new HostList(replica.term(), readings, sofar);
+            long leaving = sofar.stream().filter(Upstream::leaving).count();
+            events.emit(EventCode.HOST_LIST, latest.term(), readings, sofar.size(), leaving);
+        }
+    }
+
+    private void onFailure(String cause) {
+        reading = false;
+        events.emit(EventCode.LIST_FAILED, cause);
+    }
+
+    /**
+     * Takes the body of a page, on the transport's thread.
+     */
+    private interface BodyListener {
+        void onBody(String body);
+    }
+
+    /**
+     * Makes one call, on the transport's thread.
+     */
+    private final class PageCall implements UpstreamListener {
+        private final String path;
+        private final BodyListener listener;
+        private final ByteBuf body = Unpooled.buffer();
+        private UpstreamExchange exchange;
+        private ScheduledFuture<?> timeout;
+        private HttpResponseStatus status;
+        private boolean ended;
+
+        PageCall(String path, BodyListener listener) {
+            this.path = path;
+            this.listener = listener;
+        }
+
+        void start() {
+            timeout = transport.schedule(() -> fail("no answer in time"), PAGE_MILLIS, TimeUnit.MILLISECONDS);
+            exchange = connections.open(address.toString(), this);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onConnected() {
+            if (ended) {
+                exchange.abort();
+                return;
+            }
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            request.headers().set(HttpHeaderNames.HOST, address.toString());
+            exchange.write(request);
+            exchange.read();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onConnectFailed() {
+            fail("no connection");
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onHead(HttpResponse response) {
+            status = response.status();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onContent(ByteBuf content) {
+            body.writeBytes(content);
+            content.release();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onPause() {
+            exchange.read();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onEnd() {
+            if (!HttpResponseStatus.OK.equals(status)) {
+                fail("status " + status);
+            } else if (end()) {
+                listener.onBody(body.toString(StandardCharsets.UTF_8));
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onBroken(Throwable cause) {
+            fail("broken: " + cause);
+        }
+
+        private void fail(String cause) {
+            if (end()) {
+                exchange.abort();
+                loop.execute(() -> onFailure(cause));
+            }
+        }
+
+        private boolean end() {
+            boolean first = !ended;
+            ended = true;
+            timeout.cancel(false);
+            return first;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/MemberWatch.java
@@ -0,0 +1,140 @@
+package org.radishspur.node.group;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+
+/**
+ * Finds the other control hosts, and lets the leader put a blank replica in the place of one that is lost.
+ *
+ * <p>A replica whose disk was lost comes back under a new identity at its old address; its old identity can never come
+ * back and is replaced at once. A host that has only fallen silent is replaced when a blank replica is there to take its
+ * place, and not before that one holds everything that is committed.
+ */
+final class MemberWatch {
+    /** How often replicas show themselves to each other, in milliseconds. */
+    private static final long SHOW_MILLIS = 400;
+
+    /** A candidate that has not shown itself for so long is not taken, in milliseconds. */
+    private static final long CANDIDATE_LOST_MILLIS = 1_500;
+
+    /** A voter that was silent for so long may be replaced, in milliseconds; several elections fit into it. */
+    private static final long VOTER_LOST_MILLIS = 2_500;
+
+    /** How many voters there should be: the loss of one at a time is borne. */
+    private static final int WANTED_VOTERS = 3;
+
+    private final ControlLoop loop;
+    private final ReplicaHost replica;
+    private final FleetLinks links;
+    private final EventLog events;
+    private final String self;
+    private final Set<String> seeds = new TreeSet<>();
+    private final Map<String, Long> replicasHeard = new HashMap<>();
+    private final Set<String> learnt = new TreeSet<>();
+    private long leadingSince;
+
+    MemberWatch(ControlLoop loop, ReplicaHost replica, FleetLinks links, EventLog events, String self) {
+        this.loop = loop;
+        this.replica = replica;
+        this.links = links;
+        this.events = events;
+        this.self = self;
+        loop.repeat(this::show, SHOW_MILLIS);
+    }
+
+    void seeds(Set<String> addresses) {
+        seeds.clear();
+        seeds.addAll(addresses);
+        show();
+    }
+
+    void onCandidate(FleetMessage.Candidate candidate) {
+        replicasHeard.put(candidate.replica(), loop.nowMillis());
+        learnt.addAll(candidate.controls());
+    }
+
+    void onRaft(String from) {
+        replicasHeard.put(from, loop.nowMillis());
+    }
+
+    /** Returns the addresses of all control hosts that are worth asking. */
+    List<String> controls() {
+        Set<String> addresses = new TreeSet<>();
+        replica.voters().forEach(voter -> addresses.add(ReplicaHost.nodeOf(voter)));
+        replica.learners().forEach(learner -> addresses.add(ReplicaHost.nodeOf(learner)));
+        return new ArrayList<>(addresses);
+    }
+
+    private void show() {
+        long now = loop.nowMillis();
+        Set<String> wanted = new TreeSet<>(seeds);
+        wanted.addAll(controls());
+        if (replica.voters().isEmpty()) {
+            wanted.addAll(learnt);
+        }
+        replicasHeard.forEach((heard, at) -> {
+            if (now - at < CANDIDATE_LOST_MILLIS) {
+                wanted.add(ReplicaHost.nodeOf(heard));
+            }
+        });
+        wanted.remove(self);
+        links.want(wanted);
+        FleetMessage.Candidate candidate = new FleetMessage.Candidate(replica.identity(), controls());
+        wanted.forEach(address -> links.send(address, candidate));
+        replaceLost(now);
+    }
+
+    private void replaceLost(long now) {
+        if (!replica.isLeader()) {
+            leadingSince = 0;
+            return;
+        }
+        if (leadingSince == 0) {
+            leadingSince = now;
+        }
+        for (Map.Entry<String, Long> heard : replicasHeard.entrySet()) {
+            String candidate = heard.getKey();
+            if (now - heard.getValue() > CANDIDATE_LOST_MILLIS || replica.knows(candidate)) {
+                continue;
+            }
+            Optional<String> place = placeFor(candidate, now);
+            if (place.isPresent()) {
+                boolean started = replica.replace(candidate, place.get());
+                events.emit(EventCode.MEMBER, candidate, place.get(), started);
+                return;
+            }
+        }
+    }
+
+    /** Returns the voter whose place a candidate may take, an empty text for a place of its own, or nothing. */
+    private Optional<String> placeFor(String candidate, long now) {
+        String node = ReplicaHost.nodeOf(candidate);
+        for (String voter : replica.voters()) {
+            if (ReplicaHost.nodeOf(voter).equals(node)) {
+                return Optional.of(voter);
+            }
+        }
+        if (replica.voters().size() < WANTED_VOTERS) {
+            return Optional.of("");
+        }
+        for (String voter : replica.voters()) {
+            long heardAt = Math.max(leadingSince, replicasHeard.getOrDefault(voter, 0L));
+            if (!voter.equals(replica.identity()) && now - heardAt > VOTER_LOST_MILLIS) {
+                return Optional.of(voter);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/OperatorDesk.java
@@ -0,0 +1,189 @@
+package org.radishspur.node.group;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.model.table.TableFault;
+import org.radishspur.node.control.ControlLoop;
+import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.dialect.OperatorDialect.Call;
+import org.radishspur.node.log.EventCode;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.replication.control.Proposal;
+import org.radishspur.replication.state.CatalogueState;
+import org.radishspur.replication.state.ControlCommand;
+
+/**
+ * Answers operators' calls at the leader and sends them there from other replicas.
+ */
+final class OperatorDesk {
+    private static final int OK = 200;
+    private static final int TEMPORARY_REDIRECT = 307;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+
+    private final ControlLoop loop;
+    private final ReplicaHost replica;
+    private final FollowDesk follow;
+    private final OperatorDialect dialect;
+    private final int operatorPort;
+    private final EventLog events;
+
+    OperatorDesk(
+            ControlLoop loop,
+            ReplicaHost replica,
+            FollowDesk follow,
+            OperatorDialect dialect,
+            int operatorPort,
+            EventLog events) {
+        this.loop = loop;
+        this.replica = replica;
+        this.follow = follow;
+        this.dialect = dialect;
+        this.operatorPort = operatorPort;
+        this.events = events;
+    }
+
+    /**
+     * Takes a call, on any thread.
+     *
+     * @param method the HTTP method.
+     * @param target the path and query.
+     * @param body the body.
+     * @param listener takes the answer, on the control thread.
+     */
+    void call(String method, String target, String body, AnswerListener listener) {
+        loop.execute(() -> {
+            long began = loop.nowMillis();
+            String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
+            AnswerListener logged = answer -> {
+                long revision = replica.state().catalogue().document().revision();
+                events.emit(
+                        EventCode.OPERATOR, method + ' ' + path, answer.status(), revision, loop.nowMillis() - began);
+                listener.onAnswer(answer);
+            };
+            if (!replica.isLeader()) {
+                logged.onAnswer(elsewhere(target));
+                return;
+            }
+            answer(dialect.read(method, path, body), target, logged);
+        });
+    }
+
+    private void answer(Call call, String target, AnswerListener listener) {
+        if (call instanceof Call.Publish publish) {
+            publish(publish.text(), target, listener);
+        } else if (call instanceof Call.Read) {
+            read(
+                    listener,
+                    state -> state.document().revision() == 0
+                            ? Answer.of(UNAVAILABLE, "")
+                            : Answer.of(OK, state.document().text()));
+        } else if (call instanceof Call.StartRollout start) {
+            propose(
+                    new ControlCommand.StartRollout(
+                            start.pool(), start.target(), start.periodMillis(), System.currentTimeMillis()),
+                    target,
+                    listener);
+        } else if (call instanceof Call.ReadRollout rollout) {
+            read(
+                    listener,
+                    state -> state.rollout(rollout.pool())
+                            .map(found -> Answer.of(OK, dialect.write(found)))
+                            .orElse(Answer.of(NOT_FOUND, "")));
+        } else if (call instanceof Call.Malformed malformed) {
+            listener.onAnswer(Answer.of(BAD_REQUEST, dialect.write(malformed.faults())));
+        } else {
+            listener.onAnswer(Answer.of(NOT_FOUND, ""));
+        }
+    }
+
+    private void publish(String text, String target, AnswerListener listener) {
+        Catalogue catalogue;
+        try {
+            catalogue = dialect.catalogue(text);
+        } catch (RadishspurException exception) {
+            List<TableFault> faults = List.of(new TableFault("", exception.getMessage()));
+            listener.onAnswer(Answer.of(BAD_REQUEST, dialect.write(faults)));
+            return;
+        }
+        if (!catalogue.faults().isEmpty()) {
+            listener.onAnswer(Answer.of(BAD_REQUEST, dialect.write(catalogue.faults())));
+            return;
+        }
+        CatalogueState.Document document = new CatalogueState.Document(catalogue.revision(), text);
+        propose(new ControlCommand.PublishCatalogue(document, System.currentTimeMillis()), target, listener);
+    }
+
+    private void propose(ControlCommand command, String target, AnswerListener listener) {
+        replica.propose(command, proposal -> {
+            if (proposal instanceof Proposal.Committed) {
+                listener.onAnswer(Answer.of(OK, "{}"));
+            } else if (proposal instanceof Proposal.NotLeader) {
+                listener.onAnswer(elsewhere(target));
+            } else {
+                listener.onAnswer(Answer.of(UNAVAILABLE, ""));
+            }
+        });
+    }
+
+    private void read(AnswerListener listener, StateReader reader) {
+        follow.read(new FollowDesk.ReadListener() {
+            @Override
+            public void onConfirmed(CatalogueState state) {
+                listener.onAnswer(reader.read(state));
+            }
+
+            @Override
+            public void onUnconfirmed() {
+                listener.onAnswer(Answer.of(UNAVAILABLE, ""));
+            }
+        });
+    }
+
+    private Answer elsewhere(String target) {
+        String leader = replica.leaderNode();
+        if (leader.isEmpty() || replica.isLeader()) {
+            return Answer.of(UNAVAILABLE, "");
+        }
+        String location = "http://" + new HostPort(HostPort.parse(leader).host(), operatorPort) + target;
+        return new Answer(TEMPORARY_REDIRECT, "", Optional.of(location));
+    }
+
+    /**
+     * Makes an answer from the latest state.
+     */
+    private interface StateReader {
+        Answer read(CatalogueState state);
+    }
+
+    /**
+     * Takes an answer.
+     */
+    interface AnswerListener {
+        /**
+         * Takes the answer, on the control thread.
+         *
+         * @param answer the answer.
+         */
+        void onAnswer(Answer answer);
+    }
+
+    /**
+     * Holds an answer.
+     *
+     * @param status the HTTP status.
+     * @param body the body.
+     * @param location where the call is answered instead, or nothing.
+     */
+    record Answer(int status, String body, Optional<String> location) {
+        static Answer of(int status, String body) {
+            return new Answer(status, body, Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/OperatorServer.java
@@ -0,0 +1,117 @@
+package org.radishspur.node.group;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.radishspur.model.error.ErrorCode;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.log.PartLog;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
+
+/**
+ * Takes operators' calls over HTTP.
+ */
+final class OperatorServer implements Child {
+    /** The largest body in bytes; a catalogue of some ten thousand routes. */
+    private static final int BODY_BYTES = 16 << 20;
+
+    private final HostPort address;
+    private final EventLoopGroup group;
+    private final OperatorDesk desk;
+    private Channel channel;
+
+    OperatorServer(HostPort address, EventLoopGroup group, OperatorDesk desk) {
+        this.address = address;
+        this.group = group;
+        this.desk = desk;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void start(FailureListener listener) {
+        channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(BODY_BYTES))
+                                .addLast(new Reception());
+                    }
+                })
+                .bind(address.toSocketAddress())
+                .syncUninterruptibly()
+                .channel();
+        channel.closeFuture()
+                .addListener(future -> listener.onFailure(
+                        new RadishspurException(ErrorCode.CALL_INVALID, "the operators' address stopped listening")));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /**
+     * Takes the calls of one connection.
+     */
+    private final class Reception extends SimpleChannelInboundHandler<FullHttpRequest> {
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keep = HttpUtil.isKeepAlive(request);
+            String body = request.content().toString(StandardCharsets.UTF_8);
+            desk.call(
+                    request.method().name(),
+                    request.uri(),
+                    body,
+                    answer -> context.executor().execute(() -> write(context, answer, keep)));
+        }
+
+        private void write(ChannelHandlerContext context, OperatorDesk.Answer answer, boolean keep) {
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status()),
+                    Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, keep);
+            answer.location().ifPresent(location -> response.headers().set(HttpHeaderNames.LOCATION, location));
+            var written = context.writeAndFlush(response);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            PartLog.ADMIN.info("Closed an operator's connection: " + cause + '.');
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/log/EventLog.java
@@ -0,0 +1,169 @@
+package org.radishspur.node.log;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+
+/**
+ * Writes structured events as JSON, one a line, without ever holding up the thread that reports them.
+ *
+ * <p>Guards against a flood of lines that costs more than the requests it tells of: beyond a rate, lines of single
+ * requests are left out and counted. Lines that change what the process believes are always taken, unless the queue is
+ * full.
+ */
+public final class EventLog implements AutoCloseable {
+    /** How many lines may wait to be written; some 2 MB. */
+    private static final int QUEUE_LINES = 8_192;
+
+    /** How many lines of single requests are written a second; at 150 bytes this is a tenth of a megabyte. */
+    private static final int REQUEST_LINES_PER_SECOND = 400;
+
+    /** How long the writer waits for a line before it looks whether lines were left out, in milliseconds. */
+    private static final long POLL_MILLIS = 1_000;
+
+    /** One in so many successful requests is logged; the same ones by their id at every process. */
+    private static final int SAMPLED = 16;
+
+    private final String node;
+    private final PrintStream out;
+    private final JsonFactory json = new JsonFactory();
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong suppressed = new AtomicLong();
+    private final AtomicLong second = new AtomicLong();
+    private final AtomicLong linesInSecond = new AtomicLong();
+    private final Thread writer;
+    private volatile boolean closed;
+
+    /**
+     * Creates a log.
+     *
+     * @param node the name of the process.
+     * @param out where the lines go.
+     */
+    public EventLog(String node, PrintStream out) {
+        this.node = node;
+        this.out = out;
+        writer = new Thread(this::write, "event-log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * Reports an event.
+     *
+     * @param code the event.
+     * @param values the values of its fields, in their order.
+     */
+    public void emit(EventCode code, Object... values) {
+        enqueue(line(code, "", values));
+    }
+
+    /**
+     * Reports an event of a request.
+     *
+     * @param code the event.
+     * @param request the caller's identification of the request.
+     * @param values the values of its fields, in their order.
+     */
+    public void emitFor(EventCode code, String request, Object... values) {
+        if (isWithinRate()) {
+            enqueue(line(code, request, values));
+        } else {
+            suppressed.incrementAndGet();
+        }
+    }
+
+    /**
+     * Tells whether a request that goes well is among those that are logged.
+     *
+     * @param request the caller's identification of the request.
+     * @return whether it is.
+     */
+    public boolean samples(String request) {
+        return Math.floorMod(request.hashCode(), SAMPLED) == 0;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        closed = true;
+        writer.interrupt();
+        try {
+            writer.join(POLL_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean isWithinRate() {
+        long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
+        if (second.getAndSet(now) != now) {
+            linesInSecond.set(0);
+        }
+        return linesInSecond.incrementAndGet() <= REQUEST_LINES_PER_SECOND;
+    }
+
+    private void enqueue(String text) {
+        if (!queue.offer(text)) {
+            suppressed.incrementAndGet();
+        }
+    }
+
+    private String line(EventCode code, String request, Object... values) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator generator = json.createGenerator(text)) {
+            generator.writeStartObject();
+            generator.writeNumberField("at", System.currentTimeMillis());
+            generator.writeStringField("node", node);
+            generator.writeStringField("event", code.name());
+            if (!request.isEmpty()) {
+                generator.writeStringField("request", request);
+            }
+            for (int index = 0; index < values.length; index++) {
+                write(generator, code.fields().get(index), values[index]);
+            }
+            generator.writeEndObject();
+        } catch (IOException exception) {
+            throw new java.io.UncheckedIOException(exception);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator generator, String field, Object value) throws IOException {
+        if (value instanceof Long || value instanceof Integer) {
+            generator.writeNumberField(field, ((Number) value).longValue());
+        } else if (value instanceof Boolean flag) {
+            generator.writeBooleanField(field, flag);
+        } else {
+            generator.writeStringField(field, String.valueOf(value));
+        }
+    }
+
+    private void write() {
+        while (!closed || !queue.isEmpty()) {
+            try {
+                String text = closed ? queue.poll() : queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
+                long left = suppressed.getAndSet(0);
+                if (left > 0) {
+                    out.println(line(EventCode.SUPPRESSED, "", left));
+                }
+                if (text != null) {
+                    out.println(text);
+                }
+                if (queue.isEmpty()) {
+                    out.flush();
+                }
+            } catch (InterruptedException exception) {
+                // Only closing interrupts this thread; what is queued is still written.
+                closed = true;
+            }
+        }
+    }
+}
--- a/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
@@ -12,30 +12,47 @@
 import org.radishspur.replication.codec.MessagePack;
 
 /**
- * Turns frames into messages and back.
+ * Turns length-prefixed MessagePack frames into messages of one family and back.
+ *
+ * @param <M> the sealed type of the messages.
  */
-final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerMessage> {
-    /** The version of this protocol; nodes of another version are refused. */
+public final class PeerCodec<M> extends MessageToMessageCodec<ByteBuf, M> {
+    /** The version of the nodes' protocol; nodes of another version are refused. */
     static final int PROTOCOL_VERSION = 1;
 
     private static final int LENGTH_BYTES = 4;
 
-    static void install(Channel channel, int frameBytes) {
+    private final Class<M> type;
+
+    private PeerCodec(Class<M> type) {
+        super((Class<? extends ByteBuf>) ByteBuf.class, type);
+        this.type = type;
+    }
+
+    /**
+     * Puts framing and decoding into the pipeline of a channel.
+     *
+     * @param channel the channel.
+     * @param frameBytes the largest frame.
+     * @param type the sealed type of the messages.
+     * @param <M> the type of the messages.
+     */
+    public static <M> void install(Channel channel, int frameBytes, Class<M> type) {
         channel.pipeline()
                 .addLast(new LengthFieldBasedFrameDecoder(frameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new PeerCodec());
+                .addLast(new PeerCodec<>(type));
     }
 
     /** {@inheritDoc} */
     @Override
-    protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out) {
+    protected void encode(ChannelHandlerContext context, M message, List<Object> out) {
         out.add(context.alloc().buffer().writeBytes(MessagePack.INSTANCE.encode(message)));
     }
 
     /** {@inheritDoc} */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> out) {
-        out.add(MessagePack.INSTANCE.decode(ByteBufUtil.getBytes(frame), PeerMessage.class));
+        out.add(MessagePack.INSTANCE.decode(ByteBufUtil.getBytes(frame), type));
     }
 }
--- a/node/src/main/java/org/radishspur/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerLinks.java
@@ -121,7 +121,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        PeerCodec.install(channel, settings.limits().frameBytes());
+                        PeerCodec.install(channel, settings.limits().frameBytes(), PeerMessage.class);
                         channel.pipeline().addLast(new Introduction(peer));
                     }
                 })
--- a/node/src/main/java/org/radishspur/node/peer/PeerServer.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerServer.java
@@ -58,7 +58,7 @@
                     @Override
                     protected void initChannel(SocketChannel accepted) {
                         accepted.pipeline().addLast(HANDSHAKE_TIMEOUT, new ReadTimeoutHandler(HANDSHAKE_SECONDS));
-                        PeerCodec.install(accepted, settings.limits().frameBytes());
+                        PeerCodec.install(accepted, settings.limits().frameBytes(), PeerMessage.class);
                         accepted.pipeline().addLast(new Reception());
                     }
                 })
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -1,5 +1,8 @@
 package org.radishspur.node.upstream;
 
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +22,11 @@
  * so that whatever the upstream still sends on it has nobody to reach.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamExchange {
+    private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
+    /** How long before the upstream closes an idle connection it is no longer used; covers a slow way there. */
+    private static final long KEEP_MARGIN_MILLIS = 1_000;
+
     private final UpstreamConnections pool;
     private final String address;
     private Channel channel;
@@ -26,6 +34,8 @@
     private boolean requestWhole;
     private boolean answerWhole;
     private boolean reusable;
+    private boolean skipping;
+    private long allowedMillis;
 
     UpstreamConnection(UpstreamConnections pool, String address) {
         super(false);
@@ -39,6 +49,8 @@
         requestWhole = false;
         answerWhole = false;
         reusable = true;
+        skipping = false;
+        allowedMillis = Long.MAX_VALUE;
     }
 
     /** {@inheritDoc} */
@@ -54,6 +66,13 @@
         channel.read();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void skipAnswer() {
+        skipping = true;
+        reusable = false;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void abort() {
@@ -99,27 +118,38 @@
                 return;
             }
             reusable &= HttpUtil.isKeepAlive(response);
+            allowedMillis = keepAliveMillis(response);
             listener.onHead(response);
         }
         if (part instanceof HttpContent content) {
             boolean last = part instanceof LastHttpContent;
-            if (listener != null) {
+            if (listener != null && !skipping) {
                 listener.onContent(content.content());
             } else {
                 content.release();
             }
-            if (last && listener != null) {
+            if (last && skipping) {
+                skipping = false;
+            } else if (last && listener != null) {
                 end();
             }
         }
     }
 
+    /** Returns for how long the upstream keeps the idle connection, less a margin for a request on its way. */
+    private static long keepAliveMillis(HttpResponse response) {
+        Matcher stated = KEEP_ALIVE_SECONDS.matcher(response.headers().get("Keep-Alive", ""));
+        return stated.find()
+                ? Math.max(0, Long.parseLong(stated.group(1)) * 1_000 - KEEP_MARGIN_MILLIS)
+                : Long.MAX_VALUE;
+    }
+
     private void end() {
         answerWhole = true;
         UpstreamListener hears = listener;
         listener = null;
         if (requestWhole && answerWhole && reusable) {
-            pool.keep(address, this, channel);
+            pool.keep(address, this, channel, allowedMillis);
         } else {
             channel.close();
         }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.radishspur.node.settings.HostPort;
-import org.radishspur.node.settings.Timeouts;
 
 /**
  * Keeps the connections of one traffic thread to all upstreams. Since each thread has its own, an exchange never leaves
@@ -23,18 +22,21 @@
  */
 public final class UpstreamConnections {
     private final EventLoop loop;
-    private final Timeouts timeouts;
+    private final int connectMillis;
+    private final long keepMillis;
     private final Map<String, Deque<Idle>> idle = new HashMap<>();
 
     /**
      * Creates an empty set of connections.
      *
      * @param loop the traffic thread, on which every method must be called.
-     * @param timeouts the times of the node.
+     * @param connectMillis how long making a connection may take, in milliseconds.
+     * @param keepMillis how long an unused connection is kept at most, in milliseconds.
      */
-    public UpstreamConnections(EventLoop loop, Timeouts timeouts) {
+    public UpstreamConnections(EventLoop loop, long connectMillis, long keepMillis) {
         this.loop = loop;
-        this.timeouts = timeouts;
+        this.connectMillis = (int) connectMillis;
+        this.keepMillis = keepMillis;
     }
 
     /**
@@ -58,8 +60,8 @@
         return connect(address, listener);
     }
 
-    void keep(String address, UpstreamConnection connection, Channel channel) {
-        long keepUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeouts.upstreamKeepMillis());
+    void keep(String address, UpstreamConnection connection, Channel channel, long allowedMillis) {
+        long keepUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.min(keepMillis, allowedMillis));
         idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(new Idle(connection, channel, keepUntil));
         // Reading on is what shows that the upstream has closed the connection, before it is used again.
         channel.read();
@@ -80,7 +82,7 @@
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeouts.connectMillis())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -18,6 +18,14 @@
     /** Asks for more of the answer. */
     void read();
 
+    /**
+     * Drops the answer whose head has just come and waits for the next one, after which the connection is closed.
+     *
+     * <p>Guards against an upstream that answers a request twice: the second copy stands where the next answer on the
+     * connection is due, and must not reach the caller of that one.
+     */
+    void skipAnswer();
+
     /** Gives the exchange up and closes the connection; the listener hears nothing more. */
     void abort();
 }
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -260,6 +260,25 @@
         return role == Role.LEADER && !transferring && appliedIndex >= leadingSince && now < leaseEnd();
     }
 
+    /**
+     * Tells whether a majority has confirmed, after a moment, that this replica leads; then its applied state is at
+     * least as new as everything that was committed before that moment.
+     *
+     * <p>Guards against a leader that was suspended: the monotonic clock stands still meanwhile, so that its lease seems
+     * to run on while another leader commits. A confirmation is an answer to a message sent strictly later, which a
+     * replica that follows another leader by now does not give.
+     *
+     * @param since the monotonic clock in milliseconds when the read began.
+     * @return whether the read may be answered.
+     */
+    public boolean confirmedSince(long since) {
+        return role == Role.LEADER
+                && !transferring
+                && appliedIndex >= leadingSince
+                && appliedIndex >= commitIndex
+                && quorumAnsweredSentAt() > since;
+    }
+
     /**
      * Returns the role of this replica.
      *
--- a/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
+++ b/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
@@ -17,7 +17,10 @@
     @JsonSubTypes.Type(value = ControlCommand.ReleaseClaim.class, name = "release"),
     @JsonSubTypes.Type(value = ControlCommand.ReportCrash.class, name = "crash"),
     @JsonSubTypes.Type(value = ControlCommand.ClearSuspect.class, name = "clear"),
-    @JsonSubTypes.Type(value = ControlCommand.ChangeMove.class, name = "move")
+    @JsonSubTypes.Type(value = ControlCommand.ChangeMove.class, name = "move"),
+    @JsonSubTypes.Type(value = ControlCommand.PublishCatalogue.class, name = "catalogue"),
+    @JsonSubTypes.Type(value = ControlCommand.StartRollout.class, name = "rollout"),
+    @JsonSubTypes.Type(value = ControlCommand.AdvanceRollout.class, name = "advance")
 })
 public sealed interface ControlCommand {
 
@@ -92,4 +95,63 @@
      * @param atMillis the proposer's wall clock.
      */
     record ClearSuspect(String pool, String fingerprint, long atMillis) implements ControlCommand {}
+
+    /**
+     * Changes the catalogue or its rollouts.
+     */
+    sealed interface CatalogueCommand extends ControlCommand {
+        /**
+         * Carries the change out.
+         *
+         * @param state the state to change.
+         */
+        void applyTo(CatalogueState state);
+    }
+
+    /**
+     * Puts a whole catalogue in force.
+     *
+     * @param document the document.
+     * @param atMillis the proposer's wall clock.
+     */
+    record PublishCatalogue(CatalogueState.Document document, long atMillis) implements CatalogueCommand {
+        /** {@inheritDoc} */
+        @Override
+        public void applyTo(CatalogueState state) {
+            state.publish(document);
+        }
+    }
+
+    /**
+     * Starts the move of a pool's requests to another version.
+     *
+     * @param pool the pool.
+     * @param target the version.
+     * @param periodMillis how long the move may take.
+     * @param atMillis the proposer's wall clock.
+     */
+    record StartRollout(String pool, String target, long periodMillis, long atMillis) implements CatalogueCommand {
+        /** {@inheritDoc} */
+        @Override
+        public void applyTo(CatalogueState state) {
+            state.start(pool, target, periodMillis, atMillis);
+        }
+    }
+
+    /**
+     * Moves a rollout to another stage.
+     *
+     * @param pool the pool.
+     * @param target the version of the rollout that is meant.
+     * @param stage the new stage.
+     * @param atMillis the proposer's wall clock.
+     */
+    record AdvanceRollout(String pool, String target, CatalogueState.RolloutStage stage, long atMillis)
+            implements CatalogueCommand {
+        /** {@inheritDoc} */
+        @Override
+        public void applyTo(CatalogueState state) {
+            state.advance(pool, target, stage);
+        }
+    }
 }
--- a/replication/src/main/java/org/radishspur/replication/state/ControlState.java
+++ b/replication/src/main/java/org/radishspur/replication/state/ControlState.java
@@ -13,6 +13,7 @@
     private ClaimTable claims;
     private SuspectTable suspects;
     private MoveTable moves;
+    private CatalogueState catalogue;
     private long auxiliaryChanges;
 
     /**
@@ -26,6 +27,7 @@
         this.claims = new ClaimTable(options.claimKeepMillis());
         this.suspects = new SuspectTable(options.suspectKeepMillis());
         this.moves = new MoveTable();
+        this.catalogue = new CatalogueState();
     }
 
     /**
@@ -49,6 +51,8 @@
         } else if (command instanceof ControlCommand.ClearSuspect clear) {
             suspects.clear(clear);
             auxiliaryChanges++;
+        } else if (command instanceof ControlCommand.CatalogueCommand change) {
+            change.applyTo(catalogue);
         }
         if (command instanceof ControlCommand.ChangeMove change) {
             moves.change(change.proposal(), change.atMillis());
@@ -86,6 +90,15 @@
         return moves;
     }
 
+    /**
+     * Returns the catalogue document and the rollouts.
+     *
+     * @return the state of the catalogue.
+     */
+    public CatalogueState catalogue() {
+        return catalogue;
+    }
+
     /**
      * Replaces the whole state by a snapshot.
      *
@@ -98,6 +111,7 @@
             claims = new ClaimTable(options.claimKeepMillis());
             suspects = new SuspectTable(options.suspectKeepMillis());
             moves = new MoveTable();
+            catalogue = new CatalogueState();
             return;
         }
         Image image = MessagePack.INSTANCE.decode(bytes, Image.class);
@@ -105,6 +119,7 @@
         claims = new ClaimTable(options.claimKeepMillis(), image.claims());
         suspects = new SuspectTable(options.suspectKeepMillis(), image.suspects());
         moves = new MoveTable(image.moves());
+        catalogue = image.catalogue() == null ? new CatalogueState() : new CatalogueState(image.catalogue());
     }
 
     /**
@@ -113,7 +128,7 @@
      * @return the copy, which any thread may encode.
      */
     public Image image() {
-        return new Image(tables.image(), claims.image(), suspects.image(), moves.image());
+        return new Image(tables.image(), claims.image(), suspects.image(), moves.image(), catalogue.image());
     }
 
     /**
@@ -150,9 +165,14 @@
      * @param claims the claims.
      * @param suspects the crash suspects.
      * @param moves the moves of routes.
+     * @param catalogue the catalogue and rollouts; missing in a snapshot of an older build.
      */
     public record Image(
-            TablesState.Image tables, ClaimTable.Image claims, SuspectTable.Image suspects, MoveTable.Image moves) {
+            TablesState.Image tables,
+            ClaimTable.Image claims,
+            SuspectTable.Image suspects,
+            MoveTable.Image moves,
+            CatalogueState.Image catalogue) {
 
         /**
          * Encodes the copy.
