--- a/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
+++ b/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
@@ -33,7 +33,7 @@
      * @return whole events, perhaps none; the receiver releases them.
      */
     ByteBuf take(ByteBuf content) {
-        partial.writeBytes(content);
+        partial.writeBytes(content, content.readerIndex(), content.readableBytes());
         int end = endOfEvents();
         if (end == partial.readerIndex()) {
             return Unpooled.EMPTY_BUFFER;
