Place long answers on fast engines, keep places free by tier, and wait no longer than callers do

Ruled out: the limit on output tokens as a measure of length (it is the same for all requests of a kind). Change: the time to the first byte is learnt against the prompt, the pace by event, the length from the caller's estimate; a tier leaves 4% of the places free for each more urgent one; a wait ends after 1.2 s; another instance at the address takes an upstream out for good; a planned stop takes no connection after 2.3 s; elections start after 400 ms without a lease.

--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/FirstByteModel.java
@@ -0,0 +1,42 @@
+package org.radishspur.decision.dispatch;
+
+/**
+ * Learns how the time to the first byte of an upstream grows with the tokens of the prompt: a straight line through the
+ * recent answers, of which each newer one counts a little more.
+ */
+final class FirstByteModel {
+    /** What remains of the weight of an answer when the next one comes; some thirty answers make up the line. */
+    private static final double REMAINS = 0.97;
+
+    /** With fewer answers than this the line is not used. */
+    private static final double LEAST_WEIGHT = 4;
+
+    private double weight;
+    private double sumTokens;
+    private double sumMillis;
+    private double sumTokensSquared;
+    private double sumProducts;
+
+    void add(double tokens, double millis) {
+        weight = weight * REMAINS + 1;
+        sumTokens = sumTokens * REMAINS + tokens;
+        sumMillis = sumMillis * REMAINS + millis;
+        sumTokensSquared = sumTokensSquared * REMAINS + tokens * tokens;
+        sumProducts = sumProducts * REMAINS + tokens * millis;
+    }
+
+    boolean isKnown() {
+        return weight >= LEAST_WEIGHT;
+    }
+
+    /** Returns the expected time in milliseconds. */
+    double millis(double tokens) {
+        double spread = weight * sumTokensSquared - sumTokens * sumTokens;
+        double mean = sumMillis / weight;
+        if (spread <= 1) {
+            return mean;
+        }
+        double slope = Math.max(0, (weight * sumProducts - sumTokens * sumMillis) / spread);
+        return Math.max(0, mean + slope * (tokens - sumTokens / weight));
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/OutputEstimate.java
@@ -0,0 +1,36 @@
+package org.radishspur.decision.dispatch;
+
+/**
+ * Learns how many events of a stream come for a token that its caller expects.
+ */
+public final class OutputEstimate {
+    /** What remains of the weight of an answer when the next one comes; some hundred answers make up the ratio. */
+    private static final double REMAINS = 0.99;
+
+    private double tokens;
+    private double events;
+    private double answers;
+
+    /** Creates an estimate that knows nothing. */
+    public OutputEstimate() {}
+
+    /**
+     * Notes a whole answer.
+     *
+     * @param expectedTokens how many tokens its caller had expected, or 0.
+     * @param seen the events that have come.
+     */
+    public void add(long expectedTokens, long seen) {
+        answers = answers * REMAINS + 1;
+        events = events * REMAINS + seen;
+        tokens = tokens * REMAINS + expectedTokens;
+    }
+
+    /** Returns how many events are to be expected; a plain call counts as one. */
+    double events(long expectedTokens) {
+        if (expectedTokens > 0 && tokens > 0) {
+            return Math.max(1, expectedTokens * events / tokens);
+        }
+        return answers > 0 ? Math.max(1, events / answers) : 1;
+    }
+}
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -18,7 +18,15 @@
     /** The scan for a ticket that can be placed stops after this many failures; the rest would fare no better. */
     private static final int LONGEST_SCAN = 3;
 
+    /**
+     * The part of the places that each tier leaves free for the more urgent ones. Places are taken by many entries at once,
+     * so that the order of one entry's line doesn't keep tiers apart; a few free places do, because a place becomes free
+     * somewhere every few milliseconds.
+     */
+    private static final double RESERVED_PER_TIER = 0.04;
+
     private final UpstreamBoard board;
+    private int mostUrgentTier = Integer.MAX_VALUE;
     private final WaitingLine line = new WaitingLine();
 
     /**
@@ -57,7 +65,8 @@
      */
     public Decision offer(Ticket ticket, long now) {
         line.number(ticket);
-        Optional<UpstreamLoad> free = board.choose(ticket, now);
+        mostUrgentTier = Math.min(mostUrgentTier, ticket.work().tier());
+        Optional<UpstreamLoad> free = place(ticket, now);
         if (free.isPresent()) {
             return granted(ticket, free.get(), now);
         }
@@ -84,7 +93,7 @@
         }
         int failed = 0;
         for (Ticket ticket : line.inOrder()) {
-            Optional<UpstreamLoad> free = board.choose(ticket, now);
+            Optional<UpstreamLoad> free = place(ticket, now);
             if (free.isPresent()) {
                 line.remove(ticket);
                 decisions.add(granted(ticket, free.get(), now));
@@ -117,6 +126,11 @@
         return line.remove(ticket);
     }
 
+    private Optional<UpstreamLoad> place(Ticket ticket, long now) {
+        double reserved = RESERVED_PER_TIER * (ticket.work().tier() - mostUrgentTier);
+        return reserved > 0 && board.freeShare(now) <= reserved ? Optional.empty() : board.choose(ticket, now);
+    }
+
     private static Decision granted(Ticket ticket, UpstreamLoad upstream, long now) {
         upstream.began(ticket, now);
         return new Decision.Granted(ticket, upstream);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -12,6 +12,7 @@
     private final long arrivedAt;
     private final long patientUntil;
     private final VersionRule versions;
+    private final Work work;
     private final Set<String> avoided = new HashSet<>();
     private long sequence;
 
@@ -23,13 +24,15 @@
      * @param arrivedAt when the request came, in milliseconds.
      * @param patientUntil until when waiting for a place makes sense, in milliseconds of the same clock.
      * @param versions the versions that may serve it.
+     * @param work what is asked of the upstream, and by when.
      */
-    public Ticket(String name, int rank, long arrivedAt, long patientUntil, VersionRule versions) {
+    public Ticket(String name, int rank, long arrivedAt, long patientUntil, VersionRule versions, Work work) {
         this.name = name;
         this.rank = rank;
         this.arrivedAt = arrivedAt;
         this.patientUntil = patientUntil;
         this.versions = versions;
+        this.work = work;
     }
 
     /**
@@ -72,6 +75,15 @@
         return patientUntil;
     }
 
+    Work work() {
+        return work;
+    }
+
+    /** Returns until when only an upstream is taken that is likely to answer in time. */
+    long choosyUntil() {
+        return arrivedAt + (patientUntil - arrivedAt) / 2;
+    }
+
     VersionRule versions() {
         return versions;
     }
@@ -87,4 +99,15 @@
     void number(long given) {
         sequence = given;
     }
+
+    /**
+     * Says what a request asks of an upstream.
+     *
+     * @param promptTokens the tokens of the prompt, 0 for a plain call.
+     * @param outputTokens how many tokens the caller expects, 0 where it doesn't say and for a plain call.
+     * @param tier the tier of the route alone, by which places are reserved; 0 is the most urgent.
+     * @param targetAt until when the first byte has its full value, in milliseconds of the tickets' clock.
+     * @param endsAt until when the whole answer has any value, on the same clock.
+     */
+    public record Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt) {}
 }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.radishspur.decision.dispatch.UpstreamLoad.Fit;
 import org.radishspur.model.catalogue.Upstream;
 
 /**
@@ -28,6 +30,7 @@
     private final int slotsByDefault;
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
     private final Set<String> gone = new HashSet<>();
+    private final OutputEstimate outputs = new OutputEstimate();
 
     /**
      * Creates a board without upstreams.
@@ -66,20 +69,57 @@
     /**
      * Chooses an upstream with a free place.
      *
+     * <p>Engines of one pool differ several times in speed. A long answer that a slow one can't finish in time, and a long
+     * prompt that would hold up its neighbours, wait for a faster one as long as that makes sense.
+     *
      * @param ticket the request.
      * @param now the clock in milliseconds.
      * @return the upstream, or nothing where no place is free.
      */
     public Optional<UpstreamLoad> choose(Ticket ticket, long now) {
         List<UpstreamLoad> usable = usable(ticket, now);
-        Optional<UpstreamLoad> found = best(usable, ticket, now, true);
-        if (found.isPresent()) {
-            return found;
-        }
-        // Where every upstream that is left was tried before, one of them is better than none.
-        boolean othersExist =
+        double events = outputs.events(ticket.work().outputTokens());
+        boolean untriedExist =
                 usable.stream().anyMatch(load -> !ticket.avoids(load.upstream().run()));
-        return othersExist ? Optional.empty() : best(usable, ticket, now, false);
+        if (untriedExist) {
+            // Where every upstream that is left was tried before, one of them is better than none.
+            usable.removeIf(load -> ticket.avoids(load.upstream().run()));
+        }
+        Fit reachable = usable.stream()
+                .map(load -> load.fit(ticket.work(), events, now))
+                .min(Comparator.naturalOrder())
+                .orElse(Fit.TOO_LATE);
+        boolean choosy = reachable != Fit.LATE && now < ticket.choosyUntil();
+        Fit worstTaken = reachable == Fit.TOO_LATE ? Fit.TOO_LATE : choosy ? reachable : Fit.LATE;
+        usable.removeIf(load -> load.fit(ticket.work(), events, now).compareTo(worstTaken) > 0);
+        return best(usable, ticket.work(), events, now);
+    }
+
+    /**
+     * Returns the part of the pool's places that is free.
+     *
+     * @param now the clock in milliseconds.
+     * @return the part, from 0 to 1.
+     */
+    public double freeShare(long now) {
+        int places = 0;
+        int free = 0;
+        for (UpstreamLoad load : loads.values()) {
+            if (takesWork(load) && !load.isUnreachable(now)) {
+                places += slots(load);
+                free += Math.max(0, slots(load) - load.inProgress());
+            }
+        }
+        return places == 0 ? 0 : (double) free / places;
+    }
+
+    /**
+     * Returns what is known of the length of answers.
+     *
+     * @return the estimate, to which answers are added.
+     */
+    public OutputEstimate outputs() {
+        return outputs;
     }
 
     /**
@@ -154,26 +194,16 @@
         return listed;
     }
 
-    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket ticket, long now, boolean untried) {
+    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket.Work work, double events, long now) {
         double fastest = usable.stream()
                 .filter(UpstreamLoad::isPaceKnown)
                 .mapToDouble(UpstreamLoad::paceMillis)
                 .min()
                 .orElse(1);
-        UpstreamLoad best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (UpstreamLoad load : usable) {
-            boolean free = load.inProgress() < (load.isOnProbation() ? 1 : slots(load));
-            if (!free || untried && ticket.avoids(load.upstream().run())) {
-                continue;
-            }
-            double cost = cost(load, fastest);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = load;
-            }
-        }
-        return Optional.ofNullable(best);
+        return usable.stream()
+                .filter(load -> load.inProgress() < (load.isOnProbation() ? 1 : slots(load)))
+                .min(Comparator.comparing((UpstreamLoad load) -> load.fit(work, events, now))
+                        .thenComparingDouble(load -> cost(load, fastest)));
     }
 
     private double cost(UpstreamLoad load, double fastest) {
@@ -185,7 +215,9 @@
     }
 
     private boolean takesWork(UpstreamLoad load) {
-        return !load.upstream().leaving() && !gone.contains(load.upstream().run());
+        return !load.upstream().leaving()
+                && !load.isReplaced()
+                && !gone.contains(load.upstream().run());
     }
 
     private int slots(UpstreamLoad load) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -37,17 +37,22 @@
     /** Silence is this many usual times to the first byte. */
     private static final double SILENCE_FACTOR = 5;
 
+    /** By how much an answer may take longer than the recent ones before it must still be whole. */
+    private static final double WHOLE_MARGIN = 1.15;
+
     private Upstream upstream;
     private int own;
     private final Map<String, Integer> others = new HashMap<>();
     private int othersTotal;
     private final Average firstMillis = new Average(TIME_WEIGHT);
+    private final FirstByteModel firstByte = new FirstByteModel();
     private final Average paceMillis = new Average(TIME_WEIGHT);
     private final Average failures = new Average(FAILURE_WEIGHT);
     private int failuresInARow;
     private int connectFailures;
     private long pausedUntil;
     private boolean onProbation;
+    private boolean replaced;
     private boolean unreachable;
     private final Map<Object, Long> unanswered = new HashMap<>();
     private long lastByteAt;
@@ -97,13 +102,15 @@
      * Notes that the answer to a request has begun.
      *
      * @param request identifies the request.
+     * @param promptTokens the tokens of its prompt.
      * @param millis the time since the request was sent.
      * @param now the clock in milliseconds.
      */
-    public void answered(Object request, long millis, long now) {
+    public void answered(Object request, long promptTokens, long millis, long now) {
         unanswered.remove(request);
         lastByteAt = now;
         firstMillis.add(millis);
+        firstByte.add(promptTokens, millis);
     }
 
     /**
@@ -128,10 +135,20 @@
     /**
      * Notes how fast a whole answer came.
      *
-     * @param millis the time for one event of a stream, or for a whole plain answer.
+     * @param millis the time from the first byte to the last, or for a plain call the whole time.
+     * @param events the events of the stream; 1 for a plain call.
      */
-    public void paced(double millis) {
-        paceMillis.add(millis);
+    public void paced(double millis, long events) {
+        paceMillis.add(millis / Math.max(1, events));
+    }
+
+    /** Notes that another instance answers at the address, so that this one is gone. */
+    public void replaced() {
+        replaced = true;
+    }
+
+    boolean isReplaced() {
+        return replaced;
     }
 
     /**
@@ -252,8 +269,26 @@
         return failures.value();
     }
 
-    /** Returns the usual time to the first byte in milliseconds, or 0 where nothing was answered yet. */
-    double firstMillis() {
-        return firstMillis.isKnown() ? firstMillis.value() : 0;
+    /** Tells how well the upstream is likely to do for a request that is sent now and gets so many events. */
+    Fit fit(Ticket.Work work, double events, long now) {
+        if (!firstByte.isKnown() || !paceMillis.isKnown()) {
+            return Fit.ON_TIME;
+        }
+        double first = firstByte.millis(work.promptTokens());
+        double whole = first + paceMillis.value() * events;
+        if (now + whole * WHOLE_MARGIN > work.endsAt()) {
+            return Fit.TOO_LATE;
+        }
+        return now + first > work.targetAt() ? Fit.LATE : Fit.ON_TIME;
+    }
+
+    /** Says how well an upstream is likely to do for a request; a better fit comes first. */
+    enum Fit {
+        /** The first byte comes in time. */
+        ON_TIME,
+        /** The answer is late but whole before its caller leaves. */
+        LATE,
+        /** The caller leaves before the answer is whole. */
+        TOO_LATE
     }
 }
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -45,6 +45,7 @@
      * @param deadlineMillis how long the caller waits, in milliseconds, or 0 where it doesn't say.
      * @param promptTokens the tokens of the prompt, or 0.
      * @param outputTokens the most tokens to be generated, or 0.
+     * @param expectedTokens how many tokens the caller expects, or 0; often far off.
      * @param resumeAfter the number of the last event that the caller has, or a negative number.
      */
     record RequestHead(
@@ -55,6 +56,7 @@
             long deadlineMillis,
             long promptTokens,
             long outputTokens,
+            long expectedTokens,
             long resumeAfter) {}
 
     /**
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -48,6 +48,15 @@
     /** Callers that are refused in the same moment come back spread from this part of their time on. */
     private static final double EARLIEST_RETURN = 0.2;
 
+    /** How many tiers of routes are told apart within the rank of an organisation. */
+    private static final int TIERS = 16;
+
+    /**
+     * The longest time that a request waits for a place, in milliseconds. Callers of streams hang up after some two seconds
+     * without an event; the rest is for the upstream's first one.
+     */
+    private static final long LONGEST_PATIENCE_MILLIS = 1_200;
+
     /** The time a caller has that states none, in milliseconds, where its route's timeout doesn't end it sooner. */
     private static final long UNSTATED_DEADLINE_MILLIS = 30_000;
 
@@ -57,9 +66,6 @@
     /** With less time than this left another upstream isn't tried, in milliseconds. */
     private static final long LEAST_RETRY_MILLIS = 60;
 
-    /** After which time a caller should come back that found the entry without a confirmed catalogue, in milliseconds. */
-    private static final long UNCONFIRMED_RETURN_MILLIS = 500;
-
     private final EntryServices services;
     private final FrontConnection connection;
     private final ChannelHandlerContext context;
@@ -139,7 +145,7 @@
         long stated = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNSTATED_DEADLINE_MILLIS;
         endsAt = arrivedAt + stated;
         if (!services.isCurrent()) {
-            refuse(EndReason.UNCONFIRMED, UNCONFIRMED_RETURN_MILLIS, false);
+            refuse(EndReason.UNCONFIRMED, latestReturn(), false);
             return;
         }
         Catalogue catalogue = services.view().catalogue().orElseThrow();
@@ -180,22 +186,25 @@
         poolName = route.choosePool(ThreadLocalRandom.current().nextDouble());
         pool = services.pools().dispatcher(poolName, Optional.of(catalogue));
         services.pools().budget(poolName).requested();
-        rank = organisation
+        int organisationRank = organisation
                 .map(OrganisationRule::priority)
                 .filter(priority -> priority >= 0)
-                .orElse(route.priority());
+                .orElse(0);
+        rank = organisationRank * TIERS + Math.min(route.priority(), TIERS - 1);
         boolean late = services.isReturning(route.name(), stated);
         double patience = late || route.targetLatencyMillis() <= 0
                 ? (endsAt - arrivedAt) * LATE_PATIENCE
                 : route.targetLatencyMillis() * FRESH_PATIENCE;
         splitter = new EventSplitter(head.resumeAfter());
-        offer(arrivedAt + (long) patience, services.pools().versions(poolName, true));
+        offer(
+                arrivedAt + Math.min(LONGEST_PATIENCE_MILLIS, (long) patience),
+                services.pools().versions(poolName, true));
     }
 
     private void offer(long patientUntil, VersionRule versions) {
         offers++;
         long now = services.now();
-        Ticket next = new Ticket(head.request(), rank, now, Math.min(patientUntil, endsAt), versions);
+        Ticket next = new Ticket(head.request(), rank, now, Math.min(patientUntil, endsAt), versions, work());
         if (attempt != null) {
             next.avoid(attempt.upstream().upstream().run());
         }
@@ -209,6 +218,13 @@
         }
     }
 
+    private Ticket.Work work() {
+        boolean generates = route.kind() == RequestKind.STREAM;
+        long target = route.targetLatencyMillis() > 0 ? arrivedAt + route.targetLatencyMillis() : endsAt;
+        return new Ticket.Work(
+                head.promptTokens(), generates ? head.expectedTokens() : 0, route.priority(), target, endsAt);
+    }
+
     /** Takes what was decided for the request, at once or after it has waited. */
     void onDecision(Decision decision) {
         if (decision instanceof Decision.Granted granted) {
@@ -238,7 +254,7 @@
             // Guards against a pause of the whole process between the check on arrival and this moment.
             services.pools().release(pool, upstream, ticket, now);
             ticket = null;
-            refuse(EndReason.UNCONFIRMED, UNCONFIRMED_RETURN_MILLIS, false);
+            refuse(EndReason.UNCONFIRMED, latestReturn(), false);
             return;
         }
         services.metrics().waited(now - arrivedAt);
@@ -326,7 +342,8 @@
                         offers,
                         services.now() - arrivedAt);
         long left = endsAt - services.now();
-        offer(services.now() + (long) (left * LATE_PATIENCE), services.pools().versions(poolName, false));
+        long patience = Math.min(LONGEST_PATIENCE_MILLIS, (long) (left * LATE_PATIENCE));
+        offer(services.now() + patience, services.pools().versions(poolName, false));
     }
 
     private void onTimeout() {
@@ -440,7 +457,10 @@
                             upstream.upstream().id(),
                             firstMillis,
                             millis,
-                            splitter.events());
+                            splitter.events(),
+                            head.promptTokens(),
+                            head.expectedTokens(),
+                            rank);
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -43,9 +43,6 @@
     /** How long callers may still arrive after the balancer was told, in milliseconds: it asks once a second, twice. */
     private static final long REROUTE_MILLIS = 2_300;
 
-    /** How long idle callers' connections are left open in a planned stop, in milliseconds. */
-    private static final long IDLE_STOP_MILLIS = 4_500;
-
     /** How long before the end of the grace a planned stop ends in any case, in milliseconds. */
     private static final long GRACE_MARGIN_MILLIS = 400;
 
@@ -141,14 +138,14 @@
         services.stop();
         long beganAt = System.nanoTime();
         long latest = settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
-        while (true) {
-            long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganAt);
-            boolean quiet = services.inProgress() == 0;
-            boolean empty = quiet && front.connections() == 0 && elapsed > REROUTE_MILLIS;
-            if (empty || quiet && elapsed > IDLE_STOP_MILLIS || elapsed > latest) {
-                break;
-            }
+        long elapsed = 0;
+        while (elapsed < latest && (elapsed < REROUTE_MILLIS || services.inProgress() > 0)) {
             pause();
+            elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganAt);
+            if (elapsed >= REROUTE_MILLIS) {
+                // A request that comes later might not end within the grace; its caller finds another entry.
+                traffic.execute(front::stopTaking);
+            }
         }
         events.emit(EventCode.STOPPED, services.inProgress());
         events.close();
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -83,6 +83,16 @@
         }
     }
 
+    /** Takes no further connection and closes those on which nothing is in progress, as late in a planned stop. */
+    void stopTaking() {
+        channel.close();
+        connections.entrySet().stream()
+                .filter(entry -> entry.getValue().isIdle())
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(Channel::close);
+    }
+
     private void closeIdle() {
         long now = services.now();
         long allowed = services.limits().idleMillis();
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -42,7 +42,8 @@
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private boolean answered;
     private boolean released;
-    private long eventsBefore;
+    private long firstByteAt;
+    private final long eventsBefore;
 
     UpstreamAttempt(
             CallerExchange caller, EntryServices services, PoolDispatcher pool, UpstreamLoad upstream, Ticket ticket) {
@@ -223,7 +224,8 @@
         upstream.heard(now);
         if (!answered) {
             answered = true;
-            upstream.answered(ticket, now - sentAt, now);
+            firstByteAt = now;
+            upstream.answered(ticket, caller.head().promptTokens(), now - sentAt, now);
             caller.noteFirst(now - sentAt);
         }
     }
@@ -279,18 +281,24 @@
 
     private void notRun() {
         end();
+        if (kind == AnswerKind.WRONG_INSTANCE) {
+            upstream.replaced();
+            services.events().emit(EventCode.EJECTED, upstream.upstream().id(), "another instance answers");
+        }
         caller.onNotRun(kind == AnswerKind.NOT_RUN ? "not-run" : "wrong-instance", true);
     }
 
     private void notePace() {
-        long millis = services.now() - sentAt;
-        if (passesEvents()) {
-            long events = caller.splitter().events() - eventsBefore;
-            if (events > 1) {
-                upstream.paced((double) millis / events);
-            }
-        } else {
-            upstream.paced(millis);
+        if (!passesEvents()) {
+            upstream.paced(services.now() - sentAt, 1);
+            return;
+        }
+        long events = caller.splitter().events() - eventsBefore;
+        if (events > 1) {
+            upstream.paced(services.now() - firstByteAt, events - 1);
+        }
+        if (eventsBefore == 0) {
+            pool.board().outputs().add(caller.head().expectedTokens(), events);
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -37,8 +37,8 @@
     /** How often a leader shows that it leads, in milliseconds; a read waits for up to one such round. */
     private static final long HEARTBEAT_MILLIS = 60;
 
-    /** How long a follower waits at least before an election, in milliseconds; ten heartbeats may be late or lost. */
-    private static final long ELECTION_MILLIS = 600;
+    /** How long a follower waits at least before an election, in milliseconds; six heartbeats may be late or lost. */
+    private static final long ELECTION_MILLIS = 400;
 
     /** A catalogue is some hundred kilobytes: this many entries stay well below the smallest disks of 128 MB. */
     private static final int ENTRIES_PER_SNAPSHOT = 60;
@@ -85,7 +85,8 @@
                 folder,
                 identityOf(folder),
                 new ControlReplica.Options(
-                        ReplicaHost.raftOptions(HEARTBEAT_MILLIS, ELECTION_MILLIS),
+                        ReplicaHost.raftOptions(HEARTBEAT_MILLIS, ELECTION_MILLIS)
+                                .withoutLease(),
                         StateOptions.STANDARD,
                         ENTRIES_PER_SNAPSHOT,
                         MAXIMUM_PENDING),
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -41,7 +41,7 @@
     /** A request goes to another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /** An answer was passed on to its end. */
-    ANSWERED(true, "status", "upstream", "firstMillis", "millis", "events"),
+    ANSWERED(true, "status", "upstream", "firstMillis", "millis", "events", "promptTokens", "expectedTokens", "rank"),
     /** A caller left before its answer was whole. */
     LEFT(true, "upstream", "millis"),
     /** An upstream gets nothing for a moment. */
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -66,7 +66,7 @@
         this.persistedIndex = log.lastIndex();
         // Guards against a stale read: before its restart this replica may have acknowledged a heartbeat whose lease
         // still runs. It counts as having just heard the leader, so that it can't help elect another one meanwhile.
-        this.heardFromLeaderAt = now;
+        this.heardFromLeaderAt = options.leaseMillis() > 0 ? now : now - options.electionTimeoutMillis();
         if (recovered.snapshot().lastIndex() > 0) {
             installed = Optional.of(recovered.snapshot());
         }
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftOptions.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftOptions.java
@@ -7,7 +7,7 @@
  * @param electionTimeoutMillis how long a follower waits at least before it seeks an election; a random part of up to
  *     the same length is added.
  * @param leaseMillis how long a majority's answer lets the leader answer reads; shorter than the election timeout by
- *     more than clocks drift apart in that time.
+ *     more than clocks drift apart in that time; 0 where every read is confirmed by a majority instead.
  * @param maximumEntriesPerMessage how many entries one message carries at most.
  * @param snapshotPartBytes how many bytes of a snapshot one message carries at most.
  * @param trailingEntries how many applied entries stay in the log behind a snapshot, for followers a little behind.
@@ -21,4 +21,19 @@
         int trailingEntries) {
     /** Fits hosts within a few milliseconds of each other. */
     public static final RaftOptions STANDARD = new RaftOptions(100, 600, 480, 256, 1 << 18, 1_000);
+
+    /**
+     * Returns these options for replicas that answer every read only once a majority has confirmed it.
+     *
+     * @return the options without a lease.
+     */
+    public RaftOptions withoutLease() {
+        return new RaftOptions(
+                heartbeatMillis,
+                electionTimeoutMillis,
+                0,
+                maximumEntriesPerMessage,
+                snapshotPartBytes,
+                trailingEntries);
+    }
 }
