--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -144,10 +144,28 @@
         }
         long stated = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNSTATED_DEADLINE_MILLIS;
         endsAt = arrivedAt + stated;
-        if (!services.isCurrent()) {
-            refuse(EndReason.UNCONFIRMED, latestReturn(), false);
-            return;
+        if (services.isCurrent()) {
+            route(stated);
+        } else {
+            awaitConfirmation(stated);
         }
+    }
+
+    /**
+     * Waits a moment for the catalogue to be confirmed. After a restart or the loss of the control leader that takes about
+     * a second, and a caller that is sent away at once spends its only retry on coming back too soon.
+     */
+    private void awaitConfirmation(long stated) {
+        long patience = Math.min(LONGEST_PATIENCE_MILLIS, (long) (stated * EARLIEST_RETURN));
+        timer = services.loop()
+                .schedule(() -> refuse(EndReason.UNCONFIRMED, latestReturn(), false), patience, TimeUnit.MILLISECONDS);
+        services.awaits(this, () -> {
+            timer.cancel(false);
+            route(stated);
+        });
+    }
+
+    private void route(long stated) {
         Catalogue catalogue = services.view().catalogue().orElseThrow();
         Optional<RouteRule> matched = catalogue.match(head.host(), head.path());
         if (matched.isEmpty()) {
@@ -531,6 +549,7 @@
             return;
         }
         done = true;
+        services.awaitsNoMore(this);
         if (timer != null) {
             timer.cancel(false);
         }
--- a/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
@@ -25,6 +25,9 @@
     /** How often the leader is asked, in milliseconds; a tenth of the time in which an edit must be in force. */
     private static final long ASK_MILLIS = 200;
 
+    /** How often control hosts are asked while no leader is known, in milliseconds. */
+    private static final long SEEK_MILLIS = 80;
+
     /** After so long without a confirmation every known control host is asked, in milliseconds. */
     private static final long LEADER_LOST_MILLIS = 500;
 
@@ -46,6 +49,7 @@
     private String leader = "";
     private boolean lost = true;
     private long nextNonce;
+    private long askedAt;
 
     ControlFollower(
             ControlLoop loop,
@@ -63,7 +67,7 @@
         this.run = System.currentTimeMillis();
         this.tallies = tallies;
         this.listener = listener;
-        loop.repeat(this::ask, ASK_MILLIS);
+        loop.repeat(this::askIfDue, SEEK_MILLIS);
     }
 
     void seeds(Set<String> addresses) {
@@ -139,7 +143,15 @@
         listener.onView(next);
     }
 
+    private void askIfDue() {
+        boolean due = loop.nowMillis() - askedAt >= ASK_MILLIS - SEEK_MILLIS / 2;
+        if (due || lost) {
+            ask();
+        }
+    }
+
     private void ask() {
+        askedAt = loop.nowMillis();
         Moment now = Moment.now();
         questions.values().removeIf(asked -> now.since(asked) > QUESTION_MILLIS);
         long age = now.since(view.confirmedAt());
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -51,6 +53,7 @@
     private final VersionTallies tallies;
     private final LoadSharing sharing;
     private final Map<Ticket, CallerExchange> waiting = new HashMap<>();
+    private final Map<CallerExchange, Runnable> awaiting = new LinkedHashMap<>();
     private final Set<CallerExchange> running = new HashSet<>();
     private final Map<String, Long> longestDeadlines = new HashMap<>();
     private volatile EntryView view = EntryView.NOTHING;
@@ -98,6 +101,7 @@
                     .toList());
             pools.advance(now());
         }
+        goOn();
     }
 
     void onLoad(FleetMessage.Load load) {
@@ -128,7 +132,9 @@
 
     private boolean isConfirmedWithin(double share) {
         long age = Moment.now().since(view.confirmedAt());
-        return view.catalogue().isPresent() && age < settings.bounds().revokeMillis() * share;
+        return view.catalogue().isPresent()
+                && view.hosts().reading() > 0
+                && age < settings.bounds().revokeMillis() * share;
     }
 
     /** Tells whether a request has a deadline that shows that its caller has spent part of its time already. */
@@ -137,6 +143,23 @@
         return deadlineMillis < longest * 0.9;
     }
 
+    void awaits(CallerExchange exchange, Runnable action) {
+        awaiting.put(exchange, action);
+    }
+
+    void awaitsNoMore(CallerExchange exchange) {
+        awaiting.remove(exchange);
+    }
+
+    /** Lets the requests go on that have waited for a confirmed catalogue. */
+    private void goOn() {
+        if (!awaiting.isEmpty() && isCurrent()) {
+            List<Runnable> actions = List.copyOf(awaiting.values());
+            awaiting.clear();
+            actions.forEach(Runnable::run);
+        }
+    }
+
     void waits(Ticket ticket, CallerExchange exchange) {
         waiting.put(ticket, exchange);
     }
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -60,6 +60,7 @@
     private final FleetLinks links;
     private final ReplicaHost replica;
     private final MemberWatch members;
+    private final HostListReader hostList;
     private final FollowDesk follow;
     private final Supervisor.Scheduler.ForThread scheduler = new Supervisor.Scheduler.ForThread();
     private final Supervisor root;
@@ -71,11 +72,11 @@
      *
      * @param settings the settings of the process.
      * @param operators reads operators' calls.
-     * @param hostList reads the platform's host list.
+     * @param listDialect reads the platform's host list.
      * @param events takes structured events.
      */
     public ControlProcess(
-            FleetSettings settings, OperatorDialect operators, HostListDialect hostList, EventLog events) {
+            FleetSettings settings, OperatorDialect operators, HostListDialect listDialect, EventLog events) {
         this.settings = settings;
         this.events = events;
         loop.onFailure(cause -> failed.countDown());
@@ -99,10 +100,9 @@
                 state -> {});
         members = new MemberWatch(
                 loop, replica, links, events, settings.peerAddress().toString());
-        HostListReader reader =
-                new HostListReader(loop, group.next(), replica, hostList, settings.hostListAddress(), events);
+        hostList = new HostListReader(loop, group.next(), replica, listDialect, settings.hostListAddress(), events);
         RolloutDriver rollouts = new RolloutDriver(loop, replica, events);
-        follow = new FollowDesk(loop, replica, members, reader, rollouts);
+        follow = new FollowDesk(loop, replica, members, hostList, rollouts);
         OperatorDesk desk = new OperatorDesk(loop, replica, follow, operators, settings.operatorPort(), events);
         root = new Supervisor("control", scheduler, loop::nowMillis)
                 .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
@@ -178,6 +178,7 @@
         String role = replica.isLeader() ? "leader" : "follower";
         if (!role.equals(lastRole)) {
             lastRole = role;
+            hostList.readIfLeading();
             events.emit(EventCode.ROLE, role, replica.term(), replica.voters());
         }
     }
--- a/node/src/main/java/org/radishspur/node/group/HostListReader.java
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -82,7 +82,8 @@
         return latest;
     }
 
-    private void readIfLeading() {
+    /** Reads the list if this replica leads and no reading is under way. */
+    void readIfLeading() {
         if (!replica.isLeader() || reading) {
             return;
         }
--- a/node/src/main/java/org/radishspur/node/settings/FleetSettings.java
+++ b/node/src/main/java/org/radishspur/node/settings/FleetSettings.java
@@ -43,6 +43,29 @@
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Returns these settings with other seeds.
+     *
+     * @param others the seeds.
+     * @return the changed settings.
+     */
+    public FleetSettings withSeeds(List<HostPort> others) {
+        return new FleetSettings(
+                node,
+                failureDomain,
+                peerAddress,
+                callerAddress,
+                readyAddress,
+                operatorAddress,
+                operatorPort,
+                others,
+                founding,
+                dataFolder,
+                hostListAddress,
+                metricsAddress,
+                bounds);
+    }
+
     /**
      * Holds what the users count on.
      *
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -17,6 +17,9 @@
  * <p>The core is not safe for use by several threads; the control thread owns it.
  */
 public final class RaftCore {
+    /** How many heartbeats a replica that has heard no leader yet waits at least, where leaders hold no lease. */
+    private static final int FIRST_HEARTBEATS = 2;
+
     private final RaftOptions options;
     private final String self;
     private final RandomGenerator random;
@@ -31,6 +34,7 @@
     private long appliedIndex;
     private long persistedIndex;
     private long heardFromLeaderAt;
+    private boolean heardLeader;
     private long electionDueAt;
     private long heartbeatDueAt;
     private long leadingSince;
@@ -550,6 +554,7 @@
 
     private void becomeLeader(long now) {
         role = Role.LEADER;
+        heardLeader = true;
         leader = self;
         transferring = false;
         followers.clear();
@@ -597,6 +602,7 @@
         }
         role = Role.FOLLOWER;
         leader = from;
+        heardLeader = true;
         heardFromLeaderAt = now;
         scheduleElection(now);
         return true;
@@ -747,7 +753,11 @@
     }
 
     private void scheduleElection(long now) {
-        electionDueAt =
-                now + options.electionTimeoutMillis() + random.nextLong(Math.max(1, options.electionTimeoutMillis()));
+        // A replica that has heard no leader since it started seeks elections sooner: where the whole group has
+        // restarted
+        // there is no leader to wait for, and where there is one the promise that comes before a vote is refused.
+        boolean alone = options.leaseMillis() == 0 && !heardLeader;
+        long least = alone ? FIRST_HEARTBEATS * options.heartbeatMillis() : options.electionTimeoutMillis();
+        electionDueAt = now + least + random.nextLong(Math.max(1, alone ? 2 * least : least));
     }
 }
