Count what other entries admitted for an organisation before this one met it; tests of the dispatch decisions

Cause, found by the new property test: an entry that had not yet seen a request of an organisation threw away what the others said of it, and started with a full bucket; and the first word of another entry could never bring a bucket below zero. With nine entries the sum over 10 s lay above the limit and what can be admitted unheard.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -79,23 +79,23 @@
      * @param entry the run of the other entry.
      * @param organisation the organisation.
      * @param total the use.
+     * @param now the clock in milliseconds.
      */
-    public void usedElsewhere(String entry, String organisation, long total) {
+    public void usedElsewhere(String entry, OrganisationRule organisation, long total, long now) {
         Map<String, Long> seen = usedElsewhere.computeIfAbsent(entry, key -> new HashMap<>());
-        Long before = seen.put(organisation, total);
-        Bucket bucket = buckets.get(organisation);
-        if (bucket != null && before != null) {
-            bucket.level -= total - before;
-        } else if (bucket != null && total > 0) {
-            // The first word of an entry that this one has not heard before: what it used in the meantime is bounded by
-            // the bucket, which can't be more than empty for it.
-            bucket.level = Math.min(bucket.level, Math.max(0, bucket.level - total));
+        Long before = seen.put(organisation.name(), total);
+        if (organisation.ratePerSecond() <= 0) {
+            return;
         }
+        Bucket bucket = bucketOf(organisation, now);
+        // The first word of an entry sums up all that it has admitted so far; of that, no more than a whole bucket can
+        // still be missing here.
+        bucket.level -= before == null ? Math.min(total, capacity(organisation)) : total - before;
     }
 
     private Bucket bucketOf(OrganisationRule organisation, long now) {
         double rate = organisation.ratePerSecond() * (1 + tolerance.share());
-        double capacity = organisation.burst() + tolerance.amount();
+        double capacity = capacity(organisation);
         Bucket bucket = buckets.get(organisation.name());
         if (bucket == null) {
             bucket = new Bucket(capacity, now);
@@ -105,6 +105,10 @@
         return bucket;
     }
 
+    private double capacity(OrganisationRule organisation) {
+        return organisation.burst() + tolerance.amount();
+    }
+
     /**
      * Says how far a limit may be exceeded, so that what is within it is never refused because entries disagree.
      *
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerPropertyTest.java
@@ -0,0 +1,69 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.radishspur.model.catalogue.OrganisationRule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QuotaLedgerPropertyTest {
+    private static final double RATE = 100_000;
+    private static final double BURST = 100_000;
+
+    private static OrganisationRule rule(double rate, double burst) {
+        return new OrganisationRule("fleet", Set.of("key"), 0, rate, burst, true, 10);
+    }
+
+    /**
+     * An organisation sends six times its usual through all entries at once. Each entry hears of the others' use a moment
+     * later; what they admit together in any window must stay within the limit and what can be admitted unheard.
+     */
+    @Property(tries = 60, seed = "4711")
+    void keepsTheSumWithinTheLimitAndTheDelay(
+            @ForAll @IntRange(min = 2, max = 9) int entries,
+            @ForAll @LongRange(min = 10, max = 200) long delay,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        int cost = 4_000;
+        List<QuotaLedger> ledgers = new ArrayList<>();
+        for (int entry = 0; entry < entries; entry++) {
+            ledgers.add(new QuotaLedger(QuotaLedger.Tolerance.NONE));
+        }
+        double admitted = 0;
+        long seconds = 10;
+        for (long now = 0; now < seconds * 1_000; now++) {
+            if (random.nextInt(7) == 0) {
+                QuotaLedger ledger = ledgers.get(random.nextInt(entries));
+                admitted += ledger.take(rule(RATE, BURST), cost, now).isEmpty() ? cost : 0;
+            }
+            if (now % delay == 0) {
+                share(ledgers, now);
+            }
+        }
+        double offeredUnheard = 1_000.0 / 7 * cost * delay / 1_000;
+        assertThat(admitted).isLessThanOrEqualTo(RATE * seconds + BURST + offeredUnheard + entries * cost);
+        assertThat(admitted).isGreaterThan(RATE * seconds * 0.9);
+    }
+
+    private void share(List<QuotaLedger> ledgers, long now) {
+        for (int from = 0; from < ledgers.size(); from++) {
+            for (int to = 0; to < ledgers.size(); to++) {
+                if (from != to) {
+                    int target = to;
+                    String name = "entry-" + from;
+                    ledgers.get(from)
+                            .usedHere()
+                            .forEach((organisation, total) ->
+                                    ledgers.get(target).usedElsewhere(name, rule(RATE, BURST), total, now));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -0,0 +1,150 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.Upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamBoardTest {
+    private static final long NOW = 10_000;
+
+    private UpstreamBoard board;
+
+    @BeforeEach
+    void list() {
+        board = new UpstreamBoard("a", 4);
+        board.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
+    }
+
+    private static Upstream upstream(String id) {
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false);
+    }
+
+    private UpstreamLoad load(String id) {
+        return board.find(upstream(id).run()).orElseThrow();
+    }
+
+    private static Ticket ticket() {
+        return new Ticket(
+                "r", 0, NOW, NOW + 200, VersionRule.Any.INSTANCE, new Ticket.Work(0, 0, 0, NOW + 400, NOW + 3_000));
+    }
+
+    private List<String> chosen(int count) {
+        return java.util.stream.IntStream.range(0, count)
+                .mapToObj(index -> board.choose(ticket(), NOW))
+                .flatMap(Optional::stream)
+                .peek(load -> load.began(new Object(), NOW))
+                .map(load -> load.upstream().id())
+                .toList();
+    }
+
+    @Nested
+    class Faults {
+        /** An upstream that fails part of its requests while others are well gets nothing for a moment. */
+        @Test
+        void pausesAnUpstreamThatFailsInARow() {
+            for (int count = 0; count < 3; count++) {
+                load("one").judged(false, 0, NOW);
+            }
+            assertThat(chosen(8)).doesNotContain("one");
+        }
+
+        /** Requests that fail everywhere, because of what they ask, must not empty the pool. */
+        @Test
+        void keepsThePoolWhenAllFail() {
+            for (String id : List.of("one", "two", "three")) {
+                for (int count = 0; count < 5; count++) {
+                    load(id).judged(false, 0, NOW);
+                }
+            }
+            assertThat(chosen(3)).isNotEmpty();
+        }
+
+        @Test
+        void triesAPausedUpstreamWithOneRequest() {
+            for (int count = 0; count < 3; count++) {
+                load("one").judged(false, 0, NOW - 1_600);
+            }
+            assertThat(chosen(12)).filteredOn("one"::equals).hasSize(1);
+        }
+
+        @Test
+        void takesNothingToAnUnreachableUpstreamEvenIfItIsTheLast() {
+            for (String id : List.of("one", "two", "three")) {
+                load(id).unreachable(NOW);
+            }
+            assertThat(chosen(1)).isEmpty();
+        }
+
+        /** An upstream falls silent with requests in it; no reset tells. No new request joins them. */
+        @Test
+        void avoidsAnUpstreamThatHasFallenSilent() {
+            load("one").began("hanging", NOW - 2_000);
+            assertThat(chosen(8)).doesNotContain("one");
+        }
+
+        @Test
+        void keepsABusyUpstreamThatStillSends() {
+            load("one").began("waiting", NOW - 2_000);
+            load("one").heard(NOW - 50);
+            assertThat(chosen(12)).contains("one");
+        }
+
+        /** The address of an instance that has ended was given to another one, which answers for itself. */
+        @Test
+        void dropsAnInstanceWhoseAddressAnotherOneHas() {
+            load("one").replaced();
+            board.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
+            assertThat(chosen(12)).doesNotContain("one");
+        }
+    }
+
+    @Nested
+    class Refreshing {
+        @Test
+        void forgetsAnUpstreamThatIsNoLongerListed() {
+            board.refresh(List.of(upstream("two")));
+            assertThat(board.loads()).hasSize(1);
+        }
+
+        @Test
+        void keepsAnUnlistedUpstreamUntilItsRequestsEndButSendsItNothing() {
+            load("one").began("running", NOW);
+            board.refresh(List.of(upstream("two")));
+            assertThat(board.loads()).hasSize(2);
+            assertThat(chosen(4)).containsOnly("two");
+        }
+
+        @Test
+        void takesAnInstanceThatStartedAgainForAnotherOne() {
+            load("one").judged(false, 0, NOW);
+            board.refresh(List.of(new Upstream("one", 2, "pool", "10.0.0.1:80", "a", "v1", 4, false)));
+            assertThat(board.loads())
+                    .singleElement()
+                    .satisfies(load -> assertThat(load.failureShare()).isZero());
+        }
+    }
+
+    @Nested
+    class Avoiding {
+        @Test
+        void leavesOutWhatWasTriedWhileOthersAreThere() {
+            Ticket retried = ticket();
+            retried.avoid(upstream("one").run());
+            assertThat(board.choose(retried, NOW)).get().isNotSameAs(load("one"));
+        }
+
+        @Test
+        void triesTheSameAgainWhereItIsTheOnlyOne() {
+            board.refresh(List.of(upstream("one")));
+            Ticket retried = ticket();
+            retried.avoid(upstream("one").run());
+            assertThat(board.choose(retried, NOW)).containsSame(load("one"));
+        }
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -105,7 +105,7 @@
     }
 
     void onLoad(FleetMessage.Load load) {
-        sharing.onLoad(load, now());
+        sharing.onLoad(load, view.catalogue().map(Catalogue::organisations).orElse(Map.of()), now());
     }
 
     void share() {
--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -9,6 +9,7 @@
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
 
@@ -85,7 +86,7 @@
         forgetLost(now);
     }
 
-    void onLoad(FleetMessage.Load load, long now) {
+    void onLoad(FleetMessage.Load load, Map<String, OrganisationRule> organisations, long now) {
         Other other = others.computeIfAbsent(load.entry(), key -> new Other());
         other.heardAt = now;
         Map<Integer, UpstreamLoad> known = byDigest();
@@ -111,7 +112,12 @@
                 }
             }
         }
-        load.organisations().forEach((name, total) -> quotas.usedElsewhere(load.entry(), name, total));
+        load.organisations().forEach((name, total) -> {
+            OrganisationRule organisation = organisations.get(name);
+            if (organisation != null) {
+                quotas.usedElsewhere(load.entry(), organisation, total, now);
+            }
+        });
         pools.advance(now);
     }
 
