--- a/node/src/main/java/org/radishspur/node/log/PartLog.java
+++ b/node/src/main/java/org/radishspur/node/log/PartLog.java
@@ -24,11 +24,14 @@
     SUPERVISOR("[supervisor]");
 
     private final String prefix;
-    private final System.Logger logger;
 
     PartLog(String prefix) {
         this.prefix = prefix;
-        this.logger = System.getLogger("org.radishspur.node." + name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    /** Finds the logger on the first line only: setting the logging up takes a tenth of a second of a start. */
+    private System.Logger logger() {
+        return System.getLogger("org.radishspur.node." + name().toLowerCase(java.util.Locale.ROOT));
     }
 
     /**
@@ -37,7 +40,7 @@
      * @param sentence the sentence.
      */
     public void info(String sentence) {
-        logger.log(Level.INFO, prefix + ' ' + sentence);
+        logger().log(Level.INFO, prefix + ' ' + sentence);
     }
 
     /**
@@ -46,7 +49,7 @@
      * @param sentence the sentence.
      */
     public void warn(String sentence) {
-        logger.log(Level.WARNING, prefix + ' ' + sentence);
+        logger().log(Level.WARNING, prefix + ' ' + sentence);
     }
 
     /**
@@ -56,6 +59,6 @@
      * @param cause the failure.
      */
     public void error(String sentence, Throwable cause) {
-        logger.log(Level.ERROR, prefix + ' ' + sentence, cause);
+        logger().log(Level.ERROR, prefix + ' ' + sentence, cause);
     }
 }
