--- /dev/null
+++ b/replication/src/test/java/org/radishspur/replication/codec/MessagePackTest.java
@@ -0,0 +1,106 @@
+package org.radishspur.replication.codec;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.error.RadishspurException;
+import org.radishspur.replication.raft.Configuration;
+import org.radishspur.replication.raft.LogEntry;
+import org.radishspur.replication.raft.RaftMessage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class MessagePackTest {
+    /** Stands for an older version of a record. */
+    record Narrow(long first, String second) {}
+
+    /** Stands for a newer version of the same record. */
+    record Wide(long first, String second, Optional<String> third, List<Integer> fourth, boolean fifth) {}
+
+    /** Uses every kind of component. */
+    record Broad(
+            int whole,
+            double fraction,
+            byte[] bytes,
+            int[] numbers,
+            Map<String, Set<Long>> sets,
+            Optional<Narrow> inner) {}
+
+    @Nested
+    class RoundTrips {
+        @Test
+        void keepsEveryKindOfComponent() {
+            Broad broad = new Broad(
+                    -7,
+                    0.25,
+                    new byte[] {1, 2},
+                    new int[] {3, -4, 5},
+                    Map.of("a", Set.of(1L, Long.MAX_VALUE)),
+                    Optional.of(new Narrow(Long.MIN_VALUE, "ü")));
+            Broad read = MessagePack.INSTANCE.decode(MessagePack.INSTANCE.encode(broad), Broad.class);
+            assertThat(read).usingRecursiveComparison().isEqualTo(broad);
+        }
+
+        @Test
+        void keepsTheSubtypeOfASealedType() {
+            RaftMessage message = new RaftMessage.AppendRequest(
+                    3,
+                    2,
+                    1,
+                    List.of(
+                            new LogEntry(3, 3, new LogEntry.Payload.Empty()),
+                            new LogEntry(
+                                    4, 3, new LogEntry.Payload.Membership(Configuration.ofVoters(Set.of("a", "b"))))),
+                    2,
+                    9);
+            byte[] bytes = MessagePack.INSTANCE.encode(message, RaftMessage.class);
+            assertThat(MessagePack.INSTANCE.decode(bytes, RaftMessage.class)).isEqualTo(message);
+        }
+    }
+
+    @Nested
+    class BetweenVersions {
+        @Test
+        void skipsWhatANewerVersionAdds() {
+            byte[] bytes = MessagePack.INSTANCE.encode(new Wide(1, "two", Optional.of("three"), List.of(4), true));
+            assertThat(MessagePack.INSTANCE.decode(bytes, Narrow.class)).isEqualTo(new Narrow(1, "two"));
+        }
+
+        @Test
+        void standsInForWhatAnOlderVersionLacks() {
+            byte[] bytes = MessagePack.INSTANCE.encode(new Narrow(1, "two"));
+            assertThat(MessagePack.INSTANCE.decode(bytes, Wide.class))
+                    .isEqualTo(new Wide(1, "two", Optional.empty(), null, false));
+        }
+    }
+
+    @Nested
+    class Malformed {
+        @Test
+        void reportsAnUnknownSubtype() {
+            byte[] bytes = MessagePack.INSTANCE.encode(new Narrow(99, "none"));
+            assertThatThrownBy(() -> MessagePack.INSTANCE.decode(bytes, RaftMessage.class))
+                    .isInstanceOf(RadishspurException.class);
+        }
+
+        @Test
+        void reportsBytesThatEndTooSoon() {
+            byte[] bytes = java.util.Arrays.copyOf(MessagePack.INSTANCE.encode(new Narrow(1, "two")), 3);
+            assertThatThrownBy(() -> MessagePack.INSTANCE.decode(bytes, Narrow.class))
+                    .isInstanceOf(RadishspurException.class);
+        }
+
+        /** A false length of two thousand million numbers must not claim memory for them. */
+        @Test
+        void reportsALengthThatTheBytesDoNotHold() {
+            byte[] bytes = {(byte) 0x96, 0, (byte) 0xc0, (byte) 0xc0, (byte) 0xdd, 0x7f, -1, -1, -1, 1};
+            assertThatThrownBy(() -> MessagePack.INSTANCE.decode(bytes, Broad.class))
+                    .isInstanceOf(RadishspurException.class);
+        }
+    }
+}
