--- a/node/src/main/java/org/radishspur/node/control/ReplicaHost.java
+++ b/node/src/main/java/org/radishspur/node/control/ReplicaHost.java
@@ -303,20 +303,20 @@
         /**
          * Learns what the disk held.
          *
-         * @param replica the identity of the replica.
+         * @param name the identity of the replica.
          * @param entries how many entries follow the snapshot.
          * @param snapshotIndex the index that the snapshot reaches to.
          */
-        void onStarted(String replica, int entries, long snapshotIndex);
+        void onStarted(String name, int entries, long snapshotIndex);
 
         /**
          * Learns of a changed role.
          *
-         * @param replica the identity of the replica.
+         * @param name the identity of the replica.
          * @param role the new role.
          * @param term the term.
          */
-        void onRole(String replica, Role role, long term);
+        void onRole(String name, Role role, long term);
 
         /** Writes both to the log. */
         enum ForLog implements Observer {
@@ -325,15 +325,15 @@
 
             /** {@inheritDoc} */
             @Override
-            public void onStarted(String replica, int entries, long snapshotIndex) {
-                PartLog.CONTROL.info("Replica " + replica + " starts with " + entries + " entries behind index "
-                        + snapshotIndex + '.');
+            public void onStarted(String name, int entries, long snapshotIndex) {
+                PartLog.CONTROL.info(
+                        "Replica " + name + " starts with " + entries + " entries behind index " + snapshotIndex + '.');
             }
 
             /** {@inheritDoc} */
             @Override
-            public void onRole(String replica, Role role, long term) {
-                PartLog.CONTROL.info("Replica " + replica + " is " + role + " in term " + term + '.');
+            public void onRole(String name, Role role, long term) {
+                PartLog.CONTROL.info("Replica " + name + " is " + role + " in term " + term + '.');
             }
         }
     }
--- a/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
@@ -49,7 +49,7 @@
     private String leader = "";
     private boolean lost = true;
     private long nextNonce;
-    private long askedAt;
+    private long lastRoundAt;
 
     ControlFollower(
             ControlLoop loop,
@@ -144,14 +144,14 @@
     }
 
     private void askIfDue() {
-        boolean due = loop.nowMillis() - askedAt >= ASK_MILLIS - SEEK_MILLIS / 2;
+        boolean due = loop.nowMillis() - lastRoundAt >= ASK_MILLIS - SEEK_MILLIS / 2;
         if (due || lost) {
             ask();
         }
     }
 
     private void ask() {
-        askedAt = loop.nowMillis();
+        lastRoundAt = loop.nowMillis();
         Moment now = Moment.now();
         questions.values().removeIf(asked -> now.since(asked) > QUESTION_MILLIS);
         long age = now.since(view.confirmedAt());
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -149,7 +149,9 @@
         switch (kind) {
             case SUCCESS -> onSuccess();
             case FAILURE -> onFailure();
-            case NOT_RUN, WRONG_INSTANCE -> phase = Phase.DRAINING;
+            case NOT_RUN, WRONG_INSTANCE -> {
+                phase = Phase.DRAINING;
+            }
             default -> {
                 judged(false);
                 exchange.abort();
--- a/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
+++ b/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
@@ -217,4 +217,84 @@
             assertThat(blank.drain().afterWrite()).isEmpty();
         }
     }
+
+    @Nested
+    class ConfirmedReads {
+        /*
+         * What users see when this breaks: an operator reads a table that another leader has replaced.
+         * A leader is suspended, another one is elected and commits, the first one wakes and is asked.
+         * Its monotonic clock stood still, so that an answer from before the pause still looks fresh.
+         */
+        @Test
+        void anAnswerToAnEarlierMessageConfirmsNothing() {
+            RaftCore core = leader(new HardState(1, ""), List.of());
+            core.persisted(core.drain().write(), LATER);
+            core.receive("b", stored(core, 1, LATER), LATER + 1);
+            core.drain();
+            assertThat(core.confirmedSince(LATER - 1)).isTrue();
+            assertThat(core.confirmedSince(LATER)).isFalse();
+        }
+
+        @Test
+        void anAnswerToALaterMessageConfirms() {
+            RaftCore core = leader(new HardState(1, ""), List.of());
+            core.persisted(core.drain().write(), LATER);
+            core.receive("b", stored(core, 1, LATER + 50), LATER + 51);
+            core.drain();
+            assertThat(core.confirmedSince(LATER + 49)).isTrue();
+        }
+
+        @Test
+        void aLeaderThatHasCommittedNothingInItsTermConfirmsNothing() {
+            RaftCore core = leader(new HardState(1, ""), List.of());
+            core.receive("b", new RaftMessage.AppendReply(core.term(), true, 0, LATER + 50), LATER + 51);
+            assertThat(core.confirmedSince(LATER)).isFalse();
+        }
+    }
+
+    @Nested
+    class RestartOfAWholeGroup {
+        private final RaftOptions leaseless = new RaftOptions(50, 300, 0, 16, 1_000, 10);
+
+        private RaftCore restarted(String name) {
+            return new RaftCore(
+                    leaseless,
+                    name,
+                    new Recovered(new HardState(4, ""), Snapshot.initial(THREE), List.of()),
+                    new Random(1),
+                    START);
+        }
+
+        /*
+         * What users see when this breaks: after a loss of power nothing is served for a second longer.
+         * All replicas restart at once and ask each other for promises; each gets them and votes for itself.
+         */
+        @Test
+        void oneOfTwoThatAskAtOnceYields() {
+            RaftCore higher = restarted("b");
+            higher.tick(START + 350);
+            assertThat(higher.role()).isEqualTo(Role.PRE_CANDIDATE);
+            higher.receive("a", new RaftMessage.VoteRequest(5, true, false, 0, 0), START + 351);
+            assertThat(higher.role()).isEqualTo(Role.FOLLOWER);
+            RaftCore lower = restarted("a");
+            lower.tick(START + 350);
+            lower.receive("b", new RaftMessage.VoteRequest(5, true, false, 0, 0), START + 351);
+            assertThat(lower.role()).isEqualTo(Role.PRE_CANDIDATE);
+        }
+
+        @Test
+        void theFirstElectionIsSoughtSoonWhereNoLeaseCountsOnSilence() {
+            RaftCore core = restarted("a");
+            core.tick(START + 300);
+            assertThat(core.role()).isEqualTo(Role.PRE_CANDIDATE);
+        }
+
+        @Test
+        void aReplicaThatHasHeardALeaderWaitsForItAsUsual() {
+            RaftCore core = restarted("a");
+            core.receive("b", new RaftMessage.AppendRequest(4, 0, 0, List.of(), 0, 1), START + 10);
+            core.tick(START + 300);
+            assertThat(core.role()).isEqualTo(Role.FOLLOWER);
+        }
+    }
 }
