--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -32,8 +32,6 @@
     ROLLOUT(false, "pool", "target", "stage", "answers", "failures", "cause"),
     /** An operator's call was answered. */
     OPERATOR(false, "call", "status", "revision", "millis"),
-    /** A request was admitted and waits or has a place. */
-    ADMITTED(true, "route", "organisation", "rank", "pool", "state", "millis"),
     /** A request was sent to an upstream. */
     SENT(true, "upstream", "inProgress", "waitedMillis", "deadlineMillis", "revision"),
     /** A request was ended by the system, without having run. */
