--- a/command/src/main/java/org/radishspur/command/CommandMain.java
+++ b/command/src/main/java/org/radishspur/command/CommandMain.java
@@ -20,6 +20,7 @@
         subcommands = {
             ApplyCommand.class,
             ShowCommand.class,
+            TraceCommand.class,
             CommandMain.ReplaceReplica.class,
             CommandMain.CheckSettings.class
         })
