--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -78,7 +78,7 @@
         connections = new UpstreamConnections(loop, CONNECT_MILLIS, KEEP_MILLIS);
         pools = new PoolSet(
                 settings.failureDomain(),
-                bounds.exposeShare(),
+                bounds.greatestTrialShare(),
                 bounds.retryShare(),
                 bounds.retrySlack(),
                 this::onDecision);
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -4,18 +4,12 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
-import org.radishspur.model.error.ErrorCode;
-import org.radishspur.model.error.RadishspurException;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.Listener;
 
 /**
  * Takes callers' connections, and closes those that stay idle.
@@ -25,7 +19,6 @@
     private static final int HEAD_BYTES = 65_536;
 
     private static final int CHUNK_BYTES = 16_384;
-    private static final int BACKLOG = 1_024;
     private static final long SWEEP_MILLIS = 1_000;
 
     private final HostPort address;
@@ -43,23 +36,11 @@
     /** {@inheritDoc} */
     @Override
     public void start(FailureListener listener) {
-        channel = new ServerBootstrap()
-                .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        accepted.pipeline()
-                                .addLast(new HttpServerCodec(HEAD_BYTES, HEAD_BYTES, CHUNK_BYTES))
-                                .addLast(new FrontConnection(services, FrontServer.this));
-                    }
-                })
-                .bind(address.toSocketAddress())
-                .syncUninterruptibly()
-                .channel();
+        channel = Listener.INSTANCE.listen(address, loop, accepted -> {
+            accepted.pipeline()
+                    .addLast(new HttpServerCodec(HEAD_BYTES, HEAD_BYTES, CHUNK_BYTES))
+                    .addLast(new FrontConnection(services, FrontServer.this));
+        });
         loop.scheduleAtFixedRate(this::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -103,9 +84,4 @@
                 .toList()
                 .forEach(Channel::close);
     }
-
-    /** Reports that the address stopped listening, which only a fault of the process can cause. */
-    static RadishspurException stopped() {
-        return new RadishspurException(ErrorCode.CALL_INVALID, "the callers' address stopped listening");
-    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/entry/PoolSet.java
@@ -37,7 +37,7 @@
     private static final int LEAST_ENTRIES = 4;
 
     private final String failureDomain;
-    private final double exposeShare;
+    private final double greatestTrialShare;
     private final double retryShare;
     private final int retrySlack;
     private final GrantListener listener;
@@ -47,9 +47,14 @@
     private final Map<String, Double> trialDebt = new HashMap<>();
     private int entries = LEAST_ENTRIES;
 
-    PoolSet(String failureDomain, double exposeShare, double retryShare, int retrySlack, GrantListener listener) {
+    PoolSet(
+            String failureDomain,
+            double greatestTrialShare,
+            double retryShare,
+            int retrySlack,
+            GrantListener listener) {
         this.failureDomain = failureDomain;
-        this.exposeShare = exposeShare;
+        this.greatestTrialShare = greatestTrialShare;
         this.retryShare = retryShare;
         this.retrySlack = retrySlack;
         this.listener = listener;
@@ -107,7 +112,7 @@
     }
 
     private boolean isTrialDue(String pool) {
-        double debt = trialDebt.merge(pool, exposeShare * TRIAL_PART, Double::sum);
+        double debt = trialDebt.merge(pool, greatestTrialShare * TRIAL_PART, Double::sum);
         if (debt < 1) {
             return false;
         }
--- a/node/src/main/java/org/radishspur/node/entry/ReadyServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/ReadyServer.java
@@ -3,16 +3,12 @@
 import java.nio.charset.StandardCharsets;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.Listener;
 
 /**
  * Tells the balancer whether the entry takes callers, and anybody on the same address its metrics.
@@ -44,21 +41,12 @@
     /** {@inheritDoc} */
     @Override
     public void start(FailureListener listener) {
-        channel = new ServerBootstrap()
-                .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        accepted.pipeline()
-                                .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(BODY_BYTES))
-                                .addLast(new Reception());
-                    }
-                })
-                .bind(address.toSocketAddress())
-                .syncUninterruptibly()
-                .channel();
+        channel = Listener.INSTANCE.listen(address, loop, accepted -> {
+            accepted.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(BODY_BYTES))
+                    .addLast(new Reception());
+        });
     }
 
     /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -4,25 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.radishspur.replication.raft.RaftMessage;
 import org.radishspur.replication.state.CatalogueState;
 
 /**
  * Lists the messages between entries and control hosts.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
-@JsonSubTypes({
-    @JsonSubTypes.Type(value = FleetMessage.Ping.class, name = "p"),
-    @JsonSubTypes.Type(value = FleetMessage.Pong.class, name = "q"),
-    @JsonSubTypes.Type(value = FleetMessage.Raft.class, name = "r"),
-    @JsonSubTypes.Type(value = FleetMessage.Candidate.class, name = "c"),
-    @JsonSubTypes.Type(value = FleetMessage.Follow.class, name = "f"),
-    @JsonSubTypes.Type(value = FleetMessage.Followed.class, name = "g"),
-    @JsonSubTypes.Type(value = FleetMessage.Load.class, name = "l")
-})
 public sealed interface FleetMessage {
 
     /** Asks whether the other end still hears. */
@@ -107,7 +94,6 @@
      * @param counts for each upstream the requests in progress, the good answers and the bad ones, one after the other.
      * @param organisations what was admitted for organisations since the entry started.
      */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Load(String entry, boolean whole, int[] upstreams, int[] counts, Map<String, Long> organisations)
             implements FleetMessage {}
 
--- a/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
@@ -1,14 +1,9 @@
 package org.radishspur.node.fleet;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
@@ -16,6 +11,7 @@
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.Listener;
 
 /**
  * Takes connections from other processes of the system.
@@ -48,22 +44,11 @@
     /** {@inheritDoc} */
     @Override
     public void start(FailureListener listener) {
-        channel = new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        accepted.pipeline().addLast(new ReadTimeoutHandler(SILENCE_SECONDS));
-                        PeerCodec.install(accepted, FRAME_BYTES, FleetMessage.class);
-                        accepted.pipeline().addLast(new Reception());
-                    }
-                })
-                .bind(address.toSocketAddress())
-                .syncUninterruptibly()
-                .channel();
+        channel = Listener.INSTANCE.listen(address, group, accepted -> {
+            accepted.pipeline().addLast(new ReadTimeoutHandler(SILENCE_SECONDS));
+            PeerCodec.install(accepted, FRAME_BYTES, FleetMessage.class);
+            accepted.pipeline().addLast(new Reception());
+        });
         channel.closeFuture()
                 .addListener(future -> listener.onFailure(
                         new RadishspurException(ErrorCode.FRAME_INVALID, "the fleet address stopped listening")));
--- a/node/src/main/java/org/radishspur/node/group/OperatorServer.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorServer.java
@@ -2,16 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,6 +22,7 @@
 import org.radishspur.node.log.PartLog;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.Listener;
 
 /**
  * Takes operators' calls over HTTP.
@@ -48,21 +45,12 @@
     /** {@inheritDoc} */
     @Override
     public void start(FailureListener listener) {
-        channel = new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        accepted.pipeline()
-                                .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(BODY_BYTES))
-                                .addLast(new Reception());
-                    }
-                })
-                .bind(address.toSocketAddress())
-                .syncUninterruptibly()
-                .channel();
+        channel = Listener.INSTANCE.listen(address, group, accepted -> {
+            accepted.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(BODY_BYTES))
+                    .addLast(new Reception());
+        });
         channel.closeFuture()
                 .addListener(future -> listener.onFailure(
                         new RadishspurException(ErrorCode.CALL_INVALID, "the operators' address stopped listening")));
--- a/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
@@ -4,8 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.radishspur.decision.move.Move;
 import org.radishspur.decision.permit.PermitOutcome;
 import org.radishspur.decision.permit.Work;
@@ -20,26 +18,6 @@
 /**
  * Passes between two nodes of one cluster.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
-@JsonSubTypes({
-    @JsonSubTypes.Type(value = PeerMessage.Challenge.class, name = "challenge"),
-    @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
-    @JsonSubTypes.Type(value = PeerMessage.Welcome.class, name = "welcome"),
-    @JsonSubTypes.Type(value = PeerMessage.Raft.class, name = "raft"),
-    @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
-    @JsonSubTypes.Type(value = PeerMessage.HeartbeatReply.class, name = "hbr"),
-    @JsonSubTypes.Type(value = PeerMessage.TablesPush.class, name = "push"),
-    @JsonSubTypes.Type(value = PeerMessage.ControlCall.class, name = "call"),
-    @JsonSubTypes.Type(value = PeerMessage.ControlReply.class, name = "reply"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitAsk.class, name = "ask"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitGranted.class, name = "granted"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitRefused.class, name = "refused"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitCancel.class, name = "cancel"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitFirstToken.class, name = "first"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitFinish.class, name = "finish"),
-    @JsonSubTypes.Type(value = PeerMessage.PermitRegister.class, name = "register"),
-    @JsonSubTypes.Type(value = PeerMessage.UpstreamWord.class, name = "word")
-})
 public sealed interface PeerMessage {
     /**
      * Opens a connection from the side that was called.
@@ -256,12 +234,6 @@
     /**
      * Names what the control leader may be asked.
      */
-    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "r")
-    @JsonSubTypes({
-        @JsonSubTypes.Type(value = ControlRequest.Commit.class, name = "commit"),
-        @JsonSubTypes.Type(value = ControlRequest.Status.class, name = "status"),
-        @JsonSubTypes.Type(value = ControlRequest.Replace.class, name = "replace")
-    })
     sealed interface ControlRequest {
         /**
          * Asks to commit a command.
@@ -286,15 +258,6 @@
     /**
      * Names how a call to the control leader ends.
      */
-    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "r")
-    @JsonSubTypes({
-        @JsonSubTypes.Type(value = ControlResult.Committed.class, name = "committed"),
-        @JsonSubTypes.Type(value = ControlResult.Report.class, name = "report"),
-        @JsonSubTypes.Type(value = ControlResult.NotLeader.class, name = "not-leader"),
-        @JsonSubTypes.Type(value = ControlResult.Busy.class, name = "busy"),
-        @JsonSubTypes.Type(value = ControlResult.Refused.class, name = "refused"),
-        @JsonSubTypes.Type(value = ControlResult.Unreachable.class, name = "unreachable")
-    })
     sealed interface ControlResult {
         /**
          * Says that the command is committed.
--- a/node/src/main/java/org/radishspur/node/settings/FleetSettings.java
+++ b/node/src/main/java/org/radishspur/node/settings/FleetSettings.java
@@ -73,7 +73,7 @@
      * @param graceMillis how long a planned stop may take, in milliseconds.
      * @param retryShare the greatest share of requests that may be sent to another upstream.
      * @param retrySlack how many more that may be, over all entries.
-     * @param exposeShare the greatest share of requests that a version under trial may get.
+     * @param greatestTrialShare the greatest share of requests that a version under trial may get.
      * @param quota how far quotas may be exceeded.
      */
     public record Bounds(
@@ -81,6 +81,6 @@
             long graceMillis,
             double retryShare,
             int retrySlack,
-            double exposeShare,
+            double greatestTrialShare,
             QuotaLedger.Tolerance quota) {}
 }
--- a/replication/src/main/java/org/radishspur/replication/raft/LogEntry.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/LogEntry.java
@@ -1,8 +1,5 @@
 package org.radishspur.replication.raft;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
-
 /**
  * Holds one entry of the replicated log.
  *
@@ -15,12 +12,6 @@
     /**
      * Carries the meaning of an entry.
      */
-    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
-    @JsonSubTypes({
-        @JsonSubTypes.Type(value = Payload.Empty.class, name = "e"),
-        @JsonSubTypes.Type(value = Payload.Membership.class, name = "m"),
-        @JsonSubTypes.Type(value = Payload.Command.class, name = "c")
-    })
     public sealed interface Payload {
 
         /**
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftMessage.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftMessage.java
@@ -2,22 +2,9 @@
 
 import java.util.List;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
-
 /**
  * Passes between two replicas of one cluster.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
-@JsonSubTypes({
-    @JsonSubTypes.Type(value = RaftMessage.VoteRequest.class, name = "vq"),
-    @JsonSubTypes.Type(value = RaftMessage.VoteReply.class, name = "vr"),
-    @JsonSubTypes.Type(value = RaftMessage.AppendRequest.class, name = "aq"),
-    @JsonSubTypes.Type(value = RaftMessage.AppendReply.class, name = "ar"),
-    @JsonSubTypes.Type(value = RaftMessage.SnapshotRequest.class, name = "sq"),
-    @JsonSubTypes.Type(value = RaftMessage.SnapshotReply.class, name = "sr"),
-    @JsonSubTypes.Type(value = RaftMessage.TimeoutNow.class, name = "tn")
-})
 public sealed interface RaftMessage {
 
     /**
--- a/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
+++ b/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
@@ -1,7 +1,5 @@
 package org.radishspur.replication.state;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.radishspur.decision.move.MoveDriver;
 import org.radishspur.model.request.RequestKey;
 import org.radishspur.model.table.TableEdit;
@@ -9,19 +7,6 @@
 /**
  * Changes the control state once it is committed. Every command may be proposed again without harm.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
-@JsonSubTypes({
-    @JsonSubTypes.Type(value = ControlCommand.ApplyEdit.class, name = "edit"),
-    @JsonSubTypes.Type(value = ControlCommand.Claim.class, name = "claim"),
-    @JsonSubTypes.Type(value = ControlCommand.FinishClaim.class, name = "finish"),
-    @JsonSubTypes.Type(value = ControlCommand.ReleaseClaim.class, name = "release"),
-    @JsonSubTypes.Type(value = ControlCommand.ReportCrash.class, name = "crash"),
-    @JsonSubTypes.Type(value = ControlCommand.ClearSuspect.class, name = "clear"),
-    @JsonSubTypes.Type(value = ControlCommand.ChangeMove.class, name = "move"),
-    @JsonSubTypes.Type(value = ControlCommand.PublishCatalogue.class, name = "catalogue"),
-    @JsonSubTypes.Type(value = ControlCommand.StartRollout.class, name = "rollout"),
-    @JsonSubTypes.Type(value = ControlCommand.AdvanceRollout.class, name = "advance")
-})
 public sealed interface ControlCommand {
 
     /**
