--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -74,8 +74,8 @@
         gone.clear();
         loads.keySet().stream().filter(run -> !runs.contains(run)).forEach(gone::add);
         loads.entrySet()
-                .removeIf(entry ->
-                        gone.contains(entry.getKey()) && entry.getValue().own() == 0);
+                .removeIf(known ->
+                        gone.contains(known.getKey()) && known.getValue().own() == 0);
     }
 
     /**
