Take a good version that is only less busy for good

Cause, seen in MoveUnderKillsTest beside other work (two failures of two, traces kept): the move to the good version was taken back as SLOWER at a fifth of the calls. Its answers took 23.7 ms at the median, those of the busy old version 21.7 ms. At a spread floored at 0.1 and half the sought slowness of 15% allowed, any lasting tenth more was proof within 80 answers. Ruled out: the kill of the leader, a stalled owner (the driver proposed every step in time). Change: the watch looks for a fifth more, a tenth counts as none, and the spread is floored at 0.2. The recorded times are a test, which failed first (SLOWER) and passes; a version a fifth slower is still found (VersionWatchTest, MoveTrialTest pass).

--- a/decision/src/main/java/org/radishspur/decision/move/VersionWatch.java
+++ b/decision/src/main/java/org/radishspur/decision/move/VersionWatch.java
@@ -10,8 +10,19 @@
     private static final double FAILURE_PRIOR = 1_000;
     private static final double FAILURE_RISE = 8;
     private static final double LEAST_BAD_RATE = 0.01;
-    private static final double SLOWNESS = Math.log(1.15);
-    private static final double LEAST_SPREAD = 0.1;
+
+    /**
+     * The slowness that the watch looks for, as a logarithm. Half of it counts as no slowness at all: an upstream that gets
+     * few requests takes a tenth longer than a busy one of the same version, as its caches and connections are cold.
+     */
+    private static final double SLOWNESS = Math.log(1.2);
+
+    /**
+     * The least spread that is assumed between the times of one version. Guards against a good version taken back for a few
+     * milliseconds: times of a quiet pool differ so little that any lasting difference, however small, would be proof.
+     */
+    private static final double LEAST_SPREAD = 0.2;
+
     private static final double FIRST_SPREAD = 0.4;
     private static final double OUTLIER = 2;
     private static final double MOST_FROM_ONE = SLOWNESS_THRESHOLD / 10;
--- a/decision/src/test/java/org/radishspur/decision/move/VersionWatchTest.java
+++ b/decision/src/test/java/org/radishspur/decision/move/VersionWatchTest.java
@@ -1,5 +1,8 @@
 package org.radishspur.decision.move;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
@@ -7,6 +10,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class VersionWatchTest {
+    private static final double USUAL_MICROS = 20_000;
+
     private final VersionWatch watch = new VersionWatch();
     private final Random random = new Random(3);
 
@@ -59,6 +64,29 @@
         }
     }
 
+    /*
+     * What an operator sees when this breaks: a good version is taken back as slower on a quiet night.
+     * The new version gets a fifth of the calls. Each of its answers takes 23.7 ms in the middle, those of the busy old
+     * version 21.7 ms, and a few of its first ones much longer; the times are those of a recorded move.
+     * The cause would be a test that takes a small but steady difference between an idle and a busy upstream for proof.
+     */
+    @Test
+    void aVersionThatIsOnlyLessBusyIsLeftAlone() throws IOException {
+        try (InputStream recorded = VersionWatchTest.class.getResourceAsStream("idle-upstream.txt")) {
+            String text = new String(recorded.readAllBytes(), StandardCharsets.UTF_8);
+            text.lines().map(line -> line.split(" ")).forEach(answer -> {
+                double logSlowness = Math.log(Double.parseDouble(answer[1]) / USUAL_MICROS);
+                if (answer[0].equals("new")) {
+                    watch.observeNew(false, logSlowness);
+                } else {
+                    watch.observeOld(false, logSlowness);
+                }
+                assertThat(watch.verdict()).isEqualTo(TakeBackReason.NONE);
+            });
+        }
+        assertThat(watch.doubt()).as("so that the move goes on").isLessThan(0.4);
+    }
+
     @Test
     void aVersionAsGoodAsTheOldOneIsLeftAlone() {
         controls(500);
