Let requests that can be on time go first, keep long answers from slow engines, and size the group of voters

Callers' estimates of the length are off by e^0.53 (285 answers: nine in ten at most 1.97 times the estimate). Change: late requests stand behind fresh ones of their tier and leave one more step of places free; while there is time to be choosy an answer of twice its estimate must fit. Figures of the model of a burst in virtual time whose refused callers come back (DispatchUnderLoadTest): least urgent tier on time at the first try 0.091 before, 0.124 after; late answers 43 and 14. Also: as many control hosts vote as the losses that are borne ask for (two losses: five); the log names the longest pause of an answer and the rank of a refused request.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -19,7 +19,8 @@
     private static final int LONGEST_SCAN = 3;
 
     /**
-     * The part of the places that each tier leaves free for the more urgent ones. Places are taken by many entries at once,
+     * The part of the places that each tier leaves free for the more urgent ones, and a late request for one that can still
+     * be on time. Places are taken by many entries at once,
      * so that the order of one entry's line doesn't keep tiers apart; a few free places do, because a place becomes free
      * somewhere every few milliseconds.
      */
@@ -127,7 +128,11 @@
     }
 
     private Optional<UpstreamLoad> place(Ticket ticket, long now) {
-        double reserved = RESERVED_PER_TIER * (ticket.work().tier() - mostUrgentTier);
+        // Guards against a burst whose refused callers come back into it: an answer on time is worth several late ones,
+        // and
+        // each place that a late one takes makes another caller late.
+        int steps = ticket.work().tier() - mostUrgentTier + (ticket.isLate() ? 1 : 0);
+        double reserved = RESERVED_PER_TIER * steps;
         return reserved > 0 && board.freeShare(now) <= reserved ? Optional.empty() : board.choose(ticket, now);
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -79,6 +79,11 @@
         return work;
     }
 
+    /** Tells whether the request has come too late to be answered on time, as one that was refused before. */
+    boolean isLate() {
+        return work.targetAt() <= arrivedAt;
+    }
+
     /** Returns until when only an upstream is taken that is likely to answer in time. */
     long choosyUntil() {
         return arrivedAt + (patientUntil - arrivedAt) / 2;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -35,6 +35,15 @@
     /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
+    /**
+     * How many times as long as its caller expects an answer may get, while there is time to be choosy. Estimates of callers
+     * are off by a factor of 1.7 at one standard deviation: of 285 answers nine in ten were at most 1.97 times as long.
+     */
+    private static final double LONGEST_ANSWER = 2.0;
+
+    /** The same once a request has waited in vain; an upstream that is likely to be in time is then better than none. */
+    private static final double LIKELY_ANSWER = 1.15;
+
     private final String entry;
     private final String ownDomain;
     private final int slotsByDefault;
@@ -90,7 +99,8 @@
      */
     public Optional<UpstreamLoad> choose(Ticket ticket, long now) {
         List<UpstreamLoad> usable = usable(ticket, now);
-        double events = outputs.events(ticket.work().outputTokens());
+        boolean early = now < ticket.choosyUntil();
+        double events = outputs.events(ticket.work().outputTokens()) * (early ? LONGEST_ANSWER : LIKELY_ANSWER);
         boolean untriedExist =
                 usable.stream().anyMatch(load -> !ticket.avoids(load.upstream().run()));
         if (untriedExist) {
@@ -101,7 +111,7 @@
                 .map(load -> load.fit(ticket.work(), events, now))
                 .min(Comparator.naturalOrder())
                 .orElse(Fit.TOO_LATE);
-        boolean choosy = reachable != Fit.LATE && now < ticket.choosyUntil();
+        boolean choosy = reachable != Fit.LATE && early;
         Fit worstTaken = reachable == Fit.TOO_LATE ? Fit.TOO_LATE : choosy ? reachable : Fit.LATE;
         usable.removeIf(load -> load.fit(ticket.work(), events, now).compareTo(worstTaken) > 0);
         return best(usable, ticket.work(), events, now);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -37,9 +37,6 @@
     /** Silence is this many usual times to the first byte. */
     private static final double SILENCE_FACTOR = 5;
 
-    /** By how much an answer may take longer than the recent ones before it must still be whole. */
-    private static final double WHOLE_MARGIN = 1.15;
-
     private Upstream upstream;
     private int own;
     private final Map<String, Integer> others = new HashMap<>();
@@ -269,14 +266,14 @@
         return failures.value();
     }
 
-    /** Tells how well the upstream is likely to do for a request that is sent now and gets so many events. */
+    /** Tells how well the upstream is likely to do for a request that is sent now and gets at most so many events. */
     Fit fit(Ticket.Work work, double events, long now) {
         if (!firstByte.isKnown() || !paceMillis.isKnown()) {
             return Fit.ON_TIME;
         }
         double first = firstByte.millis(work.promptTokens());
         double whole = first + paceMillis.value() * events;
-        if (now + whole * WHOLE_MARGIN > work.endsAt()) {
+        if (now + whole > work.endsAt()) {
             return Fit.TOO_LATE;
         }
         return now + first > work.targetAt() ? Fit.LATE : Fit.ON_TIME;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitingLine.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitingLine.java
@@ -9,8 +9,8 @@
 import java.util.TreeSet;
 
 /**
- * Orders the requests of one pool that wait for a place: the more urgent tier first, within a tier the one whose patience
- * ends first.
+ * Orders the requests of one pool that wait for a place: the more urgent tier first, within a tier those that can still be
+ * on time, and among them the one whose patience ends first.
  */
 public final class WaitingLine {
     /** How long releases are remembered to tell how fast places become free, in milliseconds. */
@@ -20,6 +20,7 @@
     private static final double LEAST_RATE = 2;
 
     private final TreeSet<Ticket> tickets = new TreeSet<>(Comparator.comparingInt(Ticket::rank)
+            .thenComparing(Ticket::isLate)
             .thenComparingLong(Ticket::patientUntil)
             .thenComparingLong(Ticket::sequence));
     private final Deque<Long> releases = new ArrayDeque<>();
--- a/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
@@ -31,6 +31,9 @@
     private static final long BURST_ENDS_AT = 5_000;
     private static final double REQUESTS_PER_SECOND = 520;
 
+    /** How long an entry lets a request wait that is late anyway. */
+    private static final long LATE_PATIENCE_MILLIS = 1_200;
+
     private final Random random = new Random(20_261);
     private final List<PoolDispatcher> entries = new ArrayList<>();
     private final PriorityQueue<Running> running =
@@ -39,12 +42,43 @@
     private final int[] offered = new int[TIER_SHARES.length];
     private final int[] onTime = new int[TIER_SHARES.length];
     private final int[] refused = new int[TIER_SHARES.length];
+    private final PriorityQueue<Returning> returning =
+            new PriorityQueue<>((one, other) -> Long.compare(one.at, other.at));
+    private boolean callersComeBack;
+    private int lateAnswers;
     private int worstOverload;
     private long overloads;
 
     /** Serves a burst beyond what the engines can do; the most urgent tier must hardly notice. */
     @Test
     void keepsTheMostUrgentTierOnTimeInABurst() {
+        playBurst();
+        double urgent = (double) onTime[0] / offered[0];
+        double least = (double) onTime[2] / offered[2];
+        assertThat(urgent).as("most urgent tier on time").isGreaterThan(0.95);
+        assertThat(urgent).as("more urgent tiers go before").isGreaterThan(least + 0.2);
+        assertThat((double) refused[0] / offered[0]).isLessThan(0.05);
+        // Without an order of its own for each entry, seven entries take the same places at once: 17 and 3,206.
+        assertThat(worstOverload).as("requests beyond an engine's places").isLessThanOrEqualTo(12);
+        assertThat(overloads).as("sum of them over all grants").isLessThan(2_500);
+    }
+
+    /*
+     * What a skipper sees when this breaks: his short note is late, although he asked only once.
+     * A burst is refused in part, and the refused come back into it a second or two later, each already late.
+     * The cause would be places given to them first, because they are patient, so that those who could be on time are late.
+     */
+    @Test
+    void keepsPlacesForThoseWhoCanStillBeOnTime() {
+        callersComeBack = true;
+        playBurst();
+        double least = (double) onTime[2] / offered[2];
+        // 0.124; where late requests count like fresh ones, 0.091 of this tier and 43 late answers instead of 14.
+        assertThat(least).as("least urgent tier on time at the first try").isGreaterThan(0.11);
+        assertThat(lateAnswers).as("late answers during the burst").isLessThan(30);
+    }
+
+    private void playBurst() {
         for (int entry = 0; entry < ENTRIES; entry++) {
             UpstreamBoard board = new UpstreamBoard("10.0." + entry + ".1:7600", "a", SLOTS);
             List<Upstream> listed = new ArrayList<>();
@@ -57,20 +91,15 @@
         for (long now = 0; now < BURST_ENDS_AT; now++) {
             step(now);
         }
-        double urgent = (double) onTime[0] / offered[0];
-        double least = (double) onTime[2] / offered[2];
-        assertThat(urgent).as("most urgent tier on time").isGreaterThan(0.95);
-        assertThat(urgent).as("more urgent tiers go before").isGreaterThan(least + 0.2);
-        assertThat((double) refused[0] / offered[0]).isLessThan(0.05);
-        // Without an order of its own for each entry, seven entries take the same places at once: 17 and 3,206.
-        assertThat(worstOverload).as("requests beyond an engine's places").isLessThanOrEqualTo(12);
-        assertThat(overloads).as("sum of them over all grants").isLessThan(2_500);
     }
 
     private void step(long now) {
         while (!running.isEmpty() && running.peek().endsAt <= now) {
             end(running.poll(), now);
         }
+        while (!returning.isEmpty() && returning.peek().at <= now) {
+            offer(returning.poll().request, now);
+        }
         if (random.nextDouble() < REQUESTS_PER_SECOND / 1_000) {
             arrive(now);
         }
@@ -86,19 +115,32 @@
         double events = Math.max(1, TIER_EVENTS[tier] * Math.exp(random.nextGaussian() * 0.9 - 0.4));
         long expectedTokens = Math.max(1, (long) (events * 5 * Math.exp(random.nextGaussian() * 0.5)));
         long prompt = (long) (2_000 * Math.exp(random.nextGaussian() * 0.9 - 0.4));
+        offered[tier]++;
+        offer(new Request(tier, events, prompt, expectedTokens, now + 8_000, false), now);
+    }
+
+    private void offer(Request request, long now) {
+        long patience = request.returned ? LATE_PATIENCE_MILLIS : 200;
+        long target = request.returned ? now : now + 400;
         Ticket ticket = new Ticket(
                 "r",
-                tier,
+                request.tier,
                 now,
-                now + 200,
+                now + patience,
                 VersionRule.Any.INSTANCE,
-                new Ticket.Work(prompt, expectedTokens, tier, now + 400, now + 8_000));
-        offered[tier]++;
-        requests.put(ticket, new Request(tier, events, prompt));
+                new Ticket.Work(request.prompt, request.expectedTokens, request.tier, target, request.deadline));
+        requests.put(ticket, request);
         PoolDispatcher entry = entries.get(random.nextInt(ENTRIES));
         decided(entry.offer(ticket, now), entry, now);
     }
 
+    private void comeBack(Request request, long now) {
+        double share = 0.2 + 0.13 * random.nextDouble();
+        Request again = new Request(
+                request.tier, request.events, request.prompt, request.expectedTokens, request.deadline, true);
+        returning.add(new Returning(now + (long) (share * (request.deadline - now)), again));
+    }
+
     private void decided(Decision decision, PoolDispatcher entry, long now) {
         Request request = requests.get(decision.ticket());
         if (decision instanceof Decision.Granted granted) {
@@ -107,9 +149,11 @@
             double pace = fast ? 13.5 : 60;
             long ends = now + first + (long) (request.events * pace);
             running.add(new Running(ends, decision.ticket(), granted.upstream(), entry, first, pace));
-            boolean inTime = now + first <= decision.ticket().arrivedAt() + 400
+            boolean inTime = !request.returned
+                    && now + first <= decision.ticket().arrivedAt() + 400
                     && ends <= decision.ticket().arrivedAt() + 8_000;
             onTime[request.tier] += inTime ? 1 : 0;
+            lateAnswers += request.returned ? 1 : 0;
             int here = (int) running.stream()
                     .filter(each -> each.upstream
                             .upstream()
@@ -120,6 +164,9 @@
             overloads += Math.max(0, here - SLOTS);
         } else if (decision instanceof Decision.Refused) {
             refused[request.tier]++;
+            if (callersComeBack && !request.returned) {
+                comeBack(request, now);
+            }
         }
     }
 
@@ -149,7 +196,11 @@
     }
 
     /** Holds what a request really needs. */
-    private record Request(int tier, double events, long prompt) {}
+    private record Request(
+            int tier, double events, long prompt, long expectedTokens, long deadline, boolean returned) {}
+
+    /** Holds a request whose caller was refused and comes back. */
+    private record Returning(long at, Request request) {}
 
     /** Holds a request in progress. */
     private record Running(
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -104,6 +104,59 @@
         }
     }
 
+    @Nested
+    class LongAnswers {
+        private static final long PATIENT_UNTIL = NOW + 200;
+
+        @BeforeEach
+        void learn() {
+            for (int answer = 0; answer < 5; answer++) {
+                load("one").answered(new Object(), 1_000, 30, NOW);
+                load("one").paced(140, 10);
+                load("two").answered(new Object(), 1_000, 100, NOW);
+                load("two").paced(600, 10);
+                load("three").answered(new Object(), 1_000, 100, NOW);
+                load("three").paced(600, 10);
+                board.outputs().add(50, 10);
+            }
+            for (int place = 0; place < 4; place++) {
+                load("one").began(new Object(), NOW);
+            }
+        }
+
+        private Optional<String> chosenFor(long expectedTokens, long now) {
+            Ticket ticket = new Ticket(
+                    "r",
+                    0,
+                    NOW,
+                    PATIENT_UNTIL,
+                    VersionRule.Any.INSTANCE,
+                    new Ticket.Work(1_000, expectedTokens, 0, NOW + 400, NOW + 8_000));
+            return board.choose(ticket, now).map(load -> load.upstream().id());
+        }
+
+        /*
+         * What a skipper sees when this breaks: a long briefing ends in the middle, when his deadline passes.
+         * The fast engine is full; the slow ones take 60 ms an event. The estimate of 400 tokens, 80 events, would just
+         * fit there, but one answer in three is longer than that by half.
+         * The cause would be a choice by the likely length of an answer where a longer one is common.
+         */
+        @Test
+        void waitForAFastEngineWhereALongerAnswerWouldNotFit() {
+            assertThat(chosenFor(400, NOW)).isEmpty();
+        }
+
+        @Test
+        void takeASlowEngineOnceTheyHaveWaitedInVain() {
+            assertThat(chosenFor(400, NOW + 150)).isPresent();
+        }
+
+        @Test
+        void doNotKeepShortAnswersFromSlowEngines() {
+            assertThat(chosenFor(150, NOW)).isPresent();
+        }
+    }
+
     @Nested
     class Refreshing {
         @Test
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -80,6 +80,7 @@
     private PoolDispatcher pool;
     private String poolName = "";
     private int rank;
+    private boolean late;
     private boolean bodyWhole;
     private boolean counted;
     private boolean done;
@@ -209,7 +210,7 @@
                 .filter(priority -> priority >= 0)
                 .orElse(0);
         rank = organisationRank * TIERS + Math.min(route.priority(), TIERS - 1);
-        boolean late = services.isReturning(route.name(), stated);
+        late = services.isReturning(route.name(), stated);
         double patience = late || route.targetLatencyMillis() <= 0
                 ? (endsAt - arrivedAt) * LATE_PATIENCE
                 : route.targetLatencyMillis() * FRESH_PATIENCE;
@@ -239,8 +240,10 @@
     private Ticket.Work work() {
         boolean generates = route.kind() == RequestKind.STREAM;
         long target = route.targetLatencyMillis() > 0 ? arrivedAt + route.targetLatencyMillis() : endsAt;
+        // The target counts from the caller's first try, which a request that comes back has behind it.
+        long targetAt = late ? arrivedAt : target;
         return new Ticket.Work(
-                head.promptTokens(), generates ? head.expectedTokens() : 0, route.priority(), target, endsAt);
+                head.promptTokens(), generates ? head.expectedTokens() : 0, route.priority(), targetAt, endsAt);
     }
 
     /** Takes what was decided for the request, at once or after it has waited. */
@@ -471,7 +474,7 @@
         }
     }
 
-    void logAnswered(int status, UpstreamLoad upstream) {
+    void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis) {
         long millis = services.now() - arrivedAt;
         services.metrics().answered(firstMillis, millis);
         if (status >= HttpResponseStatus.BAD_REQUEST.code() || services.events().samples(head.request())) {
@@ -483,6 +486,7 @@
                             upstream.upstream().id(),
                             firstMillis,
                             millis,
+                            longestPauseMillis,
                             splitter.events(),
                             head.promptTokens(),
                             head.expectedTokens(),
@@ -512,7 +516,8 @@
                         services.now() - arrivedAt,
                         waiting,
                         places,
-                        services.view().revision());
+                        services.view().revision(),
+                        rank);
     }
 
     private void finishRefused(EndReason reason, long returnMillis, boolean close) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -43,6 +43,7 @@
     private boolean answered;
     private boolean released;
     private long firstByteAt;
+    private long longestPause;
     private final long eventsBefore;
 
     UpstreamAttempt(
@@ -222,6 +223,9 @@
 
     private void noteBytes() {
         long now = services.now();
+        if (answered) {
+            longestPause = Math.max(longestPause, now - lastByteAt);
+        }
         lastByteAt = now;
         upstream.heard(now);
         if (!answered) {
@@ -268,7 +272,7 @@
         if (good) {
             notePace();
         }
-        caller.logAnswered(answer.status().code(), upstream);
+        caller.logAnswered(answer.status().code(), upstream, longestPause);
         if (passesEvents()) {
             caller.writeContent(caller.route().resumable() ? caller.splitter().rest() : Unpooled.EMPTY_BUFFER);
             caller.writeEnd();
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -120,7 +120,12 @@
                 (from, to, message) -> links.send(ReplicaHost.nodeOf(to), new FleetMessage.Raft(from, to, message)),
                 state -> {});
         members = new MemberWatch(
-                loop, replica, links, events, settings.peerAddress().toString());
+                loop,
+                replica,
+                links,
+                events,
+                settings.peerAddress().toString(),
+                settings.bounds().voters());
         hostList = new HostListReader(loop, group.next(), replica, listDialect, settings.hostListAddress(), events);
         RolloutDriver rollouts = new RolloutDriver(loop, replica, events);
         follow = new FollowDesk(loop, replica, members, hostList, rollouts);
--- a/node/src/main/java/org/radishspur/node/group/MemberWatch.java
+++ b/node/src/main/java/org/radishspur/node/group/MemberWatch.java
@@ -32,20 +32,20 @@
     /** A voter that was silent for so long may be replaced, in milliseconds; several elections fit into it. */
     private static final long VOTER_LOST_MILLIS = 2_500;
 
-    /** How many voters there should be: the loss of one at a time is borne. */
-    private static final int WANTED_VOTERS = 3;
-
     private final ControlLoop loop;
     private final ReplicaHost replica;
     private final FleetLinks links;
     private final EventLog events;
     private final String self;
+    private final int wantedVoters;
     private final Set<String> seeds = new TreeSet<>();
     private final Map<String, Long> replicasHeard = new HashMap<>();
     private final Set<String> learnt = new TreeSet<>();
     private long leadingSince;
 
-    MemberWatch(ControlLoop loop, ReplicaHost replica, FleetLinks links, EventLog events, String self) {
+    MemberWatch(
+            ControlLoop loop, ReplicaHost replica, FleetLinks links, EventLog events, String self, int wantedVoters) {
+        this.wantedVoters = wantedVoters;
         this.loop = loop;
         this.replica = replica;
         this.links = links;
@@ -126,7 +126,7 @@
                 return Optional.of(voter);
             }
         }
-        if (replica.voters().size() < WANTED_VOTERS) {
+        if (replica.voters().size() < wantedVoters) {
             return Optional.of("");
         }
         for (String voter : replica.voters()) {
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -35,13 +35,23 @@
     /** A request was sent to an upstream. */
     SENT(true, "upstream", "inProgress", "waitedMillis", "deadlineMillis", "revision"),
     /** A request was ended by the system, without having run. */
-    REFUSED(true, "reason", "status", "returnMillis", "millis", "waiting", "places", "revision"),
+    REFUSED(true, "reason", "status", "returnMillis", "millis", "waiting", "places", "revision", "rank"),
     /** A request was ended by the system, and may have run. */
     FAILED(true, "reason", "status", "upstream", "millis", "cause"),
     /** A request goes to another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /** An answer was passed on to its end. */
-    ANSWERED(true, "status", "upstream", "firstMillis", "millis", "events", "promptTokens", "expectedTokens", "rank"),
+    ANSWERED(
+            true,
+            "status",
+            "upstream",
+            "firstMillis",
+            "millis",
+            "longestPauseMillis",
+            "events",
+            "promptTokens",
+            "expectedTokens",
+            "rank"),
     /** A caller left before its answer was whole. */
     LEFT(true, "upstream", "millis"),
     /** An upstream gets nothing for a moment. */
