Keep fast places for urgent tiers though slow ones are free; take a burst of resets for one failure

The places kept for urgent tiers were counted over all engines, and slow ones, which the urgent avoid, were always free. And after the resets at 7.3 s two entries paused four engines each: three of their connections had broken in the same millisecond. Ruled out: wrong counts between entries (fast engines held 9 of 9 places through the burst), pauses within streams (none over 176 ms), slow first events of engines (p95 256 ms; the waiting was ours). Change: places are kept among fast and slow engines apart; breaks within 50 ms of each other count once.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -132,8 +132,7 @@
         // and
         // each place that a late one takes makes another caller late.
         int steps = ticket.work().tier() - mostUrgentTier + (ticket.isLate() ? 1 : 0);
-        double reserved = RESERVED_PER_TIER * steps;
-        return reserved > 0 && board.freeShare(now) <= reserved ? Optional.empty() : board.choose(ticket, now);
+        return board.choose(ticket, RESERVED_PER_TIER * steps, now);
     }
 
     private static Decision granted(Ticket ticket, UpstreamLoad upstream, long now) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -32,6 +32,9 @@
      */
     private static final double LARGEST_PREFERENCE = 0.15;
 
+    /** An upstream is slow that takes this many times as long as the fastest; load alone slows one by up to a half. */
+    private static final double SLOW_FACTOR = 2;
+
     /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
@@ -94,11 +97,15 @@
      * prompt that would hold up its neighbours, wait for a faster one as long as that makes sense.
      *
      * @param ticket the request.
+     * @param reserved the share of the places that the request leaves free, among fast upstreams and among slow ones.
      * @param now the clock in milliseconds.
      * @return the upstream, or nothing where no place is free.
      */
-    public Optional<UpstreamLoad> choose(Ticket ticket, long now) {
+    public Optional<UpstreamLoad> choose(Ticket ticket, double reserved, long now) {
         List<UpstreamLoad> usable = usable(ticket, now);
+        if (reserved > 0) {
+            leaveReserved(usable, reserved, now);
+        }
         boolean early = now < ticket.choosyUntil();
         double events = outputs.events(ticket.work().outputTokens()) * (early ? LONGEST_ANSWER : LIKELY_ANSWER);
         boolean untriedExist =
@@ -117,24 +124,6 @@
         return best(usable, ticket.work(), events, now);
     }
 
-    /**
-     * Returns the part of the pool's places that is free.
-     *
-     * @param now the clock in milliseconds.
-     * @return the part, from 0 to 1.
-     */
-    public double freeShare(long now) {
-        int places = 0;
-        int free = 0;
-        for (UpstreamLoad load : loads.values()) {
-            if (takesWork(load) && !load.isUnreachable(now)) {
-                places += slots(load);
-                free += Math.max(0, slots(load) - load.inProgress());
-            }
-        }
-        return places == 0 ? 0 : (double) free / places;
-    }
-
     /**
      * Returns what is known of the length of answers.
      *
@@ -216,12 +205,47 @@
         return listed;
     }
 
-    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket.Work work, double events, long now) {
-        double fastest = usable.stream()
+    /**
+     * Takes out the fast upstreams, or the slow ones, where too few places are left there for more urgent requests. Guards
+     * against an urgent request that waits while a less urgent one is served: free places on slow engines, where the urgent
+     * one doesn't go, must not count for the fast ones. Counted together, they let the least urgent tier take a fast place
+     * whenever a tenth of all places, all of them slow, was free.
+     */
+    private void leaveReserved(List<UpstreamLoad> usable, double reserved, long now) {
+        double slowest = fastestPace(loads.values()) * SLOW_FACTOR;
+        for (boolean slow : new boolean[] {false, true}) {
+            if (freeShare(slow, slowest, now) <= reserved) {
+                usable.removeIf(load -> isSlow(load, slowest) == slow);
+            }
+        }
+    }
+
+    private double freeShare(boolean slow, double slowest, long now) {
+        int places = 0;
+        int free = 0;
+        for (UpstreamLoad load : loads.values()) {
+            if (isSlow(load, slowest) == slow && takesWork(load) && !load.isUnreachable(now)) {
+                places += slots(load);
+                free += Math.max(0, slots(load) - load.inProgress());
+            }
+        }
+        return places == 0 ? 0 : (double) free / places;
+    }
+
+    private static boolean isSlow(UpstreamLoad load, double slowest) {
+        return load.isPaceKnown() && load.paceMillis() > slowest;
+    }
+
+    private static double fastestPace(Collection<UpstreamLoad> among) {
+        return among.stream()
                 .filter(UpstreamLoad::isPaceKnown)
                 .mapToDouble(UpstreamLoad::paceMillis)
                 .min()
                 .orElse(1);
+    }
+
+    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket.Work work, double events, long now) {
+        double fastest = fastestPace(usable);
         return usable.stream()
                 .filter(load -> load.inProgress() < (load.isOnProbation() ? 1 : slots(load)))
                 .min(Comparator.comparing((UpstreamLoad load) -> load.fit(work, events, now))
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -37,6 +37,9 @@
     /** Silence is this many usual times to the first byte. */
     private static final double SILENCE_FACTOR = 5;
 
+    /** Connections that break within this time of each other have one cause, in milliseconds. */
+    private static final long SAME_BREAK_MILLIS = 50;
+
     private Upstream upstream;
     private int own;
     private final Map<String, Integer> others = new HashMap<>();
@@ -53,6 +56,7 @@
     private boolean unreachable;
     private final Map<Object, Long> unanswered = new HashMap<>();
     private long lastByteAt;
+    private long brokeAt = Long.MIN_VALUE / 2;
 
     UpstreamLoad(Upstream upstream) {
         this.upstream = upstream;
@@ -172,6 +176,22 @@
         }
     }
 
+    /**
+     * Notes that a connection broke, and tells whether that is a failure of its own.
+     *
+     * <p>Guards against sound upstreams that get nothing for a while: a fault of this host or its network resets many
+     * connections at once, several of them to the same upstream, and three failures in a row make an upstream suspect. An
+     * upstream that is really gone shows when the next connection is made.
+     *
+     * @param now the clock in milliseconds.
+     * @return whether it counts, and not as one with the break before it.
+     */
+    public boolean broke(long now) {
+        boolean counts = now - brokeAt > SAME_BREAK_MILLIS;
+        brokeAt = now;
+        return counts;
+    }
+
     /**
      * Notes that no connection could be made.
      *
--- a/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
@@ -249,4 +249,48 @@
                             assertThat(granted(decision).upstream().id()).isEqualTo("slow"));
         }
     }
+
+    @Nested
+    class WithFastAndSlowUpstreams {
+        private static final int PLACES = 20;
+
+        private final Upstream fast = upstream("fast", "a", PLACES, false);
+        private final Upstream slow = upstream("slow", "a", PLACES, false);
+
+        /** Fills all places but one of the fast upstream; the slow one is empty. */
+        private PoolDispatcher unlike() {
+            PoolDispatcher dispatcher = dispatcher(fast, slow);
+            learn(dispatcher, fast, 15);
+            learn(dispatcher, slow, 70);
+            UpstreamLoad load = dispatcher.board().find(fast.run()).orElseThrow();
+            for (int place = 1; place < PLACES; place++) {
+                load.began(place, NOW);
+            }
+            return dispatcher;
+        }
+
+        private void learn(PoolDispatcher dispatcher, Upstream upstream, long pace) {
+            UpstreamLoad load = dispatcher.board().find(upstream.run()).orElseThrow();
+            for (int answer = 0; answer < 5; answer++) {
+                load.answered(answer, 100, 2 * pace, NOW);
+                load.paced(10 * pace, 10);
+            }
+        }
+
+        /*
+         * What a skipper sees when this breaks: his urgent briefing is refused while short notes are answered.
+         * One fast place is left and all slow ones are free; a short note comes, then an urgent briefing.
+         * The cause would be free places at slow engines that count for fast ones when places are kept for urgent tiers.
+         */
+        @Test
+        void keepsTheLastFastPlaceForAnUrgentRequestThoughSlowOnesAreFree() {
+            PoolDispatcher dispatcher = unlike();
+            dispatcher.offer(ticket("first of its tier", 0, 200), NOW);
+            dispatcher.board().find(fast.run()).orElseThrow().ended("first of its tier");
+            assertThat(granted(dispatcher.offer(ticket("note", 2, 200), NOW)).upstream())
+                    .isEqualTo(slow);
+            assertThat(granted(dispatcher.offer(ticket("urgent", 0, 200), NOW)).upstream())
+                    .isEqualTo(fast);
+        }
+    }
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -36,7 +36,7 @@
 
     private List<String> chosen(int count) {
         return java.util.stream.IntStream.range(0, count)
-                .mapToObj(index -> board.choose(ticket(), NOW))
+                .mapToObj(index -> board.choose(ticket(), 0, NOW))
                 .flatMap(Optional::stream)
                 .peek(load -> load.began(new Object(), NOW))
                 .map(load -> load.upstream().id())
@@ -54,6 +54,31 @@
             assertThat(chosen(8)).doesNotContain("one");
         }
 
+        /*
+         * What a crew sees when this breaks: briefings are refused although most engines are idle.
+         * The network resets half of an entry's connections at one moment, four of them to each engine.
+         * The cause would be an engine taken for failing because its four connections broke with the same reset.
+         */
+        @Test
+        void trustsAnUpstreamWhoseConnectionsBreakAtOneMoment() {
+            for (int connection = 0; connection < 4; connection++) {
+                if (load("one").broke(NOW + connection)) {
+                    load("one").judged(false, 0, NOW);
+                }
+            }
+            assertThat(chosen(12)).contains("one");
+        }
+
+        @Test
+        void pausesAnUpstreamWhoseConnectionsBreakAgainAndAgain() {
+            for (int connection = 0; connection < 3; connection++) {
+                if (load("one").broke(NOW + connection * 60L)) {
+                    load("one").judged(false, 0, NOW);
+                }
+            }
+            assertThat(chosen(8)).doesNotContain("one");
+        }
+
         /** Requests that fail everywhere, because of what they ask, must not empty the pool. */
         @Test
         void keepsThePoolWhenAllFail() {
@@ -132,7 +157,7 @@
                     PATIENT_UNTIL,
                     VersionRule.Any.INSTANCE,
                     new Ticket.Work(1_000, expectedTokens, 0, NOW + 400, NOW + 8_000));
-            return board.choose(ticket, now).map(load -> load.upstream().id());
+            return board.choose(ticket, 0, now).map(load -> load.upstream().id());
         }
 
         /*
@@ -189,7 +214,7 @@
         void leavesOutWhatWasTriedWhileOthersAreThere() {
             Ticket retried = ticket();
             retried.avoid(upstream("one").run());
-            assertThat(board.choose(retried, NOW)).get().isNotSameAs(load("one"));
+            assertThat(board.choose(retried, 0, NOW)).get().isNotSameAs(load("one"));
         }
 
         @Test
@@ -197,7 +222,7 @@
             board.refresh(List.of(upstream("one")));
             Ticket retried = ticket();
             retried.avoid(upstream("one").run());
-            assertThat(board.choose(retried, NOW)).containsSame(load("one"));
+            assertThat(board.choose(retried, 0, NOW)).containsSame(load("one"));
         }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -318,7 +318,9 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        judged(false);
+        if (upstream.broke(services.now())) {
+            judged(false);
+        }
         end();
         caller.onBroken("broken: " + cause.getMessage());
     }
