Keep shared beginnings of prompts at two engines each

Change: all entries prefer the same two fast engines for a shared beginning of 500 tokens or more, by rendezvous hashing, by up to 0.6 of the cost; times to the first event are learnt against what is left to read. Prompts with shorter shared parts, as on today's deployments (60 tokens), choose as before. Tests: UpstreamBoardTest.SharedPrefixes.

--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PrefixHomes.java
@@ -0,0 +1,39 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Names for each shared beginning of prompts the few engines that should keep it.
+ *
+ * <p>Guards against the same text read at every engine: memory for prompts is limited, and reading holds up all requests of
+ * an engine. All entries come to the same engines without asking each other, by rendezvous hashing (Thaler and
+ * Ravishankar, 1998), and when an engine comes or goes only its own prefixes move.
+ */
+enum PrefixHomes {
+    /** The only instance; it keeps no state. */
+    INSTANCE;
+
+    /** How many engines keep a prefix; with two, a popular one has another place to go when its first home is full. */
+    private static final int HOMES = 2;
+
+    /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
+    private static final int GOLDEN_RATIO = 0x9E3779B9;
+
+    /** Returns the homes of a prefix among the upstreams. */
+    List<UpstreamLoad> homes(Ticket.Prefix prefix, Collection<UpstreamLoad> among) {
+        if (!prefix.isWorthKeeping()) {
+            return List.of();
+        }
+        return among.stream()
+                .sorted(Comparator.comparingInt(load -> weight(prefix, load)))
+                .limit(HOMES)
+                .toList();
+    }
+
+    private static int weight(Ticket.Prefix prefix, UpstreamLoad load) {
+        int mixed = (prefix.id().hashCode() * 31 + load.upstream().run().hashCode()) * GOLDEN_RATIO;
+        return (mixed ^ mixed >>> 15) * GOLDEN_RATIO;
+    }
+}
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -15,6 +15,7 @@
     private final Work work;
     private final Set<String> avoided = new HashSet<>();
     private long sequence;
+    private long keptTokens;
 
     /**
      * Creates a ticket.
@@ -71,6 +72,19 @@
         return arrivedAt;
     }
 
+    /**
+     * Returns how many tokens of the prompt the chosen upstream probably has to read.
+     *
+     * @return the tokens that it doesn't keep.
+     */
+    public long unreadTokens() {
+        return work.promptTokens() - keptTokens;
+    }
+
+    void expectKept(long tokens) {
+        keptTokens = tokens;
+    }
+
     long patientUntil() {
         return patientUntil;
     }
@@ -113,6 +127,39 @@
      * @param tier the tier of the route alone, by which places are reserved; 0 is the most urgent.
      * @param targetAt until when the first byte has its full value, in milliseconds of the tickets' clock.
      * @param endsAt until when the whole answer has any value, on the same clock.
+     * @param prefix the beginning of the prompt that other requests have as well.
      */
-    public record Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt) {}
+    public record Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt, Prefix prefix) {
+
+        /**
+         * Says what a request asks whose prompt begins like no other.
+         *
+         * @param promptTokens the tokens of the prompt.
+         * @param outputTokens how many tokens the caller expects.
+         * @param tier the tier of the route alone.
+         * @param targetAt until when the first byte has its full value.
+         * @param endsAt until when the whole answer has any value.
+         */
+        public Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt) {
+            this(promptTokens, outputTokens, tier, targetAt, endsAt, Prefix.NONE);
+        }
+    }
+
+    /**
+     * Names the beginning of a prompt that several requests share, and that an engine needn't read again while it keeps it.
+     *
+     * @param id identifies the text.
+     * @param tokens its length.
+     */
+    public record Prefix(String id, long tokens) {
+        /** Stands for a prompt that begins like no other. */
+        public static final Prefix NONE = new Prefix("", 0);
+
+        /** With fewer tokens than this a prefix is read again in a few milliseconds, and no engine is preferred for it. */
+        private static final long LEAST_TOKENS = 500;
+
+        boolean isWorthKeeping() {
+            return tokens >= LEAST_TOKENS;
+        }
+    }
 }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -39,6 +39,12 @@
     /** An upstream is slow that takes this many times as long as the fastest; load alone slows one by up to a half. */
     private static final double SLOW_FACTOR = 2;
 
+    /**
+     * What part of a request's cost is reading its prompt, where that is long: of some 150 ms that a request of 17,000 tokens
+     * costs an engine, 74 ms of reading and a sixth of 290 ms of generating, about 0.6.
+     */
+    private static final double GREATEST_SAVING = 0.6;
+
     /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
@@ -128,14 +134,38 @@
             // Where every upstream that is left was tried before, one of them is better than none.
             usable.removeIf(load -> ticket.avoids(load.upstream().run()));
         }
+        Set<UpstreamLoad> homes = homes(ticket, now);
         Fit reachable = usable.stream()
-                .map(load -> load.fit(ticket.work(), events, now))
+                .map(load -> fit(load, ticket, homes, events, now))
                 .min(Comparator.naturalOrder())
                 .orElse(Fit.TOO_LATE);
         boolean choosy = reachable != Fit.LATE && early;
         Fit worstTaken = reachable == Fit.TOO_LATE ? Fit.TOO_LATE : choosy ? reachable : Fit.LATE;
-        usable.removeIf(load -> load.fit(ticket.work(), events, now).compareTo(worstTaken) > 0);
-        return best(usable, ticket.work(), events, now);
+        usable.removeIf(load -> fit(load, ticket, homes, events, now).compareTo(worstTaken) > 0);
+        Optional<UpstreamLoad> chosen = best(usable, ticket, homes, events, now);
+        chosen.ifPresent(load -> ticket.expectKept(keptTokens(load, ticket, homes)));
+        return chosen;
+    }
+
+    private static long keptTokens(UpstreamLoad load, Ticket ticket, Set<UpstreamLoad> homes) {
+        return homes.contains(load) ? ticket.work().prefix().tokens() : 0;
+    }
+
+    /**
+     * Returns the upstreams that should keep the beginning of a request's prompt. Slow ones are left out: reading it there
+     * takes longer than reading it again at a fast one.
+     */
+    private Set<UpstreamLoad> homes(Ticket ticket, long now) {
+        double slowest = fastestPace(loads.values()) * SLOW_FACTOR;
+        List<UpstreamLoad> candidates = loads.values().stream()
+                .filter(load -> takesWork(load) && !load.isUnreachable(now) && !isSlow(load, slowest))
+                .toList();
+        return Set.copyOf(PrefixHomes.INSTANCE.homes(ticket.work().prefix(), candidates));
+    }
+
+    private static Fit fit(UpstreamLoad load, Ticket ticket, Set<UpstreamLoad> homes, double events, long now) {
+        long unread = ticket.work().promptTokens() - keptTokens(load, ticket, homes);
+        return load.fit(ticket.work(), unread, events, now);
     }
 
     /**
@@ -258,12 +288,13 @@
                 .orElse(1);
     }
 
-    private Optional<UpstreamLoad> best(List<UpstreamLoad> usable, Ticket.Work work, double events, long now) {
+    private Optional<UpstreamLoad> best(
+            List<UpstreamLoad> usable, Ticket ticket, Set<UpstreamLoad> homes, double events, long now) {
         double fastest = fastestPace(usable);
         return usable.stream()
                 .filter(this::hasPlace)
-                .min(Comparator.comparing((UpstreamLoad load) -> load.fit(work, events, now))
-                        .thenComparingDouble(load -> cost(load, fastest)));
+                .min(Comparator.comparing((UpstreamLoad load) -> fit(load, ticket, homes, events, now))
+                        .thenComparingDouble(load -> cost(load, fastest) * saving(load, ticket.work(), homes)));
     }
 
     /**
@@ -280,6 +311,15 @@
         return load.inProgress() < places && load.own() < part;
     }
 
+    /** Returns what part of its cost a request has at an upstream that keeps the beginning of its prompt. */
+    private static double saving(UpstreamLoad load, Ticket.Work work, Set<UpstreamLoad> homes) {
+        if (!homes.contains(load)) {
+            return 1;
+        }
+        double share = (double) work.prefix().tokens() / Math.max(1, work.promptTokens());
+        return 1 - GREATEST_SAVING * Math.min(1, share);
+    }
+
     private double cost(UpstreamLoad load, double fastest) {
         // An upstream that nobody has tried counts as one of the fastest, so that its speed is learnt at once.
         double pace = load.isPaceKnown() ? load.paceMillis() : fastest;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -317,11 +317,11 @@
     }
 
     /** Tells how well the upstream is likely to do for a request that is sent now and gets at most so many events. */
-    Fit fit(Ticket.Work work, double events, long now) {
+    Fit fit(Ticket.Work work, long unreadTokens, double events, long now) {
         if (!firstByte.isKnown() || !isPaceKnown()) {
             return Fit.ON_TIME;
         }
-        double first = firstByte.millis(work.promptTokens());
+        double first = firstByte.millis(unreadTokens);
         double whole = first + paceMillis() * events;
         if (now + whole > work.endsAt()) {
             return Fit.TOO_LATE;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -1,7 +1,11 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -182,6 +186,71 @@
         }
     }
 
+    @Nested
+    class SharedPrefixes {
+        private Ticket ticketOf(String prefix, long tokens) {
+            return new Ticket(
+                    "r",
+                    0,
+                    NOW,
+                    NOW + 200,
+                    VersionRule.Any.INSTANCE,
+                    new Ticket.Work(15_000, 50, 0, NOW + 400, NOW + 8_000, new Ticket.Prefix(prefix, tokens)));
+        }
+
+        private UpstreamLoad chosenBy(String entry, Ticket ticket) {
+            UpstreamBoard other = new UpstreamBoard(entry, "a", 4);
+            other.refresh(IntStream.range(0, 12)
+                    .mapToObj(number -> upstream("engine-" + number))
+                    .toList());
+            return other.choose(ticket, 0, NOW).orElseThrow();
+        }
+
+        /*
+         * What a skipper sees when this breaks: briefings that share a long chart are late, as engines read it all day.
+         * Nine entries get requests whose prompts begin with the same 13,000 tokens.
+         * The cause would be entries that spread these over all engines, so that each engine reads them anew.
+         */
+        @Test
+        void goToTheSameFewUpstreamsFromAllEntries() {
+            Set<String> used = IntStream.range(0, 9)
+                    .mapToObj(entry -> chosenBy("entry-" + entry, ticketOf("chart", 13_000)))
+                    .map(load -> load.upstream().id())
+                    .collect(Collectors.toSet());
+            assertThat(used).hasSizeLessThanOrEqualTo(2);
+        }
+
+        @Test
+        void areSpreadOverAllUpstreamsByTheirNames() {
+            Set<String> used = IntStream.range(0, 60)
+                    .mapToObj(prefix -> chosenBy("entry", ticketOf("chart-" + prefix, 13_000)))
+                    .map(load -> load.upstream().id())
+                    .collect(Collectors.toSet());
+            assertThat(used).hasSizeGreaterThan(9);
+        }
+
+        @Test
+        void doNotMatterWhereTheyAreShort() {
+            Set<String> used = IntStream.range(0, 9)
+                    .mapToObj(entry -> chosenBy("entry-" + entry, ticketOf("chart", 60)))
+                    .map(load -> load.upstream().id())
+                    .collect(Collectors.toSet());
+            assertThat(used).hasSizeGreaterThan(2);
+        }
+
+        @Test
+        void yieldToAFreePlaceElsewhere() {
+            Ticket first = ticketOf("chart", 13_000);
+            Set<String> used = new HashSet<>();
+            for (int place = 0; place < 12; place++) {
+                UpstreamLoad load = board.choose(first, 0, NOW).orElseThrow();
+                load.began(place, NOW);
+                used.add(load.upstream().id());
+            }
+            assertThat(used).hasSize(3);
+        }
+    }
+
     @Nested
     class NewUpstreams {
         /*
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -47,6 +47,8 @@
      * @param outputTokens the most tokens to be generated, or 0.
      * @param expectedTokens how many tokens the caller expects, or 0; often far off.
      * @param resumeAfter the number of the last event that the caller has, or a negative number.
+     * @param prefix identifies the beginning of the prompt that other requests share, empty where there is none.
+     * @param prefixTokens the tokens of that beginning, or 0.
      */
     record RequestHead(
             String request,
@@ -57,7 +59,9 @@
             long promptTokens,
             long outputTokens,
             long expectedTokens,
-            long resumeAfter) {}
+            long resumeAfter,
+            String prefix,
+            long prefixTokens) {}
 
     /**
      * Holds what the system says to an upstream with a request.
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -243,7 +243,12 @@
         // The target counts from the caller's first try, which a request that comes back has behind it.
         long targetAt = late ? arrivedAt : target;
         return new Ticket.Work(
-                head.promptTokens(), generates ? head.expectedTokens() : 0, route.priority(), targetAt, endsAt);
+                head.promptTokens(),
+                generates ? head.expectedTokens() : 0,
+                route.priority(),
+                targetAt,
+                endsAt,
+                new Ticket.Prefix(head.prefix(), head.prefixTokens()));
     }
 
     /** Takes what was decided for the request, at once or after it has waited. */
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -243,7 +243,7 @@
         if (!answered) {
             answered = true;
             firstByteAt = now;
-            upstream.answered(ticket, caller.head().promptTokens(), now - sentAt, now);
+            upstream.answered(ticket, ticket.unreadTokens(), now - sentAt, now);
             caller.noteFirst(now - sentAt);
         }
     }
