Serve metrics of control hosts, and of all processes at the metrics address of the settings

Cause: the settings' metrics address was read and not used, and control hosts had no metrics at all. Now each process serves its counters and times there: role, term, operators' answers by status, readings of the host list, questions confirmed or not.

--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -22,6 +22,7 @@
 import org.radishspur.node.fleet.FleetServer;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
+import org.radishspur.node.metrics.MetricsServer;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Supervisor;
@@ -96,6 +97,9 @@
                         "ready-server",
                         () -> new ReadyServer(settings.readyAddress().orElseThrow(), traffic, services))
                 .supervise("front-server", () -> front);
+        settings.metricsAddress()
+                .ifPresent(address ->
+                        root.supervise("metrics-server", () -> new MetricsServer(address, group, metrics.registry())));
         root.start(cause -> failed.countDown());
         control.execute(() -> follower.seeds(addresses(settings.seeds())));
         // The first reading of a catalogue sets the JSON mapper up, which takes as long as the start itself. An entry
--- a/node/src/main/java/org/radishspur/node/entry/ReadyServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/ReadyServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.radishspur.node.metrics.MetricsText;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
 import org.radishspur.node.transport.Listener;
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/group/ControlMetrics.java
@@ -0,0 +1,52 @@
+package org.radishspur.node.group;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.radishspur.replication.raft.Role;
+
+/**
+ * Counts what a control host does, and holds what it believes; any thread may read it.
+ */
+final class ControlMetrics {
+    private final MetricRegistry registry = new MetricRegistry();
+    private volatile boolean leading;
+    private volatile long term;
+    private volatile long revision;
+
+    ControlMetrics() {
+        registry.register("control.leading", (Gauge<Integer>) () -> leading ? 1 : 0);
+        registry.register("control.term", (Gauge<Long>) () -> term);
+        registry.register("catalogue.revision", (Gauge<Long>) () -> revision);
+    }
+
+    MetricRegistry registry() {
+        return registry;
+    }
+
+    void role(Role role, long reached) {
+        leading = role == Role.LEADER;
+        term = reached;
+        registry.counter("control.roles." + role).inc();
+    }
+
+    void operatorAnswered(int status, long known, long millis) {
+        revision = known;
+        registry.counter("operators.answers." + status).inc();
+        registry.timer("operators.call").update(millis, TimeUnit.MILLISECONDS);
+    }
+
+    void listRead() {
+        registry.counter("host-list.readings").inc();
+    }
+
+    void listFailed() {
+        registry.counter("host-list.failures").inc();
+    }
+
+    void followed(boolean confirmed) {
+        registry.counter(confirmed ? "entries.confirmed" : "entries.unconfirmed")
+                .inc();
+    }
+}
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -20,6 +20,7 @@
 import org.radishspur.node.fleet.FleetServer;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
+import org.radishspur.node.metrics.MetricsServer;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Supervisor;
@@ -73,6 +74,7 @@
     private final EventLog events;
     private final ControlLoop loop = new ControlLoop();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ControlMetrics metrics = new ControlMetrics();
     private final FleetLinks links;
     private final ReplicaHost replica;
     private final MemberWatch members;
@@ -126,15 +128,20 @@
                 events,
                 settings.peerAddress().toString(),
                 settings.bounds().voters());
-        hostList = new HostListReader(loop, group.next(), replica, listDialect, settings.hostListAddress(), events);
+        hostList = new HostListReader(
+                loop, group.next(), replica, listDialect, settings.hostListAddress(), events, metrics);
         RolloutDriver rollouts = new RolloutDriver(loop, replica, events);
-        follow = new FollowDesk(loop, replica, members, hostList, rollouts);
-        OperatorDesk desk = new OperatorDesk(loop, replica, follow, operators, settings.operatorPort(), events);
+        follow = new FollowDesk(loop, replica, members, hostList, rollouts, metrics);
+        OperatorDesk desk =
+                new OperatorDesk(loop, replica, follow, operators, settings.operatorPort(), events, metrics);
         root = new Supervisor("control", scheduler, loop::nowMillis)
                 .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
                 .supervise(
                         "operator-server",
                         () -> new OperatorServer(settings.operatorAddress().orElseThrow(), group, desk));
+        settings.metricsAddress()
+                .ifPresent(address ->
+                        root.supervise("metrics-server", () -> new MetricsServer(address, group, metrics.registry())));
         root.start(cause -> failed.countDown());
         loop.execute(() -> members.seeds(addresses(settings.seeds())));
         loop.execute(hostList::prefetch);
@@ -212,6 +219,7 @@
         @Override
         public void onRole(String identity, Role role, long term) {
             events.emit(EventCode.ROLE, role, term, replica.voters());
+            metrics.role(role, term);
             if (role == Role.LEADER) {
                 hostList.lead();
             }
--- a/node/src/main/java/org/radishspur/node/group/FollowDesk.java
+++ b/node/src/main/java/org/radishspur/node/group/FollowDesk.java
@@ -30,6 +30,7 @@
     private final MemberWatch members;
     private final HostListReader hostList;
     private final RolloutDriver rollouts;
+    private final ControlMetrics metrics;
     private final Map<String, Long> entries = new HashMap<>();
     private final Deque<PendingRead> pending = new ArrayDeque<>();
     private final ParkedQuestions parked = new ParkedQuestions();
@@ -39,7 +40,9 @@
             ReplicaHost replica,
             MemberWatch members,
             HostListReader hostList,
-            RolloutDriver rollouts) {
+            RolloutDriver rollouts,
+            ControlMetrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.replica = replica;
         this.members = members;
@@ -75,12 +78,14 @@
         pending.addLast(new PendingRead(askedAt, new ReadListener() {
             @Override
             public void onConfirmed(CatalogueState state) {
+                metrics.followed(true);
                 sender.send(answer(question, state));
             }
 
             @Override
             public void onUnconfirmed() {
                 // The entry asks again, and by then perhaps another leader.
+                metrics.followed(false);
             }
         }));
         settleReads();
--- a/node/src/main/java/org/radishspur/node/group/HostListReader.java
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -59,6 +59,7 @@
     private final HostListDialect dialect;
     private final HostPort address;
     private final EventLog events;
+    private final ControlMetrics metrics;
     private final UpstreamConnections connections;
     private HostList latest = HostList.NONE;
     private List<Upstream> prefetched = List.of();
@@ -72,7 +73,9 @@
             ReplicaHost replica,
             HostListDialect dialect,
             HostPort address,
-            EventLog events) {
+            EventLog events,
+            ControlMetrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.transport = transport;
         this.replica = replica;
@@ -138,6 +141,7 @@
             return;
         }
         reading = false;
+        metrics.listRead();
         if (replica.isLeader()) {
             publish(sofar);
         } else {
@@ -158,6 +162,7 @@
 
     private void onFailure(String cause) {
         reading = false;
+        metrics.listFailed();
         events.emit(EventCode.LIST_FAILED, cause);
     }
 
--- a/node/src/main/java/org/radishspur/node/group/OperatorDesk.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorDesk.java
@@ -33,6 +33,7 @@
     private final OperatorDialect dialect;
     private final int operatorPort;
     private final EventLog events;
+    private final ControlMetrics metrics;
 
     OperatorDesk(
             ControlLoop loop,
@@ -40,7 +41,9 @@
             FollowDesk follow,
             OperatorDialect dialect,
             int operatorPort,
-            EventLog events) {
+            EventLog events,
+            ControlMetrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.replica = replica;
         this.follow = follow;
@@ -63,8 +66,9 @@
             String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
             AnswerListener logged = answer -> {
                 long revision = replica.state().catalogue().document().revision();
-                events.emit(
-                        EventCode.OPERATOR, method + ' ' + path, answer.status(), revision, loop.nowMillis() - began);
+                long millis = loop.nowMillis() - began;
+                events.emit(EventCode.OPERATOR, method + ' ' + path, answer.status(), revision, millis);
+                metrics.operatorAnswered(answer.status(), revision, millis);
                 listener.onAnswer(answer);
             };
             if (!replica.isLeader()) {
--- a/node/src/main/java/org/radishspur/node/entry/MetricsText.java
+++ b/node/src/main/java/org/radishspur/node/metrics/MetricsText.java
@@ -1,4 +1,4 @@
-package org.radishspur.node.entry;
+package org.radishspur.node.metrics;
 
 import java.util.Locale;
 
@@ -8,14 +8,20 @@
 /**
  * Writes metrics as the usual text exposition, one sample a line.
  */
-enum MetricsText {
-    /** The only instance. */
+public enum MetricsText {
+    /** The only instance; it keeps no state. */
     INSTANCE;
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
-    String write(MetricRegistry registry) {
+    /**
+     * Writes all metrics of a registry.
+     *
+     * @param registry the registry.
+     * @return the text.
+     */
+    public String write(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
         registry.getCounters().forEach((name, counter) -> sample(text, name + "_total", "", counter.getCount()));
         registry.getGauges().forEach((name, gauge) -> {
