Read on for an answer whose caller had stopped reading when its deadline passed

Cause of LateCallerTest's failures, traced by stacks and processor times of both processes: node and stand-in idle, the answer stuck in the middle. The caller had stopped reading, so the node had stopped reading the upstream; at the deadline the caller was let go, and nothing started the reading again. The test passed only where the stand-in wrote so slowly (one token a write) that the deadline came before the buffers were full. Ruled out: a slow machine (2.1 s of processor time in 26 s). Change: reading goes on at the deadline.

--- a/node/src/main/java/org/radishspur/node/caller/Exchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/Exchange.java
@@ -286,6 +286,10 @@
                 Refusal late = Refusal.unknown(RefusalReason.DEADLINE_PASSED, "The deadline passed.");
                 if (mayRunOn()) {
                     endCaller(late);
+                    // Guards against an answer that never ends: a caller that had stopped reading has stopped the
+                    // reading
+                    // of the upstream with it, and nothing else starts it again once the caller is let go.
+                    attempt.exchange.read();
                 } else {
                     abandon(late, Ending.CANCELLED);
                 }
--- a/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
+++ b/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
@@ -55,6 +55,9 @@
     private static final int GREATEST_BODY = 16 << 20;
     private static final int CRASH_CODE = 42;
 
+    /** An engine without a pace hands out so many tokens in one piece; one write for each would take longer than all else. */
+    private static final int TOKENS_AT_ONCE = 64;
+
     private final Kind kind;
     private final long tokenMicros;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
@@ -224,10 +227,15 @@
                 context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
                 return;
             }
-            var token = Unpooled.copiedBuffer(token(body, index), StandardCharsets.UTF_8);
-            context.writeAndFlush(new DefaultHttpContent(token)).addListener(written -> {
+            int until = Math.min(tokens, index + (tokenMicros == 0 ? TOKENS_AT_ONCE : 1));
+            StringBuilder text = new StringBuilder();
+            for (int token = index; token < until; token++) {
+                text.append(token(body, token));
+            }
+            var content = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+            context.writeAndFlush(new DefaultHttpContent(content)).addListener(written -> {
                 if (written.isSuccess()) {
-                    next(context, () -> stream(context, name, body, index + 1, tokens));
+                    next(context, () -> stream(context, name, body, until, tokens));
                 } else {
                     running.decrementAndGet();
                     record("cancelled " + name);
