--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReturnTimes.java
@@ -0,0 +1,40 @@
+package org.radishspur.decision.dispatch;
+
+/**
+ * Says when a refused caller should come back: not before there may be room, early enough to be served still, and apart
+ * from the others that were refused in the same moment.
+ */
+public enum ReturnTimes {
+    /** The only instance; it keeps no state. */
+    INSTANCE;
+
+    /** A refused caller is asked back within this part of the time it has left; callers honour up to a third of it. */
+    private static final double LATEST = 0.33;
+
+    /** Callers that are refused in the same moment come back spread from this part of their time on. */
+    private static final double EARLIEST = 0.2;
+
+    /**
+     * Returns the latest time after which a caller may be asked back.
+     *
+     * @param leftMillis the time that the caller has left.
+     * @return the time in milliseconds.
+     */
+    public long latest(long leftMillis) {
+        return Math.max(1, (long) (leftMillis * LATEST));
+    }
+
+    /**
+     * Returns a time apart from those of other callers.
+     *
+     * @param leftMillis the time that the caller has left.
+     * @param roomAfterMillis after which time there is likely to be room.
+     * @param draw a random number from 0 to 1, which sets callers apart.
+     * @return the time in milliseconds.
+     */
+    public long spread(long leftMillis, long roomAfterMillis, double draw) {
+        long earliest = (long) (leftMillis * EARLIEST);
+        long spread = (long) (earliest + (latest(leftMillis) - earliest) * draw);
+        return Math.min(latest(leftMillis), Math.max(spread, roomAfterMillis));
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -22,6 +22,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.PoolDispatcher.Decision;
+import org.radishspur.decision.dispatch.ReturnTimes;
 import org.radishspur.decision.dispatch.Ticket;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.VersionRule;
@@ -31,6 +32,7 @@
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
 import org.radishspur.node.log.EventCode;
+import org.radishspur.node.upstream.UpstreamHeaders;
 
 /**
  * Brings one request from its head to its one final answer. All of it happens on the traffic thread.
@@ -42,11 +44,11 @@
     /** The part of its remaining time that a request may wait that can't be on time any more. */
     private static final double LATE_PATIENCE = 0.4;
 
-    /** A refused caller is asked back within this part of the time it has left. */
-    private static final double LATEST_RETURN = 0.33;
-
-    /** Callers that are refused in the same moment come back spread from this part of their time on. */
-    private static final double EARLIEST_RETURN = 0.2;
+    /**
+     * The part of its time that a request waits for the catalogue to be confirmed; a caller that is sent away sooner spends
+     * its only retry on coming back too soon.
+     */
+    private static final double CONFIRMATION_PATIENCE = 0.2;
 
     /** How many tiers of routes are told apart within the rank of an organisation. */
     private static final int TIERS = 16;
@@ -157,7 +159,7 @@
      * a second, and a caller that is sent away at once spends its only retry on coming back too soon.
      */
     private void awaitConfirmation(long stated) {
-        long patience = Math.min(LONGEST_PATIENCE_MILLIS, (long) (stated * EARLIEST_RETURN));
+        long patience = Math.min(LONGEST_PATIENCE_MILLIS, (long) (stated * CONFIRMATION_PATIENCE));
         timer = services.loop()
                 .schedule(() -> refuse(EndReason.UNCONFIRMED, latestReturn(), false), patience, TimeUnit.MILLISECONDS);
         services.awaits(this, () -> {
@@ -261,10 +263,7 @@
                 fail(EndReason.UPSTREAM_FAILED, "no other upstream has a place");
                 return;
             }
-            long earliest = (long) ((endsAt - services.now()) * EARLIEST_RETURN);
-            long spread = (long) (earliest
-                    + (latestReturn() - earliest) * ThreadLocalRandom.current().nextDouble());
-            long returnMillis = Math.min(latestReturn(), Math.max(spread, refused.returnMillis()));
+            long returnMillis = spreadReturn(refused.returnMillis());
             logRefusal(EndReason.OVERLOAD, returnMillis, refused.waiting(), refused.places());
             finishRefused(EndReason.OVERLOAD, returnMillis, false);
         }
@@ -272,14 +271,12 @@
 
     /** Returns when a caller should come back for whom there may be room after a time, apart from others like it. */
     private long spreadReturn(long roomAfter) {
-        long earliest = (long) ((endsAt - services.now()) * EARLIEST_RETURN);
-        long spread = (long) (earliest
-                + (latestReturn() - earliest) * ThreadLocalRandom.current().nextDouble());
-        return Math.min(latestReturn(), Math.max(spread, roomAfter));
+        double draw = ThreadLocalRandom.current().nextDouble();
+        return ReturnTimes.INSTANCE.spread(endsAt - services.now(), roomAfter, draw);
     }
 
     private long latestReturn() {
-        return Math.max(1, (long) ((endsAt - services.now()) * LATEST_RETURN));
+        return ReturnTimes.INSTANCE.latest(endsAt - services.now());
     }
 
     private void send(UpstreamLoad upstream) {
@@ -421,7 +418,7 @@
         }
         headWritten = true;
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status());
-        org.radishspur.node.upstream.UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
         if (!keepLength || !HttpUtil.isContentLengthSet(response)) {
             response.headers().remove("Content-Length");
             HttpUtil.setTransferEncodingChunked(response, true);
@@ -447,7 +444,7 @@
     void writeWhole(HttpResponse upstreamHead, ByteBuf content) {
         headWritten = true;
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status(), content);
-        org.radishspur.node.upstream.UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
         HttpUtil.setContentLength(response, content.readableBytes());
         HttpUtil.setKeepAlive(response, keepsConnection());
         endWith(response);
