--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/CallerAnswer.java
@@ -0,0 +1,125 @@
+package org.radishspur.node.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.radishspur.node.upstream.UpstreamHeaders;
+
+/**
+ * Writes the one answer to a request, an upstream's or our own, and closes the connection behind it where that is due.
+ */
+final class CallerAnswer {
+    private final EntryServices services;
+    private final FrontConnection connection;
+    private final ChannelHandlerContext context;
+    private final HttpRequest request;
+    private boolean headWritten;
+    private boolean keeps = true;
+
+    CallerAnswer(
+            EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
+        this.services = services;
+        this.connection = connection;
+        this.context = context;
+        this.request = request;
+    }
+
+    /** Tells the caller to send its body. */
+    void writeContinue() {
+        context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+
+    boolean isHeadWritten() {
+        return headWritten;
+    }
+
+    boolean isWritable() {
+        return context.channel().isWritable();
+    }
+
+    /** Writes the head of the upstream's answer, once. */
+    void writeHead(HttpResponse upstreamHead, boolean keepLength) {
+        if (headWritten) {
+            return;
+        }
+        headWritten = true;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status());
+        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        if (!keepLength || !HttpUtil.isContentLengthSet(response)) {
+            response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        HttpUtil.setKeepAlive(response, keepsConnection());
+        context.write(response);
+    }
+
+    /** Writes a part of the answer, which is passed on at the next flush. */
+    void writeContent(ByteBuf content) {
+        if (content.isReadable()) {
+            context.write(new DefaultHttpContent(content));
+        } else {
+            content.release();
+        }
+    }
+
+    void flush() {
+        context.flush();
+    }
+
+    /** Writes a whole answer of the upstream. */
+    void writeWhole(HttpResponse upstreamHead, ByteBuf content) {
+        headWritten = true;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status(), content);
+        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
+        HttpUtil.setContentLength(response, content.readableBytes());
+        HttpUtil.setKeepAlive(response, keepsConnection());
+        writeLast(response, keepsConnection());
+    }
+
+    /** Ends an answer that was passed on part by part. */
+    void writeEnd() {
+        writeLast(LastHttpContent.EMPTY_LAST_CONTENT, keepsConnection());
+    }
+
+    /** Writes an answer of our own, after which the next request on the connection may begin. */
+    void writeOwn(EndReason reason, long returnMillis, boolean close) {
+        FullHttpResponse response = AnswerHead.of(reason, returnMillis);
+        boolean keep = keepsConnection() && !close;
+        HttpUtil.setKeepAlive(response, keep);
+        writeLast(response, keep);
+        ended();
+    }
+
+    /** Closes the connection in the middle of an answer, so that it can't look complete. */
+    void breakOff() {
+        context.close();
+    }
+
+    /** Lets the next request on the connection begin. */
+    void ended() {
+        connection.ended(context, !keeps);
+    }
+
+    private void writeLast(Object last, boolean keep) {
+        keeps = keep;
+        var written = context.writeAndFlush(last);
+        if (!keep) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private boolean keepsConnection() {
+        return HttpUtil.isKeepAlive(request) && !services.isStopping();
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -6,18 +6,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.decision.dispatch.PoolDispatcher;
@@ -32,7 +26,6 @@
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
 import org.radishspur.node.log.EventCode;
-import org.radishspur.node.upstream.UpstreamHeaders;
 
 /**
  * Brings one request from its head to its one final answer. All of it happens on the traffic thread.
@@ -69,8 +62,7 @@
     private static final long LEAST_RETRY_MILLIS = 60;
 
     private final EntryServices services;
-    private final FrontConnection connection;
-    private final ChannelHandlerContext context;
+    private final CallerAnswer answer;
     private final HttpRequest request;
     private final long arrivedAt;
     private final ByteBuf body = Unpooled.buffer(0);
@@ -92,7 +84,6 @@
     private Ticket ticket;
     private UpstreamAttempt attempt;
     private ScheduledFuture<?> timer;
-    private boolean headWritten;
     private boolean firstSeen;
     private long firstMillis;
     private EventSplitter splitter;
@@ -100,8 +91,7 @@
     CallerExchange(
             EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
         this.services = services;
-        this.connection = connection;
-        this.context = context;
+        this.answer = new CallerAnswer(services, connection, context, request);
         this.request = request;
         this.arrivedAt = services.now();
     }
@@ -110,7 +100,7 @@
         services.began();
         counted = true;
         if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            answer.writeContinue();
         }
     }
 
@@ -322,7 +312,7 @@
     private boolean mayRunAgain() {
         return route.mayRepeat()
                 && runs < route.maximumUpstreams()
-                && (route.kind() == RequestKind.STREAM || !headWritten)
+                && (route.kind() == RequestKind.STREAM || !answer.isHeadWritten())
                 && endsAt - services.now() > LEAST_RETRY_MILLIS;
     }
 
@@ -356,7 +346,7 @@
 
     /** Tells whether a failure that the upstream answers with should be tried elsewhere instead. */
     boolean triesElsewhere() {
-        return !headWritten
+        return !answer.isHeadWritten()
                 && mayRunAgain()
                 && services.pools().budget(poolName).take();
     }
@@ -402,71 +392,28 @@
     }
 
     void onCallerWritable() {
-        if (attempt != null && context.channel().isWritable()) {
+        if (attempt != null && answer.isWritable()) {
             attempt.read();
         }
     }
 
-    boolean isCallerWritable() {
-        return context.channel().isWritable();
+    /** Returns what is written to the caller. */
+    CallerAnswer answer() {
+        return answer;
     }
 
-    /** Writes the head of the upstream's answer, once. */
-    void writeHead(HttpResponse upstreamHead, boolean keepLength) {
-        if (headWritten) {
-            return;
-        }
-        headWritten = true;
-        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status());
-        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
-        if (!keepLength || !HttpUtil.isContentLengthSet(response)) {
-            response.headers().remove("Content-Length");
-            HttpUtil.setTransferEncodingChunked(response, true);
-        }
-        HttpUtil.setKeepAlive(response, keepsConnection());
-        context.write(response);
-    }
-
-    /** Writes a part of the answer, which is passed on at the next flush. */
-    void writeContent(ByteBuf content) {
-        if (content.isReadable()) {
-            context.write(new DefaultHttpContent(content));
-        } else {
-            content.release();
-        }
-    }
-
-    void flush() {
-        context.flush();
-    }
-
-    /** Writes a whole answer of the upstream. */
+    /** Writes a whole answer of the upstream, and ends the request. */
     void writeWhole(HttpResponse upstreamHead, ByteBuf content) {
-        headWritten = true;
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status(), content);
-        UpstreamHeaders.INSTANCE.copyEndToEnd(upstreamHead.headers(), response.headers());
-        HttpUtil.setContentLength(response, content.readableBytes());
-        HttpUtil.setKeepAlive(response, keepsConnection());
-        endWith(response);
+        answer.writeWhole(upstreamHead, content);
+        release(false);
+        answer.ended();
     }
 
-    /** Ends an answer that was passed on part by part. */
+    /** Ends an answer that was passed on part by part, and the request with it. */
     void writeEnd() {
-        endWith(LastHttpContent.EMPTY_LAST_CONTENT);
-    }
-
-    private void endWith(Object last) {
-        boolean keeps = keepsConnection();
-        var written = context.writeAndFlush(last);
-        if (!keeps) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        }
+        answer.writeEnd();
         release(false);
-        connection.ended(context, !keeps);
-    }
-
-    private boolean keepsConnection() {
-        return HttpUtil.isKeepAlive(request) && !services.isStopping();
+        answer.ended();
     }
 
     void noteFirst(long millis) {
@@ -524,7 +471,7 @@
 
     private void finishRefused(EndReason reason, long returnMillis, boolean close) {
         release(true);
-        answerOwn(reason, returnMillis, close);
+        answer.writeOwn(reason, returnMillis, close);
     }
 
     private void fail(EndReason reason, String cause) {
@@ -539,23 +486,12 @@
                         services.now() - arrivedAt,
                         cause);
         release(false);
-        if (headWritten) {
+        if (answer.isHeadWritten()) {
             // The answer has begun: an end that does not look complete is all that can still be said.
-            context.close();
+            answer.breakOff();
             return;
         }
-        answerOwn(reason, 0, false);
-    }
-
-    private void answerOwn(EndReason reason, long returnMillis, boolean close) {
-        FullHttpResponse response = AnswerHead.of(reason, returnMillis);
-        boolean keeps = keepsConnection() && !close;
-        HttpUtil.setKeepAlive(response, keeps);
-        var written = context.writeAndFlush(response);
-        if (!keeps) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        }
-        connection.ended(context, !keeps);
+        answer.writeOwn(reason, 0, false);
     }
 
     /** Gives everything back that the request holds. */
@@ -618,8 +554,4 @@
     long arrivedAt() {
         return arrivedAt;
     }
-
-    boolean isHeadWritten() {
-        return headWritten;
-    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -167,7 +167,7 @@
 
     private void onSuccess() {
         if (passesEvents()) {
-            caller.writeHead(answer, !caller.route().resumable());
+            caller.answer().writeHead(answer, !caller.route().resumable());
         } else {
             held = Unpooled.buffer();
         }
@@ -200,7 +200,7 @@
             if (passesEvents()) {
                 ByteBuf whole = caller.splitter().take(content);
                 noteFirstPace();
-                caller.writeContent(caller.route().resumable() ? whole : content.retain());
+                caller.answer().writeContent(caller.route().resumable() ? whole : content.retain());
                 if (!caller.route().resumable()) {
                     whole.release();
                 }
@@ -221,14 +221,14 @@
     }
 
     private void hold(ByteBuf content) {
-        if (caller.isHeadWritten()) {
-            caller.writeContent(content.retain());
+        if (caller.answer().isHeadWritten()) {
+            caller.answer().writeContent(content.retain());
             return;
         }
         held.writeBytes(content);
         if (held.readableBytes() > HELD_BYTES) {
-            caller.writeHead(answer, true);
-            caller.writeContent(held);
+            caller.answer().writeHead(answer, true);
+            caller.answer().writeContent(held);
             held = Unpooled.EMPTY_BUFFER;
         }
     }
@@ -252,8 +252,8 @@
     @Override
     public void onPause() {
         if (phase == Phase.RUNNING) {
-            caller.flush();
-            if (caller.isCallerWritable()) {
+            caller.answer().flush();
+            if (caller.answer().isWritable()) {
                 exchange.read();
             }
         } else if (phase == Phase.DRAINING) {
@@ -286,9 +286,10 @@
         }
         caller.logAnswered(answer.status().code(), upstream, longestPause);
         if (passesEvents()) {
-            caller.writeContent(caller.route().resumable() ? caller.splitter().rest() : Unpooled.EMPTY_BUFFER);
+            caller.answer()
+                    .writeContent(caller.route().resumable() ? caller.splitter().rest() : Unpooled.EMPTY_BUFFER);
             caller.writeEnd();
-        } else if (caller.isHeadWritten()) {
+        } else if (caller.answer().isHeadWritten()) {
             caller.writeEnd();
         } else {
             ByteBuf whole = held;
