--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -19,10 +19,9 @@
     private static final int LONGEST_SCAN = 3;
 
     /**
-     * The part of the places that each tier leaves free for the more urgent ones, and a late request for one that can still
-     * be on time. Places are taken by many entries at once,
-     * so that the order of one entry's line doesn't keep tiers apart; a few free places do, because a place becomes free
-     * somewhere every few milliseconds.
+     * The part of the places that each tier leaves free for the more urgent ones, and a late request for one that can
+     * still be on time. Places are taken by many entries at once, so that the order of one entry's line doesn't keep tiers
+     * apart; a few free places do, because a place becomes free somewhere every few milliseconds.
      */
     private static final double RESERVED_PER_TIER = 0.04;
 
@@ -128,9 +127,8 @@
     }
 
     private Optional<UpstreamLoad> place(Ticket ticket, long now) {
-        // Guards against a burst whose refused callers come back into it: an answer on time is worth several late ones,
-        // and
-        // each place that a late one takes makes another caller late.
+        // Guards against a burst whose refused callers come back into it: an answer on time is worth several late
+        // ones, and each place that a late one takes makes another caller late.
         int steps = ticket.work().tier() - mostUrgentTier + (ticket.isLate() ? 1 : 0);
         return board.choose(ticket, RESERVED_PER_TIER * steps, now);
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -30,10 +30,10 @@
     /** How much a newcomer owes at most for use before its start, in milliseconds of the rate: half a round of sharing. */
     private static final long NEWCOMER_DEBT_MILLIS = 20;
 
-    private static final long UNBORN = Long.MIN_VALUE;
+    private static final long NOT_STARTED = Long.MIN_VALUE;
 
     private final Tolerance tolerance;
-    private long bornAt = UNBORN;
+    private long startedAt = NOT_STARTED;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final Map<String, Long> usedHere = new HashMap<>();
     private final Map<String, Map<String, Long>> usedElsewhere = new HashMap<>();
@@ -60,7 +60,7 @@
         if (organisation.ratePerSecond() <= 0) {
             return Optional.empty();
         }
-        isNewcomer(now);
+        noteStart(now);
         Bucket bucket = bucketOf(organisation, now);
         double left = late ? capacity(organisation) * LATE_SHARE : 0;
         if (bucket.level <= left) {
@@ -124,11 +124,15 @@
         bucket.level -= isNewcomer(now) ? Math.min(missing, Math.max(0, bucket.level + debt)) : missing;
     }
 
-    private boolean isNewcomer(long now) {
-        if (bornAt == UNBORN) {
-            bornAt = now;
+    private void noteStart(long now) {
+        if (startedAt == NOT_STARTED) {
+            startedAt = now;
         }
-        return now - bornAt < NEWCOMER_MILLIS;
+    }
+
+    private boolean isNewcomer(long now) {
+        noteStart(now);
+        return now - startedAt < NEWCOMER_MILLIS;
     }
 
     private Bucket bucketOf(OrganisationRule organisation, long now) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -156,6 +156,9 @@
      * takes longer than reading it again at a fast one.
      */
     private Set<UpstreamLoad> homes(Ticket ticket, long now) {
+        if (!ticket.work().prefix().isWorthKeeping()) {
+            return Set.of();
+        }
         double slowest = fastestPace(loads.values()) * SLOW_FACTOR;
         List<UpstreamLoad> candidates = loads.values().stream()
                 .filter(load -> takesWork(load) && !load.isUnreachable(now) && !isSlow(load, slowest))
