--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -122,10 +122,9 @@
             body.writeBytes(content.content());
             if (content instanceof LastHttpContent) {
                 bodyWhole = true;
-                // Guards against work for callers who have left: after a stall, a request and the close behind it wait
-                // in
-                // the socket together. The close is learnt before this task runs, since the front reads to the end of
-                // what has come.
+                // Guards against work for callers who have left: after a stall, a request and the close behind it
+                // wait in the socket together. The close is learnt before this task runs, since the front reads to
+                // the end of what has come.
                 services.loop().execute(this::proceed);
             }
         } finally {
