--- a/node/src/main/java/org/radishspur/node/entry/CallerAnswer.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerAnswer.java
@@ -44,6 +44,11 @@
         return headWritten;
     }
 
+    /** Tells whether the caller is still connected; its leaving is told to the request a moment later. */
+    boolean isOpen() {
+        return context.channel().isActive();
+    }
+
     boolean isWritable() {
         return context.channel().isWritable();
     }
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -123,8 +123,8 @@
             if (content instanceof LastHttpContent) {
                 bodyWhole = true;
                 // Guards against work for callers who have left: after a stall, a request and the close behind it
-                // wait in the socket together. The close is learnt before this task runs, since the front reads to
-                // the end of what has come.
+                // wait in the socket together. The connection is closed before this task runs, since the front reads
+                // to the end of what has come.
                 services.loop().execute(this::proceed);
             }
         } finally {
@@ -133,7 +133,7 @@
     }
 
     private void proceed() {
-        if (done) {
+        if (done || !answer.isOpen()) {
             return;
         }
         head = services.dialect().read(request);
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -22,6 +22,9 @@
     private static final int CHUNK_BYTES = 16_384;
     private static final long SWEEP_MILLIS = 1_000;
 
+    /** How often a connection is read before others get their turn; Netty's own number for connections. */
+    private static final int READS_AT_ONCE = 16;
+
     private final HostPort address;
     private final EventLoop loop;
     private final EntryServices services;
@@ -39,7 +42,10 @@
     public void start(FailureListener listener) {
         channel = Listener.INSTANCE.listen(address, loop, accepted -> {
             // Reads on until nothing is left, so that the close of a caller shows with its last request.
-            accepted.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false));
+            accepted.config()
+                    .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator()
+                            .respectMaybeMoreData(false)
+                            .maxMessagesPerRead(READS_AT_ONCE));
             accepted.pipeline()
                     .addLast(new HttpServerCodec(HEAD_BYTES, HEAD_BYTES, CHUNK_BYTES))
                     .addLast(new FrontConnection(services, FrontServer.this));
