--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -762,9 +762,8 @@
 
     private void scheduleElection(long now) {
         // A replica that has heard no leader since it started seeks elections sooner: where the whole group has
-        // restarted
-        // there is no leader to wait for, and where there is one the promise that comes before a vote is refused. One
-        // heartbeat instead of two saves some 90 ms of the outage after a restart of all.
+        // restarted there is no leader to wait for, and where there is one the promise that comes before a vote is
+        // refused. That one heartbeat ends an outage sooner than two is not shown: votes split more often.
         boolean alone = options.leaseMillis() == 0 && !heardLeader;
         long least = alone ? FIRST_HEARTBEATS * options.heartbeatMillis() : options.electionTimeoutMillis();
         electionDueAt = now + least + random.nextLong(Math.max(1, alone ? 2 * least : least));
