Break off where a stream is taken up by an upstream that answers with a failure

Cause: a stream that broke off was sent on to a second upstream. Its failure went to the caller behind the head of the first answer, and the end of its body ended the answer as if it were whole. Ruled out: the other ends of a second run (reset, not run, refused, timeout, silence) all end by a break already, which the tests here hold for reset and 4xx. Before: UpstreamAttemptTest, two of six tests failed. Exchanges are begun through UpstreamExchange.Factory, so that one entry's exchanges run in tests without a network.

--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -26,6 +26,8 @@
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Supervisor;
+import org.radishspur.node.upstream.UpstreamConnections;
+import org.radishspur.node.upstream.UpstreamExchange;
 
 /**
  * Runs an entry: the traffic thread, the control thread and the edges, under one supervisor.
@@ -49,6 +51,12 @@
     /** How long before the end of the grace a planned stop ends in any case, in milliseconds. */
     private static final long GRACE_MARGIN_MILLIS = 400;
 
+    /** How long a connection to an upstream may take, in milliseconds; the ways take a few. */
+    private static final long CONNECT_MILLIS = 250;
+
+    /** How long an idle connection to an upstream is kept, in milliseconds. */
+    private static final long KEEP_MILLIS = 8_000;
+
     private final FleetSettings settings;
     private final EventLog events;
     private final ControlLoop control = new ControlLoop();
@@ -78,7 +86,8 @@
         EntryMetrics metrics = new EntryMetrics();
         VersionTallies tallies = new VersionTallies();
         links = new FleetLinks(traffic, this);
-        services = new EntryServices(settings, callers, events, metrics, traffic, links, tallies);
+        UpstreamExchange.Factory exchanges = new UpstreamConnections(traffic, CONNECT_MILLIS, KEEP_MILLIS);
+        services = new EntryServices(settings, callers, events, metrics, traffic, exchanges, links, tallies);
         metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
         metrics.registry().register("catalogue.revision", (Gauge<Long>)
                 () -> services.view().revision());
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -21,7 +21,7 @@
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.settings.FleetSettings;
-import org.radishspur.node.upstream.UpstreamConnections;
+import org.radishspur.node.upstream.UpstreamExchange;
 
 /**
  * Holds what the exchanges of one entry share. The traffic thread owns it.
@@ -36,18 +36,12 @@
     /** An entry that was not confirmed for this share of that time asks the balancer for no more callers. */
     private static final double READY_SHARE = 0.5;
 
-    /** How long a connection to an upstream may take, in milliseconds; the ways take a few. */
-    private static final long CONNECT_MILLIS = 250;
-
-    /** How long an idle connection to an upstream is kept, in milliseconds. */
-    private static final long KEEP_MILLIS = 8_000;
-
     private final FleetSettings settings;
     private final CallerDialect dialect;
     private final EventLog events;
     private final EntryMetrics metrics;
     private final EventLoop loop;
-    private final UpstreamConnections connections;
+    private final UpstreamExchange.Factory exchanges;
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final VersionTallies tallies;
@@ -66,6 +60,7 @@
             EventLog events,
             EntryMetrics metrics,
             EventLoop loop,
+            UpstreamExchange.Factory exchanges,
             FleetLinks links,
             VersionTallies tallies) {
         this.settings = settings;
@@ -73,9 +68,9 @@
         this.events = events;
         this.metrics = metrics;
         this.loop = loop;
+        this.exchanges = exchanges;
         this.tallies = tallies;
         FleetSettings.Bounds bounds = settings.bounds();
-        connections = new UpstreamConnections(loop, CONNECT_MILLIS, KEEP_MILLIS);
         String self = settings.peerAddress().toString();
         pools = new PoolSet(
                 self,
@@ -223,8 +218,8 @@
         return loop;
     }
 
-    UpstreamConnections connections() {
-        return connections;
+    UpstreamExchange.Factory exchanges() {
+        return exchanges;
     }
 
     PoolSet pools() {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -60,7 +60,7 @@
     }
 
     void start() {
-        exchange = services.connections().open(upstream.upstream().address(), this);
+        exchange = services.exchanges().open(upstream.upstream().address(), this);
     }
 
     UpstreamLoad upstream() {
@@ -175,6 +175,15 @@
 
     private void onFailure() {
         boolean server = answer.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        if (caller.answer().isHeadWritten()) {
+            // Guards against a short answer that looks complete: the caller has the head and some events of an earlier
+            // run, and the text of a failure behind them would end the answer as if it were whole.
+            judged(!server);
+            end();
+            exchange.abort();
+            caller.onBroken("failure after the answer had begun");
+            return;
+        }
         if (server && caller.triesElsewhere()) {
             judged(false);
             phase = Phase.DRAINING;
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -17,10 +17,10 @@
 import org.radishspur.node.settings.HostPort;
 
 /**
- * Keeps the connections of one traffic thread to all upstreams. Since each thread has its own, an exchange never leaves
+ * Keeps the connections of one traffic thread to all upstreams, and begins exchanges over idle ones or new ones. Since each thread has its own, an exchange never leaves
  * the thread of its caller.
  */
-public final class UpstreamConnections {
+public final class UpstreamConnections implements UpstreamExchange.Factory {
     private final EventLoop loop;
     private final int connectMillis;
     private final long keepMillis;
@@ -39,13 +39,8 @@
         this.keepMillis = keepMillis;
     }
 
-    /**
-     * Begins an exchange over an idle connection or a new one.
-     *
-     * @param address the address of the upstream.
-     * @param listener hears what happens.
-     * @return the exchange, on which nothing may be written before the listener hears of the connection.
-     */
+    /** {@inheritDoc} */
+    @Override
     public UpstreamExchange open(String address, UpstreamListener listener) {
         Deque<Idle> waiting = idle.getOrDefault(address, new ArrayDeque<>());
         while (!waiting.isEmpty()) {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -28,4 +28,18 @@
 
     /** Gives the exchange up and closes the connection; the listener hears nothing more. */
     void abort();
+
+    /**
+     * Begins exchanges with upstreams.
+     */
+    interface Factory {
+        /**
+         * Begins an exchange.
+         *
+         * @param address the address of the upstream.
+         * @param listener hears what happens.
+         * @return the exchange, on which nothing may be written before the listener hears of the connection.
+         */
+        UpstreamExchange open(String address, UpstreamListener listener);
+    }
 }
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -0,0 +1,245 @@
+package org.radishspur.node.entry;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.model.catalogue.CallerLimits;
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.PoolRule;
+import org.radishspur.model.catalogue.PoolShare;
+import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.model.catalogue.RouteRule;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.dialect.CallerDialect;
+import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.node.fleet.Moment;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.settings.FleetSettings;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.upstream.UpstreamExchange;
+import org.radishspur.node.upstream.UpstreamListener;
+
+/**
+ * Runs the exchanges of one entry without a network: one caller, and upstreams whose answers a test plays by hand.
+ */
+final class EntryFixture implements AutoCloseable {
+    private static final long DEADLINE_MILLIS = 10_000;
+    private static final HostPort NOWHERE = HostPort.parse("127.0.0.1:1");
+
+    private final EmbeddedChannel caller = new EmbeddedChannel();
+    private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
+    private final FleetLinks links = new FleetLinks(caller.eventLoop(), (sender, message) -> {});
+    private final List<PlayedExchange> exchanges = new ArrayList<>();
+    private final EntryServices services;
+
+    EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
+        FleetSettings.Bounds bounds =
+                new FleetSettings.Bounds(5_000, 8_000, 0.2, 54, 0.1, QuotaLedger.Tolerance.NONE, 1);
+        FleetSettings settings = new FleetSettings(
+                "entry",
+                "a",
+                NOWHERE,
+                Optional.of(NOWHERE),
+                Optional.of(NOWHERE),
+                Optional.empty(),
+                0,
+                List.of(),
+                false,
+                Optional.empty(),
+                NOWHERE,
+                Optional.empty(),
+                bounds);
+        services = new EntryServices(
+                settings,
+                new PlainDialect(),
+                events,
+                new EntryMetrics(),
+                caller.eventLoop(),
+                this::open,
+                links,
+                new VersionTallies());
+        RouteRule route = new RouteRule(
+                "route",
+                "host",
+                "/",
+                kind,
+                DEADLINE_MILLIS,
+                1_000,
+                250,
+                0,
+                List.of(new PoolShare("pool", 1)),
+                upstreams,
+                true,
+                resumable);
+        Catalogue catalogue = new Catalogue(
+                1, List.of(route), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.STANDARD);
+        List<Upstream> listed = new ArrayList<>();
+        for (int number = 0; number < upstreams; number++) {
+            listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false));
+        }
+        services.onView(new EntryView(
+                Optional.of(catalogue), new HostList(1, 1, listed), List.of(), List.of("entry"), Moment.now()));
+        FrontServer front = new FrontServer(NOWHERE, caller.eventLoop(), services);
+        caller.pipeline().addLast(new FrontConnection(services, front));
+    }
+
+    /** Sends a request as the caller. */
+    void request() {
+        caller.writeInbound(new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII)));
+        caller.runPendingTasks();
+    }
+
+    /** Returns the exchange with an upstream that began as the given one, counted from 0. */
+    PlayedExchange exchange(int number) {
+        caller.runPendingTasks();
+        return exchanges.get(number);
+    }
+
+    int exchanges() {
+        return exchanges.size();
+    }
+
+    boolean isCallerConnected() {
+        caller.runPendingTasks();
+        return caller.isActive();
+    }
+
+    /** Takes what the caller has got since the last call. */
+    CallerView received() {
+        caller.runPendingTasks();
+        StringBuilder text = new StringBuilder();
+        int status = 0;
+        boolean whole = false;
+        for (Object part = caller.readOutbound(); part != null; part = caller.readOutbound()) {
+            if (part instanceof HttpResponse response) {
+                status = response.status().code();
+            }
+            if (part instanceof HttpContent content) {
+                text.append(content.content().toString(StandardCharsets.UTF_8));
+                content.release();
+            }
+            whole |= part instanceof LastHttpContent;
+        }
+        return new CallerView(status, text.toString(), whole);
+    }
+
+    private UpstreamExchange open(String address, UpstreamListener listener) {
+        PlayedExchange exchange = new PlayedExchange(listener);
+        exchanges.add(exchange);
+        caller.eventLoop().execute(listener::onConnected);
+        return exchange;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        caller.close();
+        links.close();
+        events.close();
+    }
+
+    /**
+     * Holds what a caller has got.
+     *
+     * @param status the status, 0 where no head came.
+     * @param body the bytes of the body.
+     * @param whole whether the answer came to its end.
+     */
+    record CallerView(int status, String body, boolean whole) {}
+
+    /** Plays the part of an upstream in one exchange. */
+    static final class PlayedExchange implements UpstreamExchange {
+        private final UpstreamListener listener;
+        private boolean aborted;
+
+        PlayedExchange(UpstreamListener listener) {
+            this.listener = listener;
+        }
+
+        void answersHead(int status) {
+            listener.onHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status)));
+        }
+
+        void answersBody(String text) {
+            listener.onContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            listener.onPause();
+        }
+
+        void ends() {
+            listener.onEnd();
+        }
+
+        void breaks() {
+            listener.onBroken(new java.io.IOException("reset"));
+        }
+
+        boolean isAborted() {
+            return aborted;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public ChannelFuture write(HttpObject part) {
+            io.netty.util.ReferenceCountUtil.release(part);
+            return null;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void read() {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void skipAnswer() {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void abort() {
+            aborted = true;
+        }
+    }
+
+    /** Reads requests without headers, and answers by their status alone. */
+    private static final class PlainDialect implements CallerDialect {
+        /** {@inheritDoc} */
+        @Override
+        public RequestHead read(HttpRequest request) {
+            return new RequestHead("request", "host", "/", Optional.empty(), DEADLINE_MILLIS, 100, 100, 100, -1, "", 0);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void prepare(HttpHeaders headers, Forward forward) {}
+
+        /** {@inheritDoc} */
+        @Override
+        public AnswerKind judge(HttpResponse response, String request) {
+            int status = response.status().code();
+            if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+                return AnswerKind.NOT_RUN;
+            }
+            return status < HttpResponseStatus.BAD_REQUEST.code() ? AnswerKind.SUCCESS : AnswerKind.FAILURE;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -0,0 +1,97 @@
+package org.radishspur.node.entry;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.node.entry.EntryFixture.CallerView;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamAttemptTest {
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+    private static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
+
+    @Nested
+    class StreamTakenUpElsewhere {
+        private EntryFixture broken() {
+            EntryFixture entry = new EntryFixture(RequestKind.STREAM, true, 2);
+            entry.request();
+            entry.exchange(0).answersHead(200);
+            entry.exchange(0).answersBody(FIRST_EVENT);
+            entry.exchange(0).breaks();
+            return entry;
+        }
+
+        @Test
+        void goesOnBehindTheLastWholeEvent() {
+            try (EntryFixture entry = broken()) {
+                entry.exchange(1).answersHead(200);
+                entry.exchange(1).answersBody(SECOND_EVENT);
+                entry.exchange(1).ends();
+                assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT + SECOND_EVENT, true));
+            }
+        }
+
+        /*
+         * What a caller sees when this breaks: a short answer that looks complete, with the text of an error behind it.
+         * A stream breaks off in the middle, a second upstream takes it up and answers with a failure.
+         * The cause would be that the body of the failure is passed on behind the head of the first answer.
+         */
+        @Test
+        void breaksOffWhereTheSecondUpstreamAnswersWithAFailure() {
+            try (EntryFixture entry = broken()) {
+                entry.exchange(1).answersHead(500);
+                entry.exchange(1).answersBody("internal error");
+                entry.exchange(1).ends();
+                assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT, false));
+                assertThat(entry.isCallerConnected()).isFalse();
+            }
+        }
+
+        @Test
+        void breaksOffWhereTheSecondUpstreamRefusesTheRequest() {
+            try (EntryFixture entry = broken()) {
+                entry.exchange(1).answersHead(400);
+                entry.exchange(1).answersBody("bad request");
+                entry.exchange(1).ends();
+                assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT, false));
+                assertThat(entry.isCallerConnected()).isFalse();
+            }
+        }
+
+        @Test
+        void breaksOffWhereTheSecondUpstreamBreaksToo() {
+            try (EntryFixture entry = broken()) {
+                entry.exchange(1).breaks();
+                assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT, false));
+                assertThat(entry.isCallerConnected()).isFalse();
+            }
+        }
+    }
+
+    @Nested
+    class Failure {
+        @Test
+        void ofAnUpstreamIsPassedOnWhereNothingElseMayBeTried() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 1)) {
+                entry.request();
+                entry.exchange(0).answersHead(500);
+                entry.exchange(0).answersBody("internal error");
+                entry.exchange(0).ends();
+                assertThat(entry.received()).isEqualTo(new CallerView(500, "internal error", true));
+            }
+        }
+
+        @Test
+        void ofOneUpstreamIsTriedElsewhereWhereARequestMayBeRepeated() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).answersHead(500);
+                entry.exchange(1).answersHead(200);
+                entry.exchange(1).answersBody("done");
+                entry.exchange(1).ends();
+                assertThat(entry.received()).isEqualTo(new CallerView(200, "done", true));
+            }
+        }
+    }
+}
