Take nobody for a returning caller who is only less patient; order the line by the worth of a place

Who has come back has spent at least the part of its time after which it was asked back, a fifth. The line puts those first that can still be on time, then the organisation's rank, then the worth of a place over the time that it is held (a tier is worth four times the next, learnt holding times), and places are kept free by the same measure.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -19,14 +19,14 @@
     private static final int LONGEST_SCAN = 3;
 
     /**
-     * The part of the places that each tier leaves free for the more urgent ones, and a late request for one that can
-     * still be on time. Places are taken by many entries at once, so that the order of one entry's line doesn't keep tiers
-     * apart; a few free places do, because a place becomes free somewhere every few milliseconds.
+     * The part of the places that a request leaves free for those to which a place is worth a tier more. Places are taken
+     * by many entries at once, so that the order of one entry's line doesn't keep tiers apart; a few free places do,
+     * because a place becomes free somewhere every few milliseconds.
      */
     private static final double RESERVED_PER_TIER = 0.04;
 
     private final UpstreamBoard board;
-    private int mostUrgentTier = Integer.MAX_VALUE;
+    private final PlaceValues values = new PlaceValues();
     private final WaitingLine line = new WaitingLine();
 
     /**
@@ -64,8 +64,8 @@
      * @return what becomes of it.
      */
     public Decision offer(Ticket ticket, long now) {
-        line.number(ticket);
-        mostUrgentTier = Math.min(mostUrgentTier, ticket.work().tier());
+        values.seen(ticket.work().tier());
+        line.enter(ticket, values.of(ticket));
         Optional<UpstreamLoad> free = place(ticket, now);
         if (free.isPresent()) {
             return granted(ticket, free.get(), now);
@@ -116,6 +116,16 @@
         line.released(now);
     }
 
+    /**
+     * Notes that a request was answered whole, by which the time is learnt that requests like it hold a place.
+     *
+     * @param ticket the request.
+     * @param millis how long it has held its place.
+     */
+    public void answered(Ticket ticket, long millis) {
+        values.held(ticket.work().tier(), millis);
+    }
+
     /**
      * Takes a request out of the line.
      *
@@ -129,8 +139,7 @@
     private Optional<UpstreamLoad> place(Ticket ticket, long now) {
         // Guards against a burst whose refused callers come back into it: an answer on time is worth several late
         // ones, and each place that a late one takes makes another caller late.
-        int steps = ticket.work().tier() - mostUrgentTier + (ticket.isLate() ? 1 : 0);
-        return board.choose(ticket, RESERVED_PER_TIER * steps, now);
+        return board.choose(ticket, RESERVED_PER_TIER * values.stepsBehindBest(ticket), now);
     }
 
     private static Decision granted(Ticket ticket, UpstreamLoad upstream, long now) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReturnTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReturnTimes.java
@@ -14,6 +14,20 @@
     /** Callers that are refused in the same moment come back spread from this part of their time on. */
     private static final double EARLIEST = 0.2;
 
+    /**
+     * Tells whether a caller has come back after a refusal, by the time that it has left.
+     *
+     * <p>Guards against fresh callers that are taken for late ones: callers of one route don't all wait equally long. Who has
+     * come back has spent at least the part of its time after which it was asked back.
+     *
+     * @param leftMillis the time that the caller has left.
+     * @param longestMillis the longest time that any caller of the route has had.
+     * @return whether it has come back.
+     */
+    public boolean isBack(long leftMillis, long longestMillis) {
+        return leftMillis <= longestMillis * (1 - EARLIEST);
+    }
+
     /**
      * Returns the latest time after which a caller may be asked back.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -15,13 +15,14 @@
     private final Work work;
     private final Set<String> avoided = new HashSet<>();
     private long sequence;
+    private double value;
     private long keptTokens;
 
     /**
      * Creates a ticket.
      *
      * @param name the request, for logs.
-     * @param rank how urgent it is; 0 is the most urgent.
+     * @param rank how urgent its organisation is; 0 is the most urgent.
      * @param arrivedAt when the request came, in milliseconds.
      * @param patientUntil until when waiting for a place makes sense, in milliseconds of the same clock.
      * @param versions the versions that may serve it.
@@ -55,7 +56,7 @@
     }
 
     /**
-     * Returns how urgent the request is.
+     * Returns how urgent the request's organisation is.
      *
      * @return the rank; 0 is the most urgent.
      */
@@ -115,8 +116,14 @@
         return sequence;
     }
 
-    void number(long given) {
-        sequence = given;
+    /** Returns what a place was worth to the request when it came. */
+    double value() {
+        return value;
+    }
+
+    void enter(long number, double placeValue) {
+        sequence = number;
+        value = placeValue;
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitingLine.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitingLine.java
@@ -9,8 +9,11 @@
 import java.util.TreeSet;
 
 /**
- * Orders the requests of one pool that wait for a place: the more urgent tier first, within a tier those that can still be
- * on time, and among them the one whose patience ends first.
+ * Orders the requests of one pool that wait for a place: first those that can still be on time, among them the more urgent
+ * organisation, then those to which a place is worth most, and among equals the one whose patience ends first.
+ *
+ * <p>Guards against a burst that never ends: callers that were refused come back with much time left and would stand before
+ * all that arrive, so that these are refused and come back late in turn.
  */
 public final class WaitingLine {
     /** How long releases are remembered to tell how fast places become free, in milliseconds. */
@@ -19,8 +22,9 @@
     /** The rate that counts where nothing was released lately, in places a second. */
     private static final double LEAST_RATE = 2;
 
-    private final TreeSet<Ticket> tickets = new TreeSet<>(Comparator.comparingInt(Ticket::rank)
-            .thenComparing(Ticket::isLate)
+    private final TreeSet<Ticket> tickets = new TreeSet<>(Comparator.comparing(Ticket::isLate)
+            .thenComparingInt(Ticket::rank)
+            .thenComparing(Comparator.comparingDouble(Ticket::value).reversed())
             .thenComparingLong(Ticket::patientUntil)
             .thenComparingLong(Ticket::sequence));
     private final Deque<Long> releases = new ArrayDeque<>();
@@ -66,9 +70,10 @@
      * Gives a request its place in the order, before it is compared with others.
      *
      * @param ticket the request.
+     * @param value what a place is worth to it.
      */
-    public void number(Ticket ticket) {
-        ticket.number(++nextSequence);
+    public void enter(Ticket ticket, double value) {
+        ticket.enter(++nextSequence, value);
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -73,7 +73,7 @@
     private double quotaCost;
     private PoolDispatcher pool;
     private String poolName = "";
-    private int rank;
+    private int organisationRank;
     private boolean late;
     private boolean bodyWhole;
     private boolean counted;
@@ -204,11 +204,10 @@
         poolName = route.choosePool(ThreadLocalRandom.current().nextDouble());
         pool = services.pools().dispatcher(poolName, Optional.of(catalogue));
         services.pools().budget(poolName).requested();
-        int organisationRank = organisation
+        organisationRank = organisation
                 .map(OrganisationRule::priority)
                 .filter(priority -> priority >= 0)
                 .orElse(0);
-        rank = organisationRank * TIERS + Math.min(route.priority(), TIERS - 1);
         double patience = late || route.targetLatencyMillis() <= 0
                 ? (endsAt - arrivedAt) * LATE_PATIENCE
                 : route.targetLatencyMillis() * FRESH_PATIENCE;
@@ -221,7 +220,8 @@
     private void offer(long patientUntil, VersionRule versions) {
         offers++;
         long now = services.now();
-        Ticket next = new Ticket(head.request(), rank, now, Math.min(patientUntil, endsAt), versions, work());
+        Ticket next =
+                new Ticket(head.request(), organisationRank, now, Math.min(patientUntil, endsAt), versions, work());
         if (attempt != null) {
             next.avoid(attempt.upstream().upstream().run());
         }
@@ -445,10 +445,16 @@
                             splitter.events(),
                             head.promptTokens(),
                             head.expectedTokens(),
-                            rank);
+                            rank());
         }
     }
 
+    /** Returns the rank of the organisation and the tier of the route as one number, for the log. */
+    private int rank() {
+        int tier = route == null ? 0 : Math.min(route.priority(), TIERS - 1);
+        return organisationRank * TIERS + tier;
+    }
+
     private void refuse(EndReason reason, long returnMillis, boolean close) {
         if (runs > 0) {
             // A refusal says that nothing has run, which would not be true here.
@@ -472,7 +478,7 @@
                         waiting,
                         places,
                         services.view().revision(),
-                        rank);
+                        rank());
     }
 
     private void finishRefused(EndReason reason, long returnMillis, boolean close) {
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.ReturnTimes;
 import org.radishspur.decision.dispatch.Ticket;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.CallerLimits;
@@ -136,7 +137,7 @@
     /** Tells whether a request has a deadline that shows that its caller has spent part of its time already. */
     boolean isReturning(String route, long deadlineMillis) {
         long longest = longestDeadlines.merge(route, deadlineMillis, Math::max);
-        return deadlineMillis < longest * 0.9;
+        return ReturnTimes.INSTANCE.isBack(deadlineMillis, longest);
     }
 
     void awaits(CallerExchange exchange, Runnable action) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -292,6 +292,7 @@
         end();
         if (good) {
             notePace();
+            pool.answered(ticket, services.now() - sentAt);
         }
         caller.logAnswered(answer.status().code(), upstream, longestPause);
         if (passesEvents()) {
