Send very long answers to the fastest engines only, and count answers up to their limit

Cause: estimates of callers reach 5,000 tokens where the limit is 3,840; such answers seemed too long for every engine, so that all engines counted as equal and free places at slow ones were taken, where nearly all of them ended at their deadline.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/OutputEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/OutputEstimate.java
@@ -26,6 +26,14 @@
         tokens = tokens * REMAINS + expectedTokens;
     }
 
+    /**
+     * Returns how many events an answer has that is some times as long as its caller expects, but within its limit.
+     */
+    double events(long expectedTokens, double times, long limitTokens) {
+        double longer = times * events(expectedTokens);
+        return limitTokens > 0 ? Math.min(longer, events(limitTokens)) : longer;
+    }
+
     /** Returns how many events are to be expected; a plain call counts as one. */
     double events(long expectedTokens) {
         if (expectedTokens > 0 && tokens > 0) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -131,15 +131,23 @@
      *
      * @param promptTokens the tokens of the prompt, 0 for a plain call.
      * @param outputTokens how many tokens the caller expects, 0 where it doesn't say and for a plain call.
+     * @param outputLimit how many tokens the answer can have at most, 0 where the caller doesn't say.
      * @param tier the tier of the route alone, by which places are reserved; 0 is the most urgent.
      * @param targetAt until when the first byte has its full value, in milliseconds of the tickets' clock.
      * @param endsAt until when the whole answer has any value, on the same clock.
      * @param prefix the beginning of the prompt that other requests have as well.
      */
-    public record Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt, Prefix prefix) {
+    public record Work(
+            long promptTokens,
+            long outputTokens,
+            long outputLimit,
+            int tier,
+            long targetAt,
+            long endsAt,
+            Prefix prefix) {
 
         /**
-         * Says what a request asks whose prompt begins like no other.
+         * Says what a request asks whose prompt begins like no other and whose answer has no limit.
          *
          * @param promptTokens the tokens of the prompt.
          * @param outputTokens how many tokens the caller expects.
@@ -148,7 +156,7 @@
          * @param endsAt until when the whole answer has any value.
          */
         public Work(long promptTokens, long outputTokens, int tier, long targetAt, long endsAt) {
-            this(promptTokens, outputTokens, tier, targetAt, endsAt, Prefix.NONE);
+            this(promptTokens, outputTokens, 0, tier, targetAt, endsAt, Prefix.NONE);
         }
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -57,6 +57,9 @@
     /** The same once a request has waited in vain; an upstream that is likely to be in time is then better than none. */
     private static final double LIKELY_ANSWER = 1.15;
 
+    /** Upstreams whose times differ by less than this factor count as equally fast; load alone makes as much. */
+    private static final double ABOUT_AS_FAST = 1.3;
+
     private final String entry;
     private final String ownDomain;
     private final int slotsByDefault;
@@ -127,7 +130,10 @@
             leaveReserved(usable, reserved, now);
         }
         boolean early = now < ticket.choosyUntil();
-        double events = outputs.events(ticket.work().outputTokens()) * (early ? LONGEST_ANSWER : LIKELY_ANSWER);
+        double events = outputs.events(
+                ticket.work().outputTokens(),
+                early ? LONGEST_ANSWER : LIKELY_ANSWER,
+                ticket.work().outputLimit());
         boolean untriedExist =
                 usable.stream().anyMatch(load -> !ticket.avoids(load.upstream().run()));
         if (untriedExist) {
@@ -142,11 +148,32 @@
         boolean choosy = reachable != Fit.LATE && early;
         Fit worstTaken = reachable == Fit.TOO_LATE ? Fit.TOO_LATE : choosy ? reachable : Fit.LATE;
         usable.removeIf(load -> fit(load, ticket, homes, events, now).compareTo(worstTaken) > 0);
+        if (reachable == Fit.TOO_LATE) {
+            keepLeastLate(usable, ticket, homes, events);
+        }
         Optional<UpstreamLoad> chosen = best(usable, ticket, homes, events, now);
         chosen.ifPresent(load -> ticket.expectKept(keptTokens(load, ticket, homes)));
         return chosen;
     }
 
+    /**
+     * Takes out all but the fastest upstreams. Guards against a very long answer that is sent to a slow engine, where it holds
+     * a place until its caller leaves with nothing: it may be longer than even the fast ones can give in time, but is most
+     * likely to end there, as estimates are often too long.
+     */
+    private static void keepLeastLate(
+            List<UpstreamLoad> usable, Ticket ticket, Set<UpstreamLoad> homes, double events) {
+        double shortest = usable.stream()
+                .mapToDouble(load -> wholeMillis(load, ticket, homes, events))
+                .min()
+                .orElse(0);
+        usable.removeIf(load -> wholeMillis(load, ticket, homes, events) > shortest * ABOUT_AS_FAST);
+    }
+
+    private static double wholeMillis(UpstreamLoad load, Ticket ticket, Set<UpstreamLoad> homes, double events) {
+        return load.wholeMillis(ticket.work().promptTokens() - keptTokens(load, ticket, homes), events);
+    }
+
     private static long keptTokens(UpstreamLoad load, Ticket ticket, Set<UpstreamLoad> homes) {
         return homes.contains(load) ? ticket.work().prefix().tokens() : 0;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -321,12 +321,15 @@
         if (!firstByte.isKnown() || !isPaceKnown()) {
             return Fit.ON_TIME;
         }
-        double first = firstByte.millis(unreadTokens);
-        double whole = first + paceMillis() * events;
-        if (now + whole > work.endsAt()) {
+        if (now + wholeMillis(unreadTokens, events) > work.endsAt()) {
             return Fit.TOO_LATE;
         }
-        return now + first > work.targetAt() ? Fit.LATE : Fit.ON_TIME;
+        return now + firstByte.millis(unreadTokens) > work.targetAt() ? Fit.LATE : Fit.ON_TIME;
+    }
+
+    /** Returns how long a whole answer is likely to take; 0 where nothing is known. */
+    double wholeMillis(long unreadTokens, double events) {
+        return firstByte.isKnown() ? firstByte.millis(unreadTokens) + paceMillis() * events : 0;
     }
 
     /** Says how well an upstream is likely to do for a request; a better fit comes first. */
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -154,13 +154,17 @@
         }
 
         private Optional<String> chosenFor(long expectedTokens, long now) {
+            return chosenFor(expectedTokens, 0, now);
+        }
+
+        private Optional<String> chosenFor(long expectedTokens, long limitTokens, long now) {
             Ticket ticket = new Ticket(
                     "r",
                     0,
                     NOW,
                     PATIENT_UNTIL,
                     VersionRule.Any.INSTANCE,
-                    new Ticket.Work(1_000, expectedTokens, 0, NOW + 400, NOW + 8_000));
+                    new Ticket.Work(1_000, expectedTokens, limitTokens, 0, NOW + 400, NOW + 8_000, Ticket.Prefix.NONE));
             return board.choose(ticket, 0, now).map(load -> load.upstream().id());
         }
 
@@ -180,6 +184,23 @@
             assertThat(chosenFor(400, NOW + 150)).isPresent();
         }
 
+        /*
+         * What a grower sees when this breaks: a long report ends in the middle, when his deadline passes.
+         * The fast engine is full and would take 14 ms an event; the slow ones take 60. The estimate of 5,000 tokens, 1,000
+         * events, is more than even the fast one gives in time, so that the engines looked alike.
+         * The cause would be a place at any free engine for an answer that seems too long for all.
+         */
+        @Test
+        void waitForAFastEngineWhereTheySeemTooLongForAll() {
+            assertThat(chosenFor(5_000, NOW)).isEmpty();
+            assertThat(chosenFor(5_000, NOW + 150)).isEmpty();
+        }
+
+        @Test
+        void countUpToTheirLimit() {
+            assertThat(chosenFor(400, 500, NOW)).isPresent();
+        }
+
         @Test
         void doNotKeepShortAnswersFromSlowEngines() {
             assertThat(chosenFor(150, NOW)).isPresent();
@@ -195,7 +216,7 @@
                     NOW,
                     NOW + 200,
                     VersionRule.Any.INSTANCE,
-                    new Ticket.Work(15_000, 50, 0, NOW + 400, NOW + 8_000, new Ticket.Prefix(prefix, tokens)));
+                    new Ticket.Work(15_000, 50, 0, 0, NOW + 400, NOW + 8_000, new Ticket.Prefix(prefix, tokens)));
         }
 
         private UpstreamLoad chosenBy(String entry, Ticket ticket) {
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -242,13 +242,19 @@
         long targetAt = late ? arrivedAt : target;
         return new Ticket.Work(
                 head.promptTokens(),
-                generates ? head.expectedTokens() : 0,
+                generates ? expectedTokens() : 0,
+                generates ? head.outputTokens() : 0,
                 route.priority(),
                 targetAt,
                 endsAt,
                 new Ticket.Prefix(head.prefix(), head.prefixTokens()));
     }
 
+    /** Returns how many tokens the caller expects; its estimate may lie beyond the limit that it sets itself. */
+    long expectedTokens() {
+        return head.outputTokens() > 0 ? Math.min(head.expectedTokens(), head.outputTokens()) : head.expectedTokens();
+    }
+
     /** Takes what was decided for the request, at once or after it has waited. */
     void onDecision(Decision decision) {
         if (decision instanceof Decision.Granted granted) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -327,7 +327,7 @@
             upstream.paced(services.now() - firstByteAt, events - 1);
         }
         if (eventsBefore == 0) {
-            pool.board().outputs().add(caller.head().expectedTokens(), events);
+            pool.board().outputs().add(caller.expectedTokens(), events);
         }
     }
 
