Bound what entries tell each other, whatever their number

Now an entry sends 300 messages a second at most (every 40 ms up to 12 others, every 200 ms at 53), encodes each once, pings links that bring no answers less often the more there are, and looks for places only where one has become free. Ruled out: logging, connections, the control hosts (0.02 of a core).

--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -33,12 +33,6 @@
  * Runs an entry: the traffic thread, the control thread and the edges, under one supervisor.
  */
 public final class EntryProcess implements FleetInbox, AutoCloseable {
-    /**
-     * How often entries share what has changed, in milliseconds. At a thousand requests a second and entry a place is
-     * seen free within a twentieth of the shortest target time.
-     */
-    private static final long SHARE_MILLIS = 40;
-
     /** How often waiting requests and silent answers are looked after, in milliseconds. */
     private static final long LOOK_MILLIS = 50;
 
@@ -115,7 +109,11 @@
         // that has
         // just started waits for the control leader anyway.
         control.execute(() -> Json.INSTANCE.readTree("{}", ErrorCode.TABLE_INVALID));
-        traffic.scheduleAtFixedRate(services::share, SHARE_MILLIS, SHARE_MILLIS, TimeUnit.MILLISECONDS);
+        traffic.scheduleAtFixedRate(
+                services::share,
+                LoadSharing.SHORTEST_ROUND_MILLIS,
+                LoadSharing.SHORTEST_ROUND_MILLIS,
+                TimeUnit.MILLISECONDS);
         traffic.scheduleAtFixedRate(services::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -93,7 +93,7 @@
         if (!same) {
             String self = settings.peerAddress().toString();
             pools.apply(newer);
-            sharing.entries(newer.entries().stream()
+            sharing.refresh(newer.entries().stream()
                     .filter(entry -> !entry.equals(self))
                     .toList());
             pools.advance(now());
--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -5,13 +5,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.OrganisationRule;
-import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetSender;
 
 /**
  * Tells other entries what is in progress here and what organisations have used, and takes in what they tell. The traffic
@@ -25,8 +27,27 @@
     /** An entry that has said nothing for so long is taken for lost, in milliseconds. */
     private static final long LOST_MILLIS = 900;
 
-    /** Everything is told again after so many rounds of {@link #share}, also where nothing has changed. */
-    private static final int ROUNDS_PER_WHOLE = 8;
+    /** An entry is not taken for lost before it has been silent for so many rounds of its own. */
+    private static final int LOST_ROUNDS = 5;
+
+    /**
+     * The shortest time between two rounds, in milliseconds. At a thousand requests a second and entry a place is seen free
+     * within a twentieth of the shortest target time.
+     */
+    static final long SHORTEST_ROUND_MILLIS = 40;
+
+    /**
+     * How many messages an entry sends a second at most, and how many it gets. Where there are more entries, each tells the
+     * others less often, so that what it spends on them doesn't grow with their number. What it tells stays as true: each
+     * entry has a smaller part of what is in progress.
+     */
+    private static final int MESSAGES_PER_SECOND = 300;
+
+    /** Everything is told again after this time, also where nothing has changed, in milliseconds. */
+    private static final long WHOLE_MILLIS = 320;
+
+    /** So many rounds at least bring only what has changed before everything is told again. */
+    private static final int LEAST_ROUNDS_PER_WHOLE = 4;
 
     /** How many answers of another entry are taken in one by one; more in one message say nothing more. */
     private static final int MOST_JUDGED = 4;
@@ -36,7 +57,7 @@
     /** The ratio of one step of a pace to the next. Steps this coarse rarely change, and a change costs a message. */
     private static final double PACE_STEP = 1.25;
 
-    private final FleetLinks links;
+    private final FleetSender links;
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final String self;
@@ -46,17 +67,33 @@
     private final Map<String, Integer> connections = new HashMap<>();
     private final Map<String, Other> others = new HashMap<>();
     private List<String> entries = List.of();
-    private int round;
+    private Map<Integer, UpstreamLoad> upstreams = Map.of();
+    private long nextRoundAt;
+    private int roundsSinceWhole;
 
-    LoadSharing(FleetLinks links, PoolSet pools, QuotaLedger quotas, String self) {
+    LoadSharing(FleetSender links, PoolSet pools, QuotaLedger quotas, String self) {
         this.links = links;
         this.pools = pools;
         this.quotas = quotas;
         this.self = self;
     }
 
-    void entries(List<String> live) {
+    /** Takes over a newer view, by which the upstreams of the pools may have changed as well. */
+    void refresh(List<String> live) {
         entries = live;
+        upstreams = byDigest();
+        answers.keySet().retainAll(Set.copyOf(upstreams.values()));
+    }
+
+    /** Returns the time between two rounds, in whole steps of the timer. */
+    private long roundMillis() {
+        long needed = entries.size() * 1_000L / MESSAGES_PER_SECOND;
+        long steps = Math.max(1, (needed + SHORTEST_ROUND_MILLIS - 1) / SHORTEST_ROUND_MILLIS);
+        return steps * SHORTEST_ROUND_MILLIS;
+    }
+
+    private long roundsPerWhole() {
+        return Math.max(LEAST_ROUNDS_PER_WHOLE, WHOLE_MILLIS / roundMillis());
     }
 
     /** Counts an answer for the other entries. */
@@ -64,23 +101,30 @@
         answers.computeIfAbsent(upstream, key -> new long[2])[good ? 0 : 1]++;
     }
 
-    /** Tells the other entries what has changed since the last round. */
+    /** Tells the other entries what has changed since the last round, where the next one is due. */
     void share(long now) {
-        round++;
+        if (now < nextRoundAt) {
+            return;
+        }
+        // The timer fires a little early or late; half a step of it is no reason to leave a round out.
+        nextRoundAt = now + roundMillis() - SHORTEST_ROUND_MILLIS / 2;
         Map<Integer, int[]> present = present();
-        FleetMessage.Load whole = message(present, Map.of(), quotas.usedHere(), true);
-        FleetMessage.Load changes = message(present, told, changedUse(), false);
-        boolean empty =
-                changes.upstreams().length == 0 && changes.organisations().isEmpty();
+        List<String> toldWhole = new ArrayList<>();
+        List<String> toldChanges = new ArrayList<>();
+        boolean whole = ++roundsSinceWhole >= roundsPerWhole();
+        roundsSinceWhole = whole ? 0 : roundsSinceWhole;
         for (String entry : entries) {
             int connection = links.connection(entry);
             boolean fresh = connection != connections.getOrDefault(entry, 0);
             connections.put(entry, connection);
-            if (fresh || round % ROUNDS_PER_WHOLE == 0) {
-                links.send(entry, whole);
-            } else if (!empty) {
-                links.send(entry, changes);
-            }
+            (whole || fresh ? toldWhole : toldChanges).add(entry);
+        }
+        if (!toldWhole.isEmpty()) {
+            links.send(toldWhole, message(present, Map.of(), quotas.usedHere(), true));
+        }
+        FleetMessage.Load changes = message(present, told, changedUse(), false);
+        if (changes.upstreams().length > 0 || !changes.organisations().isEmpty()) {
+            links.send(toldChanges, changes);
         }
         told.clear();
         told.putAll(present);
@@ -92,9 +136,9 @@
     void onLoad(FleetMessage.Load load, Map<String, OrganisationRule> organisations, long now) {
         Other other = others.computeIfAbsent(load.entry(), key -> new Other());
         other.heardAt = now;
-        Map<Integer, UpstreamLoad> known = byDigest();
+        Map<Integer, UpstreamLoad> known = upstreams;
         if (load.whole()) {
-            List<Integer> carried = Arrays.stream(load.upstreams()).boxed().toList();
+            Set<Integer> carried = Arrays.stream(load.upstreams()).boxed().collect(Collectors.toSet());
             other.counts.keySet().removeIf(digest -> {
                 boolean missing = !carried.contains(digest);
                 if (missing && known.containsKey(digest)) {
@@ -103,6 +147,7 @@
                 return missing;
             });
         }
+        boolean freed = false;
         for (int index = 0; index < load.upstreams().length; index++) {
             int digest = load.upstreams()[index];
             int[] counts = Arrays.copyOfRange(load.counts(), index * FIELDS, (index + 1) * FIELDS);
@@ -112,6 +157,7 @@
                 upstream.othersHave(load.entry(), counts[0]);
                 upstream.toldPace(counts[3] == 0 ? 0 : Math.pow(PACE_STEP, counts[3] - 1));
                 if (before != null) {
+                    freed |= counts[0] < before[0];
                     judge(upstream, counts[1] - before[1], counts[2] - before[2], now);
                 }
             }
@@ -122,7 +168,9 @@
                 quotas.usedElsewhere(load.entry(), organisation, total, now);
             }
         });
-        pools.advance(now);
+        if (freed) {
+            pools.advance(now);
+        }
     }
 
     private void judge(UpstreamLoad upstream, int good, int bad, long now) {
@@ -137,9 +185,9 @@
 
     private void forgetLost(long now) {
         others.entrySet().removeIf(entry -> {
-            boolean lost = now - entry.getValue().heardAt > LOST_MILLIS;
+            boolean lost = now - entry.getValue().heardAt > Math.max(LOST_MILLIS, LOST_ROUNDS * roundMillis());
             if (lost) {
-                byDigest().values().forEach(upstream -> upstream.othersHave(entry.getKey(), 0));
+                upstreams.values().forEach(upstream -> upstream.othersHave(entry.getKey(), 0));
             }
             return lost;
         });
@@ -147,7 +195,7 @@
 
     private Map<Integer, int[]> present() {
         Map<Integer, int[]> present = new HashMap<>();
-        byDigest().forEach((digest, upstream) -> {
+        upstreams.forEach((digest, upstream) -> {
             long[] judged = answers.getOrDefault(upstream, new long[2]);
             if (upstream.own() > 0 || judged[0] + judged[1] > 0 || told.containsKey(digest)) {
                 present.put(digest, new int[] {
@@ -155,7 +203,6 @@
                 });
             }
         });
-        answers.keySet().retainAll(byDigest().values());
         return present;
     }
 
--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -1,11 +1,13 @@
 package org.radishspur.node.fleet;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,19 +18,19 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.node.log.PartLog;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.settings.HostPort;
 
 /**
- * Keeps one connection to each wanted address and sends messages over it. A message to an address without a connection
- * is dropped: whoever sends one repeats it if it matters.
+ * Keeps one connection to each wanted address and sends messages over it.
  *
  * <p>Guards against a connection that falls silent for good without a reset: each link that has heard nothing for a
  * moment sends a ping, and one that still hears nothing is closed and made anew.
  */
-public final class FleetLinks implements AutoCloseable {
+public final class FleetLinks implements FleetSender, AutoCloseable {
     /** How long making a connection may take, in milliseconds; the longest ways take some ten. */
     private static final int CONNECT_MILLIS = 500;
 
@@ -41,6 +43,12 @@
     /** So much silence means that the connection is dead, in milliseconds: three pings went unanswered. */
     private static final long SILENCE_MILLIS = 1_000;
 
+    /**
+     * With more links than this those that bring no answers are pinged less often, in proportion. Pings of hundreds of links
+     * would cost more than the messages that the links are for.
+     */
+    private static final int CLOSELY_WATCHED = 16;
+
     /** How many bytes may wait for a peer that does not read; beyond them the connection is made anew. */
     private static final int BACKLOG_BYTES = 32 << 20;
 
@@ -83,12 +91,8 @@
         }
     }
 
-    /**
-     * Sends a message.
-     *
-     * @param address the address of the receiver.
-     * @param message the message.
-     */
+    /** {@inheritDoc} */
+    @Override
     public void send(String address, FleetMessage message) {
         Link link = links.get(address);
         if (link != null) {
@@ -96,12 +100,24 @@
         }
     }
 
-    /**
-     * Counts the connections that were made to an address, so that a sender of changes knows when to start over.
-     *
-     * @param address the address.
-     * @return the number; 0 where there is no connection now.
-     */
+    /** {@inheritDoc} */
+    @Override
+    public void send(Collection<String> addresses, FleetMessage message) {
+        ByteBuf encoded = PeerCodec.encode(message, FleetMessage.class);
+        try {
+            for (String address : addresses) {
+                Link link = links.get(address);
+                if (link != null) {
+                    link.send(encoded.retainedDuplicate());
+                }
+            }
+        } finally {
+            encoded.release();
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
     public int connection(String address) {
         Link link = links.get(address);
         return link == null || link.channel == null ? 0 : link.connections;
@@ -131,6 +147,9 @@
         private volatile boolean dropped;
         private volatile long heardAt;
 
+        /** Whether the other end sends more than answers to pings, as control hosts do, whose loss must show at once. */
+        private volatile boolean answers;
+
         Link(String address) {
             this.address = address;
         }
@@ -168,14 +187,17 @@
                     });
         }
 
-        void send(FleetMessage message) {
+        /** Sends a message, or the bytes of an encoded one. */
+        void send(Object message) {
             Channel present = channel;
             if (present == null) {
+                ReferenceCountUtil.release(message);
                 return;
             }
             // Guards against filling the memory with messages for a process that has frozen but whose connection
             // stands.
             if (!present.isWritable()) {
+                ReferenceCountUtil.release(message);
                 present.close();
                 return;
             }
@@ -188,10 +210,11 @@
                 return;
             }
             long silent = TimeUnit.NANOSECONDS.toMillis(now - heardAt);
-            if (silent > SILENCE_MILLIS) {
+            double patience = answers ? 1 : Math.max(1, (double) links.size() / CLOSELY_WATCHED);
+            if (silent > SILENCE_MILLIS * patience) {
                 PartLog.PEER.info("The link to " + address + " is silent and is made anew.");
                 present.close();
-            } else if (silent >= CARE_MILLIS / 2) {
+            } else if (silent >= CARE_MILLIS / 2 * patience) {
                 send(new FleetMessage.Ping());
             }
         }
@@ -233,6 +256,7 @@
         protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
             heardAt = System.nanoTime();
             if (!(message instanceof FleetMessage.Pong)) {
+                answers = true;
                 inbox.onMessage(reply -> send(reply), message);
             }
         }
--- a/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -44,6 +45,18 @@
                 .addLast(new PeerCodec<>(type));
     }
 
+    /**
+     * Encodes a message that goes to many receivers; a channel takes the bytes in place of the message.
+     *
+     * @param message the message.
+     * @param type the sealed type of the messages.
+     * @param <M> the type of the messages.
+     * @return the bytes, which the caller releases.
+     */
+    public static <M> ByteBuf encode(M message, Class<M> type) {
+        return Unpooled.wrappedBuffer(MessagePack.INSTANCE.encode(message, type));
+    }
+
     /** {@inheritDoc} */
     @Override
     protected void encode(ChannelHandlerContext context, M message, List<Object> out) {
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/LoadSharingTest.java
@@ -0,0 +1,145 @@
+package org.radishspur.node.entry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.CallerLimits;
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.PoolRule;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetSender;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.node.fleet.Moment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LoadSharingTest {
+    private static final Upstream ENGINE = new Upstream("e", 1, "pool", "10.0.0.1:80", "a", "v1", 9, false);
+    private static final long TICK_MILLIS = LoadSharing.SHORTEST_ROUND_MILLIS;
+
+    private final PoolSet pools = new PoolSet("entry", "a", 0.1, 0.2, 54, decision -> {});
+    private final List<FleetMessage.Load> sent = new ArrayList<>();
+    private long messages;
+    private final LoadSharing sharing =
+            new LoadSharing(new Counting(), pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), "self");
+
+    private UpstreamLoad engine() {
+        return pools.dispatchers().get("pool").board().find(ENGINE.run()).orElseThrow();
+    }
+
+    private void view(int others) {
+        Catalogue catalogue = new Catalogue(
+                1, List.of(), List.of(new PoolRule("pool", 10, 9, true)), List.of(), CallerLimits.STANDARD);
+        List<String> entries =
+                IntStream.range(0, others).mapToObj(number -> "other-" + number).toList();
+        pools.apply(new EntryView(
+                Optional.of(catalogue), new HostList(1, 1, List.of(ENGINE)), List.of(), entries, Moment.LONG_AGO));
+        sharing.refresh(entries);
+    }
+
+    private static FleetMessage.Load load(boolean whole, int inProgress) {
+        return new FleetMessage.Load(
+                "other", whole, new int[] {ENGINE.run().hashCode()}, new int[] {inProgress, 0, 0, 0}, Map.of());
+    }
+
+    @Nested
+    class Telling {
+        /*
+         * What an operator sees when this breaks: with fifty entries each is busy with the words of the others alone, and
+         * callers wait for it. Each entry told each other one all changes every 40 ms: 1,325 messages a second, as many read.
+         * The cause would be a cost that grows with the number of entries.
+         */
+        @ParameterizedTest
+        @ValueSource(ints = {6, 53, 369})
+        void staysWithinSoManyMessagesASecondWhateverTheNumberOfEntries(int others) {
+            view(others);
+            for (long now = 0; now < 10_000; now += TICK_MILLIS) {
+                engine().began(now, now);
+                sharing.share(now);
+            }
+            assertThat(messages).isLessThanOrEqualTo(10 * 300 + others);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {6, 53, 369})
+        void tellsAChangeWithinARoundOfThisManyEntries(int others) {
+            view(others);
+            sharing.share(0);
+            engine().began("request", 1);
+            long told = 0;
+            for (long now = TICK_MILLIS; told == 0; now += TICK_MILLIS) {
+                sharing.share(now);
+                told = sent.stream().anyMatch(load -> load.counts().length > 0 && load.counts()[0] == 1) ? now : 0;
+            }
+            assertThat(told).isLessThanOrEqualTo(2 * TICK_MILLIS + others * 1_000L / 300);
+        }
+
+        @Test
+        void saysNothingBetweenWholeWordsWhereNothingChanges() {
+            view(6);
+            for (long now = 0; now < 4_000; now += TICK_MILLIS) {
+                sharing.share(now);
+            }
+            assertThat(sent).hasSizeLessThanOrEqualTo(14).allMatch(FleetMessage.Load::whole);
+        }
+    }
+
+    @Nested
+    class Hearing {
+        @Test
+        void countsWhatOthersHaveInProgress() {
+            view(6);
+            sharing.onLoad(load(false, 4), Map.of(), 0);
+            assertThat(engine().inProgress()).isEqualTo(4);
+        }
+
+        @Test
+        void forgetsAnEntryThatHasFallenSilent() {
+            view(6);
+            sharing.onLoad(load(false, 4), Map.of(), 0);
+            sharing.share(1_000);
+            assertThat(engine().inProgress()).isZero();
+        }
+
+        @Test
+        void forgetsNoEntryThatTellsAsSeldomAsManyEntriesDo() {
+            view(369);
+            sharing.onLoad(load(false, 4), Map.of(), 0);
+            sharing.share(2_000);
+            assertThat(engine().inProgress()).isEqualTo(4);
+        }
+    }
+
+    /** Counts what is sent, over connections that stand from the beginning. */
+    private final class Counting implements FleetSender {
+        /** {@inheritDoc} */
+        @Override
+        public void send(String address, FleetMessage message) {
+            send(List.of(address), message);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void send(Collection<String> addresses, FleetMessage message) {
+            messages += addresses.size();
+            sent.add((FleetMessage.Load) message);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public int connection(String address) {
+            return 1;
+        }
+    }
+}
