Draw among about equally good upstreams by their free places

Cause: entries that hear of each other every 120 ms all see the same best place. In the model of 54 entries and 42 engines at three quarters of their capacity, 50 requests stood beyond an engine's places, 32,414 over 3,497 grants, while others were empty. A draw by free places among those whose cost differs by less than a step to another failure domain: 3,497 grants with less than 1.5 on average, 18 at most (test). Tried: the square of the free places (9,000 where the draw has 6,000). A round takes 120 ms at 54 entries now instead of 200 (600 messages a second).

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 
 import org.radishspur.decision.dispatch.UpstreamLoad.Fit;
@@ -60,12 +61,19 @@
     /** Upstreams whose times differ by less than this factor count as equally fast; load alone makes as much. */
     private static final double ABOUT_AS_FAST = 1.3;
 
+    /**
+     * By how much the costs of upstreams may differ among which many entries draw; less than a step to another failure domain
+     * costs.
+     */
+    private static final double LARGEST_SPREAD = 0.25;
+
     private final String entry;
     private final String ownDomain;
     private final int slotsByDefault;
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
     private final Set<String> gone = new HashSet<>();
     private final OutputEstimate outputs = new OutputEstimate();
+    private final Random draws;
     private int entries = 1;
 
     /**
@@ -77,6 +85,7 @@
      */
     public UpstreamBoard(String entry, String ownDomain, int slotsByDefault) {
         this.entry = entry;
+        this.draws = new Random(entry.hashCode());
         this.ownDomain = ownDomain;
         this.slotsByDefault = slotsByDefault;
     }
@@ -300,7 +309,7 @@
         for (UpstreamLoad load : loads.values()) {
             if (isSlow(load, slowest) == slow && takesWork(load) && !load.isUnreachable(now)) {
                 places += slots(load);
-                free += Math.max(0, slots(load) - load.inProgress());
+                free += freePlaces(load);
             }
         }
         return places == 0 ? 0 : (double) free / places;
@@ -321,10 +330,44 @@
     private Optional<UpstreamLoad> best(
             List<UpstreamLoad> usable, Ticket ticket, Set<UpstreamLoad> homes, double events, long now) {
         double fastest = fastestPace(usable);
-        return usable.stream()
+        List<Candidate> candidates = usable.stream()
                 .filter(this::hasPlace)
-                .min(Comparator.comparing((UpstreamLoad load) -> fit(load, ticket, homes, events, now))
-                        .thenComparingDouble(load -> cost(load, fastest) * saving(load, ticket.work(), homes)));
+                .map(load -> new Candidate(
+                        load,
+                        fit(load, ticket, homes, events, now),
+                        cost(load, fastest) * saving(load, ticket.work(), homes)))
+                .sorted(Comparator.comparing(Candidate::fit).thenComparingDouble(Candidate::cost))
+                .toList();
+        return candidates.isEmpty() ? Optional.empty() : Optional.of(drawAmongBest(candidates));
+    }
+
+    /**
+     * Draws one of those that are about as good as the best, each by its free places.
+     *
+     * <p>Guards against a rush: what entries know of each other is some ten to some hundred milliseconds old, and all that see
+     * the same best place would take it, so that requests wait inside one engine while others stand empty.
+     */
+    private UpstreamLoad drawAmongBest(List<Candidate> candidates) {
+        Candidate best = candidates.get(0);
+        // An entry that is alone knows all that is in progress, and takes the best.
+        double mostCost = best.cost() * (1 + LARGEST_SPREAD * (1 - 1.0 / entries));
+        List<UpstreamLoad> drawn = candidates.stream()
+                .filter(each -> each.fit() == best.fit() && each.cost() <= mostCost)
+                .map(Candidate::load)
+                .toList();
+        int free = drawn.stream().mapToInt(this::freePlaces).sum();
+        int left = free > 0 ? draws.nextInt(free) : 0;
+        for (UpstreamLoad load : drawn) {
+            left -= freePlaces(load);
+            if (left < 0) {
+                return load;
+            }
+        }
+        return best.load();
+    }
+
+    private int freePlaces(UpstreamLoad load) {
+        return Math.max(0, slots(load) - load.inProgress());
     }
 
     /**
@@ -370,6 +413,15 @@
                 && !gone.contains(load.upstream().run());
     }
 
+    /**
+     * Holds an upstream with a free place, and how well it would do.
+     *
+     * @param load the upstream.
+     * @param fit how well it is likely to do.
+     * @param cost how long it takes, compared with others.
+     */
+    private record Candidate(UpstreamLoad load, Fit fit, double cost) {}
+
     private int slots(UpstreamLoad load) {
         return Math.max(1, load.upstream().slots() > 0 ? load.upstream().slots() : slotsByDefault);
     }
--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -41,7 +41,7 @@
      * others less often, so that what it spends on them doesn't grow with their number. What it tells stays as true: each
      * entry has a smaller part of what is in progress.
      */
-    private static final int MESSAGES_PER_SECOND = 300;
+    private static final int MESSAGES_PER_SECOND = 600;
 
     /** Everything is told again after this time, also where nothing has changed, in milliseconds. */
     private static final long WHOLE_MILLIS = 320;
