Tell entries of the own failure domain more often; count losses from the logs

Entries use the upstreams of their own failure domain first, so that what its entries have in progress matters most: they are told 450 messages a second (every 40 ms up to 18 of them), those of other domains 150 (every 240 ms at 36). Seven entries tell each other every 40 ms as before. radishspur losses counts from the logs of any number of processes which requests were not served, by time, cause and rank; the lines of refused, failed and left requests carry what it needs. The reading of logs is one class for it and trace.

--- a/command/src/main/java/org/radishspur/command/CommandMain.java
+++ b/command/src/main/java/org/radishspur/command/CommandMain.java
@@ -21,6 +21,7 @@
             ApplyCommand.class,
             ShowCommand.class,
             TraceCommand.class,
+            LossesCommand.class,
             CommandMain.ReplaceReplica.class,
             CommandMain.CheckSettings.class
         })
--- /dev/null
+++ b/command/src/main/java/org/radishspur/command/LossesCommand.java
@@ -0,0 +1,92 @@
+package org.radishspur.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Counts from the structured logs which requests were not served, when and why.
+ */
+@Command(
+        name = "losses",
+        description =
+                "Counts requests that were not served, by time, cause and rank, from the logs of any number of processes.",
+        mixinStandardHelpOptions = true)
+final class LossesCommand implements Callable<Integer> {
+    private static final int LEAST_ERROR = 400;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    @Parameters(paramLabel = "FILE", description = "Log files; standard input where there are none.")
+    private List<Path> files = List.of();
+
+    @Option(
+            names = "--window",
+            paramLabel = "SECONDS",
+            description = "Count each span of so many seconds by itself; 0 counts all together.",
+            defaultValue = "0")
+    private long windowSeconds;
+
+    /** {@inheritDoc} */
+    @Override
+    public Integer call() throws IOException {
+        Map<Loss, Long> counts = new TreeMap<>(Comparator.comparingLong(Loss::window)
+                .thenComparing(Loss::cause)
+                .thenComparingInt(Loss::rank));
+        EventLines.INSTANCE.read(
+                files,
+                line -> line.contains("\"request\""),
+                event -> lossOf(event).ifPresent(loss -> counts.merge(loss, 1L, Long::sum)));
+        System.out.printf("%12s  %-44s %5s %8s%n", "from", "cause", "rank", "requests");
+        counts.forEach((loss, count) ->
+                System.out.printf("%12d  %-44s %5d %8d%n", loss.window(), loss.cause(), loss.rank(), count));
+        return ExitCode.DONE.code();
+    }
+
+    private Optional<Loss> lossOf(JsonNode event) {
+        String reason = event.path("reason").asText();
+        boolean begun = event.path("events").asLong() > 0;
+        String cause =
+                switch (event.path("event").asText()) {
+                    case "REFUSED" ->
+                        "refused: " + reason + (event.path("returning").asBoolean() ? ", came back" : "");
+                    case "FAILED" -> "failed: " + reason + (begun ? ", in the answer" : "");
+                    case "LEFT" -> begun ? "left in the answer" : "left before the answer";
+                    case "ANSWERED" ->
+                        event.path("status").asInt() >= LEAST_ERROR
+                                ? "upstream answered " + event.path("status").asInt()
+                                : "";
+                    default -> "";
+                };
+        return cause.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Loss(window(event), cause, event.path("rank").asInt()));
+    }
+
+    /** Returns the second in which the window of an event begins, counted from the epoch. */
+    private long window(JsonNode event) {
+        if (windowSeconds <= 0) {
+            return 0;
+        }
+        long second = event.path("at").asLong() / MILLIS_PER_SECOND;
+        return second - second % windowSeconds;
+    }
+
+    /**
+     * Names one kind of loss.
+     *
+     * @param window the second in which its window begins, 0 where all is counted together.
+     * @param cause why requests were not served.
+     * @param rank the rank of the organisation and the tier of the route as one number.
+     */
+    private record Loss(long window, String cause, int rank) {}
+}
--- a/command/src/main/java/org/radishspur/command/TraceCommand.java
+++ b/command/src/main/java/org/radishspur/command/TraceCommand.java
@@ -1,22 +1,15 @@
 package org.radishspur.command;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.radishspur.model.codec.Json;
-import org.radishspur.model.error.ErrorCode;
-import org.radishspur.model.error.RadishspurException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -54,16 +47,11 @@
     @Override
     public Integer call() throws IOException {
         List<JsonNode> events = new ArrayList<>();
-        if (files.isEmpty()) {
-            collect(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)), events);
-        }
-        for (Path file : files) {
-            try (BufferedReader reader = Files.newBufferedReader(file)) {
-                collect(reader, events);
-            } catch (IOException exception) {
-                throw new RadishspurException(ErrorCode.FILE_UNREADABLE, "can't read " + file, exception);
+        EventLines.INSTANCE.read(files, line -> line.contains(request), event -> {
+            if (event.path("request").asText().equals(request)) {
+                events.add(event);
             }
-        }
+        });
         if (events.isEmpty()) {
             System.err.println("no line tells of request " + request);
             return ExitCode.FAILED.code();
@@ -76,30 +64,6 @@
         return ExitCode.DONE.code();
     }
 
-    private void collect(BufferedReader reader, List<JsonNode> events) throws IOException {
-        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            if (line.contains(request)) {
-                parse(line)
-                        .filter(event -> event.path("request").asText().equals(request))
-                        .ifPresent(events::add);
-            }
-        }
-    }
-
-    /** Reads the object in a line, which a log collector may have put a prefix before; other lines tell nothing. */
-    private static Optional<JsonNode> parse(String line) {
-        int begin = line.indexOf('{');
-        if (begin < 0) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(Json.INSTANCE.readTree(line.substring(begin), ErrorCode.CALL_INVALID));
-        } catch (RadishspurException exception) {
-            System.err.println("left out a line that can't be read: " + exception.getMessage());
-            return Optional.empty();
-        }
-    }
-
     private static String cause(List<JsonNode> events) {
         JsonNode last = events.get(events.size() - 1);
         String reason = last.path("reason").asText("");
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/Audience.java
@@ -0,0 +1,99 @@
+package org.radishspur.node.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Remembers what a group of entries was told, and when it is told again.
+ */
+final class Audience {
+    /** Everything is told again after this time, also where nothing has changed, in milliseconds. */
+    private static final long WHOLE_MILLIS = 320;
+
+    /** So many rounds at least bring only what has changed before everything is told again. */
+    private static final int LEAST_ROUNDS_PER_WHOLE = 4;
+
+    /** An entry is not taken for lost before it has been silent for so many rounds. */
+    private static final int LOST_ROUNDS = 5;
+
+    private final long stepMillis;
+    private final int messagesPerSecond;
+    private final Map<Integer, int[]> toldUpstreams = new HashMap<>();
+    private final Map<String, Long> toldUse = new HashMap<>();
+    private List<String> entries = List.of();
+    private long nextRoundAt;
+    private int roundsSinceWhole;
+
+    /**
+     * Creates a group of nobody.
+     *
+     * @param stepMillis the step of the timer, and the shortest time between two rounds, in milliseconds.
+     * @param messagesPerSecond how many messages a second the group may get in all.
+     */
+    Audience(long stepMillis, int messagesPerSecond) {
+        this.stepMillis = stepMillis;
+        this.messagesPerSecond = messagesPerSecond;
+    }
+
+    void entries(List<String> live) {
+        entries = live;
+    }
+
+    List<String> entries() {
+        return entries;
+    }
+
+    /** Returns the time between two rounds, in whole steps of the timer. */
+    long roundMillis() {
+        long needed = entries.size() * 1_000L / messagesPerSecond;
+        long steps = Math.max(1, (needed + stepMillis - 1) / stepMillis);
+        return steps * stepMillis;
+    }
+
+    /** Returns after how long a silence an entry of the group is taken for lost, which tells as often as it is told. */
+    long lostMillis(long leastMillis) {
+        return Math.max(leastMillis, LOST_ROUNDS * roundMillis());
+    }
+
+    /** Begins a round if one is due. */
+    boolean beginRound(long now) {
+        if (now < nextRoundAt || entries.isEmpty()) {
+            return false;
+        }
+        // The timer fires a little early or late; half a step of it is no reason to leave a round out.
+        nextRoundAt = now + roundMillis() - stepMillis / 2;
+        roundsSinceWhole++;
+        return true;
+    }
+
+    /** Tells whether everything is to be told in this round, and counts from here if so. */
+    boolean takeWhole() {
+        long rounds = Math.max(LEAST_ROUNDS_PER_WHOLE, WHOLE_MILLIS / roundMillis());
+        boolean whole = roundsSinceWhole >= rounds;
+        roundsSinceWhole = whole ? 0 : roundsSinceWhole;
+        return whole;
+    }
+
+    Map<Integer, int[]> toldUpstreams() {
+        return toldUpstreams;
+    }
+
+    /** Returns what organisations have used that the group was not told yet. */
+    Map<String, Long> newUse(Map<String, Long> used) {
+        Map<String, Long> changed = new HashMap<>();
+        used.forEach((name, total) -> {
+            if (!total.equals(toldUse.get(name))) {
+                changed.put(name, total);
+            }
+        });
+        return changed;
+    }
+
+    void told(Map<Integer, int[]> present, Map<String, Long> used) {
+        toldUpstreams.clear();
+        toldUpstreams.putAll(present);
+        toldUse.clear();
+        toldUse.putAll(used);
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -398,7 +398,17 @@
         if (head != null) {
             String upstream =
                     attempt == null ? "" : attempt.upstream().upstream().id();
-            services.events().emitFor(EventCode.LEFT, head.request(), upstream, services.now() - arrivedAt);
+            services.events()
+                    .emitFor(
+                            EventCode.LEFT,
+                            head.request(),
+                            upstream,
+                            services.now() - arrivedAt,
+                            events(),
+                            head.promptTokens(),
+                            head.expectedTokens(),
+                            rank(),
+                            late);
         }
         release(runs == 0 && attempt == null);
     }
@@ -451,10 +461,16 @@
                             splitter.events(),
                             head.promptTokens(),
                             head.expectedTokens(),
-                            rank());
+                            rank(),
+                            late);
         }
     }
 
+    /** Returns how many events of a stream have come. */
+    private long events() {
+        return splitter == null ? 0 : splitter.events();
+    }
+
     /** Returns the rank of the organisation and the tier of the route as one number, for the log. */
     private int rank() {
         int tier = route == null ? 0 : Math.min(route.priority(), TIERS - 1);
@@ -484,7 +500,8 @@
                         waiting,
                         places,
                         services.view().revision(),
-                        rank());
+                        rank(),
+                        late);
     }
 
     private void finishRefused(EndReason reason, long returnMillis, boolean close) {
@@ -502,7 +519,12 @@
                         reason.status(),
                         attempt == null ? "" : attempt.upstream().upstream().id(),
                         services.now() - arrivedAt,
-                        cause);
+                        cause,
+                        events(),
+                        head.promptTokens(),
+                        head.expectedTokens(),
+                        rank(),
+                        late);
         release(false);
         if (answer.isHeadWritten()) {
             // The answer has begun: an end that does not look complete is all that can still be said.
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -81,7 +81,8 @@
                 bounds.retrySlack(),
                 this::onDecision);
         quotas = new QuotaLedger(bounds.quota());
-        sharing = new LoadSharing(links, pools, quotas, self + '/' + System.currentTimeMillis());
+        sharing = new LoadSharing(
+                links, pools, quotas, self + '/' + System.currentTimeMillis(), settings.failureDomain());
     }
 
     void onView(EntryView newer) {
--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -27,9 +27,6 @@
     /** An entry that has said nothing for so long is taken for lost, in milliseconds. */
     private static final long LOST_MILLIS = 900;
 
-    /** An entry is not taken for lost before it has been silent for so many rounds of its own. */
-    private static final int LOST_ROUNDS = 5;
-
     /**
      * The shortest time between two rounds, in milliseconds. At a thousand requests a second and entry a place is seen free
      * within a twentieth of the shortest target time.
@@ -37,17 +34,16 @@
     static final long SHORTEST_ROUND_MILLIS = 40;
 
     /**
-     * How many messages an entry sends a second at most, and how many it gets. Where there are more entries, each tells the
-     * others less often, so that what it spends on them doesn't grow with their number. What it tells stays as true: each
-     * entry has a smaller part of what is in progress.
+     * How many messages a second an entry sends at most to those of its own failure domain, and how many it gets from them.
+     * Where there are more entries, each tells the others less often, so that what it spends on them doesn't grow with
+     * their number. What it tells stays as true: each entry has a smaller part of what is in progress.
      */
-    private static final int MESSAGES_PER_SECOND = 600;
-
-    /** Everything is told again after this time, also where nothing has changed, in milliseconds. */
-    private static final long WHOLE_MILLIS = 320;
+    private static final int NEAR_MESSAGES_PER_SECOND = 450;
 
-    /** So many rounds at least bring only what has changed before everything is told again. */
-    private static final int LEAST_ROUNDS_PER_WHOLE = 4;
+    /**
+     * The same for those of other failure domains, which use the upstreams of this one less, and to which bytes are paid for.
+     */
+    private static final int FAR_MESSAGES_PER_SECOND = 150;
 
     /** How many answers of another entry are taken in one by one; more in one message say nothing more. */
     private static final int MOST_JUDGED = 4;
@@ -64,17 +60,27 @@
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final String self;
+    private final String failureDomain;
     private final Map<UpstreamLoad, long[]> answers = new HashMap<>();
-    private final Map<Integer, int[]> told = new HashMap<>();
-    private final Map<String, Long> toldUse = new HashMap<>();
+    private final Audience near = new Audience(SHORTEST_ROUND_MILLIS, NEAR_MESSAGES_PER_SECOND);
+    private final Audience far = new Audience(SHORTEST_ROUND_MILLIS, FAR_MESSAGES_PER_SECOND);
+    private final Map<String, String> failureDomains = new HashMap<>();
     private final Map<String, Integer> connections = new HashMap<>();
     private final Map<String, Other> others = new HashMap<>();
     private List<String> entries = List.of();
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
-    private long nextRoundAt;
-    private int roundsSinceWhole;
 
-    LoadSharing(FleetSender links, PoolSet pools, QuotaLedger quotas, String self) {
+    /**
+     * Creates the sharing of one entry.
+     *
+     * @param links reach the other entries.
+     * @param pools what is told of, and where the others' words go.
+     * @param quotas the same for what organisations have used.
+     * @param self the run of this entry: its address, a slash and what tells its runs apart.
+     * @param failureDomain the failure domain of this entry.
+     */
+    LoadSharing(FleetSender links, PoolSet pools, QuotaLedger quotas, String self, String failureDomain) {
+        this.failureDomain = failureDomain;
         this.links = links;
         this.pools = pools;
         this.quotas = quotas;
@@ -84,19 +90,28 @@
     /** Takes over a newer view, by which the upstreams of the pools may have changed as well. */
     void refresh(List<String> live) {
         entries = live;
+        failureDomains.keySet().retainAll(Set.copyOf(live));
+        group();
         upstreams = byDigest();
         answers.keySet().retainAll(Set.copyOf(upstreams.values()));
     }
 
-    /** Returns the time between two rounds, in whole steps of the timer. */
-    private long roundMillis() {
-        long needed = entries.size() * 1_000L / MESSAGES_PER_SECOND;
-        long steps = Math.max(1, (needed + SHORTEST_ROUND_MILLIS - 1) / SHORTEST_ROUND_MILLIS);
-        return steps * SHORTEST_ROUND_MILLIS;
+    /** Parts the other entries by their failure domain; one that has not told its own counts as near. */
+    private void group() {
+        Map<Boolean, List<String>> groups = entries.stream().collect(Collectors.partitioningBy(this::isNear));
+        near.entries(groups.get(true));
+        far.entries(groups.get(false));
+    }
+
+    private boolean isNear(String entry) {
+        return failureDomains.getOrDefault(entry, failureDomain).equals(failureDomain);
     }
 
-    private long roundsPerWhole() {
-        return Math.max(LEAST_ROUNDS_PER_WHOLE, WHOLE_MILLIS / roundMillis());
+    private void noteFailureDomain(String run, String domain) {
+        String address = run.substring(0, Math.max(0, run.indexOf('/')));
+        if (!domain.equals(failureDomains.put(address, domain))) {
+            group();
+        }
     }
 
     /** Counts an answer for the other entries. */
@@ -106,17 +121,20 @@
 
     /** Tells the other entries what has changed since the last round, where the next one is due. */
     void share(long now) {
-        if (now < nextRoundAt) {
+        share(near, now);
+        share(far, now);
+        forgetLost(now);
+    }
+
+    private void share(Audience audience, long now) {
+        if (!audience.beginRound(now)) {
             return;
         }
-        // The timer fires a little early or late; half a step of it is no reason to leave a round out.
-        nextRoundAt = now + roundMillis() - SHORTEST_ROUND_MILLIS / 2;
-        Map<Integer, int[]> present = present();
+        Map<Integer, int[]> present = present(audience.toldUpstreams().keySet());
         List<String> toldWhole = new ArrayList<>();
         List<String> toldChanges = new ArrayList<>();
-        boolean whole = ++roundsSinceWhole >= roundsPerWhole();
-        roundsSinceWhole = whole ? 0 : roundsSinceWhole;
-        for (String entry : entries) {
+        boolean whole = audience.takeWhole();
+        for (String entry : audience.entries()) {
             int connection = links.connection(entry);
             boolean fresh = connection != connections.getOrDefault(entry, 0);
             connections.put(entry, connection);
@@ -125,20 +143,19 @@
         if (!toldWhole.isEmpty()) {
             links.send(toldWhole, message(present, Map.of(), quotas.usedHere(), true));
         }
-        FleetMessage.Load changes = message(present, told, changedUse(), false);
+        FleetMessage.Load changes =
+                message(present, audience.toldUpstreams(), audience.newUse(quotas.usedHere()), false);
         if (changes.upstreams().length > 0 || !changes.organisations().isEmpty()) {
             links.send(toldChanges, changes);
         }
-        told.clear();
-        told.putAll(present);
-        toldUse.clear();
-        toldUse.putAll(quotas.usedHere());
-        forgetLost(now);
+        audience.told(present, quotas.usedHere());
     }
 
     void onLoad(FleetMessage.Load load, Map<String, OrganisationRule> organisations, long now) {
         Other other = others.computeIfAbsent(load.entry(), key -> new Other());
         other.heardAt = now;
+        other.isNear = load.failureDomain().equals(failureDomain);
+        noteFailureDomain(load.entry(), load.failureDomain());
         Map<Integer, UpstreamLoad> known = upstreams;
         if (load.whole()) {
             Set<Integer> carried = Arrays.stream(load.upstreams()).boxed().collect(Collectors.toSet());
@@ -194,7 +211,8 @@
 
     private void forgetLost(long now) {
         others.entrySet().removeIf(entry -> {
-            boolean lost = now - entry.getValue().heardAt > Math.max(LOST_MILLIS, LOST_ROUNDS * roundMillis());
+            Other other = entry.getValue();
+            boolean lost = now - other.heardAt > (other.isNear ? near : far).lostMillis(LOST_MILLIS);
             if (lost) {
                 upstreams.values().forEach(upstream -> forget(entry.getKey(), upstream));
             }
@@ -202,11 +220,11 @@
         });
     }
 
-    private Map<Integer, int[]> present() {
+    private Map<Integer, int[]> present(Set<Integer> told) {
         Map<Integer, int[]> present = new HashMap<>();
         upstreams.forEach((digest, upstream) -> {
             long[] judged = answers.getOrDefault(upstream, new long[2]);
-            if (upstream.own() > 0 || judged[0] + judged[1] > 0 || told.containsKey(digest)) {
+            if (upstream.own() > 0 || judged[0] + judged[1] > 0 || told.contains(digest)) {
                 present.put(digest, new int[] {
                     upstream.own(),
                     (int) judged[0],
@@ -238,17 +256,7 @@
             upstreams[index] = changed.get(index);
             System.arraycopy(present.get(upstreams[index]), 0, counts, index * FIELDS, FIELDS);
         }
-        return new FleetMessage.Load(self, whole, upstreams, counts, new HashMap<>(use));
-    }
-
-    private Map<String, Long> changedUse() {
-        Map<String, Long> changed = new HashMap<>();
-        quotas.usedHere().forEach((name, total) -> {
-            if (!total.equals(toldUse.get(name))) {
-                changed.put(name, total);
-            }
-        });
-        return changed;
+        return new FleetMessage.Load(self, failureDomain, whole, upstreams, counts, new HashMap<>(use));
     }
 
     private Map<Integer, UpstreamLoad> byDigest() {
@@ -266,5 +274,6 @@
     private static final class Other {
         private final Map<Integer, int[]> counts = new HashMap<>();
         private long heardAt;
+        private boolean isNear = true;
     }
 }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -89,13 +89,20 @@
      * failure domains each byte counts.
      *
      * @param entry the run of the sending entry.
+     * @param failureDomain the failure domain of the sending entry.
      * @param whole whether everything is carried, so that what is missing is zero.
      * @param upstreams digests of the upstreams' runs.
      * @param counts for each upstream the requests in progress, the good answers, the bad ones, the step of its pace and the
      *     steps of prompt tokens that it has still to read, one after the other.
      * @param organisations what was admitted for organisations since the entry started.
      */
-    record Load(String entry, boolean whole, int[] upstreams, int[] counts, Map<String, Long> organisations)
+    record Load(
+            String entry,
+            String failureDomain,
+            boolean whole,
+            int[] upstreams,
+            int[] counts,
+            Map<String, Long> organisations)
             implements FleetMessage {}
 
     /**
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -35,9 +35,20 @@
     /** A request was sent to an upstream. */
     SENT(true, "upstream", "inProgress", "waitedMillis", "deadlineMillis", "revision"),
     /** A request was ended by the system, without having run. */
-    REFUSED(true, "reason", "status", "returnMillis", "millis", "waiting", "places", "revision", "rank"),
+    REFUSED(true, "reason", "status", "returnMillis", "millis", "waiting", "places", "revision", "rank", "returning"),
     /** A request was ended by the system, and may have run. */
-    FAILED(true, "reason", "status", "upstream", "millis", "cause"),
+    FAILED(
+            true,
+            "reason",
+            "status",
+            "upstream",
+            "millis",
+            "cause",
+            "events",
+            "promptTokens",
+            "expectedTokens",
+            "rank",
+            "returning"),
     /** A request goes to another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /** An answer was passed on to its end. */
@@ -51,9 +62,10 @@
             "events",
             "promptTokens",
             "expectedTokens",
-            "rank"),
+            "rank",
+            "returning"),
     /** A caller left before its answer was whole. */
-    LEFT(true, "upstream", "millis"),
+    LEFT(true, "upstream", "millis", "events", "promptTokens", "expectedTokens", "rank", "returning"),
     /** An upstream gets nothing for a moment. */
     EJECTED(false, "upstream", "cause"),
     /** Lines were left out because too many came. */
