--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -22,8 +22,7 @@
 
     /**
      * The share of a bucket that late requests leave to those that can still be on time. Guards against a shortage in which
-     * the refused come back and take what fresh ones need, so that these are refused and late in turn: with twice as much
-     * asked as allowed and each refused caller back once, 0.68 of what is admitted was on time without it, and 1.0 with it.
+     * the refused come back and take what fresh ones need, so that these are refused and late in turn.
      */
     private static final double LATE_SHARE = 0.25;
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -23,7 +23,7 @@
 
     /**
      * How much an upstream in another failure domain counts as slower. Bytes between domains are paid for, while a full
-     * engine of the own domain is only a tenth slower than an empty one elsewhere; it still yields to that, as the crowd
+     * engine of the own domain is only a little slower than an empty one elsewhere; it still yields to that, as the crowd
      * counts for up to a half.
      */
     private static final double DISTANCE = 1.3;
@@ -40,18 +40,15 @@
     /** An upstream is slow that takes this many times as long as the fastest; load alone slows one by up to a half. */
     private static final double SLOW_FACTOR = 2;
 
-    /**
-     * What part of a request's cost is reading its prompt, where that is long: of some 150 ms that a request of 17,000 tokens
-     * costs an engine, 74 ms of reading and a sixth of 290 ms of generating, about 0.6.
-     */
+    /** What part of a request's cost is reading its prompt, where that is long beside its answer. */
     private static final double GREATEST_SAVING = 0.6;
 
     /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
     /**
-     * How many times as long as its caller expects an answer may get, while there is time to be choosy. Estimates of callers
-     * are off by a factor of 1.7 at one standard deviation: of 285 answers nine in ten were at most 1.97 times as long.
+     * How many times as long as its caller expects an answer may get, while there is time to be choosy; one in ten gets
+     * longer than that.
      */
     private static final double LONGEST_ANSWER = 2.0;
 
@@ -291,8 +288,7 @@
     /**
      * Takes out the fast upstreams, or the slow ones, where too few places are left there for more urgent requests. Guards
      * against an urgent request that waits while a less urgent one is served: free places on slow engines, where the urgent
-     * one doesn't go, must not count for the fast ones. Counted together, they let the least urgent tier take a fast place
-     * whenever a tenth of all places, all of them slow, was free.
+     * one doesn't go, must not count for the fast ones.
      */
     private void leaveReserved(List<UpstreamLoad> usable, double reserved, long now) {
         double slowest = fastestPace(loads.values()) * SLOW_FACTOR;
