Let an entry among many judge engines by the whole pool's times to the first byte

Cause: at 54 entries and 42 engines an entry has some eight requests a second and needs twenty seconds and more to have four answers from each engine; until then an engine counted as fit for everything, though it was told to be slow. Engines of a pool differ in little but their speed: the pool's times to the first byte, as multiples of each engine's time for one event, stand in where an entry's part of an engine's places is less than one.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/FirstByteModel.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/FirstByteModel.java
@@ -11,6 +11,9 @@
     /** With fewer answers than this the line is not used. */
     private static final double LEAST_WEIGHT = 4;
 
+    /** With so many answers the line is taken for upstreams that have given none of them. */
+    private static final double GOOD_WEIGHT = 20;
+
     private double weight;
     private double sumTokens;
     private double sumMillis;
@@ -25,6 +28,11 @@
         sumProducts = sumProducts * REMAINS + tokens * millis;
     }
 
+    /** Tells whether so many answers are known that the line is good for upstreams that have given none of them. */
+    boolean isWellKnown() {
+        return weight >= GOOD_WEIGHT;
+    }
+
     boolean isKnown() {
         return weight >= LEAST_WEIGHT;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -70,6 +70,7 @@
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
     private final Set<String> gone = new HashSet<>();
     private final OutputEstimate outputs = new OutputEstimate();
+    private final FirstByteModel firstByte = new FirstByteModel();
     private final Random draws;
     private int entries = 1;
 
@@ -94,6 +95,7 @@
      */
     public void entries(int number) {
         entries = Math.max(1, number);
+        loads.values().forEach(this::notePart);
     }
 
     /**
@@ -107,11 +109,12 @@
             runs.add(upstream.run());
             UpstreamLoad known = loads.get(upstream.run());
             if (known == null) {
-                loads.put(upstream.run(), new UpstreamLoad(upstream));
+                loads.put(upstream.run(), new UpstreamLoad(upstream, firstByte));
             } else {
                 known.update(upstream);
             }
         }
+        loads.values().forEach(this::notePart);
         gone.clear();
         loads.keySet().stream().filter(run -> !runs.contains(run)).forEach(gone::add);
         loads.entrySet()
@@ -119,6 +122,11 @@
                         gone.contains(known.getKey()) && known.getValue().own() == 0);
     }
 
+    /** An entry whose part of an upstream's places is less than one hardly ever has an answer of it to learn from. */
+    private void notePart(UpstreamLoad load) {
+        load.followsPool(entries > slots(load));
+    }
+
     /**
      * Chooses an upstream with a free place.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -52,6 +52,8 @@
     private int othersTotal;
     private final Average firstMillis = new Average(TIME_WEIGHT);
     private final FirstByteModel firstByte = new FirstByteModel();
+    private final FirstByteModel poolFirstByte;
+    private boolean followsPool;
     private final Average paceMillis = new Average(TIME_WEIGHT);
     private final Average failures = new Average(FAILURE_WEIGHT);
     private double toldPaceMillis;
@@ -67,8 +69,15 @@
     private long lastByteAt;
     private long brokeAt = Long.MIN_VALUE / 2;
 
-    UpstreamLoad(Upstream upstream) {
+    /**
+     * Creates the load of an upstream without requests.
+     *
+     * @param upstream the upstream.
+     * @param poolFirstByte the times to the first byte in the whole pool, as multiples of each upstream's time for one event.
+     */
+    UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte) {
         this.upstream = upstream;
+        this.poolFirstByte = poolFirstByte;
     }
 
     /**
@@ -122,6 +131,9 @@
         lastByteAt = now;
         firstMillis.add(millis);
         firstByte.add(promptTokens + ahead, millis);
+        if (isPaceKnown()) {
+            poolFirstByte.add(promptTokens + ahead, millis / paceMillis());
+        }
     }
 
     /**
@@ -176,6 +188,11 @@
         replaced = true;
     }
 
+    /** Says whether the times of the whole pool count as long as this upstream has hardly answered here. */
+    void followsPool(boolean follows) {
+        followsPool = follows;
+    }
+
     boolean isReplaced() {
         return replaced;
     }
@@ -344,7 +361,7 @@
 
     /** Tells how well the upstream is likely to do for a request that is sent now and gets at most so many events. */
     Fit fit(Ticket.Work work, long unreadTokens, double events, long now) {
-        if (!firstByte.isKnown() || !isPaceKnown()) {
+        if (!isFirstByteKnown()) {
             return Fit.ON_TIME;
         }
         if (now + wholeMillis(unreadTokens, events) > work.endsAt()) {
@@ -358,12 +375,22 @@
      * an engine reads prompts one after the other, and one of 50,000 tokens holds up those behind it for a second.
      */
     private double firstMillis(long promptTokens) {
-        return firstByte.millis(promptTokens + unreadTokens());
+        long tokens = promptTokens + unreadTokens();
+        return firstByte.isKnown() ? firstByte.millis(tokens) : poolFirstByte.millis(tokens) * paceMillis();
+    }
+
+    /**
+     * Tells whether the time to the first byte can be told. Guards against long prompts and answers at slow engines where
+     * there are many entries: each has too few answers of its own from each engine, but engines of a pool differ in little
+     * but their speed, which entries tell each other.
+     */
+    private boolean isFirstByteKnown() {
+        return isPaceKnown() && (firstByte.isKnown() || followsPool && poolFirstByte.isWellKnown());
     }
 
     /** Returns how long a whole answer is likely to take; 0 where nothing is known. */
     double wholeMillis(long unreadTokens, double events) {
-        return firstByte.isKnown() ? firstMillis(unreadTokens) + paceMillis() * events : 0;
+        return isFirstByteKnown() ? firstMillis(unreadTokens) + paceMillis() * events : 0;
     }
 
     /** Says how well an upstream is likely to do for a request; a better fit comes first. */
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamBoardTest.java
@@ -207,6 +207,58 @@
         }
     }
 
+    /**
+     * Many entries: this one has had answers from one engine only, and has been told the paces of the others.
+     */
+    @Nested
+    class HardlyKnownEngines {
+        @BeforeEach
+        void learn() {
+            for (int answer = 0; answer < 40; answer++) {
+                load("one").paced(140, 10);
+                load("one").answered(new Object(), 1_000 + 100 * answer, 30 + answer, NOW);
+                board.outputs().add(50, 10);
+            }
+            load("two").toldPace(75);
+            load("three").toldPace(75);
+            board.entries(50);
+            for (int place = 0; place < 4; place++) {
+                load("one").began(new Object(), 0, NOW);
+            }
+        }
+
+        private Optional<String> chosenFor(long promptTokens, long expectedTokens) {
+            Ticket ticket = new Ticket(
+                    "r",
+                    0,
+                    NOW,
+                    NOW + 200,
+                    VersionRule.Any.INSTANCE,
+                    new Ticket.Work(promptTokens, expectedTokens, 0, NOW + 400, NOW + 8_000));
+            return board.choose(ticket, 0, NOW).map(load -> load.upstream().id());
+        }
+
+        /*
+         * What a grower sees when this breaks: his long report is late or cut on a day on which fast engines are there.
+         * Fifty entries have eight requests a second each for forty engines, so that hardly any entry knows an engine itself.
+         * The cause would be that an engine that is told to be slow counts as fit for everything until it has answered here.
+         */
+        @Test
+        void keepLongAnswersThatCouldNotEndThere() {
+            assertThat(chosenFor(1_000, 400)).isEmpty();
+        }
+
+        @Test
+        void keepLongPromptsThatWouldBeLateThere() {
+            assertThat(chosenFor(20_000, 50)).isEmpty();
+        }
+
+        @Test
+        void takeShortRequests() {
+            assertThat(chosenFor(1_000, 50)).isPresent();
+        }
+    }
+
     @Nested
     class SharedPrefixes {
         private Ticket ticketOf(String prefix, long tokens) {
