--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -25,7 +24,6 @@
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
-import org.radishspur.node.log.EventCode;
 
 /**
  * Brings one request from its head to its one final answer. All of it happens on the traffic thread.
@@ -43,9 +41,6 @@
      */
     private static final double CONFIRMATION_PATIENCE = 0.2;
 
-    /** How many tiers of routes are told apart within the rank of an organisation. */
-    private static final int TIERS = 16;
-
     /**
      * The longest time that a request waits for a place, in milliseconds. Callers of streams hang up after some two seconds
      * without an event; the rest is for the upstream's first one.
@@ -65,6 +60,7 @@
     private final CallerAnswer answer;
     private final HttpRequest request;
     private final long arrivedAt;
+    private final ExchangeLog log;
     private final ByteBuf body = Unpooled.buffer(0);
 
     private RequestHead head;
@@ -94,6 +90,7 @@
         this.answer = new CallerAnswer(services, connection, context, request);
         this.request = request;
         this.arrivedAt = services.now();
+        this.log = new ExchangeLog(services, this);
     }
 
     void begin() {
@@ -266,7 +263,7 @@
                 return;
             }
             long returnMillis = spreadReturn(refused.returnMillis());
-            logRefusal(EndReason.OVERLOAD, returnMillis, refused.waiting(), refused.places());
+            log.refused(EndReason.OVERLOAD, returnMillis, refused.waiting(), refused.places());
             finishRefused(EndReason.OVERLOAD, returnMillis, false);
         }
     }
@@ -365,15 +362,7 @@
 
     /** Sends the request to another upstream. */
     void again(String reason) {
-        services.metrics().retried(reason);
-        services.events()
-                .emitFor(
-                        EventCode.RETRIED,
-                        head.request(),
-                        reason,
-                        attempt.upstream().upstream().id(),
-                        offers,
-                        services.now() - arrivedAt);
+        log.retried(reason, upstreamName(), offers);
         long left = endsAt - services.now();
         long patience = Math.min(LONGEST_PATIENCE_MILLIS, (long) (left * LATE_PATIENCE));
         offer(services.now() + patience, services.pools().versions(poolName, false));
@@ -394,22 +383,7 @@
         if (done) {
             return;
         }
-        services.metrics().left();
-        if (head != null) {
-            String upstream =
-                    attempt == null ? "" : attempt.upstream().upstream().id();
-            services.events()
-                    .emitFor(
-                            EventCode.LEFT,
-                            head.request(),
-                            upstream,
-                            services.now() - arrivedAt,
-                            events(),
-                            head.promptTokens(),
-                            head.expectedTokens(),
-                            rank(),
-                            late);
-        }
+        log.left(upstreamName());
         release(runs == 0 && attempt == null);
     }
 
@@ -446,35 +420,12 @@
     }
 
     void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis) {
-        long millis = services.now() - arrivedAt;
-        services.metrics().answered(firstMillis, millis);
-        if (status >= HttpResponseStatus.BAD_REQUEST.code() || services.events().samples(head.request())) {
-            services.events()
-                    .emitFor(
-                            EventCode.ANSWERED,
-                            head.request(),
-                            status,
-                            upstream.upstream().id(),
-                            firstMillis,
-                            millis,
-                            longestPauseMillis,
-                            splitter.events(),
-                            head.promptTokens(),
-                            head.expectedTokens(),
-                            rank(),
-                            late);
-        }
+        log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis);
     }
 
-    /** Returns how many events of a stream have come. */
-    private long events() {
-        return splitter == null ? 0 : splitter.events();
-    }
-
-    /** Returns the rank of the organisation and the tier of the route as one number, for the log. */
-    private int rank() {
-        int tier = route == null ? 0 : Math.min(route.priority(), TIERS - 1);
-        return organisationRank * TIERS + tier;
+    /** Returns the upstream that has the request, or an empty text. */
+    private String upstreamName() {
+        return attempt == null ? "" : attempt.upstream().upstream().id();
     }
 
     private void refuse(EndReason reason, long returnMillis, boolean close) {
@@ -483,48 +434,17 @@
             fail(EndReason.UPSTREAM_FAILED, reason.code());
             return;
         }
-        logRefusal(reason, returnMillis, 0, 0);
+        log.refused(reason, returnMillis, 0, 0);
         finishRefused(reason, returnMillis, close);
     }
 
-    private void logRefusal(EndReason reason, long returnMillis, int waiting, int places) {
-        services.metrics().refused(reason.code());
-        services.events()
-                .emitFor(
-                        EventCode.REFUSED,
-                        head == null ? "" : head.request(),
-                        reason.code(),
-                        reason.status(),
-                        returnMillis,
-                        services.now() - arrivedAt,
-                        waiting,
-                        places,
-                        services.view().revision(),
-                        rank(),
-                        late);
-    }
-
     private void finishRefused(EndReason reason, long returnMillis, boolean close) {
         release(true);
         answer.writeOwn(reason, returnMillis, close);
     }
 
     private void fail(EndReason reason, String cause) {
-        services.metrics().failed(reason.code());
-        services.events()
-                .emitFor(
-                        EventCode.FAILED,
-                        head.request(),
-                        reason.code(),
-                        reason.status(),
-                        attempt == null ? "" : attempt.upstream().upstream().id(),
-                        services.now() - arrivedAt,
-                        cause,
-                        events(),
-                        head.promptTokens(),
-                        head.expectedTokens(),
-                        rank(),
-                        late);
+        log.failed(reason, upstreamName(), cause);
         release(false);
         if (answer.isHeadWritten()) {
             // The answer has begun: an end that does not look complete is all that can still be said.
@@ -594,4 +514,13 @@
     long arrivedAt() {
         return arrivedAt;
     }
+
+    int organisationRank() {
+        return organisationRank;
+    }
+
+    /** Tells whether the caller has come back after a refusal. */
+    boolean isReturning() {
+        return late;
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -81,7 +81,8 @@
         VersionTallies tallies = new VersionTallies();
         links = new FleetLinks(traffic, this);
         UpstreamExchange.Factory exchanges = new UpstreamConnections(traffic, CONNECT_MILLIS, KEEP_MILLIS);
-        services = new EntryServices(settings, callers, events, metrics, traffic, exchanges, links, tallies);
+        services = new EntryServices(
+                settings, callers, events, metrics, new EntryServices.Transport(traffic, exchanges, links), tallies);
         metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
         metrics.registry().register("catalogue.revision", (Gauge<Long>)
                 () -> services.view().revision());
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -16,8 +16,8 @@
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.node.dialect.CallerDialect;
-import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetSender;
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
@@ -41,8 +41,7 @@
     private final CallerDialect dialect;
     private final EventLog events;
     private final EntryMetrics metrics;
-    private final EventLoop loop;
-    private final UpstreamExchange.Factory exchanges;
+    private final Transport transport;
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final VersionTallies tallies;
@@ -60,16 +59,13 @@
             CallerDialect dialect,
             EventLog events,
             EntryMetrics metrics,
-            EventLoop loop,
-            UpstreamExchange.Factory exchanges,
-            FleetLinks links,
+            Transport transport,
             VersionTallies tallies) {
         this.settings = settings;
         this.dialect = dialect;
         this.events = events;
         this.metrics = metrics;
-        this.loop = loop;
-        this.exchanges = exchanges;
+        this.transport = transport;
         this.tallies = tallies;
         FleetSettings.Bounds bounds = settings.bounds();
         String self = settings.peerAddress().toString();
@@ -82,7 +78,7 @@
                 this::onDecision);
         quotas = new QuotaLedger(bounds.quota());
         sharing = new LoadSharing(
-                links, pools, quotas, self + '/' + System.currentTimeMillis(), settings.failureDomain());
+                transport.others(), pools, quotas, self + '/' + System.currentTimeMillis(), settings.failureDomain());
     }
 
     void onView(EntryView newer) {
@@ -217,11 +213,11 @@
     }
 
     EventLoop loop() {
-        return loop;
+        return transport.loop();
     }
 
     UpstreamExchange.Factory exchanges() {
-        return exchanges;
+        return transport.exchanges();
     }
 
     PoolSet pools() {
@@ -251,4 +247,13 @@
     int inProgress() {
         return inProgress;
     }
+
+    /**
+     * Holds the ways out of an entry, all on its traffic thread.
+     *
+     * @param loop the traffic thread.
+     * @param exchanges begins exchanges with upstreams.
+     * @param others reaches the other entries.
+     */
+    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, FleetSender others) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -250,13 +250,13 @@
                 changed.add(digest);
             }
         });
-        int[] upstreams = new int[changed.size()];
+        int[] digests = new int[changed.size()];
         int[] counts = new int[changed.size() * FIELDS];
-        for (int index = 0; index < upstreams.length; index++) {
-            upstreams[index] = changed.get(index);
-            System.arraycopy(present.get(upstreams[index]), 0, counts, index * FIELDS, FIELDS);
+        for (int index = 0; index < digests.length; index++) {
+            digests[index] = changed.get(index);
+            System.arraycopy(present.get(digests[index]), 0, counts, index * FIELDS, FIELDS);
         }
-        return new FleetMessage.Load(self, failureDomain, whole, upstreams, counts, new HashMap<>(use));
+        return new FleetMessage.Load(self, failureDomain, whole, digests, counts, new HashMap<>(use));
     }
 
     private Map<Integer, UpstreamLoad> byDigest() {
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -74,9 +74,7 @@
                 new PlainDialect(),
                 events,
                 new EntryMetrics(),
-                caller.eventLoop(),
-                this::open,
-                links,
+                new EntryServices.Transport(caller.eventLoop(), this::open, links),
                 new VersionTallies());
         RouteRule route = new RouteRule(
                 "route",
