--- a/command/src/test/java/org/radishspur/command/LossesCommandTest.java
+++ b/command/src/test/java/org/radishspur/command/LossesCommandTest.java
@@ -1,36 +1,22 @@
 package org.radishspur.command;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class LossesCommandTest {
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final PrintStream before = System.out;
+    @RegisterExtension
+    private final CapturedOutput printed = new CapturedOutput();
 
     @TempDir
     private Path folder;
 
-    @BeforeEach
-    void capture() {
-        System.setOut(new PrintStream(out));
-    }
-
-    @AfterEach
-    void release() {
-        System.setOut(before);
-    }
-
     private String log() throws IOException {
         Path file = folder.resolve("entry.log");
         Files.writeString(
@@ -46,14 +32,10 @@
         return file.toString();
     }
 
-    private String printed() {
-        return out.toString(StandardCharsets.UTF_8);
-    }
-
     @Test
     void countsByCauseAndRank() throws IOException {
         assertThat(CommandMain.run("losses", log())).isZero();
-        assertThat(printed().lines().map(String::strip))
+        assertThat(printed.text().lines().map(String::strip))
                 .anyMatch(line -> line.matches("0 +refused: overload +1 +2"))
                 .anyMatch(line -> line.matches("0 +refused: overload, came back +1 +1"))
                 .anyMatch(line -> line.matches("0 +left in the answer +0 +1"))
@@ -63,7 +45,7 @@
     @Test
     void countsEachWindowByItself() throws IOException {
         CommandMain.run("losses", "--window", "2", log());
-        assertThat(printed().lines().map(String::strip))
+        assertThat(printed.text().lines().map(String::strip))
                 .anyMatch(line -> line.matches("0 +refused: overload +1 +1"))
                 .anyMatch(line -> line.matches("4 +refused: overload +1 +1"));
     }
@@ -71,6 +53,6 @@
     @Test
     void leavesOutWhatWasServed() throws IOException {
         CommandMain.run("losses", log());
-        assertThat(printed().lines()).hasSize(5);
+        assertThat(printed.text().lines()).hasSize(5);
     }
 }
--- a/command/src/test/java/org/radishspur/command/TraceCommandTest.java
+++ b/command/src/test/java/org/radishspur/command/TraceCommandTest.java
@@ -1,46 +1,28 @@
 package org.radishspur.command;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class TraceCommandTest {
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final PrintStream before = System.out;
+    @RegisterExtension
+    private final CapturedOutput printed = new CapturedOutput();
 
     @TempDir
     private Path folder;
 
-    @BeforeEach
-    void capture() {
-        System.setOut(new PrintStream(out));
-    }
-
-    @AfterEach
-    void release() {
-        System.setOut(before);
-    }
-
     private String file(String name, String... lines) throws IOException {
         Path file = folder.resolve(name);
         Files.writeString(file, String.join("\n", lines));
         return file.toString();
     }
 
-    private String printed() {
-        return out.toString(StandardCharsets.UTF_8);
-    }
-
     @Test
     void putsTheLinesOfSeveralProcessesInOrder() throws IOException {
         String one = file("one.log", "{\"at\":20,\"event\":\"FAILED\",\"request\":\"r1\",\"reason\":\"timeout\"}");
@@ -49,14 +31,14 @@
                 "  3.1 edge-1 {\"at\":10,\"event\":\"RETRIED\",\"request\":\"r1\"}",
                 "{\"at\":15,\"event\":\"SENT\",\"request\":\"r12\"}");
         assertThat(CommandMain.run("trace", "r1", one, two)).isZero();
-        assertThat(printed().lines()).hasSize(2).first().asString().contains("RETRIED");
+        assertThat(printed.text().lines()).hasSize(2).first().asString().contains("RETRIED");
     }
 
     @Test
     void explainsARefusalUnderOverload() throws IOException {
         String log = file("log", "{\"at\":1,\"event\":\"REFUSED\",\"request\":\"r1\",\"reason\":\"overload\"}");
         CommandMain.run("trace", "--explain", "r1", log);
-        assertThat(printed()).contains("has not run: no place was expected");
+        assertThat(printed.text()).contains("has not run: no place was expected");
     }
 
     @Test
@@ -66,7 +48,7 @@
                 "{\"at\":1,\"event\":\"FAILED\",\"request\":\"r1\",\"reason\":\"upstream-failed\",\"upstream\":\"i-7\","
                         + "\"cause\":\"broken: reset\"}");
         CommandMain.run("trace", "--explain", "r1", log);
-        assertThat(printed())
+        assertThat(printed.text())
                 .contains("at upstream i-7")
                 .contains("may have run")
                 .contains("broken: reset");
@@ -76,7 +58,7 @@
     void explainsARefusalDuringACut() throws IOException {
         String log = file("log", "{\"at\":1,\"event\":\"REFUSED\",\"request\":\"r1\",\"reason\":\"unconfirmed\"}");
         CommandMain.run("trace", "--explain", "r1", log);
-        assertThat(printed()).contains("no confirmation by the control leader");
+        assertThat(printed.text()).contains("no confirmation by the control leader");
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.node.entry.EntryFixture.CallerView;
 
@@ -37,22 +39,12 @@
          * A stream breaks off in the middle, a second upstream takes it up and answers with a failure.
          * The cause would be that the body of the failure is passed on behind the head of the first answer.
          */
-        @Test
-        void breaksOffWhereTheSecondUpstreamAnswersWithAFailure() {
-            try (EntryFixture entry = broken()) {
-                entry.exchange(1).answersHead(500);
-                entry.exchange(1).answersBody("internal error");
-                entry.exchange(1).ends();
-                assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT, false));
-                assertThat(entry.isCallerConnected()).isFalse();
-            }
-        }
-
-        @Test
-        void breaksOffWhereTheSecondUpstreamRefusesTheRequest() {
+        @ParameterizedTest
+        @ValueSource(ints = {500, 400})
+        void breaksOffWhereTheSecondUpstreamAnswersWithAFailure(int status) {
             try (EntryFixture entry = broken()) {
-                entry.exchange(1).answersHead(400);
-                entry.exchange(1).answersBody("bad request");
+                entry.exchange(1).answersHead(status);
+                entry.exchange(1).answersBody("an error");
                 entry.exchange(1).ends();
                 assertThat(entry.received()).isEqualTo(new CallerView(200, FIRST_EVENT, false));
                 assertThat(entry.isCallerConnected()).isFalse();
