Let entries of two versions hear each other while a new one is rolled out

Records travel as arrays of their components, of which a receiver skips those that it doesn't know and fills in those that are missing; the failure domain stood second and the unread prompt tokens among the counts, so that an entry of the version before would have read one for the other. Both stand last now, and are filled in where they are missing (test).

--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -48,7 +48,8 @@
     /** How many answers of another entry are taken in one by one; more in one message say nothing more. */
     private static final int MOST_JUDGED = 4;
 
-    private static final int FIELDS = 5;
+    /** How many numbers are told of each upstream, besides the prompt tokens that it has still to read. */
+    private static final int FIELDS = 4;
 
     /** Tokens of prompts that are still to be read are told in this step; fewer are read in a few milliseconds. */
     private static final int UNREAD_STEP = 256;
@@ -109,7 +110,7 @@
 
     private void noteFailureDomain(String run, String domain) {
         String address = run.substring(0, Math.max(0, run.indexOf('/')));
-        if (!domain.equals(failureDomains.put(address, domain))) {
+        if (!domain.isEmpty() && !domain.equals(failureDomains.put(address, domain))) {
             group();
         }
     }
@@ -154,7 +155,7 @@
     void onLoad(FleetMessage.Load load, Map<String, OrganisationRule> organisations, long now) {
         Other other = others.computeIfAbsent(load.entry(), key -> new Other());
         other.heardAt = now;
-        other.isNear = load.failureDomain().equals(failureDomain);
+        other.isNear = load.failureDomain().isEmpty() || load.failureDomain().equals(failureDomain);
         noteFailureDomain(load.entry(), load.failureDomain());
         Map<Integer, UpstreamLoad> known = upstreams;
         if (load.whole()) {
@@ -175,7 +176,7 @@
             UpstreamLoad upstream = known.get(digest);
             if (upstream != null) {
                 upstream.othersHave(load.entry(), counts[0]);
-                upstream.othersUnread(load.entry(), (long) counts[4] * UNREAD_STEP);
+                upstream.othersUnread(load.entry(), (long) load.unreadAt(index) * UNREAD_STEP);
                 upstream.toldPace(counts[3] == 0 ? 0 : Math.pow(PACE_STEP, counts[3] - 1));
                 if (before != null) {
                     freed |= counts[0] < before[0];
@@ -252,11 +253,14 @@
         });
         int[] digests = new int[changed.size()];
         int[] counts = new int[changed.size() * FIELDS];
+        int[] unread = new int[changed.size()];
         for (int index = 0; index < digests.length; index++) {
             digests[index] = changed.get(index);
-            System.arraycopy(present.get(digests[index]), 0, counts, index * FIELDS, FIELDS);
+            int[] told = present.get(digests[index]);
+            System.arraycopy(told, 0, counts, index * FIELDS, FIELDS);
+            unread[index] = told[FIELDS];
         }
-        return new FleetMessage.Load(self, failureDomain, whole, digests, counts, new HashMap<>(use));
+        return new FleetMessage.Load(self, whole, digests, counts, new HashMap<>(use), failureDomain, unread);
     }
 
     private Map<Integer, UpstreamLoad> byDigest() {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -86,24 +86,44 @@
      * Shares what one entry has in progress and has admitted.
      *
      * <p>Only what has changed since the last message on the same connection is carried, as parallel arrays: between
-     * failure domains each byte counts.
+     * failure domains each byte counts. Entries of an older version send no more than the use by organisation and what stands
+     * before it.
      *
      * @param entry the run of the sending entry.
-     * @param failureDomain the failure domain of the sending entry.
      * @param whole whether everything is carried, so that what is missing is zero.
      * @param upstreams digests of the upstreams' runs.
-     * @param counts for each upstream the requests in progress, the good answers, the bad ones, the step of its pace and the
-     *     steps of prompt tokens that it has still to read, one after the other.
+     * @param counts for each upstream the requests in progress, the good answers, the bad ones and the step of its pace, one
+     *     after the other.
      * @param organisations what was admitted for organisations since the entry started.
+     * @param failureDomain the failure domain of the sending entry, empty where it doesn't say.
+     * @param unread for each upstream the steps of prompt tokens that it has still to read; none where the entry doesn't say.
      */
     record Load(
             String entry,
-            String failureDomain,
             boolean whole,
             int[] upstreams,
             int[] counts,
-            Map<String, Long> organisations)
-            implements FleetMessage {}
+            Map<String, Long> organisations,
+            String failureDomain,
+            int[] unread)
+            implements FleetMessage {
+
+        /** Fills in what an entry of an older version doesn't send. */
+        public Load {
+            failureDomain = failureDomain == null ? "" : failureDomain;
+            unread = unread == null ? new int[0] : unread;
+        }
+
+        /**
+         * Returns how many steps of prompt tokens an upstream has still to read.
+         *
+         * @param index the place of the upstream in the arrays.
+         * @return the steps, 0 where the entry doesn't say.
+         */
+        public int unreadAt(int index) {
+            return index < unread.length ? unread[index] : 0;
+        }
+    }
 
     /**
      * Counts what one entry has seen of one version of a pool, since it started.
--- a/node/src/test/java/org/radishspur/node/entry/LoadSharingTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/LoadSharingTest.java
@@ -53,11 +53,12 @@
     private static FleetMessage.Load load(boolean whole, int inProgress) {
         return new FleetMessage.Load(
                 "other-0/1",
-                "a",
                 whole,
                 new int[] {ENGINE.run().hashCode()},
-                new int[] {inProgress, 0, 0, 0, 0},
-                Map.of());
+                new int[] {inProgress, 0, 0, 0},
+                Map.of(),
+                "a",
+                new int[] {0});
     }
 
     @Nested
@@ -84,7 +85,8 @@
             view(53);
             for (int other = 17; other < 53; other++) {
                 sharing.onLoad(
-                        new FleetMessage.Load("other-" + other + "/1", "b", false, new int[0], new int[0], Map.of()),
+                        new FleetMessage.Load(
+                                "other-" + other + "/1", false, new int[0], new int[0], Map.of(), "b", null),
                         Map.of(),
                         0);
             }
@@ -129,6 +131,18 @@
             assertThat(engine().inProgress()).isEqualTo(4);
         }
 
+        /** While a new version is rolled out, entries hear others that don't tell all that they do themselves. */
+        @Test
+        void countsWhatAnEntryOfAnOlderVersionHasInProgress() {
+            view(6);
+            int[] upstreams = {ENGINE.run().hashCode()};
+            sharing.onLoad(
+                    new FleetMessage.Load("other-0/1", false, upstreams, new int[] {4, 0, 0, 0}, Map.of(), null, null),
+                    Map.of(),
+                    0);
+            assertThat(engine().inProgress()).isEqualTo(4);
+        }
+
         @Test
         void forgetsAnEntryThatHasFallenSilent() {
             view(6);
