--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/PlaceValuesTest.java
@@ -0,0 +1,77 @@
+package org.radishspur.decision.dispatch;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+class PlaceValuesTest {
+    private static final long NOW = 1_000;
+
+    private final PlaceValues values = new PlaceValues();
+
+    private static Ticket ticket(int tier, boolean late) {
+        long target = late ? NOW : NOW + 400;
+        return new Ticket(
+                "r", 0, NOW, NOW + 200, VersionRule.Any.INSTANCE, new Ticket.Work(100, 50, tier, target, NOW + 8_000));
+    }
+
+    @Nested
+    class BeforeAnyAnswer {
+        @BeforeEach
+        void see() {
+            values.seen(0);
+            values.seen(2);
+        }
+
+        @Test
+        void countsTiersAlone() {
+            assertThat(values.stepsBehindBest(ticket(0, false))).isZero();
+            assertThat(values.stepsBehindBest(ticket(2, false))).isCloseTo(2, within(1e-9));
+        }
+
+        @Test
+        void countsALateRequestForATierLess() {
+            assertThat(values.stepsBehindBest(ticket(0, true))).isCloseTo(1, within(1e-9));
+        }
+    }
+
+    /**
+     * Three tiers of a market: reports that take 1.5 s, sheets that take 1 s, and short answers that take 0.1 s.
+     */
+    @Nested
+    class WithShortAndLongAnswers {
+        @BeforeEach
+        void learn() {
+            for (int answer = 0; answer < 200; answer++) {
+                values.held(0, 1_500);
+                values.held(1, 1_000);
+                values.held(2, 100);
+            }
+        }
+
+        /*
+         * What a receiving dock sees when this breaks: its short questions are refused for seconds, though each would have
+         * held up nobody. All places are taken and each request is refused that a more urgent one stands before.
+         * The cause would be a strict order of tiers, whatever their answers cost.
+         */
+        @Test
+        void putsAShortAnswerOfTheLeastUrgentTierBeforeALongOneOfTheNext() {
+            assertThat(values.of(ticket(2, false))).isGreaterThan(values.of(ticket(1, false)));
+        }
+
+        @Test
+        void keepsTheMostUrgentTierFirst() {
+            assertThat(values.of(ticket(0, false))).isGreaterThan(values.of(ticket(2, false)));
+            assertThat(values.stepsBehindBest(ticket(0, false))).isZero();
+        }
+
+        @Test
+        void putsALateSheetBehindAllThatCanBeOnTime() {
+            assertThat(values.of(ticket(1, true))).isLessThan(values.of(ticket(1, false)));
+            assertThat(values.of(ticket(1, true))).isLessThan(values.of(ticket(2, false)));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/AudienceTest.java
@@ -0,0 +1,59 @@
+package org.radishspur.node.entry;
+
+import java.util.Collections;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AudienceTest {
+    private static final long STEP_MILLIS = 40;
+
+    private final Audience audience = new Audience(STEP_MILLIS, 150);
+
+    private void entries(int number) {
+        audience.entries(Collections.nCopies(number, "entry"));
+    }
+
+    @Test
+    void isToldInEachStepWhereItIsSmall() {
+        entries(6);
+        assertThat(audience.roundMillis()).isEqualTo(STEP_MILLIS);
+    }
+
+    @Test
+    void isToldLessOftenWhereItIsLarge() {
+        entries(36);
+        assertThat(audience.roundMillis()).isEqualTo(240);
+    }
+
+    @Test
+    void hasNoRoundBeforeTheNextIsDue() {
+        entries(36);
+        assertThat(audience.beginRound(0)).isTrue();
+        assertThat(audience.beginRound(STEP_MILLIS)).isFalse();
+        assertThat(audience.beginRound(240)).isTrue();
+    }
+
+    @Test
+    void hasNoRoundsWhereNobodyIsThere() {
+        assertThat(audience.beginRound(0)).isFalse();
+    }
+
+    @Test
+    void isToldEverythingOnceInSoManyRounds() {
+        entries(36);
+        int wholes = 0;
+        for (long now = 0; now < 40 * 240; now += 240) {
+            wholes += audience.beginRound(now) && audience.takeWhole() ? 1 : 0;
+        }
+        assertThat(wholes).isEqualTo(10);
+    }
+
+    @Test
+    void isToldOnlyOfUseThatHasChanged() {
+        audience.told(Map.of(), Map.of("one", 5L, "two", 7L));
+        assertThat(audience.newUse(Map.of("one", 5L, "two", 8L))).isEqualTo(Map.of("two", 8L));
+    }
+}
