--- a/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/entry/LoadSharing.java
@@ -38,7 +38,7 @@
      * Where there are more entries, each tells the others less often, so that what it spends on them doesn't grow with
      * their number. What it tells stays as true: each entry has a smaller part of what is in progress.
      */
-    private static final int NEAR_MESSAGES_PER_SECOND = 450;
+    private static final int NEAR_MESSAGES_PER_SECOND = 200;
 
     /**
      * The same for those of other failure domains, which use the upstreams of this one less, and to which bytes are paid for.
