--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -90,7 +90,12 @@
         return patientUntil;
     }
 
-    Work work() {
+    /**
+     * Returns what is asked of the upstream.
+     *
+     * @return the work.
+     */
+    public Work work() {
         return work;
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -64,6 +64,12 @@
      */
     private static final double LARGEST_SPREAD = 0.25;
 
+    /**
+     * How long after a grant of a slot in another failure domain none is granted at the same upstream, in milliseconds: a round
+     * of reports. Guards against a rush of all schedulers to an upstream that has just freed two slots.
+     */
+    private static final long FOREIGN_SPACING_MILLIS = 40;
+
     private final String entry;
     private final String ownDomain;
     private final int slotsByDefault;
@@ -143,6 +149,9 @@
         if (reserved > 0) {
             leaveReserved(usable, reserved, now);
         }
+        if (usable.stream().noneMatch(load -> hasPlace(load, now))) {
+            return Optional.empty();
+        }
         boolean early = now < ticket.choosyUntil();
         double events = outputs.events(
                 ticket.work().outputTokens(),
@@ -240,6 +249,19 @@
         return loads.values();
     }
 
+    /**
+     * Returns the upstreams to which no connection could be made lately.
+     *
+     * @param now the clock in milliseconds.
+     * @return their runs.
+     */
+    public List<String> unreachable(long now) {
+        return loads.values().stream()
+                .filter(load -> load.isUnreachable(now))
+                .map(load -> load.upstream().run())
+                .toList();
+    }
+
     /**
      * Returns how many places are listed, free or taken, at upstreams that take new work.
      *
@@ -335,7 +357,7 @@
             List<UpstreamLoad> usable, Ticket ticket, Set<UpstreamLoad> homes, double events, long now) {
         double fastest = fastestPace(usable);
         List<Candidate> candidates = usable.stream()
-                .filter(this::hasPlace)
+                .filter(load -> hasPlace(load, now))
                 .map(load -> new Candidate(
                         load,
                         fit(load, ticket, homes, events, now),
@@ -379,10 +401,13 @@
      * counts as fast until it is tried, all entries see it empty at once, and as a slow one with twice its places taken it
      * answers nobody in time. Each entry takes its part of the places until the pace is known.
      */
-    private boolean hasPlace(UpstreamLoad load) {
+    private boolean hasPlace(UpstreamLoad load, long now) {
         if (load.isOnProbation()) {
             return load.inProgress() < 1;
         }
+        if (entries > 1 && !isOwnDomain(load) && now - load.lastBeganAt() < FOREIGN_SPACING_MILLIS) {
+            return false;
+        }
         int places = slots(load);
         int part = load.isPaceKnown() ? places : Math.max(1, places / entries);
         return load.inProgress() < places && load.own() < part;
@@ -401,17 +426,27 @@
         // An upstream that nobody has tried counts as one of the fastest, so that its speed is learnt at once.
         double pace = load.isPaceKnown() ? load.paceMillis() : fastest;
         double crowd = 1 + CROWDING * load.inProgress() / slots(load);
-        double distance = load.upstream().failureDomain().equals(ownDomain) ? 1 : DISTANCE;
+        double distance = isOwnDomain(load) ? 1 : DISTANCE;
         return pace * crowd * distance * (1 + LARGEST_PREFERENCE * preference(load));
     }
 
+    private boolean isOwnDomain(UpstreamLoad load) {
+        return load.upstream().failureDomain().equals(ownDomain);
+    }
+
     /** Returns a number from 0 to 1 that stays the same for this entry and the upstream. */
     private double preference(UpstreamLoad load) {
         int mixed = (entry + load.upstream().run()).hashCode() * GOLDEN_RATIO;
         return (mixed >>> 1) / (double) Integer.MAX_VALUE;
     }
 
-    private boolean takesWork(UpstreamLoad load) {
+    /**
+     * Tells whether an upstream may get new work.
+     *
+     * @param load the upstream.
+     * @return whether it is listed, isn't leaving and wasn't replaced.
+     */
+    public boolean takesWork(UpstreamLoad load) {
         return !load.upstream().leaving()
                 && !load.isReplaced()
                 && !gone.contains(load.upstream().run());
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -45,6 +45,7 @@
 
     private Upstream upstream;
     private int own;
+    private long lastBeganAt = Long.MIN_VALUE / 2;
     private final SumByEntry othersInProgress = new SumByEntry();
     private final Average firstMillis = new Average(TIME_WEIGHT);
     private final FirstByteModel firstByte = new FirstByteModel();
@@ -107,6 +108,7 @@
      */
     public void began(Object request, long promptTokens, long now) {
         own++;
+        lastBeganAt = now;
         if (unanswered.isEmpty()) {
             lastByteAt = now;
         }
@@ -227,11 +229,21 @@
      * @return whether it counts, and not as one with the break before it.
      */
     public boolean broke(long now) {
-        boolean counts = now - brokeAt > SAME_BREAK_MILLIS;
+        boolean counts = isNewBreak(now);
         brokeAt = now;
         return counts;
     }
 
+    /**
+     * Tells whether a connection that breaks now would count.
+     *
+     * @param now the clock in milliseconds.
+     * @return whether none has broken just before.
+     */
+    public boolean isNewBreak(long now) {
+        return now - brokeAt > SAME_BREAK_MILLIS;
+    }
+
     /**
      * Notes that no connection could be made.
      *
@@ -297,6 +309,10 @@
         return own;
     }
 
+    long lastBeganAt() {
+        return lastBeganAt;
+    }
+
     boolean isPaused(long now) {
         return now < pausedUntil;
     }
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/slot/PlayedPools.java
@@ -0,0 +1,67 @@
+package org.radishspur.decision.slot;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.UpstreamBoard;
+import org.radishspur.decision.dispatch.VersionRule;
+import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.model.catalogue.Upstream;
+
+/**
+ * Holds one pool whose upstreams and organisation a test sets.
+ */
+final class PlayedPools implements SlotScheduler.Pools {
+    static final String POOL = "pool";
+
+    private final PoolDispatcher dispatcher;
+    private Optional<OrganisationRule> organisation = Optional.empty();
+
+    PlayedPools(String scheduler, String failureDomain, int slots) {
+        dispatcher = new PoolDispatcher(new UpstreamBoard(scheduler, failureDomain, slots));
+    }
+
+    static Upstream engine(int number, String failureDomain, int slots) {
+        return new Upstream("e" + number, 1, POOL, "10.0.0." + number + ":80", failureDomain, "v1", slots, false);
+    }
+
+    void upstreams(List<Upstream> listed, int schedulers) {
+        dispatcher.board().refresh(listed);
+        dispatcher.board().entries(schedulers);
+    }
+
+    void organisation(OrganisationRule rule) {
+        organisation = Optional.of(rule);
+    }
+
+    UpstreamBoard board() {
+        return dispatcher.board();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public PoolDispatcher dispatcher(String pool) {
+        return dispatcher;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Collection<PoolDispatcher> dispatchers() {
+        return new ArrayList<>(List.of(dispatcher));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public VersionRule versions(String pool, boolean mayTry) {
+        return VersionRule.Any.INSTANCE;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Optional<OrganisationRule> organisation(String name) {
+        return organisation.filter(rule -> rule.name().equals(name));
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerWorld.java
@@ -0,0 +1,320 @@
+package org.radishspur.decision.slot;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.Upstream;
+
+/**
+ * Plays engines, entries and schedulers in virtual time: what a request needs is drawn from the shares, lengths and spreads of
+ * model requests, what becomes of it is decided by the real schedulers.
+ */
+final class SchedulerWorld {
+    static final int DOMAINS = 5;
+
+    private static final int ENTRIES = 91;
+    private static final int ENGINES = 37;
+    private static final int SLOTS = 6;
+    private static final long SHARE_MILLIS = 40;
+    private static final long LOST_MILLIS = 900;
+
+    /** After this time without a reply an entry asks another scheduler. */
+    private static final long REPLY_MILLIS = 150;
+
+    private static final double[] TIER_SHARES = {0.5, 0.22, 0.28};
+    private static final double[] TIER_EVENTS = {30, 13, 43};
+    private static final double[] TIER_TOKENS = {3_720, 2_890, 1_110};
+    private static final long[] TIER_TARGETS = {400, 300, 250};
+    private static final long[] TIER_DEADLINES = {8_000, 4_000, 8_000};
+    private static final double FAST_EVENT_MILLIS = 9.7;
+    private static final double SLOW_EVENT_MILLIS = 42.6;
+    private static final double TOKENS_PER_MILLI = 157;
+
+    private final Random random;
+    private final Map<String, Engine> engines = new HashMap<>();
+    private final Cell[] cells = new Cell[DOMAINS];
+    private final Map<Long, Request> undecided = new HashMap<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((one, other) -> Long.compare(one.at, other.at));
+    private final int[] asked = new int[TIER_SHARES.length];
+    private final int[] onTime = new int[TIER_SHARES.length];
+    private final long[] lastGrantAt = new long[DOMAINS];
+    private final long[] longestStop = new long[DOMAINS];
+    private int refused;
+    private int mostBeyondSlots;
+    private long nextId;
+    private long now;
+
+    SchedulerWorld(long seed) {
+        random = new Random(seed);
+        List<Upstream> listed = new ArrayList<>();
+        for (int number = 0; number < ENGINES; number++) {
+            Upstream upstream = PlayedPools.engine(number, domain(number), SLOTS);
+            listed.add(upstream);
+            engines.put(upstream.run(), new Engine(number % 3 == 2 ? SLOW_EVENT_MILLIS : FAST_EVENT_MILLIS));
+        }
+        for (int number = 0; number < DOMAINS; number++) {
+            cells[number] = new Cell(number);
+            cells[number].pools.upstreams(listed, DOMAINS);
+        }
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            cells[entry % DOMAINS].scheduler.attach(name(entry), List.of(), 0);
+        }
+    }
+
+    private static String domain(int number) {
+        return "domain-" + number % DOMAINS;
+    }
+
+    private static String name(int entry) {
+        return "entry-" + entry;
+    }
+
+    void play(double requestsPerSecond, long millis) {
+        for (long end = now + millis; now < end; now++) {
+            while (!due.isEmpty() && due.peek().at <= now) {
+                due.poll().action.run();
+            }
+            for (double expected = requestsPerSecond / 1_000; expected > 0; expected--) {
+                if (random.nextDouble() < expected) {
+                    arrive();
+                }
+            }
+            if (now % SHARE_MILLIS == 0) {
+                share();
+            }
+        }
+    }
+
+    /** Ends a scheduler; its entries notice when a reply is overdue. */
+    void loseScheduler(int number) {
+        Cell lost = cells[number];
+        lost.lost = true;
+        lastGrantAt[number] = now;
+        longestStop[number] = 0;
+        after(REPLY_MILLIS, () -> moveEntries(number));
+        after(LOST_MILLIS, () -> forget(lost));
+    }
+
+    private void moveEntries(int number) {
+        for (int entry = number; entry < ENTRIES; entry += DOMAINS) {
+            cellOf(entry).scheduler.attach(name(entry), cells[number].scheduler.held(name(entry)), now);
+        }
+        List.copyOf(undecided.values()).stream()
+                .filter(request -> request.cell == cells[number])
+                .forEach(this::ask);
+    }
+
+    private void forget(Cell lost) {
+        for (Cell cell : cells) {
+            cell.pools.board().loads().forEach(load -> load.othersHave(lost.name, 0));
+        }
+    }
+
+    private Cell cellOf(int entry) {
+        Cell own = cells[entry % DOMAINS];
+        return own.lost ? cells[1 + entry / DOMAINS % (DOMAINS - 1)] : own;
+    }
+
+    double onTime(int tier) {
+        return (double) onTime[tier] / asked[tier];
+    }
+
+    double refusedShare() {
+        return (double) refused / (asked[0] + asked[1] + asked[2]);
+    }
+
+    int mostBeyondSlots() {
+        return mostBeyondSlots;
+    }
+
+    /** Returns the longest time in which no entry of a failure domain was granted anything. */
+    long longestStopMillis(int number) {
+        return Math.max(longestStop[number], now - lastGrantAt[number]);
+    }
+
+    private void arrive() {
+        double draw = random.nextDouble();
+        int tier = draw < TIER_SHARES[0] ? 0 : draw < TIER_SHARES[0] + TIER_SHARES[1] ? 1 : 2;
+        asked[tier]++;
+        double events = Math.max(1, TIER_EVENTS[tier] * Math.exp(random.nextGaussian() * 0.9 - 0.4));
+        double tokens = TIER_TOKENS[tier] * Math.exp(random.nextGaussian() * 0.7 - 0.25);
+        long estimate = Math.max(1, (long) (events * 4 * Math.exp(random.nextGaussian() * 0.5)));
+        Request request = new Request(tier, random.nextInt(ENTRIES), events, (long) tokens, estimate, now);
+        ask(request);
+    }
+
+    private void ask(Request request) {
+        undecided.remove(request.id);
+        request.id = ++nextId;
+        request.cell = cellOf(request.entry);
+        undecided.put(request.id, request);
+        if (cells[request.entry % DOMAINS].lost && request.cell.lost) {
+            return;
+        }
+        long gone = now - request.arrivedAt;
+        request.cell.scheduler.request(
+                name(request.entry),
+                request.id,
+                new SlotRequest(
+                        PlayedPools.POOL,
+                        "",
+                        0,
+                        0,
+                        false,
+                        true,
+                        Math.max(0, TIER_TARGETS[request.tier] / 2 - gone),
+                        Math.max(0, TIER_TARGETS[request.tier] - gone),
+                        TIER_DEADLINES[request.tier] - gone,
+                        new SlotRequest.Work(request.tokens, request.estimate, 0, request.tier, "", 0),
+                        List.of()),
+                now);
+    }
+
+    private void after(long millis, Runnable action) {
+        due.add(new Due(now + millis, action));
+    }
+
+    private void share() {
+        for (Cell from : cells) {
+            for (Cell to : cells) {
+                if (from != to && !from.lost && !to.lost) {
+                    from.pools
+                            .board()
+                            .loads()
+                            .forEach(load -> to.pools
+                                    .board()
+                                    .find(load.upstream().run())
+                                    .ifPresent(known -> {
+                                        known.othersHave(from.name, load.own());
+                                        known.othersUnread(from.name, load.ownUnreadTokens());
+                                        known.toldPace(load.ownPaceMillis());
+                                    }));
+                }
+            }
+        }
+        for (Cell cell : cells) {
+            if (!cell.lost) {
+                cell.scheduler.advance(now);
+            }
+        }
+    }
+
+    /** Holds what a request needs and where it was asked for. */
+    private static final class Request {
+        private final int tier;
+        private final int entry;
+        private final double events;
+        private final long tokens;
+        private final long estimate;
+        private final long arrivedAt;
+        private long id;
+        private Cell cell;
+
+        Request(int tier, int entry, double events, long tokens, long estimate, long arrivedAt) {
+            this.tier = tier;
+            this.entry = entry;
+            this.events = events;
+            this.tokens = tokens;
+            this.estimate = estimate;
+            this.arrivedAt = arrivedAt;
+        }
+    }
+
+    /** Holds one scheduler. */
+    private final class Cell implements SlotScheduler.Listener {
+        private final String name;
+        private final PlayedPools pools;
+        private final SlotScheduler scheduler;
+        private boolean lost;
+
+        Cell(int number) {
+            name = "scheduler-" + number;
+            pools = new PlayedPools(name, domain(number), SLOTS);
+            scheduler = new SlotScheduler(pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), this);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onReply(String entry, long id, SlotReply reply) {
+            if (lost || reply instanceof SlotReply.Queued) {
+                return;
+            }
+            Request request = undecided.remove(id);
+            if (reply instanceof SlotReply.Granted granted) {
+                int home = request.entry % DOMAINS;
+                longestStop[home] = Math.max(longestStop[home], now - lastGrantAt[home]);
+                lastGrantAt[home] = now;
+                engines.get(granted.upstream().run()).take(request);
+            } else {
+                refused++;
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onAnswer(UpstreamLoad upstream, boolean good) {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void onEjected(UpstreamLoad upstream, String cause) {}
+    }
+
+    /** Runs as many requests as it has slots, in order of arrival, and reads one prompt after the other. */
+    private final class Engine {
+        private final double eventMillis;
+        private final Deque<Request> queue = new ArrayDeque<>();
+        private int running;
+        private long readingUntil;
+
+        Engine(double eventMillis) {
+            this.eventMillis = eventMillis;
+        }
+
+        void take(Request request) {
+            if (running < SLOTS) {
+                start(request, now);
+            } else {
+                queue.add(request);
+                mostBeyondSlots = Math.max(mostBeyondSlots, queue.size());
+            }
+        }
+
+        private void start(Request request, long sentAt) {
+            running++;
+            long read = (long) (request.tokens / TOKENS_PER_MILLI * eventMillis / FAST_EVENT_MILLIS);
+            readingUntil = Math.max(readingUntil, now) + read;
+            long firstAt = readingUntil + (long) (2 * eventMillis);
+            long endsAt = firstAt + (long) (request.events * eventMillis);
+            boolean inTime = firstAt <= request.arrivedAt + TIER_TARGETS[request.tier]
+                    && endsAt <= request.arrivedAt + TIER_DEADLINES[request.tier];
+            onTime[request.tier] += inTime ? 1 : 0;
+            after(firstAt - now, () -> report(request, new SlotReport.FirstByte(now - sentAt)));
+            after(endsAt - now, () -> end(request, sentAt));
+        }
+
+        private void end(Request request, long sentAt) {
+            running--;
+            report(
+                    request,
+                    new SlotReport.Ended(
+                            SlotOutcome.SUCCESS, now - sentAt, eventMillis, (long) request.events, request.estimate));
+            if (!queue.isEmpty()) {
+                start(queue.poll(), now);
+            }
+        }
+
+        private void report(Request request, SlotReport report) {
+            cellOf(request.entry).scheduler.report(name(request.entry), request.id, report, now);
+        }
+    }
+
+    private record Due(long at, Runnable action) {}
+}
--- a/model/src/main/java/org/radishspur/model/catalogue/OrganisationRule.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/OrganisationRule.java
@@ -39,4 +39,15 @@
         }
         return tokens > 0 ? tokens : plainTokens;
     }
+
+    /**
+     * Returns this rule with a part of its limit.
+     *
+     * @param part the part, from 0 to 1.
+     * @return the changed rule.
+     */
+    public OrganisationRule withPart(double part) {
+        return new OrganisationRule(
+                name, keys, priority, ratePerSecond * part, burst * part, countsTokens, plainTokens);
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -19,10 +19,10 @@
 import org.radishspur.node.fleet.FleetInbox;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
-import org.radishspur.node.fleet.FleetServer;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.metrics.MetricsServer;
+import org.radishspur.node.schedule.ControlFollower;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Supervisor;
@@ -96,7 +96,6 @@
                 view -> traffic.execute(() -> services.onView(view)));
         front = new FrontServer(settings.callerAddress().orElseThrow(), traffic, services);
         root = new Supervisor("entry", scheduler, control::nowMillis)
-                .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
                 .supervise(
                         "ready-server",
                         () -> new ReadyServer(settings.readyAddress().orElseThrow(), traffic, services))
@@ -110,24 +109,25 @@
         // that has
         // just started waits for the control leader anyway.
         control.execute(() -> Json.INSTANCE.readTree("{}", ErrorCode.TABLE_INVALID));
-        traffic.scheduleAtFixedRate(
-                services::share,
-                LoadSharing.SHORTEST_ROUND_MILLIS,
-                LoadSharing.SHORTEST_ROUND_MILLIS,
-                TimeUnit.MILLISECONDS);
         traffic.scheduleAtFixedRate(services::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** {@inheritDoc} */
     @Override
     public void onMessage(Sender sender, FleetMessage message) {
-        if (message instanceof FleetMessage.Load load) {
-            traffic.execute(() -> services.onLoad(load));
+        if (message instanceof FleetMessage.Reply reply) {
+            services.onReply(sender.peer(), reply);
         } else if (message instanceof FleetMessage.Followed answer) {
             control.execute(() -> follower.onFollowed(answer));
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onClosed(Sender sender) {
+        services.onLinkLost(sender.peer());
+    }
+
     /**
      * Takes over settings that have changed while the process runs.
      *
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -8,19 +8,17 @@
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
-import org.radishspur.decision.dispatch.PoolDispatcher;
-import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.ReturnTimes;
-import org.radishspur.decision.dispatch.Ticket;
-import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.caller.RetryBudget;
 import org.radishspur.node.dialect.CallerDialect;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
 import org.radishspur.node.fleet.Moment;
-import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
+import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.upstream.UpstreamExchange;
 
@@ -42,15 +40,13 @@
     private final EventLog events;
     private final EntryMetrics metrics;
     private final Transport transport;
-    private final PoolSet pools;
-    private final QuotaLedger quotas;
+    private final SlotClient slots;
+    private final RetryBudgets budgets;
     private final VersionTallies tallies;
-    private final LoadSharing sharing;
-    private final Map<Ticket, CallerExchange> waiting = new HashMap<>();
     private final Map<CallerExchange, Runnable> awaiting = new LinkedHashMap<>();
     private final Set<CallerExchange> running = new HashSet<>();
     private final Map<String, Long> longestDeadlines = new HashMap<>();
-    private volatile EntryView view = EntryView.NOTHING;
+    private volatile ConfirmedView view = ConfirmedView.NOTHING;
     private volatile boolean stopping;
     private volatile int inProgress;
 
@@ -67,49 +63,33 @@
         this.metrics = metrics;
         this.transport = transport;
         this.tallies = tallies;
-        FleetSettings.Bounds bounds = settings.bounds();
-        String self = settings.peerAddress().toString();
-        pools = new PoolSet(
-                self,
-                settings.failureDomain(),
-                bounds.greatestTrialShare(),
-                bounds.retryShare(),
-                bounds.retrySlack(),
-                this::onDecision);
-        quotas = new QuotaLedger(bounds.quota());
-        sharing = new LoadSharing(
-                transport.others(), pools, quotas, self + '/' + System.currentTimeMillis(), settings.failureDomain());
+        slots = new SlotClient(settings, transport.schedulers(), events);
+        budgets = new RetryBudgets(
+                settings.bounds().retryShare(), settings.bounds().retrySlack());
     }
 
-    void onView(EntryView newer) {
-        boolean same = view.hosts() == newer.hosts()
-                && view.catalogue().equals(newer.catalogue())
-                && view.rollouts().equals(newer.rollouts())
-                && view.entries().equals(newer.entries());
+    void onView(ConfirmedView newer) {
+        boolean same = view.saysTheSame(newer);
         view = newer;
         if (!same) {
-            String self = settings.peerAddress().toString();
-            pools.apply(newer);
-            sharing.refresh(newer.entries().stream()
-                    .filter(entry -> !entry.equals(self))
-                    .toList());
-            pools.advance(now());
+            budgets.entries(newer.entries());
+            slots.onView(newer, now());
         }
         goOn();
     }
 
-    void onLoad(FleetMessage.Load load) {
-        sharing.onLoad(load, view.catalogue().map(Catalogue::organisations).orElse(Map.of()), now());
+    void onReply(String scheduler, FleetMessage.Reply reply) {
+        slots.onReply(scheduler, reply, now());
     }
 
-    void share() {
-        sharing.share(now());
+    void onLinkLost(String address) {
+        slots.onLinkLost(address, now());
     }
 
     /** Looks after requests that wait, and after answers that have stopped coming. */
     void look() {
         long now = now();
-        pools.advance(now);
+        slots.look(now);
         for (CallerExchange exchange : Set.copyOf(running)) {
             exchange.look(now);
         }
@@ -125,10 +105,7 @@
     }
 
     private boolean isConfirmedWithin(double share) {
-        long age = Moment.now().since(view.confirmedAt());
-        return view.catalogue().isPresent()
-                && view.hosts().reading() > 0
-                && age < settings.bounds().revokeMillis() * share;
+        return view.isConfirmedWithin(settings.bounds().revokeMillis() * share);
     }
 
     /** Tells whether a request has a deadline that shows that its caller has spent part of its time already. */
@@ -154,14 +131,6 @@
         }
     }
 
-    void waits(Ticket ticket, CallerExchange exchange) {
-        waiting.put(ticket, exchange);
-    }
-
-    void waitsNoMore(Ticket ticket) {
-        waiting.remove(ticket);
-    }
-
     void runs(CallerExchange exchange) {
         running.add(exchange);
     }
@@ -170,29 +139,16 @@
         running.remove(exchange);
     }
 
-    private void onDecision(PoolDispatcher.Decision decision) {
-        CallerExchange exchange = waiting.remove(decision.ticket());
-        if (exchange != null) {
-            exchange.onDecision(decision);
-        }
-    }
-
-    void judged(PoolDispatcher pool, UpstreamLoad upstream, String route, boolean good, double first, double pace) {
-        long now = now();
-        boolean before = upstream.isOnProbation();
-        upstream.judged(good, pool.board().usualFailures(), now);
-        if (!before && upstream.isOnProbation()) {
-            events.emit(EventCode.EJECTED, upstream.upstream().id(), "failures");
-        }
-        sharing.judged(upstream, good);
-        tallies.add(upstream.upstream().pool(), upstream.upstream().version(), route, good, first, pace);
+    /** Counts an answer of an upstream for the rollout of its version. */
+    void onAnswer(Upstream upstream, String route, boolean good, double millis) {
+        tallies.add(upstream.pool(), upstream.version(), route, good, millis, 0);
     }
 
-    long now() {
+    static long now() {
         return Moment.now().steadyMillis();
     }
 
-    EntryView view() {
+    ConfirmedView view() {
         return view;
     }
 
@@ -220,12 +176,12 @@
         return transport.exchanges();
     }
 
-    PoolSet pools() {
-        return pools;
+    SlotClient slots() {
+        return slots;
     }
 
-    QuotaLedger quotas() {
-        return quotas;
+    RetryBudget budget(String pool) {
+        return budgets.of(pool);
     }
 
     boolean isStopping() {
@@ -253,7 +209,7 @@
      *
      * @param loop the traffic thread.
      * @param exchanges begins exchanges with upstreams.
-     * @param others reaches the other entries.
+     * @param schedulers reaches the schedulers.
      */
-    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, FleetSender others) {}
+    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, FleetSender schedulers) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
+++ b/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
@@ -101,7 +101,7 @@
     }
 
     private long millis() {
-        return services.now() - exchange.arrivedAt();
+        return EntryServices.now() - exchange.arrivedAt();
     }
 
     /** Returns how many events of a stream have come. */
--- a/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
@@ -28,7 +28,7 @@
     FrontConnection(EntryServices services, FrontServer server) {
         this.services = services;
         this.server = server;
-        this.idleSince = services.now();
+        this.idleSince = EntryServices.now();
     }
 
     /** {@inheritDoc} */
@@ -79,7 +79,7 @@
     /** Learns that the answer is written; the next request on the connection may begin. */
     void ended(ChannelHandlerContext context, boolean close) {
         exchange = null;
-        idleSince = services.now();
+        idleSince = EntryServices.now();
         if (close) {
             closing = true;
             return;
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -84,7 +84,7 @@
     }
 
     private void closeIdle() {
-        long now = services.now();
+        long now = EntryServices.now();
         long allowed = services.limits().idleMillis();
         connections.entrySet().stream()
                 .filter(entry ->
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/RetryBudgets.java
@@ -0,0 +1,34 @@
+package org.radishspur.node.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.radishspur.node.caller.RetryBudget;
+
+/**
+ * Holds the budget of retries for each pool at one entry.
+ */
+final class RetryBudgets {
+    /** How many entries share the slack at least, where their number isn't known yet. */
+    private static final int LEAST_ENTRIES = 4;
+
+    private final double retryShare;
+    private final int retrySlack;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private int entries = LEAST_ENTRIES;
+
+    RetryBudgets(double retryShare, int retrySlack) {
+        this.retryShare = retryShare;
+        this.retrySlack = retrySlack;
+    }
+
+    void entries(int number) {
+        entries = Math.max(LEAST_ENTRIES, number);
+    }
+
+    /** Returns the budget of a pool. Each entry may spend its part of the slack at once, and earns more by its requests. */
+    RetryBudget of(String pool) {
+        return budgets.computeIfAbsent(
+                pool, name -> new RetryBudget(retryShare / 2, Math.max(1, retrySlack / entries / 2)));
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -9,9 +9,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.radishspur.decision.dispatch.PoolDispatcher;
-import org.radishspur.decision.dispatch.Ticket;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.slot.SlotOutcome;
+import org.radishspur.decision.slot.SlotReport;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.node.dialect.CallerDialect.AnswerKind;
@@ -33,9 +33,8 @@
 
     private final CallerExchange caller;
     private final EntryServices services;
-    private final PoolDispatcher pool;
+    private final UpstreamSlot slot;
     private final UpstreamLoad upstream;
-    private final Ticket ticket;
     private UpstreamExchange exchange;
     private Phase phase = Phase.CONNECTING;
     private long sentAt;
@@ -44,18 +43,16 @@
     private AnswerKind kind;
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private boolean answered;
-    private boolean released;
+    private boolean paceReported;
     private long firstByteAt;
     private long longestPause;
     private final long eventsBefore;
 
-    UpstreamAttempt(
-            CallerExchange caller, EntryServices services, PoolDispatcher pool, UpstreamLoad upstream, Ticket ticket) {
+    UpstreamAttempt(CallerExchange caller, EntryServices services, UpstreamSlot slot) {
         this.caller = caller;
         this.services = services;
-        this.pool = pool;
-        this.upstream = upstream;
-        this.ticket = ticket;
+        this.slot = slot;
+        this.upstream = slot.upstream();
         this.eventsBefore = caller.splitter().events();
     }
 
@@ -75,7 +72,7 @@
             return;
         }
         phase = Phase.RUNNING;
-        sentAt = services.now();
+        sentAt = EntryServices.now();
         lastByteAt = sentAt;
         caller.onSent();
         logSent();
@@ -130,9 +127,7 @@
         if (phase != Phase.CONNECTING) {
             return;
         }
-        upstream.unreachable(services.now());
-        services.events().emit(EventCode.EJECTED, upstream.upstream().id(), "no connection");
-        end();
+        end(SlotOutcome.UNREACHABLE);
         caller.onNotRun("connect-failed", false);
     }
 
@@ -147,7 +142,7 @@
             exchange.skipAnswer();
             return;
         }
-        long now = services.now();
+        long now = EntryServices.now();
         lastByteAt = now;
         answer = response;
         switch (kind) {
@@ -157,9 +152,8 @@
                 phase = Phase.DRAINING;
             }
             default -> {
-                judged(false);
                 exchange.abort();
-                end();
+                endAnswered(false);
                 caller.onBroken("spoilt");
             }
         }
@@ -178,16 +172,14 @@
         if (caller.answer().isHeadWritten()) {
             // Guards against a short answer that looks complete: the caller has the head and some events of an earlier
             // run, and the text of a failure behind them would end the answer as if it were whole.
-            judged(!server);
-            end();
+            endAnswered(!server);
             exchange.abort();
             caller.onBroken("failure after the answer had begun");
             return;
         }
         if (server && caller.triesElsewhere()) {
-            judged(false);
+            endAnswered(false);
             phase = Phase.DRAINING;
-            release();
             caller.again("upstream-failure");
             return;
         }
@@ -224,8 +216,9 @@
     /** Learns the pace of a new upstream in the middle of a stream, so that others needn't wait for its end to be known. */
     private void noteFirstPace() {
         long events = caller.splitter().events() - eventsBefore;
-        if (upstream.ownPaceMillis() == 0 && events >= FIRST_PACE_EVENTS) {
-            upstream.paced(services.now() - firstByteAt, events - 1);
+        if (slot.isPaceWanted() && !paceReported && events >= FIRST_PACE_EVENTS) {
+            paceReported = true;
+            slot.report(new SlotReport.FirstPace((double) (EntryServices.now() - firstByteAt) / (events - 1)));
         }
     }
 
@@ -243,7 +236,7 @@
     }
 
     private void noteBytes() {
-        long now = services.now();
+        long now = EntryServices.now();
         if (answered) {
             longestPause = Math.max(longestPause, now - lastByteAt);
         }
@@ -252,7 +245,7 @@
         if (!answered) {
             answered = true;
             firstByteAt = now;
-            upstream.answered(ticket, ticket.unreadTokens(), now - sentAt, now);
+            slot.report(new SlotReport.FirstByte(now - sentAt));
             caller.noteFirst(now - sentAt);
         }
     }
@@ -288,12 +281,7 @@
             return;
         }
         boolean good = answer.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        judged(good);
-        end();
-        if (good) {
-            notePace();
-            pool.answered(ticket, services.now() - sentAt);
-        }
+        endWhole(good);
         caller.logAnswered(answer.status().code(), upstream, longestPause);
         if (passesEvents()) {
             caller.answer()
@@ -309,26 +297,36 @@
     }
 
     private void notRun() {
-        end();
-        if (kind == AnswerKind.WRONG_INSTANCE) {
-            upstream.replaced();
-            services.events().emit(EventCode.EJECTED, upstream.upstream().id(), "another instance answers");
-        }
+        end(kind == AnswerKind.WRONG_INSTANCE ? SlotOutcome.REPLACED : SlotOutcome.NOT_RUN);
         caller.onNotRun(kind == AnswerKind.NOT_RUN ? "not-run" : "wrong-instance", true);
     }
 
-    private void notePace() {
-        if (!passesEvents()) {
-            upstream.paced(services.now() - sentAt, 1);
+    /** Ends the attempt after a whole answer, with the times that are learnt from a good one. */
+    private void endWhole(boolean good) {
+        if (!good) {
+            endAnswered(false);
             return;
         }
-        long events = caller.splitter().events() - eventsBefore;
-        if (events > 1) {
-            upstream.paced(services.now() - firstByteAt, events - 1);
-        }
-        if (eventsBefore == 0) {
-            pool.board().outputs().add(caller.expectedTokens(), events);
-        }
+        long now = EntryServices.now();
+        long events = passesEvents() ? caller.splitter().events() - eventsBefore : 0;
+        double pace = passesEvents() ? (double) (now - firstByteAt) / Math.max(1, events - 1) : now - sentAt;
+        noteAnswer(true);
+        end(new SlotReport.Ended(
+                SlotOutcome.SUCCESS,
+                now - sentAt,
+                passesEvents() && events <= 1 ? 0 : pace,
+                eventsBefore == 0 ? events : 0,
+                caller.expectedTokens()));
+    }
+
+    private void endAnswered(boolean good) {
+        noteAnswer(good);
+        end(good ? SlotOutcome.SUCCESS : SlotOutcome.FAILURE);
+    }
+
+    private void noteAnswer(boolean good) {
+        long first = answered ? lastByteAt - sentAt : EntryServices.now() - sentAt;
+        services.onAnswer(upstream.upstream(), caller.route().name(), good, first);
     }
 
     /** {@inheritDoc} */
@@ -341,10 +339,10 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        if (upstream.broke(services.now())) {
-            judged(false);
+        if (upstream.isNewBreak(EntryServices.now())) {
+            noteAnswer(false);
         }
-        end();
+        end(SlotOutcome.BROKEN);
         caller.onBroken("broken: " + cause.getMessage());
     }
 
@@ -353,34 +351,25 @@
         return waits && now - lastByteAt > UpstreamLoad.SHORTEST_SILENCE_MILLIS;
     }
 
-    private void judged(boolean good) {
-        String route = caller.route().name();
-        long first = answered ? lastByteAt - sentAt : services.now() - sentAt;
-        services.judged(pool, upstream, route, good, first, 0);
-    }
-
     /** Gives the attempt up: cancels the request at the upstream and gives its place back. */
     void giveUp() {
         if (phase == Phase.ENDED) {
             return;
         }
         boolean drains = phase == Phase.DRAINING;
-        end();
+        end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
         if (!drains && exchange != null) {
             exchange.abort();
         }
     }
 
-    private void end() {
-        phase = Phase.ENDED;
-        release();
+    private void end(SlotOutcome outcome) {
+        end(new SlotReport.Ended(outcome));
     }
 
-    private void release() {
-        if (!released) {
-            released = true;
-            services.pools().release(pool, upstream, ticket, services.now());
-        }
+    private void end(SlotReport.Ended ended) {
+        phase = Phase.ENDED;
+        slot.end(ended);
     }
 
     /** Names how far the attempt is. */
--- a/node/src/main/java/org/radishspur/node/entry/VersionTallies.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionTallies.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import org.radishspur.node.fleet.FleetMessage.VersionTally;
+import org.radishspur.node.schedule.ControlFollower;
 
 /**
  * Counts what this entry sees of the versions of each pool, by route.
--- a/node/src/main/java/org/radishspur/node/fleet/FleetInbox.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetInbox.java
@@ -12,6 +12,13 @@
      */
     void onMessage(Sender sender, FleetMessage message);
 
+    /**
+     * Learns that a connection is gone.
+     *
+     * @param sender the other end, the same object as with its messages.
+     */
+    default void onClosed(Sender sender) {}
+
     /**
      * Answers over the connection that a message came on.
      */
@@ -22,5 +29,19 @@
          * @param message the message.
          */
         void send(FleetMessage message);
+
+        /**
+         * Names the other end.
+         *
+         * @return the address that was connected to, or for an accepted connection a name that no other one has.
+         */
+        String peer();
+
+        /**
+         * Returns how long nothing has come over the connection.
+         *
+         * @return the time in milliseconds.
+         */
+        long silentMillis();
     }
 }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -43,12 +43,6 @@
     /** So much silence means that the connection is dead, in milliseconds: three pings went unanswered. */
     private static final long SILENCE_MILLIS = 1_000;
 
-    /**
-     * With more links than this those that bring no answers are pinged less often, in proportion. Pings of hundreds of links
-     * would cost more than the messages that the links are for.
-     */
-    private static final int CLOSELY_WATCHED = 16;
-
     /** How many bytes may wait for a peer that does not read; beyond them the connection is made anew. */
     private static final int BACKLOG_BYTES = 32 << 20;
 
@@ -108,7 +102,7 @@
             for (String address : addresses) {
                 Link link = links.get(address);
                 if (link != null) {
-                    link.send(encoded.retainedDuplicate());
+                    link.sendEncoded(encoded.retainedDuplicate());
                 }
             }
         } finally {
@@ -140,16 +134,13 @@
     /**
      * Keeps one connection.
      */
-    private final class Link extends SimpleChannelInboundHandler<FleetMessage> {
+    private final class Link extends SimpleChannelInboundHandler<FleetMessage> implements FleetInbox.Sender {
         private final String address;
         private volatile Channel channel;
         private volatile int connections;
         private volatile boolean dropped;
         private volatile long heardAt;
 
-        /** Whether the other end sends more than answers to pings, as control hosts do, whose loss must show at once. */
-        private volatile boolean answers;
-
         Link(String address) {
             this.address = address;
         }
@@ -187,8 +178,26 @@
                     });
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void send(FleetMessage message) {
+            sendEncoded(message);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String peer() {
+            return address;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public long silentMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+        }
+
         /** Sends a message, or the bytes of an encoded one. */
-        void send(Object message) {
+        void sendEncoded(Object message) {
             Channel present = channel;
             if (present == null) {
                 ReferenceCountUtil.release(message);
@@ -210,11 +219,10 @@
                 return;
             }
             long silent = TimeUnit.NANOSECONDS.toMillis(now - heardAt);
-            double patience = answers ? 1 : Math.max(1, (double) links.size() / CLOSELY_WATCHED);
-            if (silent > SILENCE_MILLIS * patience) {
+            if (silent > SILENCE_MILLIS) {
                 PartLog.PEER.info("The link to " + address + " is silent and is made anew.");
                 present.close();
-            } else if (silent >= CARE_MILLIS / 2 * patience) {
+            } else if (silent >= CARE_MILLIS / 2) {
                 send(new FleetMessage.Ping());
             }
         }
@@ -249,6 +257,7 @@
         public void channelInactive(ChannelHandlerContext context) {
             channel = null;
             again();
+            inbox.onClosed(this);
         }
 
         /** {@inheritDoc} */
@@ -256,8 +265,7 @@
         protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
             heardAt = System.nanoTime();
             if (!(message instanceof FleetMessage.Pong)) {
-                answers = true;
-                inbox.onMessage(reply -> send(reply), message);
+                inbox.onMessage(this, message);
             }
         }
 
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -4,6 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.radishspur.decision.slot.HeldSlot;
+import org.radishspur.decision.slot.SlotReply;
+import org.radishspur.decision.slot.SlotReport;
+import org.radishspur.decision.slot.SlotRequest;
 import org.radishspur.replication.raft.RaftMessage;
 import org.radishspur.replication.state.CatalogueState;
 
@@ -32,14 +36,15 @@
      *
      * @param replica the identity of the replica.
      * @param controls the addresses of control hosts.
+     * @param failureDomain the failure domain of the sender.
      */
-    record Candidate(String replica, List<String> controls) implements FleetMessage {}
+    record Candidate(String replica, List<String> controls, String failureDomain) implements FleetMessage {}
 
     /**
      * Asks the control leader what is in force.
      *
      * @param nonce a number that the answer repeats.
-     * @param entry the address of the entry.
+     * @param entry the address of the entry; empty where a scheduler asks.
      * @param run which run of the entry's process asks.
      * @param revision the revision of the catalogue that the entry has.
      * @param listTerm the term of the host list that the entry has.
@@ -67,8 +72,8 @@
      * @param document the catalogue, where the entry has an older one.
      * @param list the host list, where the entry has an older one.
      * @param rollouts the latest rollout of each pool.
-     * @param entries the addresses of all entries that were heard lately.
-     * @param controls the addresses of all control hosts.
+     * @param entries how many entries have asked lately.
+     * @param controls all control hosts.
      */
     record Followed(
             long nonce,
@@ -78,52 +83,25 @@
             Optional<CatalogueState.Document> document,
             Optional<HostList> list,
             List<CatalogueState.Rollout> rollouts,
-            List<String> entries,
-            List<String> controls)
+            int entries,
+            List<ControlHost> controls)
             implements FleetMessage {}
 
     /**
-     * Shares what one entry has in progress and has admitted.
+     * Shares between schedulers what the entries of one have in progress and were admitted.
      *
      * <p>Only what has changed since the last message on the same connection is carried, as parallel arrays: between
-     * failure domains each byte counts. Entries of an older version send no more than the use by organisation and what stands
-     * before it.
+     * failure domains each byte counts.
      *
-     * @param entry the run of the sending entry.
+     * @param scheduler the run of the sending scheduler.
      * @param whole whether everything is carried, so that what is missing is zero.
      * @param upstreams digests of the upstreams' runs.
-     * @param counts for each upstream the requests in progress, the good answers, the bad ones and the step of its pace, one
-     *     after the other.
-     * @param organisations what was admitted for organisations since the entry started.
-     * @param failureDomain the failure domain of the sending entry, empty where it doesn't say.
-     * @param unread for each upstream the steps of prompt tokens that it has still to read; none where the entry doesn't say.
+     * @param counts for each upstream the requests in progress, the good answers, the bad ones, the step of its pace and
+     *     the steps of prompt tokens that it has still to read, one after the other.
+     * @param organisations what was admitted for organisations since the scheduler started.
      */
-    record Load(
-            String entry,
-            boolean whole,
-            int[] upstreams,
-            int[] counts,
-            Map<String, Long> organisations,
-            String failureDomain,
-            int[] unread)
-            implements FleetMessage {
-
-        /** Fills in what an entry of an older version doesn't send. */
-        public Load {
-            failureDomain = failureDomain == null ? "" : failureDomain;
-            unread = unread == null ? new int[0] : unread;
-        }
-
-        /**
-         * Returns how many steps of prompt tokens an upstream has still to read.
-         *
-         * @param index the place of the upstream in the arrays.
-         * @return the steps, 0 where the entry doesn't say.
-         */
-        public int unreadAt(int index) {
-            return index < unread.length ? unread[index] : 0;
-        }
-    }
+    record Load(String scheduler, boolean whole, int[] upstreams, int[] counts, Map<String, Long> organisations)
+            implements FleetMessage {}
 
     /**
      * Counts what one entry has seen of one version of a pool, since it started.
@@ -144,4 +122,39 @@
             long failures,
             double firstMillis,
             double paceMillis) {}
+
+    /**
+     * Makes a scheduler the one of an entry.
+     *
+     * @param entry the address of the entry.
+     * @param held the slots that the entry holds.
+     */
+    record Attach(String entry, List<HeldSlot> held) implements FleetMessage {}
+
+    /** Takes leave of a scheduler; what was asked of it is asked elsewhere. */
+    record Detach() implements FleetMessage {}
+
+    /**
+     * Asks a scheduler for a slot.
+     *
+     * @param id the number of the request at its entry.
+     * @param request what is asked.
+     */
+    record Ask(long id, SlotRequest request) implements FleetMessage {}
+
+    /**
+     * Answers an {@link Ask}.
+     *
+     * @param id the number of the request at its entry.
+     * @param reply the answer.
+     */
+    record Reply(long id, SlotReply reply) implements FleetMessage {}
+
+    /**
+     * Reports what has become of a slot.
+     *
+     * @param id the number of the request at its entry.
+     * @param report the report.
+     */
+    record Report(long id, SlotReport report) implements FleetMessage {}
 }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
@@ -1,5 +1,7 @@
 package org.radishspur.node.fleet;
 
+import java.util.concurrent.TimeUnit;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
@@ -47,7 +49,7 @@
         channel = Listener.INSTANCE.listen(address, group, accepted -> {
             accepted.pipeline().addLast(new ReadTimeoutHandler(SILENCE_SECONDS));
             PeerCodec.install(accepted, FRAME_BYTES, FleetMessage.class);
-            accepted.pipeline().addLast(new Reception());
+            accepted.pipeline().addLast(new Reception(accepted));
         });
         channel.closeFuture()
                 .addListener(future -> listener.onFailure(
@@ -65,17 +67,49 @@
     /**
      * Takes the messages of one connection.
      */
-    private final class Reception extends SimpleChannelInboundHandler<FleetMessage> {
+    private final class Reception extends SimpleChannelInboundHandler<FleetMessage> implements FleetInbox.Sender {
+        private final Channel connection;
+        private long heardAt = System.nanoTime();
+
+        Reception(Channel connection) {
+            this.connection = connection;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void send(FleetMessage message) {
+            connection.writeAndFlush(message, connection.voidPromise());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String peer() {
+            return connection.id().asShortText();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public long silentMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+        }
+
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
+            heardAt = System.nanoTime();
             if (message instanceof FleetMessage.Ping) {
-                context.writeAndFlush(new FleetMessage.Pong());
+                send(new FleetMessage.Pong());
             } else {
-                inbox.onMessage(reply -> context.writeAndFlush(reply), message);
+                inbox.onMessage(this, message);
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            inbox.onClosed(this);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -14,6 +14,7 @@
 import org.radishspur.node.control.ReplicaHost;
 import org.radishspur.node.dialect.HostListDialect;
 import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.fleet.ControlHost;
 import org.radishspur.node.fleet.FleetInbox;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
@@ -21,6 +22,7 @@
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.metrics.MetricsServer;
+import org.radishspur.node.schedule.SchedulerHost;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Supervisor;
@@ -80,7 +82,8 @@
     private final MemberWatch members;
     private final HostListReader hostList;
     private final FollowDesk follow;
-    private final Supervisor.Scheduler.ForThread scheduler = new Supervisor.Scheduler.ForThread();
+    private final SchedulerHost scheduler;
+    private final Supervisor.Scheduler.ForThread timers = new Supervisor.Scheduler.ForThread();
     private final Supervisor root;
     private final CountDownLatch failed = new CountDownLatch(1);
 
@@ -126,7 +129,7 @@
                 replica,
                 links,
                 events,
-                settings.peerAddress().toString(),
+                new ControlHost(settings.peerAddress().toString(), settings.failureDomain()),
                 settings.bounds().voters());
         hostList = new HostListReader(
                 loop, group.next(), replica, listDialect, settings.hostListAddress(), events, metrics);
@@ -134,7 +137,8 @@
         follow = new FollowDesk(loop, replica, members, hostList, rollouts, metrics);
         OperatorDesk desk =
                 new OperatorDesk(loop, replica, follow, operators, settings.operatorPort(), events, metrics);
-        root = new Supervisor("control", scheduler, loop::nowMillis)
+        scheduler = new SchedulerHost(settings, loop, group.next(), operators, events, metrics.registry());
+        root = new Supervisor("control", timers, loop::nowMillis)
                 .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
                 .supervise(
                         "operator-server",
@@ -151,6 +155,10 @@
     /** {@inheritDoc} */
     @Override
     public void onMessage(Sender sender, FleetMessage message) {
+        if (SchedulerHost.concerns(message)) {
+            scheduler.onMessage(sender, message);
+            return;
+        }
         loop.execute(() -> {
             if (message instanceof FleetMessage.Raft raft) {
                 members.onRaft(raft.from());
@@ -164,6 +172,12 @@
         });
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onClosed(Sender sender) {
+        scheduler.onClosed(sender);
+    }
+
     /**
      * Takes over settings that have changed while the process runs.
      *
@@ -172,6 +186,7 @@
     public void reload(FleetSettings changed) {
         events.emit(EventCode.RELOADED, changed.seeds());
         loop.execute(() -> members.seeds(addresses(changed.seeds())));
+        scheduler.seeds(changed.seeds());
     }
 
     /**
@@ -200,6 +215,7 @@
     @Override
     public void close() {
         root.close();
+        timers.close();
         scheduler.close();
         links.close();
         replica.close();
--- a/node/src/main/java/org/radishspur/node/group/FollowDesk.java
+++ b/node/src/main/java/org/radishspur/node/group/FollowDesk.java
@@ -19,7 +19,7 @@
  * Tells entries what is in force, once a majority has confirmed after their question that this replica leads.
  */
 final class FollowDesk {
-    /** An entry that has not asked for so long is not named to others any more, in milliseconds. */
+    /** An entry that has not asked for so long doesn't count any more, in milliseconds. */
     private static final long ENTRY_LOST_MILLIS = 3_000;
 
     /** A read that a majority has not confirmed by then is given up, in milliseconds; callers ask again sooner. */
@@ -52,7 +52,9 @@
 
     void onFollow(FleetInbox.Sender sender, FleetMessage.Follow question) {
         long now = loop.nowMillis();
-        entries.put(question.entry(), now);
+        if (!question.entry().isEmpty()) {
+            entries.put(question.entry(), now);
+        }
         if (!replica.isLeader() && replica.leaderNode().isEmpty()) {
             parked.park(new ParkedQuestions.Parked(sender, question, now));
         } else {
@@ -70,11 +72,13 @@
                     Optional.empty(),
                     Optional.empty(),
                     List.of(),
-                    List.of(),
+                    0,
                     members.controls()));
             return;
         }
-        rollouts.onTallies(question.entry() + '/' + question.run(), question.tallies());
+        if (!question.entry().isEmpty()) {
+            rollouts.onTallies(question.entry() + '/' + question.run(), question.tallies());
+        }
         pending.addLast(new PendingRead(askedAt, new ReadListener() {
             @Override
             public void onConfirmed(CatalogueState state) {
@@ -139,14 +143,14 @@
                 documentNewer ? Optional.of(state.document()) : Optional.empty(),
                 listNewer ? Optional.of(list) : Optional.empty(),
                 new ArrayList<>(state.rollouts()),
-                liveEntries(),
+                countEntries(),
                 members.controls());
     }
 
-    private List<String> liveEntries() {
+    private int countEntries() {
         long now = loop.nowMillis();
         entries.values().removeIf(heardAt -> now - heardAt > ENTRY_LOST_MILLIS);
-        return entries.keySet().stream().sorted().toList();
+        return entries.size();
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/group/MemberWatch.java
+++ b/node/src/main/java/org/radishspur/node/group/MemberWatch.java
@@ -10,6 +10,7 @@
 
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaHost;
+import org.radishspur.node.fleet.ControlHost;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.log.EventCode;
@@ -36,21 +37,28 @@
     private final ReplicaHost replica;
     private final FleetLinks links;
     private final EventLog events;
-    private final String self;
+    private final ControlHost self;
     private final int wantedVoters;
     private final Set<String> seeds = new TreeSet<>();
     private final Map<String, Long> replicasHeard = new HashMap<>();
     private final Set<String> learnt = new TreeSet<>();
+    private final Map<String, String> failureDomains = new HashMap<>();
     private long leadingSince;
 
     MemberWatch(
-            ControlLoop loop, ReplicaHost replica, FleetLinks links, EventLog events, String self, int wantedVoters) {
+            ControlLoop loop,
+            ReplicaHost replica,
+            FleetLinks links,
+            EventLog events,
+            ControlHost self,
+            int wantedVoters) {
         this.wantedVoters = wantedVoters;
         this.loop = loop;
         this.replica = replica;
         this.links = links;
         this.events = events;
         this.self = self;
+        failureDomains.put(self.address(), self.failureDomain());
         loop.repeat(this::show, SHOW_MILLIS);
     }
 
@@ -63,14 +71,23 @@
     void onCandidate(FleetMessage.Candidate candidate) {
         replicasHeard.put(candidate.replica(), loop.nowMillis());
         learnt.addAll(candidate.controls());
+        if (candidate.failureDomain() != null) {
+            failureDomains.put(ReplicaHost.nodeOf(candidate.replica()), candidate.failureDomain());
+        }
     }
 
     void onRaft(String from) {
         replicasHeard.put(from, loop.nowMillis());
     }
 
-    /** Returns the addresses of all control hosts that are worth asking. */
-    List<String> controls() {
+    /** Returns all control hosts that are worth asking. */
+    List<ControlHost> controls() {
+        return addresses().stream()
+                .map(address -> new ControlHost(address, failureDomains.getOrDefault(address, "")))
+                .toList();
+    }
+
+    private List<String> addresses() {
         Set<String> addresses = new TreeSet<>();
         replica.voters().forEach(voter -> addresses.add(ReplicaHost.nodeOf(voter)));
         replica.learners().forEach(learner -> addresses.add(ReplicaHost.nodeOf(learner)));
@@ -80,7 +97,7 @@
     private void show() {
         long now = loop.nowMillis();
         Set<String> wanted = new TreeSet<>(seeds);
-        wanted.addAll(controls());
+        wanted.addAll(addresses());
         if (replica.voters().isEmpty()) {
             wanted.addAll(learnt);
         }
@@ -89,9 +106,10 @@
                 wanted.add(ReplicaHost.nodeOf(heard));
             }
         });
-        wanted.remove(self);
+        wanted.remove(self.address());
         links.want(wanted);
-        FleetMessage.Candidate candidate = new FleetMessage.Candidate(replica.identity(), controls());
+        FleetMessage.Candidate candidate =
+                new FleetMessage.Candidate(replica.identity(), addresses(), self.failureDomain());
         wanted.forEach(address -> links.send(address, candidate));
         replaceLost(now);
     }
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -20,6 +20,10 @@
     HOST_LIST(false, "term", "reading", "upstreams", "leaving"),
     /** The control leader was lost or found. */
     CONTROL(false, "state", "leader", "ageMillis"),
+    /** An entry has attached to another scheduler; an empty name stands for the entry itself. */
+    SCHEDULER(false, "scheduler", "before", "asked"),
+    /** A scheduler has not answered an entry, or the connection to it was lost. */
+    SCHEDULER_LOST(false, "scheduler", "cause"),
     /** A control replica has read its disk. */
     RECOVERED(false, "replica", "entries", "snapshotIndex"),
     /** The role of a control replica has changed. */
--- a/node/src/main/java/org/radishspur/node/entry/Audience.java
+++ b/node/src/main/java/org/radishspur/node/schedule/Audience.java
@@ -1,11 +1,11 @@
-package org.radishspur.node.entry;
+package org.radishspur.node.schedule;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Remembers what a group of entries was told, and when it is told again.
+ * Remembers what a group of peers was told, and when it is told again.
  */
 final class Audience {
     /** Everything is told again after this time, also where nothing has changed, in milliseconds. */
@@ -14,14 +14,14 @@
     /** So many rounds at least bring only what has changed before everything is told again. */
     private static final int LEAST_ROUNDS_PER_WHOLE = 4;
 
-    /** An entry is not taken for lost before it has been silent for so many rounds. */
+    /** A scheduler is not taken for lost before it has been silent for so many rounds. */
     private static final int LOST_ROUNDS = 5;
 
     private final long stepMillis;
     private final int messagesPerSecond;
     private final Map<Integer, int[]> toldUpstreams = new HashMap<>();
     private final Map<String, Long> toldUse = new HashMap<>();
-    private List<String> entries = List.of();
+    private List<String> peers = List.of();
     private long nextRoundAt;
     private int roundsSinceWhole;
 
@@ -36,29 +36,29 @@
         this.messagesPerSecond = messagesPerSecond;
     }
 
-    void entries(List<String> live) {
-        entries = live;
+    void peers(List<String> live) {
+        peers = live;
     }
 
-    List<String> entries() {
-        return entries;
+    List<String> peers() {
+        return peers;
     }
 
     /** Returns the time between two rounds, in whole steps of the timer. */
     long roundMillis() {
-        long needed = entries.size() * 1_000L / messagesPerSecond;
+        long needed = peers.size() * 1_000L / messagesPerSecond;
         long steps = Math.max(1, (needed + stepMillis - 1) / stepMillis);
         return steps * stepMillis;
     }
 
-    /** Returns after how long a silence an entry of the group is taken for lost, which tells as often as it is told. */
+    /** Returns after how long a silence a scheduler of the group is taken for lost, which tells as often as it is told. */
     long lostMillis(long leastMillis) {
         return Math.max(leastMillis, LOST_ROUNDS * roundMillis());
     }
 
     /** Begins a round if one is due. */
     boolean beginRound(long now) {
-        if (now < nextRoundAt || entries.isEmpty()) {
+        if (now < nextRoundAt || peers.isEmpty()) {
             return false;
         }
         // The timer fires a little early or late; half a step of it is no reason to leave a round out.
--- a/node/src/main/java/org/radishspur/node/entry/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
@@ -1,15 +1,17 @@
-package org.radishspur.node.entry;
+package org.radishspur.node.schedule;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.dialect.OperatorDialect;
+import org.radishspur.node.fleet.ControlHost;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.HostList;
@@ -18,10 +20,10 @@
 import org.radishspur.node.log.EventLog;
 
 /**
- * Follows the control leader for an entry, on the control thread: asks what is in force, several times a second, and finds
+ * Follows the control leader for an entry or a scheduler, on the control thread: asks what is in force, several times a second, and finds
  * the leader again when it is lost.
  */
-final class ControlFollower {
+public final class ControlFollower {
     /** How often the leader is asked, in milliseconds; a tenth of the time in which an edit must be in force. */
     private static final long ASK_MILLIS = 200;
 
@@ -38,50 +40,71 @@
     private final FleetLinks links;
     private final OperatorDialect dialect;
     private final EventLog events;
-    private final String self;
+    private final String entry;
     private final long run;
     private final TallySource tallies;
     private final ViewListener listener;
     private final Set<String> seeds = new TreeSet<>();
-    private final Set<String> controls = new TreeSet<>();
+    private final Map<String, ControlHost> controls = new TreeMap<>();
     private final Map<Long, Moment> questions = new HashMap<>();
-    private EntryView view = EntryView.NOTHING;
+    private ConfirmedView view = ConfirmedView.NOTHING;
     private String leader = "";
     private boolean lost = true;
     private long nextNonce;
     private long lastRoundAt;
 
-    ControlFollower(
+    /**
+     * Begins to follow.
+     *
+     * @param loop the control thread.
+     * @param links reach the control hosts.
+     * @param dialect reads catalogues.
+     * @param events takes structured events.
+     * @param entry the address of the entry that follows, empty for a scheduler.
+     * @param tallies what the entry has seen of versions.
+     * @param listener takes changed views.
+     */
+    public ControlFollower(
             ControlLoop loop,
             FleetLinks links,
             OperatorDialect dialect,
             EventLog events,
-            String self,
+            String entry,
             TallySource tallies,
             ViewListener listener) {
         this.loop = loop;
         this.links = links;
         this.dialect = dialect;
         this.events = events;
-        this.self = self;
+        this.entry = entry;
         this.run = System.currentTimeMillis();
         this.tallies = tallies;
         this.listener = listener;
         loop.repeat(this::askIfDue, SEEK_MILLIS);
     }
 
-    void seeds(Set<String> addresses) {
+    /**
+     * Sets the control hosts that are asked first.
+     *
+     * @param addresses their addresses, perhaps stale.
+     */
+    public void seeds(Set<String> addresses) {
         seeds.clear();
         seeds.addAll(addresses);
         want();
         ask();
     }
 
-    void onFollowed(FleetMessage.Followed answer) {
+    /**
+     * Takes an answer.
+     *
+     * @param answer the answer.
+     */
+    public void onFollowed(FleetMessage.Followed answer) {
         if (!answer.controls().isEmpty() && answer.confirmed()) {
             controls.clear();
         }
-        controls.addAll(answer.controls());
+        answer.controls().forEach(host -> controls.put(host.address(), host));
         if (!answer.confirmed()) {
             onHint(answer.leader());
             want();
@@ -104,14 +127,14 @@
     private void onHint(String hinted) {
         if (!hinted.isEmpty() && !hinted.equals(leader)) {
             leader = hinted;
-            controls.add(hinted);
+            controls.putIfAbsent(hinted, new ControlHost(hinted, ""));
             want();
             ask();
         }
     }
 
     private void takeOver(FleetMessage.Followed answer, Moment askedAt) {
-        EntryView next = view;
+        ConfirmedView next = view;
         if (answer.document().isPresent() && answer.document().get().revision() > next.revision()) {
             Catalogue catalogue = dialect.catalogue(answer.document().get().text());
             next = next.withCatalogue(catalogue);
@@ -137,7 +160,7 @@
         boolean current = next.revision() >= answer.revision();
         boolean newer = askedAt.steadyMillis() >= next.confirmedAt().steadyMillis();
         if (current && newer) {
-            next = next.confirmed(answer.rollouts(), answer.entries(), askedAt);
+            next = next.confirmed(answer.rollouts(), answer.entries(), answer.controls(), askedAt);
         }
         view = next;
         listener.onView(next);
@@ -175,7 +198,7 @@
                     address,
                     new FleetMessage.Follow(
                             nonce,
-                            self,
+                            entry,
                             run,
                             view.revision(),
                             view.hosts().term(),
@@ -186,7 +209,7 @@
 
     /** Returns the control hosts to stay connected with: the seeds only as long as nothing better is known. */
     private Set<String> wanted() {
-        Set<String> wanted = new TreeSet<>(controls);
+        Set<String> wanted = new TreeSet<>(controls.keySet());
         if (controls.isEmpty() || lost) {
             wanted.addAll(seeds);
         }
@@ -197,28 +220,25 @@
     }
 
     private void want() {
-        Set<String> wanted = wanted();
-        wanted.addAll(view.entries());
-        wanted.remove(self);
-        links.want(wanted);
+        links.want(wanted());
     }
 
     /**
      * Takes a changed view, on the control thread.
      */
-    interface ViewListener {
+    public interface ViewListener {
         /**
          * Takes the view.
          *
          * @param view the view.
          */
-        void onView(EntryView view);
+        void onView(ConfirmedView view);
     }
 
     /**
      * Collects what the entry has seen of versions; callable from any thread.
      */
-    interface TallySource {
+    public interface TallySource {
         /**
          * Returns the counts.
          *
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadSharing.java
@@ -0,0 +1,246 @@
+package org.radishspur.node.schedule;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetSender;
+
+/**
+ * Publishes to the other schedulers what is in progress here and what organisations have used, and takes in their reports. The
+ * traffic thread owns it.
+ *
+ * <p>Each scheduler decides by the sum, which is a few ten milliseconds old: two may grant the last slot of an upstream at once,
+ * which then queues one request itself for a moment. In return no request waits for a permit from another failure domain, and
+ * the loss of a scheduler takes away nothing but its own queue.
+ */
+final class LoadSharing {
+    /** A scheduler that has reported nothing for so long is taken for lost, in milliseconds. */
+    private static final long LOST_MILLIS = 900;
+
+    /** The shortest time between two rounds, in milliseconds. */
+    static final long SHORTEST_ROUND_MILLIS = 40;
+
+    /**
+     * How many messages a second a scheduler sends at most, and how many it gets. Where there are more schedulers, each
+     * publishes less often, so that what it spends on them doesn't grow with their number.
+     */
+    private static final int MESSAGES_PER_SECOND = 200;
+
+    /** How many answers reported by another scheduler are taken in one by one; more in one message say nothing more. */
+    private static final int MOST_ANSWERS = 4;
+
+    /** How many numbers are published of each upstream. */
+    private static final int FIELDS = 5;
+
+    private static final int IN_PROGRESS = 0;
+    private static final int GOOD = 1;
+    private static final int BAD = 2;
+    private static final int PACE = 3;
+    private static final int UNREAD = 4;
+
+    /** Tokens of prompts that are still to be read are published in this step; fewer are read in a few milliseconds. */
+    private static final int UNREAD_STEP = 256;
+
+    /** The ratio of one step of a pace to the next. Steps this coarse rarely change, and a change costs a message. */
+    private static final double PACE_STEP = 1.25;
+
+    private final FleetSender links;
+    private final PoolSet pools;
+    private final QuotaLedger quotas;
+    private final String self;
+    private final Map<UpstreamLoad, long[]> answers = new HashMap<>();
+    private final Audience audience = new Audience(SHORTEST_ROUND_MILLIS, MESSAGES_PER_SECOND);
+    private final Map<String, Integer> connections = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
+    private Map<Integer, UpstreamLoad> upstreams = Map.of();
+
+    /**
+     * Creates the sharing of one scheduler.
+     *
+     * @param links reach the other schedulers.
+     * @param pools what is published, and where the others' reports go.
+     * @param quotas the same for what organisations have used.
+     * @param self the run of this scheduler: its address, a slash and what sets its runs apart.
+     */
+    LoadSharing(FleetSender links, PoolSet pools, QuotaLedger quotas, String self) {
+        this.links = links;
+        this.pools = pools;
+        this.quotas = quotas;
+        this.self = self;
+    }
+
+    /** Takes over a newer view, by which the upstreams of the pools may have changed as well. */
+    void refresh(List<String> others) {
+        audience.peers(others);
+        upstreams = byDigest();
+        answers.keySet().retainAll(Set.copyOf(upstreams.values()));
+    }
+
+    /** Counts an answer for the other schedulers. */
+    void onAnswer(UpstreamLoad upstream, boolean good) {
+        answers.computeIfAbsent(upstream, key -> new long[2])[good ? 0 : 1]++;
+    }
+
+    /** Publishes what has changed since the last round, where the next one is due. */
+    void share(long now) {
+        forgetLost(now);
+        if (!audience.beginRound(now)) {
+            return;
+        }
+        Map<Integer, int[]> present = present(audience.toldUpstreams().keySet());
+        List<String> toldWhole = new ArrayList<>();
+        List<String> toldChanges = new ArrayList<>();
+        boolean whole = audience.takeWhole();
+        for (String other : audience.peers()) {
+            int connection = links.connection(other);
+            boolean fresh = connection != connections.getOrDefault(other, 0);
+            connections.put(other, connection);
+            (whole || fresh ? toldWhole : toldChanges).add(other);
+        }
+        if (!toldWhole.isEmpty()) {
+            links.send(toldWhole, message(present, Map.of(), quotas.usedHere(), true));
+        }
+        if (!toldChanges.isEmpty()) {
+            FleetMessage.Load changes =
+                    message(present, audience.toldUpstreams(), audience.newUse(quotas.usedHere()), false);
+            if (changes.upstreams().length > 0 || !changes.organisations().isEmpty()) {
+                links.send(toldChanges, changes);
+            }
+        }
+        audience.told(present, quotas.usedHere());
+    }
+
+    /** Takes in a report of another scheduler, and tells whether a slot has become free by it. */
+    boolean onLoad(FleetMessage.Load load, Map<String, OrganisationRule> organisations, long now) {
+        Peer peer = peers.computeIfAbsent(load.scheduler(), key -> new Peer());
+        peer.heardAt = now;
+        if (load.whole()) {
+            forgetMissing(load, peer);
+        }
+        boolean freed = false;
+        for (int index = 0; index < load.upstreams().length; index++) {
+            int digest = load.upstreams()[index];
+            int[] counts = Arrays.copyOfRange(load.counts(), index * FIELDS, (index + 1) * FIELDS);
+            int[] before = peer.counts.put(digest, counts);
+            UpstreamLoad upstream = upstreams.get(digest);
+            if (upstream != null) {
+                upstream.othersHave(load.scheduler(), counts[IN_PROGRESS]);
+                upstream.othersUnread(load.scheduler(), (long) counts[UNREAD] * UNREAD_STEP);
+                upstream.toldPace(counts[PACE] == 0 ? 0 : Math.pow(PACE_STEP, counts[PACE] - 1));
+                if (before != null) {
+                    freed |= counts[IN_PROGRESS] < before[IN_PROGRESS];
+                    judge(upstream, counts[GOOD] - before[GOOD], counts[BAD] - before[BAD], now);
+                }
+            }
+        }
+        load.organisations().forEach((name, total) -> {
+            OrganisationRule organisation = organisations.get(name);
+            if (organisation != null) {
+                quotas.usedElsewhere(load.scheduler(), organisation, total, now);
+            }
+        });
+        return freed;
+    }
+
+    private void forgetMissing(FleetMessage.Load load, Peer peer) {
+        Set<Integer> carried = Arrays.stream(load.upstreams()).boxed().collect(Collectors.toSet());
+        peer.counts.keySet().removeIf(digest -> {
+            boolean missing = !carried.contains(digest);
+            if (missing && upstreams.containsKey(digest)) {
+                forget(load.scheduler(), upstreams.get(digest));
+            }
+            return missing;
+        });
+    }
+
+    private void judge(UpstreamLoad upstream, int good, int bad, long now) {
+        double usual = pools.usualFailures(upstream);
+        for (int count = 0; count < Math.min(bad, MOST_ANSWERS); count++) {
+            upstream.judged(false, usual, now);
+        }
+        for (int count = 0; count < Math.min(good, MOST_ANSWERS); count++) {
+            upstream.judged(true, usual, now);
+        }
+    }
+
+    private static void forget(String scheduler, UpstreamLoad upstream) {
+        upstream.othersHave(scheduler, 0);
+        upstream.othersUnread(scheduler, 0);
+    }
+
+    private void forgetLost(long now) {
+        peers.entrySet().removeIf(peer -> {
+            boolean lost = now - peer.getValue().heardAt > audience.lostMillis(LOST_MILLIS);
+            if (lost) {
+                upstreams.values().forEach(upstream -> forget(peer.getKey(), upstream));
+            }
+            return lost;
+        });
+    }
+
+    private Map<Integer, int[]> present(Set<Integer> told) {
+        Map<Integer, int[]> present = new HashMap<>();
+        upstreams.forEach((digest, upstream) -> {
+            long[] judged = answers.getOrDefault(upstream, new long[2]);
+            if (upstream.own() > 0 || judged[0] + judged[1] > 0 || told.contains(digest)) {
+                int[] counts = new int[FIELDS];
+                counts[IN_PROGRESS] = upstream.own();
+                counts[GOOD] = (int) judged[0];
+                counts[BAD] = (int) judged[1];
+                counts[PACE] = paceStep(upstream.ownPaceMillis());
+                counts[UNREAD] = (int) (upstream.ownUnreadTokens() / UNREAD_STEP);
+                present.put(digest, counts);
+            }
+        });
+        return present;
+    }
+
+    /** Returns the step of a pace from 1 on, 0 for a pace that is not known. */
+    private static int paceStep(double millis) {
+        return millis <= 0 ? 0 : 1 + (int) Math.max(0, Math.round(Math.log(millis) / Math.log(PACE_STEP)));
+    }
+
+    private FleetMessage.Load message(
+            Map<Integer, int[]> present, Map<Integer, int[]> known, Map<String, Long> use, boolean whole) {
+        List<Integer> changed = new ArrayList<>();
+        present.forEach((digest, counts) -> {
+            if (!Arrays.equals(counts, known.get(digest))) {
+                changed.add(digest);
+            }
+        });
+        int[] digests = new int[changed.size()];
+        int[] counts = new int[changed.size() * FIELDS];
+        for (int index = 0; index < digests.length; index++) {
+            digests[index] = changed.get(index);
+            System.arraycopy(present.get(digests[index]), 0, counts, index * FIELDS, FIELDS);
+        }
+        return new FleetMessage.Load(self, whole, digests, counts, new HashMap<>(use));
+    }
+
+    private Map<Integer, UpstreamLoad> byDigest() {
+        Map<Integer, UpstreamLoad> known = new HashMap<>();
+        for (PoolDispatcher dispatcher : pools.dispatchers()) {
+            dispatcher
+                    .board()
+                    .loads()
+                    .forEach(load -> known.put(load.upstream().run().hashCode(), load));
+        }
+        return known;
+    }
+
+    /** Remembers what another scheduler has published. */
+    private static final class Peer {
+        private final Map<Integer, int[]> counts = new HashMap<>();
+        private long heardAt;
+    }
+}
--- a/node/src/main/java/org/radishspur/node/entry/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -1,6 +1,7 @@
-package org.radishspur.node.entry;
+package org.radishspur.node.schedule;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,23 +10,22 @@
 import java.util.Set;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
-import org.radishspur.decision.dispatch.Ticket;
 import org.radishspur.decision.dispatch.UpstreamBoard;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.VersionRule;
-import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.decision.slot.SlotScheduler;
+import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.PoolRule;
 import org.radishspur.model.catalogue.Upstream;
-import org.radishspur.node.caller.RetryBudget;
 import org.radishspur.replication.state.CatalogueState.Rollout;
 import org.radishspur.replication.state.CatalogueState.RolloutStage;
 
 /**
- * Holds the dispatchers of all pools at one entry and keeps them in step with the view. The traffic thread owns it.
+ * Holds the dispatchers of all pools and keeps them in step with the view. The traffic thread owns it.
  */
-final class PoolSet {
+public final class PoolSet implements SlotScheduler.Pools {
     /**
-     * The part of the allowed exposure that a version under trial gets; the rest covers retries, and that entries see the
+     * The part of the allowed exposure that a version under trial gets; the rest covers retries, and that schedulers see the
      * end of a trial a moment apart.
      */
     private static final double TRIAL_PART = 0.7;
@@ -33,38 +33,36 @@
     /** A slot count for upstreams of which neither the list nor the catalogue tells one. */
     private static final int UNKNOWN_SLOTS = 4;
 
-    /** How many entries share the budget of retries at most, where their number isn't known yet. */
-    private static final int LEAST_ENTRIES = 4;
-
-    private final String entry;
+    private final String self;
     private final String failureDomain;
     private final double greatestTrialShare;
-    private final double retryShare;
-    private final int retrySlack;
-    private final GrantListener listener;
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Map<String, Rollout> rollouts = new HashMap<>();
     private final Map<String, Double> trialDebt = new HashMap<>();
-    private int entries = LEAST_ENTRIES;
-
-    PoolSet(
-            String entry,
-            String failureDomain,
-            double greatestTrialShare,
-            double retryShare,
-            int retrySlack,
-            GrantListener listener) {
-        this.entry = entry;
+    private ConfirmedView view = ConfirmedView.NOTHING;
+    private double quotaPart = 1;
+
+    /**
+     * Creates a set without pools.
+     *
+     * @param self the name of this process, which sets its choices apart from those of others.
+     * @param failureDomain its failure domain.
+     * @param greatestTrialShare the greatest share of requests that a version under trial may get.
+     */
+    public PoolSet(String self, String failureDomain, double greatestTrialShare) {
+        this.self = self;
         this.failureDomain = failureDomain;
         this.greatestTrialShare = greatestTrialShare;
-        this.retryShare = retryShare;
-        this.retrySlack = retrySlack;
-        this.listener = listener;
     }
 
-    void apply(EntryView view) {
-        entries = Math.max(LEAST_ENTRIES, view.entries().size());
+    /**
+     * Takes over a newer view.
+     *
+     * @param newer the view.
+     * @param deciders how many processes grant slots of the pools without asking each other.
+     */
+    public void apply(ConfirmedView newer, int deciders) {
+        view = newer;
         view.rollouts().forEach(rollout -> rollouts.put(rollout.pool(), rollout));
         Map<String, List<Upstream>> listed = new HashMap<>();
         view.hosts()
@@ -74,32 +72,46 @@
         Set<String> names = new HashSet<>(listed.keySet());
         names.addAll(dispatchers.keySet());
         for (String name : names) {
-            Optional<PoolRule> rule = view.catalogue().flatMap(catalogue -> catalogue.pool(name));
-            if (rule.isPresent() || dispatchers.containsKey(name)) {
-                UpstreamBoard board = dispatcher(name, view.catalogue()).board();
-                board.entries(view.entries().size());
+            if (rule(name).isPresent() || dispatchers.containsKey(name)) {
+                UpstreamBoard board = dispatcher(name).board();
+                board.entries(deciders);
                 board.refresh(listed.getOrDefault(name, List.of()));
             }
         }
     }
 
-    PoolDispatcher dispatcher(String pool, Optional<Catalogue> catalogue) {
+    /**
+     * Sets which part of the organisations' quotas is granted here.
+     *
+     * @param part the part, 1 where it is shared with all others that grant.
+     */
+    public void quotaPart(double part) {
+        quotaPart = part;
+    }
+
+    private Optional<PoolRule> rule(String pool) {
+        return view.catalogue().flatMap(catalogue -> catalogue.pool(pool));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public PoolDispatcher dispatcher(String pool) {
         return dispatchers.computeIfAbsent(pool, name -> {
-            Optional<PoolRule> rule = catalogue.flatMap(present -> present.pool(name));
-            int stated = rule.isPresent() ? rule.get().slots() : 0;
+            int stated = rule(name).map(PoolRule::slots).orElse(0);
             int slots = stated > 0 ? stated : UNKNOWN_SLOTS;
-            return new PoolDispatcher(new UpstreamBoard(entry, failureDomain, slots));
+            return new PoolDispatcher(new UpstreamBoard(self, failureDomain, slots));
         });
     }
 
-    RetryBudget budget(String pool) {
-        // The slack is shared between the entries: each may spend its part at once, and earns more with its requests.
-        return budgets.computeIfAbsent(
-                pool, name -> new RetryBudget(retryShare / 2, Math.max(1, retrySlack / entries / 2)));
+    /** {@inheritDoc} */
+    @Override
+    public Collection<PoolDispatcher> dispatchers() {
+        return dispatchers.values();
     }
 
-    /** Says which versions may serve the next request of a pool. */
-    VersionRule versions(String pool, boolean mayTry) {
+    /** {@inheritDoc} */
+    @Override
+    public VersionRule versions(String pool, boolean mayTry) {
         Rollout rollout = rollouts.get(pool);
         if (rollout == null) {
             return VersionRule.Any.INSTANCE;
@@ -125,22 +137,25 @@
         return true;
     }
 
-    /** Hands out what has become free in every pool where requests wait. */
-    void advance(long now) {
-        for (PoolDispatcher dispatcher : new ArrayList<>(dispatchers.values())) {
-            advance(dispatcher, now);
-        }
-    }
-
-    void advance(PoolDispatcher dispatcher, long now) {
-        if (dispatcher.waiting() > 0) {
-            dispatcher.advance(now).forEach(listener::onDecision);
-        }
+    /** {@inheritDoc} */
+    @Override
+    public Optional<OrganisationRule> organisation(String name) {
+        return Optional.ofNullable(view.organisations().get(name))
+                .map(rule -> quotaPart < 1 ? rule.withPart(quotaPart) : rule);
     }
 
-    void release(PoolDispatcher dispatcher, UpstreamLoad upstream, Ticket ticket, long now) {
-        dispatcher.release(upstream, ticket, now);
-        advance(dispatcher, now);
+    /**
+     * Tells whether an upstream may get a request that a scheduler has granted to it, whose view may be older than this one.
+     *
+     * @param upstream the upstream.
+     * @return whether nothing is known against it.
+     */
+    public boolean mayUse(UpstreamLoad upstream) {
+        Rollout rollout = rollouts.get(upstream.upstream().pool());
+        boolean takenBack = rollout != null
+                && rollout.stage() == RolloutStage.ROLLED_BACK
+                && rollout.target().equals(upstream.upstream().version());
+        return !takenBack && dispatcher(upstream.upstream().pool()).board().takesWork(upstream);
     }
 
     /** Returns the usual share of failures in the pool of an upstream. */
@@ -148,20 +163,4 @@
         PoolDispatcher dispatcher = dispatchers.get(upstream.upstream().pool());
         return dispatcher == null ? 0 : dispatcher.board().usualFailures();
     }
-
-    Map<String, PoolDispatcher> dispatchers() {
-        return dispatchers;
-    }
-
-    /**
-     * Takes what a dispatcher has decided for a waiting request.
-     */
-    interface GrantListener {
-        /**
-         * Takes a decision.
-         *
-         * @param decision the decision.
-         */
-        void onDecision(PoolDispatcher.Decision decision);
-    }
 }
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -0,0 +1,314 @@
+package org.radishspur.node.entry;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.slot.SlotOutcome;
+import org.radishspur.decision.slot.SlotReply;
+import org.radishspur.decision.slot.SlotReport;
+import org.radishspur.decision.slot.SlotRequest;
+import org.radishspur.model.catalogue.CallerLimits;
+import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.PoolRule;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.fleet.ControlHost;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetSender;
+import org.radishspur.node.fleet.HostList;
+import org.radishspur.node.fleet.Moment;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.schedule.ConfirmedView;
+import org.radishspur.node.settings.FleetSettings;
+import org.radishspur.node.settings.HostPort;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SlotClientTest {
+    private static final HostPort SELF = HostPort.parse("127.0.0.1:1");
+    private static final String NEAR = "127.0.0.1:2";
+    private static final String FAR = "127.0.0.1:3";
+    private static final Upstream ENGINE = new Upstream("u", 1, "pool", "127.0.0.1:9", "a", "v1", 4, false);
+    private static final Upstream UNLISTED = new Upstream("x", 1, "pool", "127.0.0.1:8", "a", "v1", 4, false);
+
+    private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
+    private final PlayedLinks links = new PlayedLinks();
+    private final Requester requester = new Requester();
+    private final SlotClient client = new SlotClient(settings(), links, events);
+
+    @BeforeEach
+    void knowsTwoSchedulers() {
+        Catalogue catalogue = new Catalogue(
+                1, List.of(), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.STANDARD);
+        client.onView(
+                new ConfirmedView(
+                        Optional.of(catalogue),
+                        new HostList(1, 1, List.of(ENGINE)),
+                        List.of(),
+                        91,
+                        List.of(new ControlHost(NEAR, "a"), new ControlHost(FAR, "b")),
+                        Moment.now()),
+                0);
+    }
+
+    @AfterEach
+    void closesTheLog() {
+        events.close();
+    }
+
+    private static FleetSettings settings() {
+        FleetSettings.Bounds bounds =
+                new FleetSettings.Bounds(5_000, 8_000, 0.2, 54, 0.1, QuotaLedger.Tolerance.NONE, 1);
+        return new FleetSettings(
+                "entry",
+                "a",
+                SELF,
+                Optional.of(SELF),
+                Optional.of(SELF),
+                Optional.empty(),
+                0,
+                List.of(),
+                false,
+                Optional.empty(),
+                SELF,
+                Optional.empty(),
+                bounds);
+    }
+
+    private UpstreamSlot ask(long now) {
+        SlotRequest request = new SlotRequest(
+                "pool", "", 0, 0, false, true, 200, 400, 8_000, new SlotRequest.Work(100, 20, 0, 0, "", 0), List.of());
+        UpstreamSlot slot = client.request(request, requester, now);
+        client.send(slot, now);
+        return slot;
+    }
+
+    private void replies(String scheduler, UpstreamSlot slot, SlotReply reply, long now) {
+        client.onReply(scheduler, new FleetMessage.Reply(slot.id(), reply), now);
+    }
+
+    private static SlotReply granted(Upstream upstream) {
+        return new SlotReply.Granted(upstream, true);
+    }
+
+    @Nested
+    class WithItsScheduler {
+        @Test
+        void attachesBeforeItAsks() {
+            ask(0);
+            assertThat(links.sentTo(NEAR)).hasSize(2);
+            assertThat(links.sentTo(NEAR).get(0)).isInstanceOf(FleetMessage.Attach.class);
+            assertThat(links.sentTo(NEAR).get(1)).isInstanceOf(FleetMessage.Ask.class);
+            assertThat(links.sentTo(FAR)).isEmpty();
+        }
+
+        @Test
+        void usesWhatIsGrantedAndReportsItsEnd() {
+            UpstreamSlot slot = ask(0);
+            replies(NEAR, slot, granted(ENGINE), 1);
+            assertThat(requester.granted).containsExactly(slot);
+            slot.end(SlotOutcome.SUCCESS);
+            assertThat(links.ended(NEAR)).containsExactly(SlotOutcome.SUCCESS);
+        }
+
+        /** Guards against a slot that stays taken because its request was withdrawn while the grant was on its way. */
+        @Test
+        void givesBackWhatIsGrantedToARequestThatWasWithdrawn() {
+            UpstreamSlot slot = ask(0);
+            slot.withdraw();
+            replies(NEAR, slot, granted(ENGINE), 1);
+            assertThat(requester.granted).isEmpty();
+            assertThat(links.ended(NEAR)).contains(SlotOutcome.UNUSED);
+        }
+
+        /** Guards against a request that is sent to an upstream which this entry knows to be gone. */
+        @Test
+        void declinesAnUpstreamThatItDoesntKnow() {
+            UpstreamSlot slot = ask(0);
+            replies(NEAR, slot, granted(UNLISTED), 1);
+            assertThat(requester.granted).isEmpty();
+            assertThat(links.ended(NEAR)).containsExactly(SlotOutcome.UNUSED);
+            assertThat(links.lastAsk(NEAR).request().avoided()).containsExactly(UNLISTED.run());
+        }
+
+        @Test
+        void waitsAsLongAsTheSchedulerSaysThatItIsQueued() {
+            UpstreamSlot slot = ask(0);
+            replies(NEAR, slot, new SlotReply.Queued(100), 1);
+            client.look(150);
+            assertThat(links.sentTo(FAR)).isEmpty();
+            assertThat(requester.rejected).isEmpty();
+        }
+
+        /** Guards against a caller that waits for ever because its queued request was lost with its scheduler. */
+        @Test
+        void endsAQueuedRequestThatTheSchedulerNeverDecides() {
+            UpstreamSlot slot = ask(0);
+            replies(NEAR, slot, new SlotReply.Queued(100), 1);
+            client.look(301);
+            assertThat(requester.rejected).hasSize(1);
+        }
+    }
+
+    @Nested
+    class WithoutAnAnswer {
+        private static final long NOTICED_MILLIS = SlotClient.REPLY_MILLIS + 1;
+
+        /** Guards against requests that wait for a scheduler that is frozen or cut off. */
+        @Test
+        void asksAnotherScheduler() {
+            ask(0);
+            client.look(NOTICED_MILLIS);
+            assertThat(links.lastAsk(FAR).request().waitMillis()).isEqualTo(200 - NOTICED_MILLIS);
+        }
+
+        /** Guards against engines that look empty to a scheduler whose new entries hold half of their slots. */
+        @Test
+        void bringsAlongTheSlotsThatItHolds() {
+            UpstreamSlot held = ask(0);
+            replies(NEAR, held, granted(ENGINE), 1);
+            ask(10);
+            client.look(10 + NOTICED_MILLIS);
+            FleetMessage.Attach attach = (FleetMessage.Attach) links.sentTo(FAR).get(0);
+            assertThat(attach.held()).hasSize(1);
+            held.end(SlotOutcome.SUCCESS);
+            assertThat(links.ended(FAR)).containsExactly(SlotOutcome.SUCCESS);
+        }
+
+        /** Guards against two grants for one request after its scheduler has woken up. */
+        @Test
+        void givesBackALateGrantOfTheFormerScheduler() {
+            UpstreamSlot slot = ask(0);
+            long formerId = slot.id();
+            client.look(NOTICED_MILLIS);
+            client.onReply(NEAR, new FleetMessage.Reply(formerId, granted(ENGINE)), NOTICED_MILLIS + 5);
+            assertThat(requester.granted).isEmpty();
+            assertThat(links.ended(NEAR)).contains(SlotOutcome.UNUSED);
+            replies(FAR, slot, granted(ENGINE), NOTICED_MILLIS + 6);
+            assertThat(requester.granted).containsExactly(slot);
+        }
+
+        @Test
+        void asksAnotherSchedulerAtOnceWhenTheConnectionIsLost() {
+            ask(0);
+            links.connected.remove(NEAR);
+            client.onLinkLost(NEAR, 5);
+            assertThat(links.lastAsk(FAR)).isNotNull();
+        }
+
+        /** Guards against a scheduler that has forgotten an entry whose connection was made anew meanwhile. */
+        @Test
+        void attachesAnewOverANewConnection() {
+            ask(0);
+            links.connected.put(NEAR, 2);
+            ask(10);
+            assertThat(links.sentTo(NEAR))
+                    .filteredOn(FleetMessage.Attach.class::isInstance)
+                    .hasSize(2);
+        }
+    }
+
+    @Nested
+    class Alone {
+        /** Guards against an entry that serves nobody while all control hosts restart. */
+        @Test
+        void grantsSlotsItselfWhereNoSchedulerIsReachable() {
+            links.connected.clear();
+            ask(0);
+            assertThat(requester.granted).hasSize(1);
+        }
+
+        @Test
+        void grantsSlotsItselfWhereNoSchedulerIsReady() {
+            UpstreamSlot slot = ask(0);
+            replies(NEAR, slot, new SlotReply.Rejected(SlotReply.Reason.UNREADY, 0), 1);
+            replies(FAR, slot, new SlotReply.Rejected(SlotReply.Reason.UNREADY, 0), 2);
+            assertThat(requester.granted).containsExactly(slot);
+        }
+
+        @Test
+        void tellsTheNextSchedulerWhatItHasGrantedItself() {
+            links.connected.clear();
+            ask(0);
+            links.connected.put(FAR, 1);
+            ask(10);
+            FleetMessage.Attach attach = (FleetMessage.Attach) links.sentTo(FAR).get(0);
+            assertThat(attach.held()).hasSize(1);
+        }
+    }
+
+    /** Keeps what became of requests. */
+    private static final class Requester implements UpstreamSlot.Listener {
+        private final List<UpstreamSlot> granted = new ArrayList<>();
+        private final List<SlotReply.Rejected> rejected = new ArrayList<>();
+
+        /** {@inheritDoc} */
+        @Override
+        public void onGranted(UpstreamSlot slot) {
+            granted.add(slot);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onRejected(SlotReply.Rejected reply) {
+            rejected.add(reply);
+        }
+    }
+
+    /** Keeps what is sent over connections that a test makes and loses. */
+    private static final class PlayedLinks implements FleetSender {
+        private final Map<String, Integer> connected = new HashMap<>(Map.of(NEAR, 1, FAR, 1));
+        private final Map<String, List<FleetMessage>> sent = new HashMap<>();
+
+        List<FleetMessage> sentTo(String address) {
+            return sent.getOrDefault(address, List.of());
+        }
+
+        FleetMessage.Ask lastAsk(String address) {
+            FleetMessage.Ask last = null;
+            for (FleetMessage message : sentTo(address)) {
+                last = message instanceof FleetMessage.Ask ask ? ask : last;
+            }
+            return last;
+        }
+
+        List<SlotOutcome> ended(String address) {
+            List<SlotOutcome> outcomes = new ArrayList<>();
+            for (FleetMessage message : sentTo(address)) {
+                if (message instanceof FleetMessage.Report report
+                        && report.report() instanceof SlotReport.Ended ended) {
+                    outcomes.add(ended.outcome());
+                }
+            }
+            return outcomes;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void send(String address, FleetMessage message) {
+            sent.computeIfAbsent(address, key -> new ArrayList<>()).add(message);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void send(Collection<String> addresses, FleetMessage message) {
+            addresses.forEach(address -> send(address, message));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public int connection(String address) {
+            return connected.getOrDefault(address, 0);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/fleet/RecordingSender.java
@@ -0,0 +1,48 @@
+package org.radishspur.node.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Stands for the other end of a connection, and keeps what is sent to it.
+ */
+public final class RecordingSender implements FleetInbox.Sender {
+    private final String peer;
+    private final List<FleetMessage> sent = new ArrayList<>();
+
+    /**
+     * Creates an end to which nothing was sent.
+     *
+     * @param peer its name.
+     */
+    public RecordingSender(String peer) {
+        this.peer = peer;
+    }
+
+    /**
+     * Returns what was sent.
+     *
+     * @return the messages in order.
+     */
+    public List<FleetMessage> sent() {
+        return sent;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void send(FleetMessage message) {
+        sent.add(message);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String peer() {
+        return peer;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public long silentMillis() {
+        return 0;
+    }
+}
