--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -402,8 +402,8 @@
         /** {@inheritDoc} */
         @Override
         public void unreachable() {
-            boolean seenByTwo = connectFailures.confirms(upstream, holding.entry, now);
-            if (seenByTwo || entries.size() <= 1) {
+            boolean known = upstream.isOnProbation() || connectFailures.confirms(upstream, holding.entry, now);
+            if (known || entries.size() <= 1) {
                 upstream.unreachable(now);
                 listener.onEjected(upstream, "no connection");
             }
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
@@ -209,6 +209,15 @@
             fails("two", 2, 10);
             assertThat(replies.ejected).hasSize(1);
         }
+
+        /** Guards against a crashed upstream to which each probe costs two requests their time. */
+        @Test
+        void ejectAgainAtTheFirstProbeThatFails() {
+            fails("one", 1, 0);
+            fails("two", 2, 10);
+            fails("one", 3, 2_000);
+            assertThat(replies.ejected).hasSize(2);
+        }
     }
 
     /** Keeps what a scheduler replies. */
--- a/node/src/main/java/org/radishspur/node/entry/RetryBudgets.java
+++ b/node/src/main/java/org/radishspur/node/entry/RetryBudgets.java
@@ -12,6 +12,15 @@
     /** How many entries share the slack at least, where their number isn't known yet. */
     private static final int LEAST_ENTRIES = 4;
 
+    /**
+     * The part of the slack that all entries together may spend at once; the rest covers entries that have restarted, with a
+     * budget of their own each time.
+     */
+    private static final double SLACK_PART = 0.8;
+
+    /** The part of the allowed share of retries that entries earn by requests; the rest covers windows that begin busy. */
+    private static final double SHARE_PART = 0.5;
+
     private final double retryShare;
     private final int retrySlack;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -28,7 +37,10 @@
 
     /** Returns the budget of a pool. Each entry may spend its part of the slack at once, and earns more by its requests. */
     RetryBudget of(String pool) {
-        return budgets.computeIfAbsent(
-                pool, name -> new RetryBudget(retryShare / 2, Math.max(1, retrySlack / entries / 2)));
+        return budgets.computeIfAbsent(pool, name -> new RetryBudget(retryShare * SHARE_PART, atOnce()));
+    }
+
+    private int atOnce() {
+        return (int) Math.max(1, Math.round(retrySlack * SLACK_PART / entries));
     }
 }
