Ask refused callers back at the end of the time that they honour

Cause: callers honour a Retry-After of up to a third of the time they have left, and can't be on time after it whenever they come.

Change: they are spread over 0.3 to 0.33. Who has come back is still told from a fifth of its time spent.

The new test fails with 0.2: fewer than nine in ten of the refused are answered.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReturnTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReturnTimes.java
@@ -11,21 +11,27 @@
     /** A refused caller is asked back within this part of the time it has left; callers honour up to a third of it. */
     private static final double LATEST = 0.33;
 
-    /** Callers that are refused in the same moment come back spread from this part of their time on. */
-    private static final double EARLIEST = 0.2;
+    /**
+     * Callers that are refused in the same moment come back spread from this part of their time on. They can't be on time any
+     * more, and the later they come back the more of them find a burst over.
+     */
+    private static final double EARLIEST = 0.3;
+
+    /** Who has spent this part of its time has come back; fresh callers of one route differ by less. */
+    private static final double SPENT = 0.2;
 
     /**
      * Tells whether a caller has come back after a refusal, by the time that it has left.
      *
      * <p>Guards against fresh callers that are taken for late ones: callers of one route don't all wait equally long. Who has
-     * come back has spent at least the part of its time after which it was asked back.
+     * come back has spent most of the part of its time after which it was asked back.
      *
      * @param leftMillis the time that the caller has left.
      * @param longestMillis the longest time that any caller of the route has had.
      * @return whether it has come back.
      */
     public boolean isBack(long leftMillis, long longestMillis) {
-        return leftMillis <= longestMillis * (1 - EARLIEST);
+        return leftMillis <= longestMillis * (1 - SPENT);
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/slot/BurstAtManyEntriesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/BurstAtManyEntriesTest.java
@@ -37,6 +37,16 @@
             assertThat(world.onTime(1)).isGreaterThanOrEqualTo(world.onTime(2));
         }
 
+        /** Guards against callers who are asked back into the burst that they were refused in. */
+        @Test
+        void servesNineInTenOfTheRefusedWhenTheyComeBack() {
+            SchedulerWorld world = new SchedulerWorld(20_267);
+            world.play(USUAL_RATE, 1_500);
+            world.play(USUAL_RATE * 1.5, 5_000);
+            world.play(USUAL_RATE, 5_000);
+            assertThat(world.refusedTwiceShare()).isLessThan(world.refusedShare() / 10);
+        }
+
         @Test
         void refusesNobodyAtTheUsualRate() {
             SchedulerWorld world = new SchedulerWorld(20_263);
