--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -26,6 +26,12 @@
      */
     private static final double LATE_SHARE = 0.25;
 
+    /**
+     * After so long without a word of another one, what it has used meanwhile is taken as by a newcomer, in milliseconds; all
+     * use is reported several times a second.
+     */
+    private static final long SILENCE_MILLIS = 900;
+
     /** How much a newcomer owes at most for use before its start, in milliseconds of the rate: half a round of sharing. */
     private static final long NEWCOMER_DEBT_MILLIS = 20;
 
@@ -35,7 +41,7 @@
     private long startedAt = NOT_STARTED;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final Map<String, Long> usedHere = new HashMap<>();
-    private final Map<String, Map<String, Long>> usedElsewhere = new HashMap<>();
+    private final Map<String, Map<String, Use>> usedElsewhere = new HashMap<>();
 
     /**
      * Creates a ledger without use.
@@ -103,24 +109,33 @@
      * @param now the clock in milliseconds.
      */
     public void usedElsewhere(String entry, OrganisationRule organisation, long total, long now) {
-        Map<String, Long> seen = usedElsewhere.computeIfAbsent(entry, key -> new HashMap<>());
-        Long before = seen.put(organisation.name(), total);
+        Map<String, Use> seen = usedElsewhere.computeIfAbsent(entry, key -> new HashMap<>());
+        Use before = seen.put(organisation.name(), new Use(total, now));
         if (organisation.ratePerSecond() <= 0) {
             return;
         }
         Bucket bucket = bucketOf(organisation, now);
-        if (before != null) {
-            bucket.level -= total - before;
+        if (before != null && now - before.at() <= SILENCE_MILLIS) {
+            bucket.level -= total - before.total();
             return;
         }
         // The first word of an entry sums up all that it has admitted so far; of that, no more than a whole bucket can
         // still be missing here.
-        double missing = Math.min(total, capacity(organisation));
-        // Guards against refusing what is within the limit: an entry that has just started hears the sum of each of the
-        // others, most of it long made up for, and would owe a whole bucket for each of them, seconds of no service at
-        // seven entries. It starts with a bucket that is just empty instead.
+        double missing = Math.min(total - (before == null ? 0 : before.total()), capacity(organisation));
+        boolean longAgo = before != null || isNewcomer(now);
+        bucket.level -= longAgo ? Math.min(missing, owedAtMost(organisation, bucket)) : missing;
+    }
+
+    /**
+     * Returns what is taken of use that was made up for long ago, for the most part.
+     *
+     * <p>Guards against refusing what is within the limit: one that has just started, or was cut off, hears the sum of what each
+     * of the others has used, and would owe a whole bucket for each, or all use of the time of the cut: seconds of no
+     * service. It goes on with a bucket that is just empty instead.
+     */
+    private static double owedAtMost(OrganisationRule organisation, Bucket bucket) {
         double debt = organisation.ratePerSecond() * NEWCOMER_DEBT_MILLIS / 1_000;
-        bucket.level -= isNewcomer(now) ? Math.min(missing, Math.max(0, bucket.level + debt)) : missing;
+        return Math.max(0, bucket.level + debt);
     }
 
     private void noteStart(long now) {
@@ -161,6 +176,14 @@
         public static final Tolerance NONE = new Tolerance(0, 0);
     }
 
+    /**
+     * Holds what another one has reported.
+     *
+     * @param total what it has admitted since it started.
+     * @param at when it reported that, in milliseconds.
+     */
+    private record Use(long total, long at) {}
+
     /** Holds what is left of one limit. */
     private static final class Bucket {
         private double level;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/Ticket.java
@@ -14,6 +14,7 @@
     private final VersionRule versions;
     private final Work work;
     private final Set<String> avoided = new HashSet<>();
+    private String preferredDomain = "";
     private long sequence;
     private double value;
     private long keptTokens;
@@ -46,6 +47,19 @@
         avoided.add(run);
     }
 
+    /**
+     * Sets where its entry stands, from which bytes to other failure domains are paid for.
+     *
+     * @param failureDomain the failure domain; empty for that of the scheduler.
+     */
+    public void prefer(String failureDomain) {
+        preferredDomain = failureDomain;
+    }
+
+    String preferredDomainOr(String other) {
+        return preferredDomain.isEmpty() ? other : preferredDomain;
+    }
+
     /**
      * Returns the request's name.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamBoard.java
@@ -361,7 +361,7 @@
                 .map(load -> new Candidate(
                         load,
                         fit(load, ticket, homes, events, now),
-                        cost(load, fastest) * saving(load, ticket.work(), homes)))
+                        cost(load, ticket, fastest) * saving(load, ticket.work(), homes)))
                 .sorted(Comparator.comparing(Candidate::fit).thenComparingDouble(Candidate::cost))
                 .toList();
         return candidates.isEmpty() ? Optional.empty() : Optional.of(drawAmongBest(candidates));
@@ -422,11 +422,12 @@
         return 1 - GREATEST_SAVING * Math.min(1, share);
     }
 
-    private double cost(UpstreamLoad load, double fastest) {
+    private double cost(UpstreamLoad load, Ticket ticket, double fastest) {
         // An upstream that nobody has tried counts as one of the fastest, so that its speed is learnt at once.
         double pace = load.isPaceKnown() ? load.paceMillis() : fastest;
         double crowd = 1 + CROWDING * load.inProgress() / slots(load);
-        double distance = isOwnDomain(load) ? 1 : DISTANCE;
+        boolean near = load.upstream().failureDomain().equals(ticket.preferredDomainOr(ownDomain));
+        double distance = near ? 1 : DISTANCE;
         return pace * crowd * distance * (1 + LARGEST_PREFERENCE * preference(load));
     }
 
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -10,6 +10,7 @@
  * Asks for a slot at an upstream of a pool. Times are relative, as the clocks of hosts differ.
  *
  * @param pool the pool.
+ * @param failureDomain the failure domain of the entry; upstreams there are preferred.
  * @param organisation the organisation whose quota counts, empty where there is none.
  * @param cost what the request takes from the quota, 0 where it was taken already.
  * @param rank how urgent the organisation is; 0 is the most urgent.
@@ -23,6 +24,7 @@
  */
 public record SlotRequest(
         String pool,
+        String failureDomain,
         String organisation,
         double cost,
         int rank,
@@ -48,6 +50,7 @@
     public SlotRequest after(long millis) {
         return new SlotRequest(
                 pool,
+                failureDomain,
                 organisation,
                 cost,
                 rank,
@@ -70,13 +73,25 @@
         List<String> longer = new ArrayList<>(avoided);
         longer.add(run);
         return new SlotRequest(
-                pool, organisation, cost, rank, returning, false, waitMillis, targetMillis, endMillis, work, longer);
+                pool,
+                failureDomain,
+                organisation,
+                cost,
+                rank,
+                returning,
+                false,
+                waitMillis,
+                targetMillis,
+                endMillis,
+                work,
+                longer);
     }
 
     Ticket toTicket(VersionRule versions, long now) {
         Ticket ticket =
                 new Ticket("", rank, now, now + waitMillis, versions, work.by(now + targetMillis, now + endMillis));
         avoided.forEach(ticket::avoid);
+        ticket.prefer(failureDomain);
         return ticket;
     }
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -99,6 +99,17 @@
 
     @Nested
     class OverSeveralEntries {
+        /** Guards against seconds of no service after a cut, in which all use of the time of the cut is made up for. */
+        @Test
+        void admitsSoonAfterACutWhatIsWithinTheLimit() {
+            QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
+            OrganisationRule rule = new OrganisationRule("fleet", Set.of("key"), 0, 1_000, 1_000, true, 10);
+            ledger.take(rule, 1, false, 0);
+            ledger.usedElsewhere("other", rule, 500, 5_000);
+            ledger.usedElsewhere("other", rule, 500 + 12_000, 17_000);
+            assertThat(ledger.take(rule, 10, false, 17_100)).isEmpty();
+        }
+
         @Test
         void countsTheUseOfAnEntryThatIsHeardForTheFirstTime() {
             QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerWorld.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerWorld.java
@@ -176,6 +176,7 @@
                 request.id,
                 new SlotRequest(
                         PlayedPools.POOL,
+                        domain(request.entry),
                         "",
                         0,
                         0,
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
@@ -161,6 +161,7 @@
                     request.id,
                     new SlotRequest(
                             PlayedPools.POOL,
+                            "",
                             "organisation",
                             request.cost,
                             0,
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
@@ -38,6 +38,7 @@
     private static SlotRequest request(int tier, double cost) {
         return new SlotRequest(
                 PlayedPools.POOL,
+                "",
                 "organisation",
                 cost,
                 0,
@@ -144,6 +145,35 @@
         }
     }
 
+    @Nested
+    class FailureDomains {
+        /** Guards against bytes between failure domains while entries use a scheduler of another one. */
+        @Test
+        void prefersAnUpstreamBesideTheEntry() {
+            pools.upstreams(List.of(PlayedPools.engine(0, "a", SLOTS), PlayedPools.engine(1, "b", SLOTS)), 1);
+            SlotRequest usual = request(0);
+            SlotRequest fromAfar = new SlotRequest(
+                    usual.pool(),
+                    "b",
+                    usual.organisation(),
+                    0,
+                    0,
+                    false,
+                    true,
+                    usual.waitMillis(),
+                    usual.targetMillis(),
+                    usual.endMillis(),
+                    usual.work(),
+                    List.of());
+            scheduler.request("one", 1, fromAfar, 0);
+            assertThat(replies.last("one", 1))
+                    .isInstanceOfSatisfying(
+                            SlotReply.Granted.class,
+                            granted -> assertThat(granted.upstream().failureDomain())
+                                    .isEqualTo("b"));
+        }
+    }
+
     @Nested
     class Entries {
         /** Guards against slots that stay taken for an entry that was killed. */
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -214,6 +214,7 @@
                 : route.targetLatencyMillis() > 0 ? arrivedAt + route.targetLatencyMillis() - now : endsAt - now;
         return new SlotRequest(
                 poolName,
+                services.failureDomain(),
                 organisation.map(OrganisationRule::name).orElse(""),
                 runs == 0 ? quotaCost() : 0,
                 organisationRank,
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -152,6 +152,10 @@
         return view;
     }
 
+    String failureDomain() {
+        return settings.failureDomain();
+    }
+
     CallerLimits limits() {
         return view.catalogue().map(Catalogue::limits).orElse(CallerLimits.STANDARD);
     }
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -87,7 +87,18 @@
 
     private UpstreamSlot ask(long now) {
         SlotRequest request = new SlotRequest(
-                "pool", "", 0, 0, false, true, 200, 400, 8_000, new SlotRequest.Work(100, 20, 0, 0, "", 0), List.of());
+                "pool",
+                "",
+                "",
+                0,
+                0,
+                false,
+                true,
+                200,
+                400,
+                8_000,
+                new SlotRequest.Work(100, 20, 0, 0, "", 0),
+                List.of());
         UpstreamSlot slot = client.request(request, requester, now);
         client.send(slot, now);
         return slot;
