Send a large catalogue once over each connection, from one copy

The leader sent a copy of it, encoded anew, to each of 96 followers and again each 200 ms as long as they asked with their old revision, which takes half a second at 7 Mbit/s. Its direct memory ran out (OutOfMemoryError: Cannot reserve 524288 bytes of direct buffer memory, 7.53 s), its transport thread fell silent for over a second, another leader was elected and fell in the same way, and from 12 s to the end hardly an entry was confirmed: 1,000 and more requests refused as unconfirmed every two seconds.

Change: the catalogue travels as a message of its own before the answer that confirms it, encoded once outside of the heap, shared by all sockets, and sent once over each connection (once more after 3 s without effect). The scheduler of a control host reads catalogues on a thread of its own: parsing 1,490 routes on the replica's thread takes longer than an election timeout.

Ruled out: the schedulers as the cause; the untouched code without them shows the same collapse.

--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -117,6 +117,8 @@
     public void onMessage(Sender sender, FleetMessage message) {
         if (message instanceof FleetMessage.Reply reply) {
             services.onReply(sender.peer(), reply);
+        } else if (message instanceof FleetMessage.Document document) {
+            control.execute(() -> follower.onDocument(document.document()));
         } else if (message instanceof FleetMessage.Followed answer) {
             control.execute(() -> follower.onFollowed(answer));
         }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetInbox.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetInbox.java
@@ -1,5 +1,7 @@
 package org.radishspur.node.fleet;
 
+import io.netty.buffer.ByteBuf;
+
 /**
  * Receives what other processes say, on a thread of the transport.
  */
@@ -30,6 +32,13 @@
          */
         void send(FleetMessage message);
 
+        /**
+         * Sends a message that goes to many receivers and was encoded once.
+         *
+         * @param encoded the bytes, which stay the caller's.
+         */
+        void sendShared(ByteBuf encoded);
+
         /**
          * Names the other end.
          *
--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -184,6 +184,12 @@
             sendEncoded(message);
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void sendShared(ByteBuf encoded) {
+            sendEncoded(encoded.retainedDuplicate());
+        }
+
         /** {@inheritDoc} */
         @Override
         public String peer() {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -69,7 +69,6 @@
      *     and the control hosts count in this answer.
      * @param leader the address of the leader, or an empty text.
      * @param revision the revision of the catalogue in force.
-     * @param document the catalogue, where the entry has an older one.
      * @param list the host list, where the entry has an older one.
      * @param rollouts the latest rollout of each pool.
      * @param entries how many entries have asked lately.
@@ -80,7 +79,6 @@
             boolean confirmed,
             String leader,
             long revision,
-            Optional<CatalogueState.Document> document,
             Optional<HostList> list,
             List<CatalogueState.Rollout> rollouts,
             int entries,
@@ -157,4 +155,11 @@
      * @param report the report.
      */
     record Report(long id, SlotReport report) implements FleetMessage {}
+
+    /**
+     * Brings a newer catalogue, before the {@link Followed} that confirms it on the same connection.
+     *
+     * @param document the catalogue.
+     */
+    record Document(CatalogueState.Document document) implements FleetMessage {}
 }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
@@ -81,6 +82,12 @@
             connection.writeAndFlush(message, connection.voidPromise());
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void sendShared(ByteBuf encoded) {
+            connection.writeAndFlush(encoded.retainedDuplicate(), connection.voidPromise());
+        }
+
         /** {@inheritDoc} */
         @Override
         public String peer() {
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -137,7 +137,8 @@
         follow = new FollowService(loop, replica, members, hostList, rollouts, metrics);
         OperatorService desk =
                 new OperatorService(loop, replica, follow, operators, settings.operatorPort(), events, metrics);
-        scheduler = new SchedulerHost(settings, loop, group.next(), operators, events, metrics.registry());
+        scheduler = new SchedulerHost(
+                settings, cause -> failed.countDown(), group.next(), operators, events, metrics.registry());
         root = new Supervisor("control", timers, loop::nowMillis)
                 .supervise("fleet-server", () -> new FleetServer(settings.peerAddress(), group, this))
                 .supervise(
@@ -175,6 +176,7 @@
     /** {@inheritDoc} */
     @Override
     public void onClosed(Sender sender) {
+        loop.execute(() -> follow.onClosed(sender));
         scheduler.onClosed(sender);
     }
 
--- a/node/src/main/java/org/radishspur/node/group/FollowService.java
+++ b/node/src/main/java/org/radishspur/node/group/FollowService.java
@@ -33,6 +33,7 @@
     private final ControlMetrics metrics;
     private final Map<String, Long> entries = new HashMap<>();
     private final Deque<PendingRead> pending = new ArrayDeque<>();
+    private final DocumentSender documents = new DocumentSender();
     private final ParkedQuestions parked = new ParkedQuestions();
 
     FollowService(
@@ -62,6 +63,10 @@
         }
     }
 
+    void onClosed(FleetInbox.Sender sender) {
+        documents.forget(sender);
+    }
+
     private void follow(FleetInbox.Sender sender, FleetMessage.Follow question, long askedAt) {
         if (!replica.isLeader()) {
             sender.send(new FleetMessage.Followed(
@@ -70,7 +75,6 @@
                     replica.leaderNode(),
                     0,
                     Optional.empty(),
-                    Optional.empty(),
                     List.of(),
                     0,
                     members.controls()));
@@ -83,6 +87,9 @@
             @Override
             public void onConfirmed(CatalogueState state) {
                 metrics.followed(true);
+                if (state.document().revision() > question.revision()) {
+                    documents.send(sender, state.document(), loop.nowMillis());
+                }
                 sender.send(answer(question, state));
             }
 
@@ -134,13 +141,11 @@
     private FleetMessage.Followed answer(FleetMessage.Follow question, CatalogueState state) {
         HostList list = hostList.latest();
         boolean listNewer = list.isLaterThan(new HostList(question.listTerm(), question.listReading(), List.of()));
-        boolean documentNewer = state.document().revision() > question.revision();
         return new FleetMessage.Followed(
                 question.nonce(),
                 true,
                 replica.leaderNode(),
                 state.document().revision(),
-                documentNewer ? Optional.of(state.document()) : Optional.empty(),
                 listNewer ? Optional.of(list) : Optional.empty(),
                 new ArrayList<>(state.rollouts()),
                 countEntries(),
--- a/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerCodec.java
@@ -57,6 +57,20 @@
         return Unpooled.wrappedBuffer(MessagePack.INSTANCE.encode(message, type));
     }
 
+    /**
+     * Encodes a large message that goes to many receivers. Its bytes lie outside of the heap, where the sockets share them; bytes
+     * on the heap are copied for each.
+     *
+     * @param message the message.
+     * @param type the sealed type of the messages.
+     * @param <M> the type of the messages.
+     * @return the bytes, which the caller releases.
+     */
+    public static <M> ByteBuf encodeLarge(M message, Class<M> type) {
+        byte[] bytes = MessagePack.INSTANCE.encode(message, type);
+        return Unpooled.directBuffer(bytes.length).writeBytes(bytes);
+    }
+
     /** {@inheritDoc} */
     @Override
     protected void encode(ChannelHandlerContext context, M message, List<Object> out) {
--- a/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
@@ -18,6 +18,7 @@
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
+import org.radishspur.replication.state.CatalogueState;
 
 /**
  * Follows the control leader for an entry or a scheduler, on the control thread: asks what is in force, several times a second, and finds
@@ -124,6 +125,25 @@
         want();
     }
 
+    /**
+     * Takes over a newer catalogue. It counts once an answer has confirmed it.
+     *
+     * @param document the catalogue.
+     */
+    public void onDocument(CatalogueState.Document document) {
+        if (document.revision() <= view.revision()) {
+            return;
+        }
+        Catalogue catalogue = dialect.catalogue(document.text());
+        view = view.withCatalogue(catalogue);
+        events.emit(
+                EventCode.CATALOGUE,
+                catalogue.revision(),
+                catalogue.routes().size(),
+                catalogue.organisations().size());
+        listener.onView(view);
+    }
+
     private void onHint(String hinted) {
         if (!hinted.isEmpty() && !hinted.equals(leader)) {
             leader = hinted;
@@ -135,15 +155,6 @@
 
     private void takeOver(FleetMessage.Followed answer, Moment askedAt) {
         ConfirmedView next = view;
-        if (answer.document().isPresent() && answer.document().get().revision() > next.revision()) {
-            Catalogue catalogue = dialect.catalogue(answer.document().get().text());
-            next = next.withCatalogue(catalogue);
-            events.emit(
-                    EventCode.CATALOGUE,
-                    catalogue.revision(),
-                    catalogue.routes().size(),
-                    catalogue.organisations().size());
-        }
         if (answer.list().isPresent() && answer.list().get().isLaterThan(next.hosts())) {
             HostList hosts = answer.list().get();
             next = next.withHosts(hosts);
--- a/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
@@ -25,6 +25,7 @@
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.settings.FleetSettings;
 import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
 
 /**
  * Runs the scheduler of a control host on its transport thread: serves the entries that are attached, follows the control
@@ -44,7 +45,9 @@
     private static final double CONFIRMED_SHARE = 0.8;
 
     private final FleetSettings settings;
-    private final ControlLoop control;
+    /** Reads catalogues aside from the replica's thread: a large one takes longer than an election timeout. */
+    private final ControlLoop following = new ControlLoop();
+
     private final EventLoop traffic;
     private final EventLog events;
     private final MetricRegistry metrics;
@@ -63,7 +66,7 @@
      * Starts a scheduler.
      *
      * @param settings the settings of the process.
-     * @param control the control thread.
+     * @param failure learns that the scheduler's state is in doubt.
      * @param traffic the transport thread, which owns the scheduler.
      * @param operators reads catalogues.
      * @param events takes structured events.
@@ -71,13 +74,13 @@
      */
     public SchedulerHost(
             FleetSettings settings,
-            ControlLoop control,
+            Child.FailureListener failure,
             EventLoop traffic,
             OperatorDialect operators,
             EventLog events,
             MetricRegistry metrics) {
         this.settings = settings;
-        this.control = control;
+        following.onFailure(failure);
         this.traffic = traffic;
         this.events = events;
         this.metrics = metrics;
@@ -88,7 +91,7 @@
         slots = new SlotScheduler(pools, quotas, new Replies());
         sharing = new LoadSharing(links, pools, quotas, self + '/' + System.currentTimeMillis());
         follower = new ControlFollower(
-                control, links, operators, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
+                following, links, operators, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
         metrics.register("scheduler.entries", (Gauge<Integer>) slots::entries);
         metrics.register("scheduler.waiting", (Gauge<Integer>) slots::waiting);
         seeds(settings.seeds());
@@ -122,14 +125,16 @@
     public void seeds(List<HostPort> seeds) {
         Set<String> addresses = new TreeSet<>();
         seeds.forEach(host -> addresses.add(host.toString()));
-        control.execute(() -> follower.seeds(addresses));
+        following.execute(() -> follower.seeds(addresses));
     }
 
     /** {@inheritDoc} */
     @Override
     public void onMessage(Sender sender, FleetMessage message) {
         if (message instanceof FleetMessage.Followed answer) {
-            control.execute(() -> follower.onFollowed(answer));
+            following.execute(() -> follower.onFollowed(answer));
+        } else if (message instanceof FleetMessage.Document document) {
+            following.execute(() -> follower.onDocument(document.document()));
         } else if (message instanceof FleetMessage.Ask ask) {
             onAsk(sender, ask);
         } else if (message instanceof FleetMessage.Report report) {
@@ -214,6 +219,7 @@
     /** {@inheritDoc} */
     @Override
     public void close() {
+        following.close();
         links.close();
     }
 
--- a/node/src/test/java/org/radishspur/node/fleet/RecordingSender.java
+++ b/node/src/test/java/org/radishspur/node/fleet/RecordingSender.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
+
 /**
  * Stands for the other end of a connection, and keeps what is sent to it.
  */
 public final class RecordingSender implements FleetInbox.Sender {
     private final String peer;
+    private int shared;
     private final List<FleetMessage> sent = new ArrayList<>();
 
     /**
@@ -34,6 +37,21 @@
         sent.add(message);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void sendShared(ByteBuf encoded) {
+        shared++;
+    }
+
+    /**
+     * Counts what was sent as shared bytes.
+     *
+     * @return the number of messages.
+     */
+    public int shared() {
+        return shared;
+    }
+
     /** {@inheritDoc} */
     @Override
     public String peer() {
