--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -112,7 +112,7 @@
         if (message instanceof FleetMessage.Reply reply) {
             services.onReply(sender.peer(), reply);
         } else if (message instanceof FleetMessage.Document document) {
-            control.execute(() -> follower.onDocument(document.document()));
+            control.execute(() -> follower.onDocument(document));
         } else if (message instanceof FleetMessage.Followed answer) {
             control.execute(() -> follower.onFollowed(answer));
         }
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/fleet/DeflatedText.java
@@ -0,0 +1,52 @@
+package org.radishspur.node.fleet;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+import org.radishspur.model.error.ErrorCode;
+import org.radishspur.model.error.RadishspurException;
+
+/**
+ * Holds a text in compressed form. A catalogue shrinks to a tenth, and goes to every process at each edit.
+ *
+ * @param bytes the text in UTF-8, deflated.
+ */
+public record DeflatedText(byte[] bytes) {
+    /**
+     * Compresses a text.
+     *
+     * @param text the text.
+     * @return its compressed form.
+     */
+    public static DeflatedText of(String text) {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+        Deflater fast = new Deflater(Deflater.BEST_SPEED);
+        try (DeflaterOutputStream deflating = new DeflaterOutputStream(compressed, fast)) {
+            deflating.write(text.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException exception) {
+            throw new RadishspurException(ErrorCode.FRAME_INVALID, "can't compress a text", exception);
+        } finally {
+            fast.end();
+        }
+        return new DeflatedText(compressed.toByteArray());
+    }
+
+    /**
+     * Restores the text.
+     *
+     * @return the text.
+     * @throws RadishspurException if the bytes hold no compressed text, with {@link ErrorCode#FRAME_INVALID}.
+     */
+    public String text() {
+        try (InflaterInputStream inflating = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+            return new String(inflating.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException exception) {
+            throw new RadishspurException(ErrorCode.FRAME_INVALID, "can't restore a text", exception);
+        }
+    }
+}
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -159,7 +159,8 @@
     /**
      * Brings a newer catalogue, before the {@link Followed} that confirms it on the same connection.
      *
-     * @param document the catalogue.
+     * @param revision the revision of the catalogue.
+     * @param text the catalogue.
      */
-    record Document(CatalogueState.Document document) implements FleetMessage {}
+    record Document(long revision, DeflatedText text) implements FleetMessage {}
 }
--- a/node/src/main/java/org/radishspur/node/group/DocumentSender.java
+++ b/node/src/main/java/org/radishspur/node/group/DocumentSender.java
@@ -5,13 +5,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.radishspur.node.fleet.DeflatedText;
 import org.radishspur.node.fleet.FleetInbox;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.replication.state.CatalogueState;
 
 /**
- * Sends the catalogue to all who follow: encoded once, and once over each connection.
+ * Sends the catalogue to all who follow: compressed and encoded once, and once over each connection.
  *
  * <p>Guards against a large catalogue that takes the leader down: followers ask several times a second and go on asking with
  * their old revision while the answer is under way, so that a hundred of them would be sent hundreds of copies, for which there is
@@ -33,7 +34,9 @@
         }
         if (encodedRevision != document.revision()) {
             encoded.release();
-            encoded = PeerCodec.encodeLarge(new FleetMessage.Document(document), FleetMessage.class);
+            encoded = PeerCodec.encodeLarge(
+                    new FleetMessage.Document(document.revision(), DeflatedText.of(document.text())),
+                    FleetMessage.class);
             encodedRevision = document.revision();
         }
         sent.put(receiver.peer(), new Sent(document.revision(), now));
--- a/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
@@ -18,7 +18,6 @@
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
-import org.radishspur.replication.state.CatalogueState;
 
 /**
  * Follows the control leader for an entry or a scheduler, on the control thread: asks what is in force, several times a second, and finds
@@ -129,11 +128,11 @@
      *
      * @param document the catalogue.
      */
-    public void onDocument(CatalogueState.Document document) {
+    public void onDocument(FleetMessage.Document document) {
         if (document.revision() <= view.revision()) {
             return;
         }
-        Catalogue catalogue = dialect.catalogue(document.text());
+        Catalogue catalogue = dialect.catalogue(document.text().text());
         view = view.withCatalogue(catalogue);
         events.emit(
                 EventCode.CATALOGUE,
--- a/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
@@ -134,7 +134,7 @@
         if (message instanceof FleetMessage.Followed answer) {
             following.execute(() -> follower.onFollowed(answer));
         } else if (message instanceof FleetMessage.Document document) {
-            following.execute(() -> follower.onDocument(document.document()));
+            following.execute(() -> follower.onDocument(document));
         } else if (message instanceof FleetMessage.Ask ask) {
             onAsk(sender, ask);
         } else if (message instanceof FleetMessage.Report report) {
