--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
@@ -3,9 +3,9 @@
 import java.util.TreeMap;
 
 /**
- * Learns how long the requests of each tier hold a place, and says what a place is worth to a request.
+ * Learns how long the requests of each tier hold a slot, and says what a slot is worth to a request.
  *
- * <p>Where places are short, what counts is the worth that a place earns in the time that it is held, the cµ rule of
+ * <p>Where slots are short, what counts is the worth that a slot earns in the time that it is held, the cµ rule of
  * scheduling: an answer of a less urgent tier that is done in a tenth of a second delays nobody, while a strict order of
  * tiers would let its callers wait in vain behind answers that take ten times as long.
  */
@@ -27,21 +27,21 @@
         holds.computeIfAbsent(tier, key -> new Average(HOLD_WEIGHT));
     }
 
-    /** Notes for how long a request that was answered has held its place. */
+    /** Notes for how long a request that was answered has held its slot. */
     void held(int tier, long millis) {
         seen(tier);
         holds.get(tier).add(Math.max(1, millis));
         allHolds.add(Math.max(1, millis));
     }
 
-    /** Returns what a place is worth to a request for each unit of time that it holds it. */
+    /** Returns what a slot is worth to a request for each unit of time that it holds it. */
     double of(QueuedRequest queued) {
         double onTime = ofTier(queued.work().tier());
         return queued.isLate() ? onTime * LATE_PART : onTime;
     }
 
     /**
-     * Returns by how many tiers a request stands behind those to which a place is worth most, as a fraction where its worth
+     * Returns by how many tiers a request stands behind those to which a slot is worth most, as a fraction where its worth
      * lies between two tiers.
      */
     double stepsBehindBest(QueuedRequest queued) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/SumByPeer.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SumByPeer.java
@@ -4,15 +4,15 @@
 import java.util.Map;
 
 /**
- * Sums up what other entries have told, of which each newer word replaces the one before.
+ * Sums up what peers have reported; each newer report of a peer replaces the one before.
  */
 final class SumByPeer {
     private final Map<String, Long> amounts = new HashMap<>();
     private long total;
 
-    /** Takes an entry's newest amount; 0 forgets the entry. */
-    void put(String entry, long amount) {
-        Long before = amount == 0 ? amounts.remove(entry) : amounts.put(entry, amount);
+    /** Takes a peer's newest amount; 0 forgets the peer. */
+    void put(String peer, long amount) {
+        Long before = amount == 0 ? amounts.remove(peer) : amounts.put(peer, amount);
         total += amount - (before == null ? 0 : before);
     }
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
@@ -65,16 +65,11 @@
         assertThat(urgent).as("most urgent tier on time").isGreaterThan(0.95);
         assertThat(urgent).as("more urgent tiers go before").isGreaterThan(least + 0.2);
         assertThat((double) refused[0] / offered[0]).isLessThan(0.05);
-        // Without an order of its own for each entry, seven entries take the same places at once: 17 and 3,206.
         assertThat(worstOverload).as("requests beyond an engine's places").isLessThanOrEqualTo(12);
         assertThat(overloads).as("sum of them over all grants").isLessThan(2_500);
     }
 
-    /*
-     * What a skipper sees when this breaks: his short note is late, although he asked only once.
-     * A burst is refused in part, and the refused come back into it a second or two later, each already late.
-     * The cause would be places given to them first, because they are patient, so that those who could be on time are late.
-     */
+    /** Guards against refused callers who retry into a burst and take the slots of those who can still be on time. */
     @Test
     void keepsPlacesForThoseWhoCanStillBeOnTime() {
         callersComeBack = true;
@@ -82,19 +77,12 @@
         playBurst();
         double least = (double) onTime[2] / offered[2];
         double middle = (double) onTime[1] / offered[1];
-        // Where late requests count like fresh ones, 0.878 of the middle tier, 0.142 of the least urgent and 43 late
-        // answers.
         assertThat(middle).as("middle tier on time at the first try").isGreaterThan(0.9);
         assertThat(least).as("least urgent tier on time at the first try").isGreaterThan(0.11);
         assertThat(lateAnswers).as("late answers during the burst").isLessThan(30);
     }
 
-    /*
-     * What a buyer sees when this breaks: his price sheet is late on a day on which a third of the engines is idle.
-     * Fifty-four entries hear of each other every 120 ms; in between all of them see the same few free places.
-     * The cause would be a choice by which all entries take the same best place, so that requests wait inside one engine
-     * while others stand empty.
-     */
+    /** Guards against many schedulers that all take the same best slot, so that requests wait inside one engine while others stand empty. */
     @Test
     void spreadsOverEnginesWhereManyEntriesHearOfEachOtherLate() {
         numberOfEntries = 54;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
@@ -277,11 +277,7 @@
             }
         }
 
-        /*
-         * What a skipper sees when this breaks: his urgent briefing is refused while short notes are answered.
-         * One fast place is left and all slow ones are free; a short note comes, then an urgent briefing.
-         * The cause would be free places at slow engines that count for fast ones when places are kept for urgent tiers.
-         */
+        /** Guards against free slots on slow engines that count for an urgent request, which does not go there. */
         @Test
         void keepsTheLastFastPlaceForAnUrgentRequestThoughSlowOnesAreFree() {
             PoolDispatcher dispatcher = unlike();
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -57,11 +57,7 @@
         private static final int COST = 10;
         private static final long RETURN_MILLIS = 2_000;
 
-        /*
-         * What a crew sees when this breaks: most of its briefings are late, though only half of them are refused.
-         * An organisation asks twice what it may; each refused caller comes back once, two seconds later.
-         * The cause would be a limit that late requests use up before those that could be on time.
-         */
+        /** Guards against a limit that late requests use up before those that could be on time. */
         @Test
         void givesTheLimitToThoseWhoCanStillBeOnTime() {
             QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
@@ -120,12 +116,7 @@
                     .hasValueSatisfying(wait -> assertThat(wait).isLessThan(50));
         }
 
-        /*
-         * What a crew sees when this breaks: after a planned restart of an entry its requests are refused for seconds,
-         * although its organisation is well within its limit.
-         * The entry starts, and each of the six others tells what it has admitted since its own start, minutes ago.
-         * The cause would be a sum over six entries that takes all of it for use of this moment.
-         */
+        /** Guards against an entry that has just started and owes all that the others have ever used. */
         @Test
         void owesNothingForWhatOthersAdmittedBeforeItsStart() {
             QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
