Evacuate failure domains; let one scheduler alone use a cold upstream

Cause: the shifted deployment brings two matters that the code didn't know.

Upstreams of an evacuated failure domain take no work: no grant, no retry, none from an entry that decides alone; an entry with the newer view declines a grant of an older scheduler.

A cold upstream is used by one scheduler only, the first by rendezvous hashing among those of its failure domain, up to what the pool's rule says in any second. Cold is what the host list says; what couldn't be reached until just now; and all of a failure domain that was taken back. Weighed: shares for each scheduler (bears the loss of the one scheduler, but gives the failure domain's own requests a third of what its engines bear, as they cross for the rest). An entry alone never uses one.

Ruled out: sending the milliseconds that are left cold, as each reading of the host list would then differ and go to all hosts again.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package org.radishspur.decision.dispatch;
 
+import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.Upstream;
 
 /**
@@ -51,6 +52,7 @@
     private final FirstByteModel firstByte = new FirstByteModel();
     private final FirstByteModel poolFirstByte;
     private boolean followsPool;
+    private ColdLimit cold = new ColdLimit(ColdStart.NONE);
     private final Average eventMillis = new Average(TIME_WEIGHT);
     private final Average failures = new Average(FAILURE_WEIGHT);
     private double peerEventMillis;
@@ -87,16 +89,7 @@
 
     void update(Upstream newer) {
         // Leaving wins: a list that lags may still show an upstream as live after another one has shown it leaving.
-        boolean leaving = upstream.leaving() || newer.leaving();
-        upstream = new Upstream(
-                newer.id(),
-                newer.incarnation(),
-                newer.pool(),
-                newer.address(),
-                newer.failureDomain(),
-                newer.version(),
-                newer.slots(),
-                leaving);
+        upstream = newer.withLeaving(upstream.leaving() || newer.leaving());
     }
 
     /**
@@ -109,6 +102,7 @@
     public void began(Object request, long promptTokens, long now) {
         own++;
         lastBeganAt = now;
+        cold.began(now);
         if (unanswered.isEmpty()) {
             lastByteAt = now;
         }
@@ -190,6 +184,29 @@
         followsPool = follows;
     }
 
+    /** Sets what the upstream bears while it is cold. */
+    void coldStart(ColdStart rule) {
+        cold = new ColdLimit(rule);
+    }
+
+    /** Notes that the upstream may have become cold just now, before the host list shows it. */
+    void mayHaveStarted(long now) {
+        cold.mayHaveStarted(now);
+    }
+
+    /**
+     * Tells whether the upstream bears few requests only. One that can't be reached is likely to come back cold, some time
+     * before the host list shows it.
+     */
+    boolean isCold(long now) {
+        return cold.isLimited() && (upstream.cold() || unreachable || cold.isSuspected(now));
+    }
+
+    /** Tells whether one more request stays within what the upstream bears while it is cold. */
+    boolean bearsOneMore(long now) {
+        return cold.allows(now);
+    }
+
     boolean isReplaced() {
         return replaced;
     }
@@ -204,6 +221,9 @@
     public void recordOutcome(boolean good, double poolFailures, long now) {
         failures.add(good ? 0 : 1);
         if (good) {
+            if (unreachable) {
+                cold.mayHaveStarted(now);
+            }
             failuresInARow = 0;
             connectFailures = 0;
             unreachable = false;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.radishspur.decision.dispatch.UpstreamLoad.Timeliness;
+import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.Upstream;
 
 /**
@@ -79,6 +81,9 @@
     private final FirstByteModel firstByte = new FirstByteModel();
     private final Random draws;
     private int schedulers = 1;
+    private Set<String> evacuated = Set.of();
+    private ColdStart coldStart = ColdStart.NONE;
+    private Predicate<String> servesCold = run -> true;
 
     /**
      * Creates a pool without upstreams.
@@ -104,6 +109,40 @@
         loads.values().forEach(this::notePart);
     }
 
+    /**
+     * Sets what upstreams bear while they are cold, and which of them this scheduler may then use. One scheduler alone may
+     * use each, so that all together stay within what it bears however many there are and whatever they know of each other.
+     *
+     * @param rule what upstreams bear.
+     * @param served tells of the run of an upstream whether it may be used here while it is cold.
+     */
+    public void coldStart(ColdStart rule, Predicate<String> served) {
+        servesCold = served;
+        if (!rule.equals(coldStart)) {
+            coldStart = rule;
+            loads.values().forEach(load -> load.coldStart(rule));
+        }
+    }
+
+    /**
+     * Sets the failure domains whose upstreams get no new request. Upstreams of one that is taken back may have been started
+     * again meanwhile.
+     *
+     * @param failureDomains the evacuated failure domains.
+     * @param now the clock in milliseconds.
+     */
+    public void evacuate(Set<String> failureDomains, long now) {
+        Set<String> before = evacuated;
+        evacuated = failureDomains;
+        loads.values().stream()
+                .filter(load -> before.contains(load.upstream().failureDomain()) && !isEvacuated(load))
+                .forEach(load -> load.mayHaveStarted(now));
+    }
+
+    private boolean isEvacuated(UpstreamLoad load) {
+        return evacuated.contains(load.upstream().failureDomain());
+    }
+
     /**
      * Takes over the newest host list.
      *
@@ -115,7 +154,9 @@
             runs.add(upstream.run());
             UpstreamLoad known = loads.get(upstream.run());
             if (known == null) {
-                loads.put(upstream.run(), new UpstreamLoad(upstream, firstByte));
+                UpstreamLoad load = new UpstreamLoad(upstream, firstByte);
+                load.coldStart(coldStart);
+                loads.put(upstream.run(), load);
             } else {
                 known.update(upstream);
             }
@@ -213,7 +254,7 @@
         }
         double slowest = shortestEventMillis(loads.values()) * SLOW_FACTOR;
         List<UpstreamLoad> candidates = loads.values().stream()
-                .filter(load -> takesWork(load) && !load.isUnreachable(now) && !isSlow(load, slowest))
+                .filter(load -> isOpen(load, now) && !isSlow(load, slowest))
                 .toList();
         return Set.copyOf(PrefixAffinity.INSTANCE.affine(queued.work().prefix(), candidates));
     }
@@ -273,7 +314,7 @@
      */
     public int slots(long now) {
         return loads.values().stream()
-                .filter(load -> takesWork(load) && !load.isUnreachable(now))
+                .filter(load -> isOpen(load, now))
                 .mapToInt(this::slots)
                 .sum();
     }
@@ -307,7 +348,7 @@
         int reachable = 0;
         int ejected = 0;
         for (UpstreamLoad load : loads.values()) {
-            if (takesWork(load) && queued.versions().allows(load.upstream().version()) && !load.isUnreachable(now)) {
+            if (isOpen(load, now) && queued.versions().allows(load.upstream().version())) {
                 listed.add(load);
                 reachable++;
                 ejected += load.isEjected(now) ? 1 : 0;
@@ -336,7 +377,7 @@
         int slots = 0;
         int free = 0;
         for (UpstreamLoad load : loads.values()) {
-            if (isSlow(load, slowest) == slow && takesWork(load) && !load.isUnreachable(now)) {
+            if (isSlow(load, slowest) == slow && isOpen(load, now)) {
                 slots += slots(load);
                 free += freeSlots(load);
             }
@@ -405,6 +446,9 @@
      * answers nobody in time. Each scheduler takes its part of the slots until the time for an event is known.
      */
     private boolean hasFreeSlot(UpstreamLoad load, long now) {
+        if (load.isCold(now) && !load.bearsOneMore(now)) {
+            return false;
+        }
         if (load.isOnProbation()) {
             return load.inProgress() < 1;
         }
@@ -434,6 +478,13 @@
         return pace * utilisation * penalty * (1 + LARGEST_PREFERENCE * preference(load));
     }
 
+    /** Tells whether the upstream is in service for this scheduler, whether or not a slot is free. */
+    private boolean isOpen(UpstreamLoad load, long now) {
+        return takesWork(load)
+                && !load.isUnreachable(now)
+                && (!load.isCold(now) || servesCold.test(load.upstream().run()));
+    }
+
     private boolean isOwnDomain(UpstreamLoad load) {
         return load.upstream().failureDomain().equals(ownDomain);
     }
@@ -448,11 +499,12 @@
      * Tells whether an upstream may get new work.
      *
      * @param load the upstream.
-     * @return whether it is listed, isn't leaving and wasn't replaced.
+     * @return whether it is listed, isn't leaving, wasn't replaced and stands in no evacuated failure domain.
      */
     public boolean takesWork(UpstreamLoad load) {
         return !load.upstream().leaving()
                 && !load.isReplaced()
+                && !isEvacuated(load)
                 && !gone.contains(load.upstream().run());
     }
 
--- a/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
@@ -42,16 +42,29 @@
     }
 
     /**
-     * Sets the schedulers.
+     * Puts schedulers in the order in which something should use them: those of its failure domain first, and each in an order
+     * of its own, on which all agree that know the same schedulers.
      *
+     * @param name what should use a scheduler.
+     * @param failureDomain where it stands.
      * @param failureDomains the failure domain of each scheduler, by its address.
+     * @return the addresses, the best first.
      */
-    public void schedulers(Map<String, String> failureDomains) {
+    public static List<String> inOrder(String name, String failureDomain, Map<String, String> failureDomains) {
         List<String> addresses = new ArrayList<>(failureDomains.keySet());
         addresses.sort(Comparator.<String, Boolean>comparing(
                         address -> !failureDomains.get(address).equals(failureDomain))
-                .thenComparingInt(this::weight));
-        inOrder = List.copyOf(addresses);
+                .thenComparingInt(address -> weight(name, address)));
+        return List.copyOf(addresses);
+    }
+
+    /**
+     * Sets the schedulers.
+     *
+     * @param failureDomains the failure domain of each scheduler, by its address.
+     */
+    public void schedulers(Map<String, String> failureDomains) {
+        inOrder = inOrder(entry, failureDomain, failureDomains);
         avoided.keySet().retainAll(failureDomains.keySet());
     }
 
@@ -103,8 +116,8 @@
         return now < avoided.getOrDefault(address, Avoidance.NONE).until();
     }
 
-    private int weight(String address) {
-        int mixed = (entry.hashCode() * 31 + address.hashCode()) * GOLDEN_RATIO;
+    private static int weight(String name, String address) {
+        int mixed = (name.hashCode() * 31 + address.hashCode()) * GOLDEN_RATIO;
         return (mixed ^ mixed >>> 15) * GOLDEN_RATIO;
     }
 
--- a/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
@@ -11,6 +11,7 @@
  * @param version the version of its software.
  * @param slots how many requests it runs at once, or 0 where it isn't told.
  * @param leaving whether it is to get no new work.
+ * @param cold whether it has started so lately that it bears few requests.
  */
 public record Upstream(
         String id,
@@ -20,7 +21,52 @@
         String failureDomain,
         String version,
         int slots,
-        boolean leaving) {
+        boolean leaving,
+        boolean cold) {
+
+    /**
+     * Describes an upstream that isn't cold.
+     *
+     * @param id the identity of the instance.
+     * @param incarnation when the instance started, in milliseconds since the epoch, or 0 where it isn't told.
+     * @param pool the pool that the instance belongs to.
+     * @param address the IP number and port.
+     * @param failureDomain the failure domain that it stands in.
+     * @param version the version of its software.
+     * @param slots how many requests it runs at once, or 0 where it isn't told.
+     * @param leaving whether it is to get no new work.
+     */
+    public Upstream(
+            String id,
+            long incarnation,
+            String pool,
+            String address,
+            String failureDomain,
+            String version,
+            int slots,
+            boolean leaving) {
+        this(id, incarnation, pool, address, failureDomain, version, slots, leaving, false);
+    }
+
+    /**
+     * Returns this description with another word on whether the upstream leaves.
+     *
+     * @param changed whether it is to get no new work.
+     * @return the changed description.
+     */
+    public Upstream withLeaving(boolean changed) {
+        return new Upstream(id, incarnation, pool, address, failureDomain, version, slots, changed, cold);
+    }
+
+    /**
+     * Returns this description with another word on whether the upstream is cold.
+     *
+     * @param changed whether it bears few requests.
+     * @return the changed description.
+     */
+    public Upstream withCold(boolean changed) {
+        return new Upstream(id, incarnation, pool, address, failureDomain, version, slots, leaving, changed);
+    }
 
     /**
      * Names this run of the instance: an instance that has started again is another upstream.
--- a/node/src/main/java/org/radishspur/node/dialect/OperatorDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/OperatorDialect.java
@@ -75,6 +75,20 @@
          */
         record ReadRollout(String pool) implements Call {}
 
+        /**
+         * Takes the upstreams of a failure domain out of service.
+         *
+         * @param failureDomain the failure domain.
+         */
+        record Evacuate(String failureDomain) implements Call {}
+
+        /**
+         * Takes the upstreams of a failure domain back into service.
+         *
+         * @param failureDomain the failure domain.
+         */
+        record Readmit(String failureDomain) implements Call {}
+
         /**
          * Can't be read.
          *
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -72,7 +72,7 @@
     }
 
     void onView(ConfirmedView view, long now) {
-        pools.apply(view, Math.max(1, view.entries()));
+        pools.apply(view, Math.max(1, view.entries()), now);
         pools.quotaPart(1.0 / Math.max(1, view.entries()));
         choice.schedulers(view.controls().stream()
                 .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one)));
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotReply;
@@ -73,6 +74,7 @@
      * @param rollouts the latest rollout of each pool.
      * @param entries how many entries have asked lately.
      * @param controls all control hosts.
+     * @param evacuated the failure domains whose upstreams are to get no new request.
      */
     record Followed(
             long nonce,
@@ -82,7 +84,8 @@
             Optional<HostList> list,
             List<CatalogueState.Rollout> rollouts,
             int entries,
-            List<ControlHost> controls)
+            List<ControlHost> controls,
+            Set<String> evacuated)
             implements FleetMessage {}
 
     /**
--- a/node/src/main/java/org/radishspur/node/group/FollowService.java
+++ b/node/src/main/java/org/radishspur/node/group/FollowService.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaHost;
@@ -77,7 +78,8 @@
                     Optional.empty(),
                     List.of(),
                     0,
-                    members.controls()));
+                    members.controls(),
+                    Set.of()));
             return;
         }
         if (!question.entry().isEmpty()) {
@@ -149,7 +151,8 @@
                 listNewer ? Optional.of(list) : Optional.empty(),
                 new ArrayList<>(state.rollouts()),
                 countEntries(),
-                members.controls());
+                members.controls(),
+                state.evacuated());
     }
 
     private int countEntries() {
--- a/node/src/main/java/org/radishspur/node/group/OperatorService.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorService.java
@@ -100,6 +100,16 @@
                     state -> state.rollout(rollout.pool())
                             .map(found -> Answer.of(OK, dialect.write(found)))
                             .orElse(Answer.of(NOT_FOUND, "")));
+        } else if (call instanceof Call.Evacuate evacuate) {
+            propose(
+                    new ControlCommand.EvacuateDomain(evacuate.failureDomain(), System.currentTimeMillis()),
+                    target,
+                    listener);
+        } else if (call instanceof Call.Readmit readmit) {
+            propose(
+                    new ControlCommand.ReadmitDomain(readmit.failureDomain(), System.currentTimeMillis()),
+                    target,
+                    listener);
         } else if (call instanceof Call.Malformed malformed) {
             listener.onAnswer(Answer.of(BAD_REQUEST, dialect.write(malformed.faults())));
         } else {
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -34,6 +34,8 @@
     LIST_FAILED(false, "cause"),
     /** A rollout has changed its stage. */
     ROLLOUT(false, "pool", "target", "stage", "answers", "failures", "cause"),
+    /** A scheduler sends nothing more into a failure domain, or sends there again. */
+    EVACUATION(false, "failureDomain", "state", "inProgress"),
     /** An operator's call was answered. */
     OPERATOR(false, "call", "status", "revision", "millis"),
     /** A request was sent to an upstream. */
--- a/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.fleet.ControlHost;
+import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.HostList;
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.replication.state.CatalogueState.Rollout;
@@ -19,6 +21,7 @@
  * @param rollouts the latest rollout of each pool.
  * @param entries how many entries there are.
  * @param controls the control hosts, each of which runs a scheduler.
+ * @param evacuated the failure domains whose upstreams are to get no new request.
  * @param confirmedAt when the question was sent whose answer has confirmed the catalogue.
  */
 public record ConfirmedView(
@@ -27,27 +30,30 @@
         List<Rollout> rollouts,
         int entries,
         List<ControlHost> controls,
+        Set<String> evacuated,
         Moment confirmedAt) {
     /** What a process believes when it starts. */
     public static final ConfirmedView NOTHING =
-            new ConfirmedView(Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Moment.LONG_AGO);
+            new ConfirmedView(Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Set.of(), Moment.LONG_AGO);
 
     /** Copies the lists. */
     public ConfirmedView {
         rollouts = List.copyOf(rollouts);
         controls = List.copyOf(controls);
+        evacuated = Set.copyOf(evacuated);
     }
 
     ConfirmedView withCatalogue(Catalogue newer) {
-        return new ConfirmedView(Optional.of(newer), hosts, rollouts, entries, controls, confirmedAt);
+        return new ConfirmedView(Optional.of(newer), hosts, rollouts, entries, controls, evacuated, confirmedAt);
     }
 
     ConfirmedView withHosts(HostList newer) {
-        return new ConfirmedView(catalogue, newer, rollouts, entries, controls, confirmedAt);
+        return new ConfirmedView(catalogue, newer, rollouts, entries, controls, evacuated, confirmedAt);
     }
 
-    ConfirmedView confirmed(List<Rollout> latest, int live, List<ControlHost> known, Moment at) {
-        return new ConfirmedView(catalogue, hosts, latest, live, known, at);
+    ConfirmedView confirmed(FleetMessage.Followed answer, Moment at) {
+        return new ConfirmedView(
+                catalogue, hosts, answer.rollouts(), answer.entries(), answer.controls(), answer.evacuated(), at);
     }
 
     /**
@@ -89,6 +95,7 @@
                 && entries == other.entries
                 && catalogue.equals(other.catalogue)
                 && rollouts.equals(other.rollouts)
-                && controls.equals(other.controls);
+                && controls.equals(other.controls)
+                && evacuated.equals(other.evacuated);
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
@@ -169,7 +169,7 @@
         boolean current = next.revision() >= answer.revision();
         boolean newer = askedAt.steadyMillis() >= next.confirmedAt().steadyMillis();
         if (current && newer) {
-            next = next.confirmed(answer.rollouts(), answer.entries(), answer.controls(), askedAt);
+            next = next.confirmed(answer, askedAt);
         }
         view = next;
         listener.onView(next);
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -8,15 +8,19 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.UpstreamPool;
 import org.radishspur.decision.dispatch.VersionRule;
+import org.radishspur.decision.slot.SchedulerChoice;
 import org.radishspur.decision.slot.SlotScheduler;
+import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.PoolRule;
 import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.fleet.ControlHost;
 import org.radishspur.replication.state.CatalogueState.Rollout;
 import org.radishspur.replication.state.CatalogueState.RolloutStage;
 
@@ -39,6 +43,7 @@
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
     private final Map<String, Rollout> rollouts = new HashMap<>();
     private final Map<String, Double> trialDebt = new HashMap<>();
+    private final Set<String> servedCold = new HashSet<>();
     private ConfirmedView view = ConfirmedView.NOTHING;
     private double quotaPart = 1;
 
@@ -60,10 +65,12 @@
      *
      * @param newer the view.
      * @param deciders how many processes grant slots of the pools without asking each other.
+     * @param now the clock in milliseconds.
      */
-    public void apply(ConfirmedView newer, int deciders) {
+    public void apply(ConfirmedView newer, int deciders, long now) {
         view = newer;
         view.rollouts().forEach(rollout -> rollouts.put(rollout.pool(), rollout));
+        chooseServedCold();
         Map<String, List<Upstream>> listed = new HashMap<>();
         view.hosts()
                 .upstreams()
@@ -75,11 +82,27 @@
             if (rule(name).isPresent() || dispatchers.containsKey(name)) {
                 UpstreamPool upstreams = dispatcher(name).upstreams();
                 upstreams.schedulers(deciders);
+                upstreams.coldStart(rule(name).map(PoolRule::coldStart).orElse(ColdStart.NONE), servedCold::contains);
                 upstreams.refresh(listed.getOrDefault(name, List.of()));
+                upstreams.evacuate(view.evacuated(), now);
             }
         }
     }
 
+    /** Finds the upstreams that this process may use while they are cold: those of which it is the first scheduler. */
+    private void chooseServedCold() {
+        servedCold.clear();
+        Map<String, String> schedulers = view.controls().stream()
+                .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one));
+        if (schedulers.containsKey(self)) {
+            view.hosts().upstreams().stream()
+                    .filter(upstream -> SchedulerChoice.inOrder(upstream.run(), upstream.failureDomain(), schedulers)
+                            .get(0)
+                            .equals(self))
+                    .forEach(upstream -> servedCold.add(upstream.run()));
+        }
+    }
+
     /**
      * Sets which part of the organisations' quotas is granted here.
      *
@@ -144,6 +167,15 @@
                 .map(rule -> quotaPart < 1 ? rule.withPart(quotaPart) : rule);
     }
 
+    /** Counts the requests that were granted here and are in progress in a failure domain. */
+    int inProgress(String evacuated) {
+        return dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.upstreams().loads().stream())
+                .filter(load -> load.upstream().failureDomain().equals(evacuated))
+                .mapToInt(UpstreamLoad::own)
+                .sum();
+    }
+
     /**
      * Tells whether an upstream may get a request that a scheduler has granted to it, whose view may be older than this one.
      *
--- a/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
@@ -60,6 +60,7 @@
     private final String self;
     private final Map<String, Sender> entries = new HashMap<>();
     private final Map<String, String> connections = new HashMap<>();
+    private final EvacuationLog evacuations;
     private ConfirmedView view = ConfirmedView.NOTHING;
 
     /**
@@ -89,6 +90,7 @@
         pools = new PoolSet(self, settings.failureDomain(), settings.bounds().greatestTrialShare());
         quotas = new QuotaLedger(settings.bounds().quota());
         slots = new SlotScheduler(pools, quotas, new Replies());
+        evacuations = new EvacuationLog(pools, events);
         sharing = new LoadSharing(links, pools, quotas, self + '/' + System.currentTimeMillis());
         follower = new ControlFollower(
                 following, links, operators, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
@@ -188,8 +190,9 @@
                     .map(ControlHost::address)
                     .filter(address -> !address.equals(self))
                     .toList();
-            pools.apply(newer, others.size() + 1);
+            pools.apply(newer, others.size() + 1, now());
             sharing.refresh(others);
+            evacuations.onView(newer.evacuated());
             slots.advance(now());
         }
     }
@@ -199,6 +202,7 @@
                 .filter(entry -> entry.silentMillis() > ENTRY_LOST_MILLIS)
                 .forEach(this::detach);
         slots.advance(now());
+        evacuations.look();
     }
 
     private static long now() {
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -97,7 +98,7 @@
             listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false));
         }
         services.onView(new ConfirmedView(
-                Optional.of(catalogue), new HostList(1, 1, listed), List.of(), 1, List.of(), Moment.now()));
+                Optional.of(catalogue), new HostList(1, 1, listed), List.of(), 1, List.of(), Set.of(), Moment.now()));
         FrontServer front = new FrontServer(NOWHERE, caller.eventLoop(), services);
         caller.pipeline().addLast(new FrontConnection(services, front));
     }
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -57,6 +58,7 @@
                         List.of(),
                         91,
                         List.of(new ControlHost(NEAR, "a"), new ControlHost(FAR, "b")),
+                        Set.of(),
                         Moment.now()),
                 0);
     }
--- a/node/src/test/java/org/radishspur/node/schedule/LoadSharingTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadSharingTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
@@ -52,8 +53,10 @@
                         List.of(),
                         0,
                         List.of(),
+                        Set.of(),
                         Moment.LONG_AGO),
-                others + 1);
+                others + 1,
+                0);
         sharing.refresh(peers);
     }
 
--- a/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
@@ -1,14 +1,22 @@
 package org.radishspur.node.schedule;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.radishspur.decision.dispatch.QueuedRequest;
 import org.radishspur.decision.dispatch.VersionRule;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.PoolRule;
 import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.fleet.ControlHost;
 import org.radishspur.node.fleet.HostList;
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.replication.state.CatalogueState.Rollout;
@@ -20,8 +28,66 @@
     private static final Catalogue CATALOGUE =
             new Catalogue(1, List.of(), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.STANDARD);
 
+    private static final int COLD_PER_SECOND = 10;
+
     private final PoolSet pools = new PoolSet("scheduler", "a", 0.1);
 
+    /**
+     * Guards against a cold upstream that several schedulers use at once, each up to what it bears, or that none may use.
+     */
+    @Test
+    void letsOneSchedulerAloneUseAColdUpstream() {
+        List<ControlHost> controls = IntStream.range(0, 6)
+                .mapToObj(number -> new ControlHost("10.0.0." + number + ":76", "domain-" + number % 3))
+                .toList();
+        List<Upstream> cold = IntStream.range(0, 30)
+                .mapToObj(number -> new Upstream(
+                                "e" + number,
+                                1,
+                                "pool",
+                                "10.0.1." + number + ":80",
+                                "domain-" + number % 3,
+                                "v1",
+                                4,
+                                false)
+                        .withCold(true))
+                .toList();
+        Map<String, Integer> grants = new HashMap<>();
+        for (ControlHost control : controls) {
+            granted(control, controls, cold).forEach(id -> grants.merge(id, 1, Integer::sum));
+        }
+        assertThat(grants).hasSize(cold.size());
+        assertThat(grants.values()).allMatch(count -> count == COLD_PER_SECOND);
+    }
+
+    private static List<String> granted(ControlHost control, List<ControlHost> controls, List<Upstream> cold) {
+        PoolSet scheduler = new PoolSet(control.address(), control.failureDomain(), 0.1);
+        PoolRule rule = new PoolRule("pool", 10, 4, true).withColdStart(new ColdStart(3_000, COLD_PER_SECOND));
+        scheduler.apply(
+                new ConfirmedView(
+                        Optional.of(new Catalogue(1, List.of(), List.of(rule), List.of(), CallerLimits.STANDARD)),
+                        new HostList(1, 1, cold),
+                        List.of(),
+                        0,
+                        controls,
+                        Set.of(),
+                        Moment.LONG_AGO),
+                controls.size(),
+                0);
+        List<String> granted = new ArrayList<>();
+        for (long now = 0; now < 1_000; now += 5) {
+            long at = now;
+            QueuedRequest queued = new QueuedRequest(
+                    "r", 0, at, at, VersionRule.Any.INSTANCE, new QueuedRequest.Work(0, 0, 0, at + 400, at + 3_000));
+            scheduler.dispatcher("pool").upstreams().choose(queued, 0, at).ifPresent(load -> {
+                load.began(queued, 0, at);
+                load.ended(queued);
+                granted.add(load.upstream().id());
+            });
+        }
+        return granted;
+    }
+
     private void view(RolloutStage stage, String... versions) {
         List<Upstream> upstreams = java.util.Arrays.stream(versions)
                 .map(version -> new Upstream(version, 1, "pool", "10.0.0.1:80", "a", version, 4, false))
@@ -33,8 +99,10 @@
                         List.of(new Rollout("pool", "v2", 12_000, 0, stage)),
                         0,
                         List.of(),
+                        Set.of(),
                         Moment.LONG_AGO),
-                1);
+                1,
+                0);
     }
 
     private long allowed(String version, int requests) {
--- a/replication/src/main/java/org/radishspur/replication/state/CatalogueState.java
+++ b/replication/src/main/java/org/radishspur/replication/state/CatalogueState.java
@@ -3,10 +3,12 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
- * Holds the newest catalogue document and the rollouts of pools.
+ * Holds the newest catalogue document, the rollouts of pools and the failure domains that are evacuated.
  *
  * <p>The document is kept as the operator sent it, so that it is read back unchanged; a document whose revision is not
  * higher than the present one changes nothing, which makes resends and races harmless.
@@ -14,6 +16,7 @@
 public final class CatalogueState {
     private Document document = Document.NONE;
     private final Map<String, Rollout> rollouts = new TreeMap<>();
+    private final Set<String> evacuated = new TreeSet<>();
 
     /** Creates the state before the first document. */
     public CatalogueState() {}
@@ -21,6 +24,7 @@
     CatalogueState(Image image) {
         document = image.document();
         image.rollouts().forEach(rollout -> rollouts.put(rollout.pool(), rollout));
+        evacuated.addAll(image.evacuated());
     }
 
     /**
@@ -65,6 +69,24 @@
         }
     }
 
+    /**
+     * Takes the upstreams of a failure domain out of service, or does nothing where they are already.
+     *
+     * @param failureDomain the failure domain.
+     */
+    void evacuate(String failureDomain) {
+        evacuated.add(failureDomain);
+    }
+
+    /**
+     * Takes the upstreams of a failure domain back into service, or does nothing where they are in service.
+     *
+     * @param failureDomain the failure domain.
+     */
+    void readmit(String failureDomain) {
+        evacuated.remove(failureDomain);
+    }
+
     /**
      * Returns the document in force.
      *
@@ -93,8 +115,17 @@
         return Optional.ofNullable(rollouts.get(pool));
     }
 
+    /**
+     * Returns the failure domains whose upstreams are to get no new request.
+     *
+     * @return the names.
+     */
+    public Set<String> evacuated() {
+        return Set.copyOf(evacuated);
+    }
+
     Image image() {
-        return new Image(document, rollouts());
+        return new Image(document, rollouts(), evacuated());
     }
 
     /**
@@ -157,6 +188,12 @@
      *
      * @param document the document in force.
      * @param rollouts the rollouts.
+     * @param evacuated the evacuated failure domains; a snapshot of an older version has none.
      */
-    public record Image(Document document, Collection<Rollout> rollouts) {}
+    public record Image(Document document, Collection<Rollout> rollouts, Set<String> evacuated) {
+        /** Puts the empty set where nothing was stored. */
+        public Image {
+            evacuated = evacuated == null ? Set.of() : Set.copyOf(evacuated);
+        }
+    }
 }
--- a/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
+++ b/replication/src/main/java/org/radishspur/replication/state/ControlCommand.java
@@ -82,7 +82,7 @@
     record ClearSuspect(String pool, String fingerprint, long atMillis) implements ControlCommand {}
 
     /**
-     * Changes the catalogue or its rollouts.
+     * Changes the catalogue, its rollouts or the evacuated failure domains.
      */
     sealed interface CatalogueCommand extends ControlCommand {
         /**
@@ -139,4 +139,32 @@
             state.advance(pool, target, stage);
         }
     }
+
+    /**
+     * Takes the upstreams of a failure domain out of service.
+     *
+     * @param failureDomain the failure domain.
+     * @param atMillis the proposer's wall clock.
+     */
+    record EvacuateDomain(String failureDomain, long atMillis) implements CatalogueCommand {
+        /** {@inheritDoc} */
+        @Override
+        public void applyTo(CatalogueState state) {
+            state.evacuate(failureDomain);
+        }
+    }
+
+    /**
+     * Takes the upstreams of a failure domain back into service.
+     *
+     * @param failureDomain the failure domain.
+     * @param atMillis the proposer's wall clock.
+     */
+    record ReadmitDomain(String failureDomain, long atMillis) implements CatalogueCommand {
+        /** {@inheritDoc} */
+        @Override
+        public void applyTo(CatalogueState state) {
+            state.readmit(failureDomain);
+        }
+    }
 }
--- a/replication/src/test/java/org/radishspur/replication/state/CatalogueStateTest.java
+++ b/replication/src/test/java/org/radishspur/replication/state/CatalogueStateTest.java
@@ -66,6 +66,48 @@
         }
     }
 
+    @Nested
+    class Evacuating {
+        /** Guards against an order that is refused because it was sent again after its answer was lost. */
+        @Test
+        void takesTheSameOrderTwice() {
+            state.evacuate("a");
+            state.evacuate("a");
+            assertThat(state.evacuated()).containsExactly("a");
+            state.readmit("a");
+            state.readmit("a");
+            assertThat(state.evacuated()).isEmpty();
+        }
+
+        /** Guards against one order that undoes another where two failure domains are emptied at once. */
+        @Test
+        void keepsFailureDomainsApart() {
+            state.evacuate("a");
+            state.evacuate("b");
+            state.readmit("a");
+            assertThat(state.evacuated()).containsExactly("b");
+        }
+    }
+
+    /** Guards against an acknowledged evacuation that is lost with the log entries that a snapshot replaces. */
+    @Test
+    void keepsEvacuationsInASnapshot() {
+        ControlState whole = new ControlState(StateOptions.STANDARD);
+        whole.apply(new ControlCommand.EvacuateDomain("a", 1));
+        whole.apply(new ControlCommand.EvacuateDomain("b", 2));
+        whole.apply(new ControlCommand.ReadmitDomain("a", 3));
+        ControlState restored = new ControlState(StateOptions.STANDARD);
+        restored.restore(whole.image().encode());
+        assertThat(restored.catalogue().evacuated()).containsExactly("b");
+    }
+
+    /** Guards against a replica that can't start on the snapshot of a version without evacuations. */
+    @Test
+    void readsAnImageWithoutEvacuations() {
+        assertThat(new CatalogueState.Image(Document.NONE, java.util.List.of(), null).evacuated())
+                .isEmpty();
+    }
+
     @Test
     void survivesASnapshot() {
         ControlState whole = new ControlState(StateOptions.STANDARD);
