Count slots of short calls as free that others have not reported yet, and space grants by the holding time

A call holds its slot for 60 ms, and what schedulers know of each other is up to 40 ms old, so that a slot which another one has freed stays empty for most of a call; and a scheduler takes one foreign slot of an upstream in 40 ms at most, while six share five upstreams.

Ruled out: errors that retries would cure.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -125,6 +125,7 @@
      */
     public void answered(QueuedRequest queued, long millis) {
         values.held(queued.work().tier(), millis);
+        upstreams.held(millis);
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -66,11 +66,17 @@
      */
     private static final double LARGEST_SPREAD = 0.25;
 
-    /**
-     * How long after a grant of a slot in another failure domain none is granted at the same upstream, in milliseconds: a round
-     * of reports. Guards against a rush of all schedulers to an upstream that has just freed two slots.
-     */
-    private static final long FOREIGN_SPACING_MILLIS = 40;
+    /** How old the reports of other schedulers are at most, in milliseconds: a round of reports. */
+    private static final long REPORT_MILLIS = 40;
+
+    /** The part of the usual holding time for which a slot in another failure domain may be left empty at most. */
+    private static final double LARGEST_SPACING_PART = 1.0 / 6;
+
+    /** The part of the newest time in the average of holding times; some fifty requests outweigh the older ones. */
+    private static final double HOLD_WEIGHT = 0.02;
+
+    /** So many answers tell the usual holding time; the first ones are the short ones. */
+    private static final long LEAST_HOLDS = 100;
 
     private final String self;
     private final String ownDomain;
@@ -81,6 +87,7 @@
     private final FirstByteModel firstByte = new FirstByteModel();
     private final Random draws;
     private int schedulers = 1;
+    private final Average holdMillis = new Average(HOLD_WEIGHT);
     private Set<String> evacuated = Set.of();
     private ColdStart coldStart = ColdStart.NONE;
     private Predicate<String> servesCold = run -> true;
@@ -99,6 +106,11 @@
         this.slotsByDefault = slotsByDefault;
     }
 
+    /** Notes for how long a request that was answered has held its slot. */
+    void held(long millis) {
+        holdMillis.add(Math.max(1, millis));
+    }
+
     /**
      * Notes how many schedulers share the upstreams.
      *
@@ -452,14 +464,40 @@
         if (load.isOnProbation()) {
             return load.inProgress() < 1;
         }
-        if (schedulers > 1 && !isOwnDomain(load) && now - load.lastBeganAt() < FOREIGN_SPACING_MILLIS) {
+        if (schedulers > 1 && !isOwnDomain(load) && now - load.lastBeganAt() < foreignSpacing()) {
             return false;
         }
-        int slots = slots(load);
+        int slots = slots(load) + unreportedReleases(load);
         int part = load.isEventTimeKnown() ? slots : Math.max(1, slots / schedulers);
         return load.inProgress() < slots && load.own() < part;
     }
 
+    /**
+     * Returns how long after a grant of a slot in another failure domain none is granted at the same upstream, in milliseconds.
+     * Guards against a rush of all schedulers to an upstream that has just freed two slots.
+     */
+    private long foreignSpacing() {
+        return isHoldKnown()
+                ? Math.min(REPORT_MILLIS, (long) (holdMillis.value() * LARGEST_SPACING_PART))
+                : REPORT_MILLIS;
+    }
+
+    /**
+     * Returns how many slots of an upstream are likely to be free that other schedulers have not reported yet. Guards against
+     * upstreams for short calls that stand idle for a good part of the time while callers are refused: a call holds its slot
+     * hardly longer than a report takes. Where the guess is wrong, a request waits at the upstream for less than a report.
+     */
+    private int unreportedReleases(UpstreamLoad load) {
+        if (schedulers == 1 || !isHoldKnown()) {
+            return 0;
+        }
+        return (int) (slots(load) * Math.min(1, REPORT_MILLIS / holdMillis.value()));
+    }
+
+    private boolean isHoldKnown() {
+        return holdMillis.samples() >= LEAST_HOLDS;
+    }
+
     /** Returns what part of its cost a request has at an upstream that keeps the beginning of its prompt. */
     private static double saving(UpstreamLoad load, QueuedRequest.Work work, Set<UpstreamLoad> affine) {
         if (!affine.contains(load)) {
--- a/decision/src/test/java/org/radishspur/decision/slot/BurstAtManyEntriesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/BurstAtManyEntriesTest.java
@@ -22,15 +22,15 @@
         /** Guards against entries that all take the same free slot, so that requests queue inside an engine. */
         @Test
         void putsNoMoreThanOneRequestOfEachSchedulerBeyondTheSlotsOfAnEngine() {
-            SchedulerWorld world = new SchedulerWorld(20_261);
+            SchedulerWorld world = new SchedulerWorld(20_261, Workload.STREAMS);
             world.play(USUAL_RATE * 2, 5_000);
-            assertThat(world.mostBeyondSlots()).isLessThanOrEqualTo(SchedulerWorld.DOMAINS);
+            assertThat(world.mostBeyondSlots()).isLessThanOrEqualTo(Workload.STREAMS.schedulers());
         }
 
         /** Guards against a burst in which urgent requests wait behind less urgent ones of other entries. */
         @Test
         void keepsTheMostUrgentTierOnTime() {
-            SchedulerWorld world = new SchedulerWorld(20_262);
+            SchedulerWorld world = new SchedulerWorld(20_262, Workload.STREAMS);
             world.play(USUAL_RATE * 2, 5_000);
             assertThat(world.onTime(0)).isGreaterThan(0.95);
             assertThat(world.onTime(0)).isGreaterThanOrEqualTo(world.onTime(1));
@@ -40,7 +40,7 @@
         /** Guards against callers who are asked back into the burst that they were refused in. */
         @Test
         void servesNineInTenOfTheRefusedWhenTheyComeBack() {
-            SchedulerWorld world = new SchedulerWorld(20_267);
+            SchedulerWorld world = new SchedulerWorld(20_267, Workload.STREAMS);
             world.play(USUAL_RATE, 1_500);
             world.play(USUAL_RATE * 1.5, 5_000);
             world.play(USUAL_RATE, 5_000);
@@ -49,7 +49,7 @@
 
         @Test
         void refusesNobodyAtTheUsualRate() {
-            SchedulerWorld world = new SchedulerWorld(20_263);
+            SchedulerWorld world = new SchedulerWorld(20_263, Workload.STREAMS);
             world.play(USUAL_RATE, 5_000);
             assertThat(world.refusedShare()).isLessThan(0.01);
         }
@@ -60,7 +60,7 @@
         /** Guards against entries that wait for a scheduler that is gone. */
         @Test
         void goesOnGrantingToTheEntriesOfItsFailureDomain() {
-            SchedulerWorld world = new SchedulerWorld(20_264);
+            SchedulerWorld world = new SchedulerWorld(20_264, Workload.STREAMS);
             world.play(USUAL_RATE, 2_000);
             world.loseScheduler(0);
             world.play(USUAL_RATE, 2_000);
@@ -70,7 +70,7 @@
         /** Guards against slots that are counted nowhere, or twice for good, after their scheduler is gone. */
         @Test
         void keepsTheMostUrgentTierOnTimeInABurst() {
-            SchedulerWorld world = new SchedulerWorld(20_265);
+            SchedulerWorld world = new SchedulerWorld(20_265, Workload.STREAMS);
             world.play(USUAL_RATE, 2_000);
             world.loseScheduler(0);
             world.play(USUAL_RATE * 1.7, 3_000);
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerWorld.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerWorld.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
@@ -19,11 +21,6 @@
  * model requests, what becomes of it is decided by the real schedulers.
  */
 final class SchedulerWorld {
-    static final int DOMAINS = 5;
-
-    private static final int ENTRIES = 91;
-    private static final int ENGINES = 37;
-    private static final int SLOTS = 6;
     private static final long SHARE_MILLIS = 40;
     private static final long LOST_MILLIS = 900;
 
@@ -33,49 +30,60 @@
     /** How long a caller waits for a slot that was refused before. */
     private static final long LATE_WAIT_MILLIS = 1_200;
 
-    private static final double[] TIER_SHARES = {0.5, 0.22, 0.28};
-    private static final double[] TIER_EVENTS = {30, 13, 43};
-    private static final double[] TIER_TOKENS = {3_720, 2_890, 1_110};
-    private static final long[] TIER_TARGETS = {400, 300, 250};
-    private static final long[] TIER_DEADLINES = {8_000, 4_000, 8_000};
-    private static final double FAST_EVENT_MILLIS = 9.7;
-    private static final double SLOW_EVENT_MILLIS = 42.6;
     private static final double TOKENS_PER_MILLI = 157;
 
+    /** One plain call in a hundred takes five times as long. */
+    private static final double LONG_CALL_SHARE = 0.01;
+
+    private static final double LONG_CALL_FACTOR = 5;
+
+    private final Workload workload;
     private final Random random;
     private final Map<String, Engine> engines = new HashMap<>();
-    private final Cell[] cells = new Cell[DOMAINS];
+    private final Cell[] cells;
     private final Map<Long, Request> undecided = new HashMap<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>((one, other) -> Long.compare(one.at, other.at));
-    private final int[] asked = new int[TIER_SHARES.length];
-    private final int[] onTime = new int[TIER_SHARES.length];
-    private final long[] lastGrantAt = new long[DOMAINS];
-    private final long[] longestStop = new long[DOMAINS];
+    private final int[] asked;
+    private final int[] onTime;
+    private final int[] askedByDomain;
+    private final int[] onTimeByDomain;
+    private final long[] lastGrantAt;
+    private final long[] longestStop;
     private int refused;
     private int refusedTwice;
     private int mostBeyondSlots;
     private long nextId;
     private long now;
 
-    SchedulerWorld(long seed) {
+    SchedulerWorld(long seed, Workload workload) {
+        this.workload = workload;
         random = new Random(seed);
+        cells = new Cell[workload.schedulers()];
+        asked = new int[workload.tiers().size()];
+        onTime = new int[workload.tiers().size()];
+        askedByDomain = new int[workload.domains()];
+        onTimeByDomain = new int[workload.domains()];
+        lastGrantAt = new long[workload.schedulers()];
+        longestStop = new long[workload.schedulers()];
         List<Upstream> listed = new ArrayList<>();
-        for (int number = 0; number < ENGINES; number++) {
-            Upstream upstream = PlayedPools.engine(number, domain(number), SLOTS);
+        for (int number = 0; number < workload.upstreams(); number++) {
+            Upstream upstream = PlayedPools.engine(number, domain(number), workload.slots());
             listed.add(upstream);
-            engines.put(upstream.run(), new Engine(number % 3 == 2 ? SLOW_EVENT_MILLIS : FAST_EVENT_MILLIS));
+            engines.put(
+                    upstream.run(),
+                    new Engine(number % 3 == 2 ? workload.slowEventMillis() : workload.fastEventMillis()));
         }
-        for (int number = 0; number < DOMAINS; number++) {
+        for (int number = 0; number < cells.length; number++) {
             cells[number] = new Cell(number);
-            cells[number].pools.upstreams(listed, DOMAINS);
+            cells[number].pools.upstreams(listed, cells.length);
         }
-        for (int entry = 0; entry < ENTRIES; entry++) {
-            cells[entry % DOMAINS].scheduler.attach(name(entry), List.of(), 0);
+        for (int entry = 0; entry < workload.entries(); entry++) {
+            cells[entry % cells.length].scheduler.attach(name(entry), List.of(), 0);
         }
     }
 
-    private static String domain(int number) {
-        return "domain-" + number % DOMAINS;
+    private String domain(int number) {
+        return "domain-" + number % workload.domains();
     }
 
     private static String name(int entry) {
@@ -98,6 +106,13 @@
         }
     }
 
+    /** Takes the upstreams of a failure domain out of service. */
+    void evacuate(int number) {
+        for (Cell cell : cells) {
+            cell.pools.upstreams().evacuate(Set.of(domain(number)), now);
+        }
+    }
+
     /** Ends a scheduler; its entries notice when a reply is overdue. */
     void loseScheduler(int number) {
         Cell lost = cells[number];
@@ -109,7 +124,7 @@
     }
 
     private void moveEntries(int number) {
-        for (int entry = number; entry < ENTRIES; entry += DOMAINS) {
+        for (int entry = number; entry < workload.entries(); entry += cells.length) {
             cellOf(entry).scheduler.attach(name(entry), cells[number].scheduler.held(name(entry)), now);
         }
         List.copyOf(undecided.values()).stream()
@@ -124,20 +139,25 @@
     }
 
     private Cell cellOf(int entry) {
-        Cell own = cells[entry % DOMAINS];
-        return own.lost ? cells[1 + entry / DOMAINS % (DOMAINS - 1)] : own;
+        Cell own = cells[entry % cells.length];
+        return own.lost ? cells[1 + entry / cells.length % (cells.length - 1)] : own;
     }
 
     double onTime(int tier) {
         return (double) onTime[tier] / asked[tier];
     }
 
+    /** Returns the share of requests on time of those that came to entries of a failure domain. */
+    double onTimeInDomain(int number) {
+        return (double) onTimeByDomain[number] / askedByDomain[number];
+    }
+
     double refusedShare() {
-        return (double) refused / (asked[0] + asked[1] + asked[2]);
+        return (double) refused / Arrays.stream(asked).sum();
     }
 
     double refusedTwiceShare() {
-        return (double) refusedTwice / (asked[0] + asked[1] + asked[2]);
+        return (double) refusedTwice / Arrays.stream(asked).sum();
     }
 
     int mostBeyondSlots() {
@@ -150,13 +170,13 @@
     }
 
     private void arrive() {
-        double draw = random.nextDouble();
-        int tier = draw < TIER_SHARES[0] ? 0 : draw < TIER_SHARES[0] + TIER_SHARES[1] ? 1 : 2;
+        int tier = workload.tierOf(random.nextDouble());
         asked[tier]++;
-        double events = Math.max(1, TIER_EVENTS[tier] * Math.exp(random.nextGaussian() * 0.9 - 0.4));
-        double tokens = TIER_TOKENS[tier] * Math.exp(random.nextGaussian() * 0.7 - 0.25);
+        double events = workload.tiers().get(tier).drawEvents(random);
+        double tokens = workload.tiers().get(tier).drawTokens(random);
         long estimate = Math.max(1, (long) (events * 4 * Math.exp(random.nextGaussian() * 0.5)));
-        Request request = new Request(tier, random.nextInt(ENTRIES), events, (long) tokens, estimate, now);
+        Request request = new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, estimate, now);
+        askedByDomain[request.entry % workload.domains()]++;
         ask(request);
     }
 
@@ -165,12 +185,13 @@
         request.id = ++nextId;
         request.cell = cellOf(request.entry);
         undecided.put(request.id, request);
-        if (cells[request.entry % DOMAINS].lost && request.cell.lost) {
+        if (cells[request.entry % cells.length].lost && request.cell.lost) {
             return;
         }
-        long left = request.arrivedAt + TIER_DEADLINES[request.tier] - now;
-        long targetLeft = request.returning ? 0 : request.arrivedAt + TIER_TARGETS[request.tier] - now;
-        long waitUntil = request.askedAt + (request.returning ? LATE_WAIT_MILLIS : TIER_TARGETS[request.tier] / 2);
+        long left = deadlineOf(request) - now;
+        long targetLeft = request.returning ? 0 : targetOf(request) - now;
+        long usualWait = workload.tiers().get(request.tier).targetMillis() / 2;
+        long waitUntil = request.askedAt + (request.returning ? LATE_WAIT_MILLIS : usualWait);
         request.cell.scheduler.request(
                 name(request.entry),
                 request.id,
@@ -190,13 +211,21 @@
                 now);
     }
 
+    private long targetOf(Request request) {
+        return request.arrivedAt + workload.tiers().get(request.tier).targetMillis();
+    }
+
+    private long deadlineOf(Request request) {
+        return request.arrivedAt + workload.tiers().get(request.tier).deadlineMillis();
+    }
+
     private void refuse(Request request, long roomAfter) {
         if (request.returning) {
             refusedTwice++;
             return;
         }
         refused++;
-        long left = request.arrivedAt + TIER_DEADLINES[request.tier] - now;
+        long left = deadlineOf(request) - now;
         long back = RetryAfterPolicy.INSTANCE.spread(left, roomAfter, random.nextDouble());
         request.returning = true;
         request.askedAt = now + back;
@@ -265,7 +294,7 @@
 
         Cell(int number) {
             name = "scheduler-" + number;
-            pools = new PlayedPools(name, domain(number), SLOTS);
+            pools = new PlayedPools(name, domain(number), workload.slots());
             scheduler = new SlotScheduler(pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), this);
         }
 
@@ -277,7 +306,7 @@
             }
             Request request = undecided.remove(id);
             if (reply instanceof SlotReply.Granted granted) {
-                int home = request.entry % DOMAINS;
+                int home = request.entry % cells.length;
                 longestStop[home] = Math.max(longestStop[home], now - lastGrantAt[home]);
                 lastGrantAt[home] = now;
                 engines.get(granted.upstream().run()).take(request);
@@ -307,7 +336,7 @@
         }
 
         void take(Request request) {
-            if (running < SLOTS) {
+            if (running < workload.slots()) {
                 start(request, now);
             } else {
                 queue.add(request);
@@ -317,23 +346,29 @@
 
         private void start(Request request, long sentAt) {
             running++;
-            long read = (long) (request.tokens / TOKENS_PER_MILLI * eventMillis / FAST_EVENT_MILLIS);
+            long read = (long) (request.tokens / TOKENS_PER_MILLI * eventMillis / workload.fastEventMillis());
             readingUntil = Math.max(readingUntil, now) + read;
-            long firstAt = readingUntil + (long) (2 * eventMillis);
+            long firstAt = readingUntil + (long) (request.events == 0 ? callMillis() : 2 * eventMillis);
             long endsAt = firstAt + (long) (request.events * eventMillis);
-            boolean inTime = firstAt <= request.arrivedAt + TIER_TARGETS[request.tier]
-                    && endsAt <= request.arrivedAt + TIER_DEADLINES[request.tier];
+            boolean inTime = firstAt <= targetOf(request) && endsAt <= deadlineOf(request);
             onTime[request.tier] += inTime ? 1 : 0;
+            onTimeByDomain[request.entry % workload.domains()] += inTime ? 1 : 0;
             after(firstAt - now, () -> report(request, new SlotReport.FirstByte(now - sentAt)));
             after(endsAt - now, () -> end(request, sentAt));
         }
 
+        private double callMillis() {
+            double factor = random.nextDouble() < LONG_CALL_SHARE ? LONG_CALL_FACTOR : 1;
+            return factor * eventMillis * Math.exp(random.nextGaussian() * 0.5 - 0.125);
+        }
+
         private void end(Request request, long sentAt) {
             running--;
+            double pace = request.events == 0 ? now - sentAt : eventMillis;
             report(
                     request,
                     new SlotReport.Ended(
-                            SlotOutcome.SUCCESS, now - sentAt, eventMillis, (long) request.events, request.estimate));
+                            SlotOutcome.SUCCESS, now - sentAt, pace, (long) request.events, request.estimate));
             if (!queue.isEmpty()) {
                 start(queue.poll(), now);
             }
