--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -41,10 +41,16 @@
     /** Silence is this many usual times to the first byte. */
     private static final double SILENCE_FACTOR = 5;
 
+    /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
+    private static final int GOLDEN_RATIO = 0x9E3779B9;
+
     /** Connections that break within this time of each other have one cause, in milliseconds. */
     private static final long SAME_BREAK_MILLIS = 50;
 
     private Upstream upstream;
+    private final String run;
+    private final double preference;
+    private boolean listed = true;
     private int own;
     private long lastBeganAt = Long.MIN_VALUE / 2;
     private final SumByPeer peersInProgress = new SumByPeer();
@@ -72,10 +78,37 @@
      *
      * @param upstream the upstream.
      * @param poolFirstByte the times to the first byte in the whole pool, as multiples of each upstream's time for one event.
+     * @param scheduler the name of the scheduler, which prefers some upstreams a little to others.
      */
-    UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte) {
+    UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte, String scheduler) {
         this.upstream = upstream;
         this.poolFirstByte = poolFirstByte;
+        run = upstream.run();
+        int mixed = (scheduler + run).hashCode() * GOLDEN_RATIO;
+        preference = (mixed >>> 1) / (double) Integer.MAX_VALUE;
+    }
+
+    /**
+     * Returns the run of the upstream.
+     *
+     * @return the text that no other run shares.
+     */
+    public String run() {
+        return run;
+    }
+
+    /** Returns a number from 0 to 1 that stays the same for one scheduler and this upstream. */
+    double preference() {
+        return preference;
+    }
+
+    /** Says whether the host list still names the upstream. */
+    void listed(boolean present) {
+        listed = present;
+    }
+
+    boolean isListed() {
+        return listed;
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -45,9 +45,6 @@
     /** What part of a request's cost is reading its prompt, where that is long beside its answer. */
     private static final double GREATEST_SAVING = 0.6;
 
-    /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
-    private static final int GOLDEN_RATIO = 0x9E3779B9;
-
     /**
      * How many times as long as its caller expects an answer may get, while there is time to be selective; one in
      * ten gets longer than that.
@@ -82,7 +79,6 @@
     private final String ownDomain;
     private final int slotsByDefault;
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
-    private final Set<String> gone = new HashSet<>();
     private final OutputEstimate outputs = new OutputEstimate();
     private final FirstByteModel firstByte = new FirstByteModel();
     private final Random draws;
@@ -163,22 +159,20 @@
     public void refresh(Collection<Upstream> listed) {
         Set<String> runs = new HashSet<>();
         for (Upstream upstream : listed) {
-            runs.add(upstream.run());
-            UpstreamLoad known = loads.get(upstream.run());
+            String run = upstream.run();
+            runs.add(run);
+            UpstreamLoad known = loads.get(run);
             if (known == null) {
-                UpstreamLoad load = new UpstreamLoad(upstream, firstByte);
+                UpstreamLoad load = new UpstreamLoad(upstream, firstByte, self);
                 load.coldStart(coldStart);
-                loads.put(upstream.run(), load);
+                loads.put(run, load);
             } else {
                 known.update(upstream);
             }
         }
         loads.values().forEach(this::notePart);
-        gone.clear();
-        loads.keySet().stream().filter(run -> !runs.contains(run)).forEach(gone::add);
-        loads.entrySet()
-                .removeIf(known ->
-                        gone.contains(known.getKey()) && known.getValue().own() == 0);
+        loads.values().forEach(load -> load.listed(runs.contains(load.run())));
+        loads.values().removeIf(load -> !load.isListed() && load.own() == 0);
     }
 
     /** A scheduler whose part of an upstream's slots is less than one hardly ever has an answer of it to learn from. */
@@ -210,11 +204,10 @@
                 queued.work().outputTokens(),
                 early ? LONGEST_ANSWER : LIKELY_ANSWER,
                 queued.work().outputLimit());
-        boolean untriedExist =
-                usable.stream().anyMatch(load -> !queued.avoids(load.upstream().run()));
+        boolean untriedExist = usable.stream().anyMatch(load -> !queued.avoids(load.run()));
         if (untriedExist) {
             // Where every upstream that is left was tried before, one of them is better than none.
-            usable.removeIf(load -> queued.avoids(load.upstream().run()));
+            usable.removeIf(load -> queued.avoids(load.run()));
         }
         Set<UpstreamLoad> affine = affine(queued, now);
         Timeliness reachable = usable.stream()
@@ -314,7 +307,7 @@
     public List<String> unreachable(long now) {
         return loads.values().stream()
                 .filter(load -> load.isUnreachable(now))
-                .map(load -> load.upstream().run())
+                .map(UpstreamLoad::run)
                 .toList();
     }
 
@@ -513,26 +506,18 @@
         double utilisation = 1 + UTILISATION_PENALTY * load.inProgress() / slots(load);
         boolean near = load.upstream().failureDomain().equals(queued.preferredDomainOr(ownDomain));
         double penalty = near ? 1 : CROSS_DOMAIN_PENALTY;
-        return pace * utilisation * penalty * (1 + LARGEST_PREFERENCE * preference(load));
+        return pace * utilisation * penalty * (1 + LARGEST_PREFERENCE * load.preference());
     }
 
     /** Tells whether the upstream is in service for this scheduler, whether or not a slot is free. */
     private boolean isOpen(UpstreamLoad load, long now) {
-        return takesWork(load)
-                && !load.isUnreachable(now)
-                && (!load.isCold(now) || servesCold.test(load.upstream().run()));
+        return takesWork(load) && !load.isUnreachable(now) && (!load.isCold(now) || servesCold.test(load.run()));
     }
 
     private boolean isOwnDomain(UpstreamLoad load) {
         return load.upstream().failureDomain().equals(ownDomain);
     }
 
-    /** Returns a number from 0 to 1 that stays the same for this scheduler and the upstream. */
-    private double preference(UpstreamLoad load) {
-        int mixed = (self + load.upstream().run()).hashCode() * GOLDEN_RATIO;
-        return (mixed >>> 1) / (double) Integer.MAX_VALUE;
-    }
-
     /**
      * Tells whether an upstream may get new work.
      *
@@ -540,10 +525,7 @@
      * @return whether it is listed, isn't leaving, wasn't replaced and stands in no evacuated failure domain.
      */
     public boolean takesWork(UpstreamLoad load) {
-        return !load.upstream().leaving()
-                && !load.isReplaced()
-                && !isEvacuated(load)
-                && !gone.contains(load.upstream().run());
+        return !load.upstream().leaving() && !load.isReplaced() && !isEvacuated(load) && load.isListed();
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -355,7 +355,7 @@
             return new HeldSlot(
                     id,
                     upstream.upstream().pool(),
-                    upstream.upstream().run(),
+                    upstream.run(),
                     queued.unreadTokens(),
                     queued.work().tier());
         }
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -200,7 +200,7 @@
         long wait = Math.min(LONGEST_WAIT_MILLIS, Math.min(waitUntil, endsAt) - now);
         List<String> avoided = new ArrayList<>(services.slots().unreachable(poolName, now));
         if (attempt != null) {
-            avoided.add(attempt.upstream().upstream().run());
+            avoided.add(attempt.upstream().run());
         }
         attempt = null;
         slot = services.slots().request(slotRequest(Math.max(0, wait), mayTry, avoided, now), this, now);
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -178,7 +178,7 @@
     }
 
     static long now() {
-        return Moment.now().steadyMillis();
+        return Moment.steadyNow();
     }
 
     ConfirmedView view() {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -134,14 +134,10 @@
     }
 
     private void care() {
-        long now = nowMillis();
+        long now = Moment.steadyNow();
         links.values().forEach(link -> link.care(now));
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     /**
      * Keeps one connection.
      */
@@ -211,12 +207,12 @@
         /** {@inheritDoc} */
         @Override
         public long silentMillis() {
-            return health.silentMillis(nowMillis());
+            return health.silentMillis(Moment.steadyNow());
         }
 
         /** Sends a message, or the bytes of an encoded one. */
         void sendEncoded(Object message) {
-            health.used(nowMillis());
+            health.used(Moment.steadyNow());
             write(message);
         }
 
@@ -268,7 +264,7 @@
         /** {@inheritDoc} */
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            health.opened(nowMillis());
+            health.opened(Moment.steadyNow());
             connections++;
             channel = context.channel();
             if (dropped) {
@@ -287,7 +283,7 @@
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, FleetMessage message) {
-            health.heard(nowMillis());
+            health.heard(Moment.steadyNow());
             if (!(message instanceof FleetMessage.Pong)) {
                 inbox.onMessage(this, message);
             }
--- a/node/src/main/java/org/radishspur/node/fleet/Moment.java
+++ b/node/src/main/java/org/radishspur/node/fleet/Moment.java
@@ -22,7 +22,16 @@
      * @return the present moment.
      */
     public static Moment now() {
-        return new Moment(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System.currentTimeMillis());
+        return new Moment(steadyNow(), System.currentTimeMillis());
+    }
+
+    /**
+     * Reads the monotonic clock alone.
+     *
+     * @return the present time in milliseconds.
+     */
+    public static long steadyNow() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/schedule/LoadSharing.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadSharing.java
@@ -231,10 +231,7 @@
     private Map<Integer, UpstreamLoad> byDigest() {
         Map<Integer, UpstreamLoad> known = new HashMap<>();
         for (PoolDispatcher dispatcher : pools.dispatchers()) {
-            dispatcher
-                    .upstreams()
-                    .loads()
-                    .forEach(load -> known.put(load.upstream().run().hashCode(), load));
+            dispatcher.upstreams().loads().forEach(load -> known.put(load.run().hashCode(), load));
         }
         return known;
     }
--- a/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SchedulerHost.java
@@ -206,7 +206,7 @@
     }
 
     private static long now() {
-        return Moment.now().steadyMillis();
+        return Moment.steadyNow();
     }
 
     private void reply(Sender sender, long id, SlotReply reply) {
