--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -25,6 +25,7 @@
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
+import org.radishspur.node.schedule.ConfirmedView;
 
 /**
  * Brings one request from its head to its one final answer. All of it happens on the traffic thread.
@@ -78,6 +79,7 @@
     private int runs;
     private UpstreamSlot slot;
     private UpstreamAttempt attempt;
+    private ConfirmedView viewAtGrant = ConfirmedView.NOTHING;
     private ScheduledFuture<?> timer;
     private boolean firstSeen;
     private long firstMillis;
@@ -286,11 +288,28 @@
             return;
         }
         services.metrics().waited(EntryServices.now() - arrivedAt);
+        viewAtGrant = services.view();
         attempt = new UpstreamAttempt(this, services, granted);
         services.runs(this);
         attempt.start();
     }
 
+    /** Tells whether what is in force now still lets the request go to the upstream that it was granted. */
+    boolean mayStillBeSent(UpstreamLoad upstream) {
+        boolean unchanged = services.view().saysTheSame(viewAtGrant);
+        return services.isCurrent()
+                && (unchanged || stillAllowed() && services.slots().mayUse(upstream));
+    }
+
+    /** Learns that the request was not sent, because what is in force has changed since its slot was granted. */
+    void onOutdated() {
+        if (services.isCurrent() && stillAllowed()) {
+            onNotRun("outdated", false);
+        } else {
+            refuse(EndReason.UNCONFIRMED, latestRetryAfter(), false);
+        }
+    }
+
     /** Tells whether the catalogue in force now still lets this caller's request go to its pool. */
     private boolean stillAllowed() {
         Catalogue catalogue = services.view().catalogue().orElseThrow();
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -102,6 +102,11 @@
         return pools.dispatcher(pool).upstreams().unreachable(now);
     }
 
+    /** Tells whether nothing is known against sending a request to an upstream. */
+    boolean mayUse(UpstreamLoad upstream) {
+        return pools.mayUse(upstream);
+    }
+
     void withdraw(UpstreamSlot slot) {
         asked.remove(slot.id());
         release(slot.scheduler(), slot.id());
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -71,6 +71,14 @@
             exchange.abort();
             return;
         }
+        if (!caller.mayStillBeSent(upstream)) {
+            // Guards against a pause of the whole process while the connection was made: a key may have been revoked
+            // or the failure domain evacuated meanwhile.
+            exchange.abort();
+            end(SlotOutcome.UNUSED);
+            caller.onOutdated();
+            return;
+        }
         phase = Phase.RUNNING;
         sentAt = EntryServices.now();
         lastByteAt = sentAt;
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -53,6 +53,9 @@
     private final FleetLinks links = new FleetLinks(caller.eventLoop(), (sender, message) -> {});
     private final List<PlayedExchange> exchanges = new ArrayList<>();
     private final EntryServices services;
+    private final Catalogue catalogue;
+    private final HostList hosts;
+    private boolean connecting = true;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
         FleetSettings.Bounds bounds =
@@ -91,18 +94,29 @@
                 upstreams,
                 true,
                 resumable);
-        Catalogue catalogue = new Catalogue(
+        catalogue = new Catalogue(
                 1, List.of(route), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.STANDARD);
         List<Upstream> listed = new ArrayList<>();
         for (int number = 0; number < upstreams; number++) {
             listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false));
         }
-        services.onView(new ConfirmedView(
-                Optional.of(catalogue), new HostList(1, 1, listed), List.of(), 1, List.of(), Set.of(), Moment.now()));
+        hosts = new HostList(1, 1, listed);
+        view(Set.of(), Moment.now());
         FrontServer front = new FrontServer(NOWHERE, caller.eventLoop(), services);
         caller.pipeline().addLast(new FrontConnection(services, front));
     }
 
+    /** Puts a view in force. */
+    void view(Set<String> evacuated, Moment confirmedAt) {
+        services.onView(
+                new ConfirmedView(Optional.of(catalogue), hosts, List.of(), 1, List.of(), evacuated, confirmedAt));
+    }
+
+    /** Lets connections to upstreams wait until the test makes them. */
+    void holdConnections() {
+        connecting = false;
+    }
+
     /** Sends a request as the caller. */
     void request() {
         caller.writeInbound(new DefaultFullHttpRequest(
@@ -147,7 +161,9 @@
     private UpstreamExchange open(String address, UpstreamListener listener) {
         PlayedExchange exchange = new PlayedExchange(listener);
         exchanges.add(exchange);
-        caller.eventLoop().execute(listener::onConnected);
+        if (connecting) {
+            caller.eventLoop().execute(listener::onConnected);
+        }
         return exchange;
     }
 
@@ -172,11 +188,20 @@
     static final class PlayedExchange implements UpstreamExchange {
         private final UpstreamListener listener;
         private boolean aborted;
+        private boolean sent;
 
         PlayedExchange(UpstreamListener listener) {
             this.listener = listener;
         }
 
+        void connects() {
+            listener.onConnected();
+        }
+
+        boolean isSent() {
+            return sent;
+        }
+
         void answersHead(int status) {
             listener.onHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status)));
         }
@@ -201,6 +226,7 @@
         /** {@inheritDoc} */
         @Override
         public ChannelFuture write(HttpObject part) {
+            sent = true;
             io.netty.util.ReferenceCountUtil.release(part);
             return null;
         }
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -1,11 +1,14 @@
 package org.radishspur.node.entry;
 
+import java.util.Set;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.node.entry.EntryFixture.CallerView;
+import org.radishspur.node.fleet.Moment;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,6 +64,34 @@
         }
     }
 
+    @Nested
+    class ConnectionMadeAfterAPause {
+        /** Guards against a key that was revoked while the process stood still between the grant and the connection. */
+        @Test
+        void carriesNothingWhereTheCatalogueIsNoLongerConfirmed() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 1)) {
+                entry.holdConnections();
+                entry.request();
+                entry.view(Set.of(), Moment.LONG_AGO);
+                entry.exchange(0).connects();
+                assertThat(entry.exchange(0).isSent()).isFalse();
+                assertThat(entry.received().status()).isEqualTo(503);
+            }
+        }
+
+        /** Guards against a request that runs in a failure domain which was evacuated in the meantime. */
+        @Test
+        void carriesNothingIntoAnEvacuatedFailureDomain() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 1)) {
+                entry.holdConnections();
+                entry.request();
+                entry.view(Set.of("a"), Moment.now());
+                entry.exchange(0).connects();
+                assertThat(entry.exchange(0).isSent()).isFalse();
+            }
+        }
+    }
+
     @Nested
     class Failure {
         @Test
