--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -63,18 +63,6 @@
      */
     private static final double LARGEST_SPREAD = 0.25;
 
-    /** How old the reports of other schedulers are at most, in milliseconds: a round of reports. */
-    private static final long REPORT_MILLIS = 40;
-
-    /** The part of the usual holding time for which a slot in another failure domain may be left empty at most. */
-    private static final double LARGEST_SPACING_PART = 1.0 / 6;
-
-    /** The part of the newest time in the average of holding times; some fifty requests outweigh the older ones. */
-    private static final double HOLD_WEIGHT = 0.02;
-
-    /** So many answers tell the usual holding time; the first ones are the short ones. */
-    private static final long LEAST_HOLDS = 100;
-
     private final String self;
     private final String ownDomain;
     private final int slotsByDefault;
@@ -83,7 +71,7 @@
     private final FirstByteModel firstByte = new FirstByteModel();
     private final Random draws;
     private int schedulers = 1;
-    private final Average holdMillis = new Average(HOLD_WEIGHT);
+    private final ReportStaleness reports = new ReportStaleness();
     private Set<String> evacuated = Set.of();
     private ColdStart coldStart = ColdStart.NONE;
     private Predicate<String> servesCold = run -> true;
@@ -104,7 +92,7 @@
 
     /** Notes for how long a request that was answered has held its slot. */
     void held(long millis) {
-        holdMillis.add(Math.max(1, millis));
+        reports.held(millis);
     }
 
     /**
@@ -457,40 +445,14 @@
         if (load.isOnProbation()) {
             return load.inProgress() < 1;
         }
-        if (schedulers > 1 && !isOwnDomain(load) && now - load.lastBeganAt() < foreignSpacing()) {
+        if (schedulers > 1 && !isOwnDomain(load) && now - load.lastBeganAt() < reports.spacingMillis()) {
             return false;
         }
-        int slots = slots(load) + unreportedReleases(load);
+        int slots = slots(load) + (schedulers > 1 ? reports.unreportedReleases(slots(load)) : 0);
         int part = load.isEventTimeKnown() ? slots : Math.max(1, slots / schedulers);
         return load.inProgress() < slots && load.own() < part;
     }
 
-    /**
-     * Returns how long after a grant of a slot in another failure domain none is granted at the same upstream, in milliseconds.
-     * Guards against a rush of all schedulers to an upstream that has just freed two slots.
-     */
-    private long foreignSpacing() {
-        return isHoldKnown()
-                ? Math.min(REPORT_MILLIS, (long) (holdMillis.value() * LARGEST_SPACING_PART))
-                : REPORT_MILLIS;
-    }
-
-    /**
-     * Returns how many slots of an upstream are likely to be free that other schedulers have not reported yet. Guards against
-     * upstreams for short calls that stand idle for a good part of the time while callers are refused: a call holds its slot
-     * hardly longer than a report takes. Where the guess is wrong, a request waits at the upstream for less than a report.
-     */
-    private int unreportedReleases(UpstreamLoad load) {
-        if (schedulers == 1 || !isHoldKnown()) {
-            return 0;
-        }
-        return (int) (slots(load) * Math.min(1, REPORT_MILLIS / holdMillis.value()));
-    }
-
-    private boolean isHoldKnown() {
-        return holdMillis.samples() >= LEAST_HOLDS;
-    }
-
     /** Returns what part of its cost a request has at an upstream that keeps the beginning of its prompt. */
     private static double saving(UpstreamLoad load, QueuedRequest.Work work, Set<UpstreamLoad> affine) {
         if (!affine.contains(load)) {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/SlotValuesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/SlotValuesTest.java
@@ -57,11 +57,7 @@
             }
         }
 
-        /*
-         * What a receiving dock sees when this breaks: its short questions are refused for seconds, though each would have
-         * held up nobody. All places are taken and each request is refused that a more urgent one stands before.
-         * The cause would be a strict order of tiers, whatever their answers cost.
-         */
+        /** Guards against short questions that are refused for seconds, though each would have held up nobody. */
         @Test
         void putsAShortAnswerOfTheLeastUrgentTierBeforeALongOneOfTheNext() {
             assertThat(values.of(queued(2, false))).isGreaterThan(values.of(queued(1, false)));
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.Upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -30,10 +29,6 @@
         return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false);
     }
 
-    private static Upstream upstreamIn(String failureDomain, String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", failureDomain, "v1", 4, false);
-    }
-
     private UpstreamLoad load(String id) {
         return upstreams.find(upstream(id).run()).orElseThrow();
     }
@@ -49,122 +44,14 @@
     }
 
     private List<String> chosen(int count) {
-        return chosenAt(NOW, count);
-    }
-
-    private List<String> chosenAt(long now, int count) {
         return java.util.stream.IntStream.range(0, count)
-                .mapToObj(index -> upstreams.choose(queued(), 0, now))
+                .mapToObj(index -> upstreams.choose(queued(), 0, NOW))
                 .flatMap(Optional::stream)
-                .peek(load -> load.began(new Object(), 0, now))
+                .peek(load -> load.began(new Object(), 0, NOW))
                 .map(load -> load.upstream().id())
                 .toList();
     }
 
-    @Nested
-    class Evacuation {
-        private static final Set<String> OWN = Set.of("a");
-
-        /** Guards against work that is sent into a failure domain which the operator is about to switch off. */
-        @Test
-        void sendsNothingToTheFailureDomain() {
-            upstreams.refresh(List.of(upstream("one"), upstreamIn("b", "two")));
-            upstreams.evacuate(OWN, NOW);
-            assertThat(chosen(10)).hasSize(4).containsOnly("two");
-        }
-
-        /** Guards against requests that wait for a slot where no upstream is left. */
-        @Test
-        void leavesNoSlotWhereEveryUpstreamIsEvacuated() {
-            upstreams.evacuate(OWN, NOW);
-            assertThat(upstreams.slots(NOW)).isZero();
-            assertThat(chosen(1)).isEmpty();
-        }
-
-        /** Guards against upstreams that were restarted while they got nothing, and crash under their full load. */
-        @Test
-        void sparesTheUpstreamsOfAFailureDomainThatIsTakenBack() {
-            upstreams.coldStart(new ColdStart(3_000, 2), run -> true);
-            upstreams.evacuate(OWN, NOW);
-            upstreams.evacuate(Set.of(), NOW);
-            assertThat(chosen(12)).hasSize(6);
-        }
-
-        @Test
-        void givesTheUpstreamsTheirFullLoadOnceTheyMustBeWarm() {
-            upstreams.coldStart(new ColdStart(3_000, 2), run -> true);
-            upstreams.evacuate(OWN, NOW);
-            upstreams.evacuate(Set.of(), NOW);
-            assertThat(chosenAt(NOW + 3_000, 12)).hasSize(12);
-        }
-    }
-
-    @Nested
-    class ColdUpstreams {
-        private static final long COLD_MILLIS = 3_000;
-        private static final int PER_SECOND = 3;
-
-        private void list(boolean cold) {
-            upstreams.refresh(List.of(upstream("one").withCold(cold)));
-        }
-
-        private int begunWithin(long millis) {
-            int begun = 0;
-            for (long now = NOW; now < NOW + millis; now += 10) {
-                Optional<UpstreamLoad> chosen = upstreams.choose(queued(), 0, now);
-                if (chosen.isPresent()) {
-                    begun++;
-                    Object request = new Object();
-                    chosen.get().began(request, 0, now);
-                    chosen.get().ended(request);
-                }
-            }
-            return begun;
-        }
-
-        /** Guards against an upstream that crashes again because all send to the one that is empty. */
-        @Test
-        void getNoMoreRequestsASecondThanTheyBear() {
-            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
-            list(true);
-            assertThat(begunWithin(1_000)).isEqualTo(PER_SECOND);
-        }
-
-        @Test
-        void getTheirFullLoadOnceTheyAreWarm() {
-            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
-            list(true);
-            begunWithin(1_000);
-            list(false);
-            assertThat(begunWithin(1_000)).isEqualTo(100);
-        }
-
-        /** Guards against several schedulers whose shares add up to more than an upstream bears. */
-        @Test
-        void getNothingFromASchedulerThatDoesNotServeThem() {
-            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> false);
-            list(true);
-            assertThat(begunWithin(1_000)).isZero();
-            assertThat(upstreams.slots(NOW)).isZero();
-        }
-
-        /** Guards against a crashed upstream that is back before the host list shows that it has started. */
-        @Test
-        void areThoseToWhichNoConnectionCouldBeMadeJustBefore() {
-            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
-            list(false);
-            load("one").recordConnectFailure(NOW - 1_000);
-            load("one").recordOutcome(true, 0, NOW);
-            assertThat(begunWithin(1_000)).isEqualTo(PER_SECOND);
-        }
-
-        @Test
-        void needNoCareInAPoolWithoutAColdStart() {
-            list(true);
-            assertThat(begunWithin(1_000)).isEqualTo(100);
-        }
-    }
-
     @Nested
     class Faults {
         /** An upstream that fails part of its requests while others are well gets nothing for a moment. */
@@ -176,11 +63,7 @@
             assertThat(chosen(8)).doesNotContain("one");
         }
 
-        /*
-         * What a crew sees when this breaks: briefings are refused although most engines are idle.
-         * The network resets half of an entry's connections at one moment, four of them to each engine.
-         * The cause would be an engine taken for failing because its four connections broke with the same reset.
-         */
+        /** Guards against an engine that is ejected because one reset has broken several of its connections. */
         @Test
         void trustsAnUpstreamWhoseConnectionsBreakAtOneMoment() {
             for (int connection = 0; connection < 4; connection++) {
@@ -287,12 +170,7 @@
             return upstreams.choose(queued, 0, now).map(load -> load.upstream().id());
         }
 
-        /*
-         * What a skipper sees when this breaks: a long briefing ends in the middle, when his deadline passes.
-         * The fast engine is full; the slow ones take 60 ms an event. The estimate of 400 tokens, 80 events, would just
-         * fit there, but one answer in three is longer than that by half.
-         * The cause would be a choice by the likely length of an answer where a longer one is common.
-         */
+        /** Guards against an answer that gets longer than expected and is cut at its deadline on a slow engine. */
         @Test
         void waitForAFastEngineWhereALongerAnswerWouldNotFit() {
             assertThat(chosenFor(400, NOW)).isEmpty();
@@ -303,12 +181,7 @@
             assertThat(chosenFor(400, NOW + 150)).isPresent();
         }
 
-        /*
-         * What a grower sees when this breaks: a long report ends in the middle, when his deadline passes.
-         * The fast engine is full and would take 14 ms an event; the slow ones take 60. The estimate of 5,000 tokens, 1,000
-         * events, is more than even the fast one gives in time, so that the engines looked alike.
-         * The cause would be a place at any free engine for an answer that seems too long for all.
-         */
+        /** Guards against a slow engine for an answer that seems too long for all, so that they look alike. */
         @Test
         void waitForAFastEngineWhereTheySeemTooLongForAll() {
             assertThat(chosenFor(5_000, NOW)).isEmpty();
@@ -357,11 +230,7 @@
             return upstreams.choose(queued, 0, NOW).map(load -> load.upstream().id());
         }
 
-        /*
-         * What a grower sees when this breaks: his long report is late or cut on a day on which fast engines are there.
-         * Fifty entries have eight requests a second each for forty engines, so that hardly any entry knows an engine itself.
-         * The cause would be that an engine that is told to be slow counts as fit for everything until it has answered here.
-         */
+        /** Guards against a slow engine that counts as good for everything until it has answered here. */
         @Test
         void keepLongAnswersThatCouldNotEndThere() {
             assertThat(chosenFor(1_000, 400)).isEmpty();
@@ -399,11 +268,7 @@
             return other.choose(queued, 0, NOW).orElseThrow();
         }
 
-        /*
-         * What a skipper sees when this breaks: briefings that share a long chart are late, as engines read it all day.
-         * Nine entries get requests whose prompts begin with the same 13,000 tokens.
-         * The cause would be entries that spread these over all engines, so that each engine reads them anew.
-         */
+        /** Guards against shared prompts that are read anew at every engine. */
         @Test
         void goToTheSameFewUpstreamsFromAllEntries() {
             Set<String> used = IntStream.range(0, 9)
@@ -446,13 +311,9 @@
 
     @Nested
     class NewUpstreams {
-        /*
-         * What release engineers see when this breaks: a dozen verdicts are lost when an engine comes back.
-         * An engine is listed anew; all nine entries see it empty at once, and each fills all of its places.
-         * The cause would be a choice that takes an engine nobody has tried for a fast and empty one.
-         */
+        /** Guards against a rush of all entries to an engine that is listed anew and looks fast and empty. */
         @Test
-        void getOnlyThisEntrysPartOfTheirPlacesUntilTheyHaveAnswered() {
+        void getOnlyThisEntrysPartOfTheirSlotsUntilTheyHaveAnswered() {
             upstreams.schedulers(9);
             assertThat(chosen(20)).containsExactlyInAnyOrder("one", "two", "three");
         }
@@ -471,11 +332,7 @@
             assertThat(chosen(20)).hasSize(12);
         }
 
-        /*
-         * What a caller sees when this breaks: request after request to a slow engine is given up after 600 ms.
-         * The engine has a line of long prompts, and its first answer takes a second.
-         * The cause would be a limit for silence that fits fast engines, and an engine never learnt to be slow.
-         */
+        /** Guards against an engine that is given up before its first answer, and so is never learnt to be slow. */
         @Test
         void areWaitedForLongerThanKnownOnes() {
             load("one").began("first", 0, NOW);
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsOutOfServiceTest.java
@@ -0,0 +1,168 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.ColdStart;
+import org.radishspur.model.catalogue.Upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests which upstreams of a pool get nothing, or little, although they are listed and answer.
+ */
+class UpstreamsOutOfServiceTest {
+    private static final long NOW = 10_000;
+
+    private UpstreamPool upstreams;
+
+    @BeforeEach
+    void list() {
+        upstreams = new UpstreamPool("scheduler", "a", 4);
+        upstreams.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
+    }
+
+    private static Upstream upstream(String id) {
+        return upstreamIn("a", id);
+    }
+
+    private static Upstream upstreamIn(String failureDomain, String id) {
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", failureDomain, "v1", 4, false);
+    }
+
+    private UpstreamLoad load(String id) {
+        return upstreams.find(upstream(id).run()).orElseThrow();
+    }
+
+    private static QueuedRequest queued() {
+        return new QueuedRequest(
+                "r",
+                0,
+                NOW,
+                NOW + 200,
+                VersionRule.Any.INSTANCE,
+                new QueuedRequest.Work(0, 0, 0, NOW + 400, NOW + 3_000));
+    }
+
+    private List<String> chosen(int count) {
+        return chosenAt(NOW, count);
+    }
+
+    private List<String> chosenAt(long now, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> upstreams.choose(queued(), 0, now))
+                .flatMap(Optional::stream)
+                .peek(load -> load.began(new Object(), 0, now))
+                .map(load -> load.upstream().id())
+                .toList();
+    }
+
+    @Nested
+    class Evacuation {
+        private static final Set<String> OWN = Set.of("a");
+
+        /** Guards against work that is sent into a failure domain which the operator is about to switch off. */
+        @Test
+        void sendsNothingToTheFailureDomain() {
+            upstreams.refresh(List.of(upstream("one"), upstreamIn("b", "two")));
+            upstreams.evacuate(OWN, NOW);
+            assertThat(chosen(10)).hasSize(4).containsOnly("two");
+        }
+
+        /** Guards against requests that wait for a slot where no upstream is left. */
+        @Test
+        void leavesNoSlotWhereEveryUpstreamIsEvacuated() {
+            upstreams.evacuate(OWN, NOW);
+            assertThat(upstreams.slots(NOW)).isZero();
+            assertThat(chosen(1)).isEmpty();
+        }
+
+        /** Guards against upstreams that were restarted while they got nothing, and crash under their full load. */
+        @Test
+        void sparesTheUpstreamsOfAFailureDomainThatIsTakenBack() {
+            upstreams.coldStart(new ColdStart(3_000, 2), run -> true);
+            upstreams.evacuate(OWN, NOW);
+            upstreams.evacuate(Set.of(), NOW);
+            assertThat(chosen(12)).hasSize(6);
+        }
+
+        @Test
+        void givesTheUpstreamsTheirFullLoadOnceTheyMustBeWarm() {
+            upstreams.coldStart(new ColdStart(3_000, 2), run -> true);
+            upstreams.evacuate(OWN, NOW);
+            upstreams.evacuate(Set.of(), NOW);
+            assertThat(chosenAt(NOW + 3_000, 12)).hasSize(12);
+        }
+    }
+
+    @Nested
+    class ColdUpstreams {
+        private static final long COLD_MILLIS = 3_000;
+        private static final int PER_SECOND = 3;
+
+        private void list(boolean cold) {
+            upstreams.refresh(List.of(upstream("one").withCold(cold)));
+        }
+
+        private int begunWithin(long millis) {
+            int begun = 0;
+            for (long now = NOW; now < NOW + millis; now += 10) {
+                Optional<UpstreamLoad> chosen = upstreams.choose(queued(), 0, now);
+                if (chosen.isPresent()) {
+                    begun++;
+                    Object request = new Object();
+                    chosen.get().began(request, 0, now);
+                    chosen.get().ended(request);
+                }
+            }
+            return begun;
+        }
+
+        /** Guards against an upstream that crashes again because all send to the one that is empty. */
+        @Test
+        void getNoMoreRequestsASecondThanTheyBear() {
+            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
+            list(true);
+            assertThat(begunWithin(1_000)).isEqualTo(PER_SECOND);
+        }
+
+        @Test
+        void getTheirFullLoadOnceTheyAreWarm() {
+            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
+            list(true);
+            begunWithin(1_000);
+            list(false);
+            assertThat(begunWithin(1_000)).isEqualTo(100);
+        }
+
+        /** Guards against several schedulers whose shares add up to more than an upstream bears. */
+        @Test
+        void getNothingFromASchedulerThatDoesNotServeThem() {
+            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> false);
+            list(true);
+            assertThat(begunWithin(1_000)).isZero();
+            assertThat(upstreams.slots(NOW)).isZero();
+        }
+
+        /** Guards against a crashed upstream that is back before the host list shows that it has started. */
+        @Test
+        void areThoseToWhichNoConnectionCouldBeMadeJustBefore() {
+            upstreams.coldStart(new ColdStart(COLD_MILLIS, PER_SECOND), run -> true);
+            list(false);
+            load("one").recordConnectFailure(NOW - 1_000);
+            load("one").recordOutcome(true, 0, NOW);
+            assertThat(begunWithin(1_000)).isEqualTo(PER_SECOND);
+        }
+
+        @Test
+        void needNoCareInAPoolWithoutAColdStart() {
+            list(true);
+            assertThat(begunWithin(1_000)).isEqualTo(100);
+        }
+    }
+}
