Evacuate and readmit failure domains by the product's own command line

Cause: evacuations were a matter of the platform alone; the issue asks for a capability of the product. The state and the log entries are the same. The order goes to the nodes with the heartbeat's answer, beside crash suspects and moves; the owner of a pool gives nothing to upstreams whose row names an evacuated failure domain, and refuses at once where none is left.

`radishspur evacuate DOMAIN`, `readmit DOMAIN`, `show evacuated`; POST and DELETE of /v1/domains/DOMAIN/evacuation. The answer to accepted orders says accepted now, also that to the replacement of a replica, which said started.

Ruled out: an edit of the rows in place of an order of its own (an operator would have to undo edits that others made meanwhile).

Tests: three of PoolScheduler. By hand on bin/cluster: evacuate twice, show, readmit, a bad name; the upstream of domain-a is shown as unusable. No test of processes covers it, and nodes that miss heartbeats keep what they knew, as they do with the tables.

--- a/command/src/main/java/org/radishspur/command/AdminClient.java
+++ b/command/src/main/java/org/radishspur/command/AdminClient.java
@@ -53,6 +53,16 @@
         return send(request(path).POST(HttpRequest.BodyPublishers.ofString(body)));
     }
 
+    /**
+     * Asks a node to take something back.
+     *
+     * @param path the path of the call.
+     * @return the answer.
+     */
+    Reply delete(String path) {
+        return send(request(path).DELETE());
+    }
+
     private HttpRequest.Builder request(String path) {
         return HttpRequest.newBuilder(URI.create("http://" + address + path))
                 .timeout(TIMEOUT)
--- a/command/src/main/java/org/radishspur/command/CommandMain.java
+++ b/command/src/main/java/org/radishspur/command/CommandMain.java
@@ -22,6 +22,8 @@
             ShowCommand.class,
             TraceCommand.class,
             LossesCommand.class,
+            EvacuationCommand.Evacuate.class,
+            EvacuationCommand.Readmit.class,
             CommandMain.ReplaceReplica.class,
             CommandMain.CheckSettings.class
         })
--- /dev/null
+++ b/command/src/main/java/org/radishspur/command/EvacuationCommand.java
@@ -0,0 +1,58 @@
+package org.radishspur.command;
+
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Takes the upstreams of a failure domain out of service, or back into it.
+ */
+abstract class EvacuationCommand implements Callable<Integer> {
+    @Mixin
+    private AdminClient client;
+
+    @Parameters(paramLabel = "DOMAIN", description = "The failure domain, as in the rows of upstreams.")
+    private String failureDomain;
+
+    /** {@inheritDoc} */
+    @Override
+    public Integer call() {
+        AdminClient.Reply reply = send(client, "/v1/domains/" + failureDomain + "/evacuation");
+        System.out.println(reply.body());
+        return reply.isSuccess() ? ExitCode.DONE.code() : ExitCode.FAILED.code();
+    }
+
+    abstract AdminClient.Reply send(AdminClient admin, String path);
+
+    /**
+     * Sends nothing more to the upstreams of a failure domain.
+     */
+    @Command(
+            name = "evacuate",
+            description = "Sends nothing more to the upstreams of a failure domain, until it is readmitted.",
+            mixinStandardHelpOptions = true)
+    static final class Evacuate extends EvacuationCommand {
+        /** {@inheritDoc} */
+        @Override
+        AdminClient.Reply send(AdminClient admin, String path) {
+            return admin.post(path, "");
+        }
+    }
+
+    /**
+     * Ends the evacuation of a failure domain.
+     */
+    @Command(
+            name = "readmit",
+            description = "Ends the evacuation of a failure domain.",
+            mixinStandardHelpOptions = true)
+    static final class Readmit extends EvacuationCommand {
+        /** {@inheritDoc} */
+        @Override
+        AdminClient.Reply send(AdminClient admin, String path) {
+            return admin.delete(path);
+        }
+    }
+}
--- a/command/src/main/java/org/radishspur/command/ShowCommand.java
+++ b/command/src/main/java/org/radishspur/command/ShowCommand.java
@@ -95,6 +95,13 @@
                 return body.path("moves");
             }
         },
+        /** The failure domains that are evacuated. */
+        evacuated("/v1/status") {
+            @Override
+            JsonNode select(JsonNode body) {
+                return body.path("evacuated");
+            }
+        },
         /** The routes in force on the asked node. */
         routes("/v1/tables") {
             @Override
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -39,6 +39,7 @@
     private final CostAccuracy accuracy = new CostAccuracy();
     private final WaitingQueue queue = new WaitingQueue();
     private final Map<String, UpstreamState> upstreams = new LinkedHashMap<>();
+    private Set<String> evacuated = Set.of();
     private final Map<PermitId, String> inFlight = new HashMap<>();
     private final Map<PermitId, Integer> announced = new HashMap<>();
     private final FinishedAttempts finished = new FinishedAttempts(FINISHED_REMEMBERED);
@@ -325,6 +326,16 @@
         }
     }
 
+    /**
+     * Sets the failure domains whose upstreams get no new request. What runs there goes on.
+     *
+     * @param failureDomains the evacuated failure domains.
+     */
+    public void evacuate(Set<String> failureDomains) {
+        evacuated = failureDomains;
+        upstreams.values().forEach(upstream -> upstream.evacuate(failureDomains));
+    }
+
     /**
      * Takes over the crash suspects that all owners agree on.
      *
@@ -434,7 +445,10 @@
     }
 
     private UpstreamState create(UpstreamRow upstream) {
-        return new UpstreamState(upstream, row.kind() == PoolKind.ENGINE, row.concurrencyLimit(), options);
+        UpstreamState created =
+                new UpstreamState(upstream, row.kind() == PoolKind.ENGINE, row.concurrencyLimit(), options);
+        created.evacuate(evacuated);
+        return created;
     }
 
     private void admit(PermitRequest request, long now) {
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 import org.radishspur.decision.permit.PermitRequest;
 import org.radishspur.decision.permit.SchedulerOptions;
@@ -27,6 +28,7 @@
     private UpstreamRow row;
     private long incarnation;
     private boolean leaving;
+    private Set<String> evacuated = Set.of();
     private boolean removed;
     private long ejectedUntil;
     private int ejectionsInRow;
@@ -90,23 +92,32 @@
         removed = true;
     }
 
+    /**
+     * Sets the failure domains whose upstreams get no new request.
+     *
+     * @param failureDomains the evacuated failure domains.
+     */
+    public void evacuate(Set<String> failureDomains) {
+        evacuated = failureDomains;
+    }
+
     /**
      * Tells whether the upstream may be given work now, apart from its limit.
      *
      * @param now the clock in microseconds.
-     * @return whether it is neither leaving nor ejected.
+     * @return whether it is a member of the pool and not ejected.
      */
     public boolean isUsable(long now) {
-        return !leaving && !removed && now >= ejectedUntil;
+        return isMember() && now >= ejectedUntil;
     }
 
     /**
      * Tells whether the upstream will be usable without anybody's doing, once its ejection ends.
      *
-     * @return whether it is part of the pool and not leaving.
+     * @return whether it is part of the pool, not leaving, and stands in no evacuated failure domain.
      */
     public boolean isMember() {
-        return !leaving && !removed;
+        return !leaving && !removed && !evacuated.contains(row.failureDomain());
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -71,6 +72,37 @@
         }
     }
 
+    @Nested
+    class Evacuation {
+        /** Guards against work that is sent into a failure domain which the operator is about to switch off. */
+        @Test
+        void refusesWhatNoUpstreamMayServe() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            scheduler.evacuate(Set.of("domain"));
+            scheduler.arrive(request(Tier.NORMAL, "a", "x"), now);
+            assertThat(refusals(scheduler.decide(now))).containsExactly(RefusalReason.NO_UPSTREAM);
+        }
+
+        @Test
+        void endsOnceTheFailureDomainIsReadmitted() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            scheduler.evacuate(Set.of("domain"));
+            scheduler.evacuate(Set.of());
+            scheduler.arrive(request(Tier.NORMAL, "a", "x"), now);
+            assertThat(grants(scheduler.decide(now))).hasSize(1);
+        }
+
+        /** Guards against an upstream that is added to the pool during the evacuation and is taken for in service. */
+        @Test
+        void holdsForUpstreamsThatAreAddedMeanwhile() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            scheduler.evacuate(Set.of("domain"));
+            scheduler.configure(pool(2, 100, 1));
+            scheduler.arrive(request(Tier.NORMAL, "a", "x"), now);
+            assertThat(refusals(scheduler.decide(now))).containsExactly(RefusalReason.NO_UPSTREAM);
+        }
+    }
+
     @Nested
     class UnderOverload {
         @Test
--- a/node/src/main/java/org/radishspur/node/admin/AdminCalls.java
+++ b/node/src/main/java/org/radishspur/node/admin/AdminCalls.java
@@ -28,6 +28,8 @@
 final class AdminCalls {
     private static final Pattern REPLACE = Pattern.compile("/v1/replicas/([a-z0-9._-]+)/replace");
 
+    private static final Pattern EVACUATION = Pattern.compile("/v1/domains/([A-Za-z0-9._-]+)/evacuation");
+
     private final NodeSettings settings;
     private final NodeCore core;
     private final NodeMetrics metrics;
@@ -48,10 +50,15 @@
 
     void carryOut(HttpMethod method, String path, String body, Reply reply) {
         Matcher replace = REPLACE.matcher(path);
+        Matcher evacuation = EVACUATION.matcher(path);
         if (method.equals(HttpMethod.POST) && path.equals("/v1/edits")) {
             edit(body, reply);
         } else if (method.equals(HttpMethod.POST) && replace.matches()) {
             call(new ControlRequest.Replace(replace.group(1)), reply);
+        } else if (method.equals(HttpMethod.POST) && evacuation.matches()) {
+            commit(new ControlCommand.EvacuateDomain(evacuation.group(1), System.currentTimeMillis()), reply);
+        } else if (method.equals(HttpMethod.DELETE) && evacuation.matches()) {
+            commit(new ControlCommand.ReadmitDomain(evacuation.group(1), System.currentTimeMillis()), reply);
         } else if (method.equals(HttpMethod.GET)) {
             read(path, reply);
         } else {
@@ -101,7 +108,11 @@
                     HttpResponseStatus.BAD_REQUEST, ErrorCode.TABLE_INVALID.code(), "changeId must not be empty"));
             return;
         }
-        call(new ControlRequest.Commit(new ControlCommand.ApplyEdit(edit, System.currentTimeMillis())), reply);
+        commit(new ControlCommand.ApplyEdit(edit, System.currentTimeMillis()), reply);
+    }
+
+    private void commit(ControlCommand command, Reply reply) {
+        call(new ControlRequest.Commit(command), reply);
     }
 
     private void call(ControlRequest request, Reply reply) {
@@ -112,7 +123,7 @@
         if (result instanceof ControlResult.Committed committed) {
             return committed.answer() instanceof ControlAnswer.OfEdit edit
                     ? answerOf(edit.answer())
-                    : AdminAnswer.ok(Map.of("answer", "started"));
+                    : AdminAnswer.ok(Map.of("answer", "accepted"));
         } else if (result instanceof ControlResult.Report report) {
             return AdminAnswer.ok(report.status());
         } else if (result instanceof ControlResult.Refused refused) {
--- a/node/src/main/java/org/radishspur/node/control/LeaderService.java
+++ b/node/src/main/java/org/radishspur/node/control/LeaderService.java
@@ -53,7 +53,8 @@
         if (state.isEmpty()) {
             sender.send(
                     status.node(),
-                    new PeerMessage.HeartbeatReply(false, Optional.empty(), Optional.empty(), 0, Map.of(), Map.of()));
+                    new PeerMessage.HeartbeatReply(
+                            false, Optional.empty(), Optional.empty(), 0, Map.of(), Map.of(), Set.of()));
             return;
         }
         Optional<ClusterView> view = viewIfSettled();
@@ -76,7 +77,8 @@
                                 : Optional.of(state.get().tables().since(status.revisionInForce())),
                         auxiliaryRevision,
                         auxiliaryKnown ? Map.of() : suspects(state.get()),
-                        auxiliaryKnown ? Map.of() : state.get().moves().latest()));
+                        auxiliaryKnown ? Map.of() : state.get().moves().latest(),
+                        auxiliaryKnown ? Set.of() : state.get().catalogue().evacuated()));
     }
 
     /** Sends fresh tables to every living node at once, rather than with the next heartbeat. */
@@ -147,7 +149,8 @@
                 host.learners(),
                 lines,
                 state.get().claims().counts(),
-                moves(state.get())));
+                moves(state.get()),
+                state.get().catalogue().evacuated()));
     }
 
     private ControlResult replace(String node) {
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -336,6 +336,7 @@
             auxiliaryRevision = reply.auxiliaryRevision();
             ownerDesk.onSuspects(reply.suspects());
             ownerDesk.onMoves(reply.moves());
+            ownerDesk.onEvacuated(reply.evacuated());
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/control/OwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/OwnerService.java
@@ -47,6 +47,7 @@
     private Tables tables = Tables.EMPTY;
     private final Set<Move> proposed = new HashSet<>();
     private Map<String, Move> moves = Map.of();
+    private Set<String> evacuated = Set.of();
     private boolean decideScheduled;
 
     OwnerService(ControlLoop loop, String identity, LeaderService.Sender sender, Reporter reporter) {
@@ -90,6 +91,13 @@
         requestDecisions();
     }
 
+    /** Takes over the failure domains whose upstreams get no new request. */
+    void onEvacuated(Set<String> failureDomains) {
+        evacuated = Set.copyOf(failureDomains);
+        pools.values().forEach(owned -> owned.scheduler.evacuate(evacuated));
+        requestDecisions();
+    }
+
     /** Takes over the moves that belong to tables which follow at once. */
     void onMovesWithTables(Map<String, Move> changed) {
         moves = Map.copyOf(changed);
@@ -219,6 +227,7 @@
             // Guards against two owners giving out the same slots: the entries first tell the new owner what runs.
             owned = new Owned(new PoolScheduler(row, SchedulerOptions.STANDARD, identity));
             owned.scheduler.holdUntil(loop.nowMicros() + HOLD_MICROS);
+            owned.scheduler.evacuate(evacuated);
             pools.put(pool, owned);
             applyVersions();
             PartLog.OWNER.info("This node takes over the queue of pool " + pool + '.');
--- a/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspur.decision.move.Move;
 import org.radishspur.decision.permit.PermitOutcome;
@@ -95,9 +96,10 @@
      * @param leader whether the sender leads and its lease holds.
      * @param view the view, where the node has an older one.
      * @param delta the changes of the tables that the node lacks.
-     * @param auxiliaryRevision the revision of the crash suspects and moves.
+     * @param auxiliaryRevision the revision of the crash suspects, moves and evacuations.
      * @param suspects the crash counts by pool and fingerprint, where the node has another revision.
      * @param moves the latest move of each route, where the node has another revision or gets changes of the tables.
+     * @param evacuated the evacuated failure domains, where the node has another revision.
      */
     record HeartbeatReply(
             boolean leader,
@@ -105,7 +107,8 @@
             Optional<TablesDelta> delta,
             long auxiliaryRevision,
             Map<String, Map<String, Integer>> suspects,
-            Map<String, Move> moves)
+            Map<String, Move> moves,
+            Set<String> evacuated)
             implements PeerMessage {}
 
     /**
@@ -311,6 +314,7 @@
      * @param nodes every node that was heard of.
      * @param claims the number of claims by state.
      * @param moves the latest move of each route, and those before it.
+     * @param evacuated the failure domains whose upstreams get no new request.
      */
     record ClusterStatus(
             String leader,
@@ -321,7 +325,8 @@
             List<String> learners,
             List<NodeLine> nodes,
             Map<String, Integer> claims,
-            List<Move> moves) {}
+            List<Move> moves,
+            Set<String> evacuated) {}
 
     /**
      * Describes one node within the cluster.
--- a/replication/src/main/java/org/radishspur/replication/state/ControlState.java
+++ b/replication/src/main/java/org/radishspur/replication/state/ControlState.java
@@ -55,6 +55,7 @@
             auxiliaryChanges++;
         } else if (command instanceof ControlCommand.CatalogueCommand change) {
             change.applyTo(catalogue);
+            auxiliaryChanges++;
         }
         if (command instanceof ControlCommand.ChangeMove change) {
             moves.change(change.proposal(), change.atMillis());
@@ -74,7 +75,7 @@
     }
 
     /**
-     * Counts the commands that may have changed crash suspects or moves, so that a listener needn't compare them after
+     * Counts the commands that may have changed crash suspects, moves or evacuations, so that a listener needn't compare them after
      * each of the far more frequent claims.
      *
      * @return the number of such commands since the process started.
--- a/testkit/src/main/java/org/radishspur/testkit/measure/MeasureFrames.java
+++ b/testkit/src/main/java/org/radishspur/testkit/measure/MeasureFrames.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
 
 import org.radishspur.decision.permit.PermitOutcome;
@@ -39,10 +40,12 @@
                         "entry-101", 1_764_720_000_000L, "domain-1", true, false, 29_000, 7, 12, 3, "")));
         print(
                 "heartbeat reply without news",
-                new PeerMessage.HeartbeatReply(true, Optional.empty(), Optional.empty(), 3, Map.of(), Map.of()));
+                new PeerMessage.HeartbeatReply(
+                        true, Optional.empty(), Optional.empty(), 3, Map.of(), Map.of(), Set.of()));
         print(
                 "heartbeat reply with a view of 370",
-                new PeerMessage.HeartbeatReply(true, Optional.of(view()), Optional.empty(), 3, Map.of(), Map.of()));
+                new PeerMessage.HeartbeatReply(
+                        true, Optional.of(view()), Optional.empty(), 3, Map.of(), Map.of(), Set.of()));
         print("raft heartbeat", new PeerMessage.Raft("control-1#founder", "control-2#founder", raftHeartbeat(0)));
         print("raft append of 1 claim", new PeerMessage.Raft("control-1#founder", "b#founder", raftHeartbeat(1)));
         print(
