Keep a part of each quota for small requests

A bucket that long prompts hold near nothing is empty for a filing of 200 tokens as often as for a prompt of 50,000, though all plain calls together are three parts in a hundred of the tokens.

A fifth of the rate is kept for requests that cost less than a quarter of the organisation's usual one; what they take counts against the whole limit, so that long ones pay it back. A scheduler may gather 50 ms of it and so exceeds the limit by a hundredth of the rate.

Tests: short ones are admitted, the sum stays within the limit; the property over several schedulers holds as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -26,6 +26,21 @@
      */
     private static final double LATE_SHARE = 0.25;
 
+    /**
+     * The share of a limit that is kept for small requests. Guards against an organisation whose short calls are refused
+     * because its own long prompts have used its limit up, though all of them together would take a small part of it.
+     */
+    private static final double SMALL_SHARE = 0.2;
+
+    /** For how long the kept share may gather, in milliseconds; each scheduler exceeds the limit by no more. */
+    private static final long SMALL_GATHERING_MILLIS = 50;
+
+    /** A request is small whose cost is less than this part of the organisation's usual one. */
+    private static final double SMALL_COST_PART = 0.25;
+
+    /** The part of the newest cost in the average; some hundred requests outweigh the older ones. */
+    private static final double COST_WEIGHT = 0.01;
+
     /**
      * After so long without a report of a peer, its use meanwhile is taken as at a start, in milliseconds; all use is reported
      * several times a second.
@@ -68,7 +83,9 @@
         noteStart(now);
         Bucket bucket = bucketOf(organisation, now);
         double left = late ? capacity(organisation) * LATE_SHARE : 0;
-        if (bucket.level <= left) {
+        boolean small = bucket.isSmall(cost);
+        bucket.costs.add(cost);
+        if (bucket.level <= left && !(small && bucket.takeKept(cost))) {
             double rate = organisation.ratePerSecond() / 1_000;
             return Optional.of((long) Math.ceil((left + cost - bucket.level) / rate));
         }
@@ -186,7 +203,9 @@
 
     /** Holds what is left of one limit. */
     private static final class Bucket {
+        private final Average costs = new Average(COST_WEIGHT);
         private double level;
+        private double kept;
         private long filledAt;
 
         Bucket(double level, long now) {
@@ -195,8 +214,22 @@
         }
 
         void refill(double rate, double capacity, long now) {
-            level = Math.min(capacity, level + rate * Math.max(0, now - filledAt) / 1_000);
+            double refilled = rate * Math.max(0, now - filledAt) / 1_000;
+            level = Math.min(capacity, level + refilled);
+            double mostKept = rate * SMALL_SHARE * SMALL_GATHERING_MILLIS / 1_000;
+            kept = Math.min(mostKept, kept + refilled * SMALL_SHARE);
             filledAt = now;
         }
+
+        boolean isSmall(double cost) {
+            return costs.isKnown() && cost < costs.value() * SMALL_COST_PART;
+        }
+
+        /** Takes a cost out of what is kept for small requests, and tells whether there was enough. */
+        boolean takeKept(double cost) {
+            boolean enough = kept >= cost;
+            kept -= enough ? cost : 0;
+            return enough;
+        }
     }
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -93,6 +93,50 @@
         }
     }
 
+    @Nested
+    class WithLongAndShortRequests {
+        private static final double RATE = 100_000;
+        private static final int LONG_COST = 3_000;
+        private static final int SHORT_COST = 200;
+        private static final long SECONDS = 20;
+
+        private int shortAsked;
+        private int shortAdmitted;
+        private double used;
+
+        /** Sends six times what the limit allows, three requests in ten of them short. */
+        private void play() {
+            QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
+            OrganisationRule rule = rule(RATE, RATE);
+            Random random = new Random(11);
+            double perMilli = 6 * RATE / 1_000 / (0.7 * LONG_COST + 0.3 * SHORT_COST);
+            for (long now = 0; now < SECONDS * 1_000; now++) {
+                if (random.nextDouble() > perMilli) {
+                    continue;
+                }
+                boolean isShort = random.nextDouble() < 0.3;
+                int cost = isShort ? SHORT_COST : LONG_COST;
+                boolean admitted = ledger.take(rule, cost, false, now).isEmpty();
+                used += admitted ? cost : 0;
+                shortAsked += isShort ? 1 : 0;
+                shortAdmitted += isShort && admitted ? 1 : 0;
+            }
+        }
+
+        /** Guards against reports that are refused because the same organisation's briefings have used its limit up. */
+        @Test
+        void refusesNoShortOnesForTheSakeOfLongOnes() {
+            play();
+            assertThat(shortAdmitted).isGreaterThanOrEqualTo(shortAsked * 99 / 100);
+        }
+
+        @Test
+        void admitsNoMoreThanTheLimit() {
+            play();
+            assertThat(used).isLessThanOrEqualTo(RATE * (SECONDS + 1) + LONG_COST + RATE / 20);
+        }
+    }
+
     @Nested
     class OverSeveralEntries {
         /** Guards against seconds of no service after a cut, in which all use of the time of the cut is made up for. */
