--- a/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/DispatchUnderLoadTest.java
@@ -101,7 +101,7 @@
             UpstreamPool upstreams = new UpstreamPool("10.0." + entry + ".1:7600", "a", SLOTS);
             List<Upstream> listed = new ArrayList<>();
             for (int engine = 0; engine < engines; engine++) {
-                listed.add(new Upstream("e" + engine, 1, "pool", "10.0.0.1:80", "a", "v1", SLOTS, false));
+                listed.add(new Upstream("e" + engine, 1, "pool", "10.0.0.1:80", "a", "v1", SLOTS, false, false));
             }
             upstreams.refresh(listed);
             upstreams.schedulers(learnsAtFirstByte ? numberOfEntries : 1);
--- a/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
@@ -14,7 +14,7 @@
     private static final long NOW = 1_000;
 
     private static Upstream upstream(String id, String domain, int slots, boolean leaving) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", domain, "v1", slots, leaving);
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", domain, "v1", slots, leaving, false);
     }
 
     private static PoolDispatcher dispatcher(Upstream... listed) {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -26,7 +26,7 @@
     }
 
     private static Upstream upstream(String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false);
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false, false);
     }
 
     private UpstreamLoad load(String id) {
@@ -362,7 +362,7 @@
         @Test
         void takesAnInstanceThatStartedAgainForAnotherOne() {
             load("one").recordOutcome(false, 0, NOW);
-            upstreams.refresh(List.of(new Upstream("one", 2, "pool", "10.0.0.1:80", "a", "v1", 4, false)));
+            upstreams.refresh(List.of(new Upstream("one", 2, "pool", "10.0.0.1:80", "a", "v1", 4, false, false)));
             assertThat(upstreams.loads())
                     .singleElement()
                     .satisfies(load -> assertThat(load.failureShare()).isZero());
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsOutOfServiceTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsOutOfServiceTest.java
@@ -32,7 +32,7 @@
     }
 
     private static Upstream upstreamIn(String failureDomain, String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", failureDomain, "v1", 4, false);
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", failureDomain, "v1", 4, false, false);
     }
 
     private UpstreamLoad load(String id) {
--- a/decision/src/test/java/org/radishspur/decision/slot/PlayedPools.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/PlayedPools.java
@@ -25,7 +25,8 @@
     }
 
     static Upstream engine(int number, String failureDomain, int slots) {
-        return new Upstream("e" + number, 1, POOL, "10.0.0." + number + ":80", failureDomain, "v1", slots, false);
+        return new Upstream(
+                "e" + number, 1, POOL, "10.0.0." + number + ":80", failureDomain, "v1", slots, false, false);
     }
 
     void upstreams(List<Upstream> listed, int schedulers) {
--- a/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
@@ -25,31 +25,7 @@
         boolean cold) {
 
     /**
-     * Describes an upstream that isn't cold.
-     *
-     * @param id the identity of the instance.
-     * @param incarnation when the instance started, in milliseconds since the epoch, or 0 where it isn't told.
-     * @param pool the pool that the instance belongs to.
-     * @param address the IP number and port.
-     * @param failureDomain the failure domain that it stands in.
-     * @param version the version of its software.
-     * @param slots how many requests it runs at once, or 0 where it isn't told.
-     * @param leaving whether it is to get no new work.
-     */
-    public Upstream(
-            String id,
-            long incarnation,
-            String pool,
-            String address,
-            String failureDomain,
-            String version,
-            int slots,
-            boolean leaving) {
-        this(id, incarnation, pool, address, failureDomain, version, slots, leaving, false);
-    }
-
-    /**
-     * Returns this description with another word on whether the upstream leaves.
+     * Returns a copy that says otherwise whether the upstream leaves.
      *
      * @param changed whether it is to get no new work.
      * @return the changed description.
@@ -59,7 +35,7 @@
     }
 
     /**
-     * Returns this description with another word on whether the upstream is cold.
+     * Returns a copy that says otherwise whether the upstream is cold.
      *
      * @param changed whether it bears few requests.
      * @return the changed description.
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -98,7 +98,7 @@
                 1, List.of(route), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.STANDARD);
         List<Upstream> listed = new ArrayList<>();
         for (int number = 0; number < upstreams; number++) {
-            listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false));
+            listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false, false));
         }
         hosts = new HostList(1, 1, listed);
         view(Set.of(), Moment.now());
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -39,8 +39,8 @@
     private static final HostPort SELF = HostPort.parse("127.0.0.1:1");
     private static final String NEAR = "127.0.0.1:2";
     private static final String FAR = "127.0.0.1:3";
-    private static final Upstream ENGINE = new Upstream("u", 1, "pool", "127.0.0.1:9", "a", "v1", 4, false);
-    private static final Upstream UNLISTED = new Upstream("x", 1, "pool", "127.0.0.1:8", "a", "v1", 4, false);
+    private static final Upstream ENGINE = new Upstream("u", 1, "pool", "127.0.0.1:9", "a", "v1", 4, false, false);
+    private static final Upstream UNLISTED = new Upstream("x", 1, "pool", "127.0.0.1:8", "a", "v1", 4, false, false);
 
     private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
     private final PlayedLinks links = new PlayedLinks();
--- a/node/src/test/java/org/radishspur/node/schedule/LoadSharingTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadSharingTest.java
@@ -27,7 +27,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class LoadSharingTest {
-    private static final Upstream ENGINE = new Upstream("e", 1, "pool", "10.0.0.1:80", "a", "v1", 9, false);
+    private static final Upstream ENGINE = new Upstream("e", 1, "pool", "10.0.0.1:80", "a", "v1", 9, false, false);
     private static final long TICK_MILLIS = LoadSharing.SHORTEST_ROUND_MILLIS;
 
     private final PoolSet pools = new PoolSet("scheduler", "a", 0.1);
--- a/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
@@ -49,6 +49,7 @@
                                 "domain-" + number % 3,
                                 "v1",
                                 4,
+                                false,
                                 false)
                         .withCold(true))
                 .toList();
@@ -90,7 +91,7 @@
 
     private void view(RolloutStage stage, String... versions) {
         List<Upstream> upstreams = java.util.Arrays.stream(versions)
-                .map(version -> new Upstream(version, 1, "pool", "10.0.0.1:80", "a", version, 4, false))
+                .map(version -> new Upstream(version, 1, "pool", "10.0.0.1:80", "a", version, 4, false, false))
                 .toList();
         pools.apply(
                 new ConfirmedView(
