--- a/decision/src/main/java/org/radishspur/decision/dispatch/ColdLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ColdLimit.java
@@ -5,7 +5,7 @@
 import org.radishspur.model.catalogue.ColdStart;
 
 /**
- * Tells whether an upstream is cold, and bounds how many requests begin there within one second.
+ * Decides whether an upstream is cold, and bounds how many requests begin there within one second.
  *
  * <p>Guards against an upstream that crashes again as soon as it is back, since everybody sends to the one that is empty.
  */
@@ -41,17 +41,17 @@
         }
     }
 
-    /** Tells whether the upstream may still be cold, whatever the host list says. */
+    /** Returns whether the upstream may still be cold, whatever the host list says. */
     boolean isSuspected(long now) {
         return rule.isLimited() && now < until;
     }
 
-    /** Tells whether upstreams of the pool may be cold at all. */
+    /** Returns whether upstreams of the pool may be cold at all. */
     boolean isLimited() {
         return rule.isLimited();
     }
 
-    /** Tells whether one more request stays within what a cold upstream bears. */
+    /** Returns whether one more request stays within what a cold upstream bears. */
     boolean allows(long now) {
         return !rule.isLimited() || now - latest[next] >= SECOND_MILLIS;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -228,14 +228,14 @@
     }
 
     /**
-     * Tells whether the upstream bears few requests only. One that can't be reached is likely to come back cold, some time
+     * Returns whether the upstream bears few requests only. One that can't be reached is likely to come back cold, some time
      * before the host list shows it.
      */
     boolean isCold(long now) {
         return cold.isLimited() && (upstream.cold() || unreachable || cold.isSuspected(now));
     }
 
-    /** Tells whether one more request stays within what the upstream bears while it is cold. */
+    /** Returns whether one more request stays within what the upstream bears while it is cold. */
     boolean bearsOneMore(long now) {
         return cold.allows(now);
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -110,7 +110,7 @@
      * use each, so that all together stay within what it bears however many there are and whatever they know of each other.
      *
      * @param rule what upstreams bear.
-     * @param served tells of the run of an upstream whether it may be used here while it is cold.
+     * @param served says of the run of an upstream whether it may be used here while it is cold.
      */
     public void coldStart(ColdStart rule, Predicate<String> served) {
         servesCold = served;
@@ -471,7 +471,7 @@
         return pace * utilisation * penalty * (1 + LARGEST_PREFERENCE * load.preference());
     }
 
-    /** Tells whether the upstream is in service for this scheduler, whether or not a slot is free. */
+    /** Returns whether the upstream is in service for this scheduler, whether or not a slot is free. */
     private boolean isOpen(UpstreamLoad load, long now) {
         return takesWork(load) && !load.isUnreachable(now) && (!load.isCold(now) || servesCold.test(load.run()));
     }
--- a/model/src/main/java/org/radishspur/model/catalogue/ColdStart.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/ColdStart.java
@@ -11,7 +11,7 @@
     public static final ColdStart NONE = new ColdStart(0, 0);
 
     /**
-     * Tells whether there is a limit.
+     * Returns whether there is a limit.
      *
      * @return whether upstreams of the pool may be cold.
      */
--- a/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerExchange.java
@@ -294,7 +294,7 @@
         attempt.start();
     }
 
-    /** Tells whether what is in force now still lets the request go to the upstream that it was granted. */
+    /** Returns whether what is in force now still lets the request go to the upstream that it was granted. */
     boolean mayStillBeSent(UpstreamLoad upstream) {
         boolean unchanged = services.view().saysTheSame(viewAtGrant);
         return services.isCurrent()
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -102,7 +102,7 @@
         return pools.dispatcher(pool).upstreams().unreachable(now);
     }
 
-    /** Tells whether nothing is known against sending a request to an upstream. */
+    /** Returns whether nothing is known against sending a request to an upstream. */
     boolean mayUse(UpstreamLoad upstream) {
         return pools.mayUse(upstream);
     }
