--- a/model/src/main/java/org/radishspur/model/catalogue/ColdStart.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/ColdStart.java
@@ -1,5 +1,7 @@
 package org.radishspur.model.catalogue;
 
+import java.util.Objects;
+
 /**
  * Says how many requests the upstreams of a pool bear while they are cold.
  *
@@ -18,4 +20,18 @@
     public boolean isLimited() {
         return millis > 0;
     }
+
+    /** {@inheritDoc} Written out, as the generated one is put together at run time, at each start of a process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ColdStart start
+                && millis == start.millis
+                && Double.compare(requestsPerSecond, start.requestsPerSecond) == 0;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return Objects.hash(millis, requestsPerSecond);
+    }
 }
--- a/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
@@ -1,5 +1,7 @@
 package org.radishspur.model.catalogue;
 
+import java.util.Objects;
+
 /**
  * Describes one upstream as a host list reports it.
  *
@@ -52,4 +54,25 @@
     public String run() {
         return id + '@' + incarnation + '@' + address;
     }
+
+    /** {@inheritDoc} Written out, as the generated one is put together at run time, at each start of a process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Upstream upstream
+                && incarnation == upstream.incarnation
+                && slots == upstream.slots
+                && leaving == upstream.leaving
+                && cold == upstream.cold
+                && id.equals(upstream.id)
+                && pool.equals(upstream.pool)
+                && address.equals(upstream.address)
+                && failureDomain.equals(upstream.failureDomain)
+                && version.equals(upstream.version);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return Objects.hash(id, incarnation, pool, address, failureDomain, version, slots, leaving, cold);
+    }
 }
--- a/model/src/main/java/org/radishspur/model/codec/Json.java
+++ b/model/src/main/java/org/radishspur/model/codec/Json.java
@@ -151,7 +151,7 @@
 
     /**
      * Holds the general mapper, which is made at its first use. Making it takes a tenth of the processor time of a start, as
-     * it loads calendars and locales; entries read trees only and never need it.
+     * it loads calendars and locales; entries read trees only and must not need it.
      */
     private static final class Mapper {
         static final ObjectMapper INSTANCE = JsonMapper.builder()
--- a/node/src/main/java/org/radishspur/node/entry/AnswerHead.java
+++ b/node/src/main/java/org/radishspur/node/entry/AnswerHead.java
@@ -1,7 +1,6 @@
 package org.radishspur.node.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -12,27 +11,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.radishspur.model.codec.Json;
 
 /**
  * Makes the answers that the system gives by itself.
  */
 final class AnswerHead {
-    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private AnswerHead() {}
 
     /** Makes an answer with a reason, and with the time to come back where that makes sense. */
     static FullHttpResponse of(EndReason reason, long retryAfterMillis) {
-        byte[] body = Json.INSTANCE
-                .write(new Problem(reason.code(), reason.isNotRun()))
-                .getBytes(StandardCharsets.UTF_8);
+        byte[] body = problem(reason).getBytes(StandardCharsets.UTF_8);
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reason.status()), Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
         if (retryAfterMillis > 0) {
-            String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND);
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMillis));
         }
         HttpUtil.setContentLength(response, body.length);
         return response;
@@ -46,10 +41,15 @@
     }
 
     /**
-     * Holds the body of such an answer.
-     *
-     * @param reason the code of the reason.
-     * @param notRun whether the request provably has not run.
+     * Makes the body. Codes need no escaping; the general JSON mapper would be loaded at the first refusal of a process, and
+     * hold up all streams of that thread.
      */
-    private record Problem(String reason, boolean notRun) {}
+    private static String problem(EndReason reason) {
+        return "{\"reason\":\"" + reason.code() + "\",\"notRun\":" + reason.isNotRun() + '}';
+    }
+
+    private static String seconds(long millis) {
+        String fraction = String.valueOf(MILLIS_PER_SECOND + millis % MILLIS_PER_SECOND);
+        return millis / MILLIS_PER_SECOND + "." + fraction.substring(1);
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EndReason.java
+++ b/node/src/main/java/org/radishspur/node/entry/EndReason.java
@@ -31,10 +31,12 @@
 
     private final int status;
     private final boolean notRun;
+    private final String code;
 
     EndReason(int status, boolean notRun) {
         this.status = status;
         this.notRun = notRun;
+        code = name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     int status() {
@@ -47,6 +49,6 @@
     }
 
     String code() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return code;
     }
 }
--- a/node/src/main/java/org/radishspur/node/log/PartLog.java
+++ b/node/src/main/java/org/radishspur/node/log/PartLog.java
@@ -20,6 +20,8 @@
     OWNER("[owner]"),
     /** The operators' edge. */
     ADMIN("[admin]"),
+    /** The library that carries connections. */
+    NETWORK("[network]"),
     /** The supervisor tree. */
     SUPERVISOR("[supervisor]");
 
@@ -52,6 +54,16 @@
         logger().log(Level.WARNING, prefix + ' ' + sentence);
     }
 
+    /**
+     * Says something that an operator may have to act on, with its cause.
+     *
+     * @param sentence the sentence.
+     * @param cause what led to it, or null where nothing did.
+     */
+    public void warn(String sentence, Throwable cause) {
+        logger().log(Level.WARNING, prefix + ' ' + sentence, cause);
+    }
+
     /**
      * Reports a failure with its cause.
      *
