Keep the schedulers' part for small requests within the limit together

Cause: the fifth of a limit that is kept for small requests was kept by each scheduler for itself. Six of them admitted up to 1.2 times the limit in small requests alone, besides what the bucket gave: an organisation that floods with short calls beside long prompts got 12 in 100 over its limit.

The part is now shared among the schedulers that report use of the organisation. With the gathered amount divided as well, small requests got 8 in 100 of the limit instead of the intended ten and more, as a request was larger than what could gather; that amount stays as it was, and is exceeded once, not with time.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -27,12 +27,12 @@
     private static final double LATE_SHARE = 0.25;
 
     /**
-     * The share of a limit that is kept for small requests. Guards against an organisation whose short calls are refused
+     * The share of a limit that is kept for small requests, by all schedulers that admit requests of the organisation together. Guards against an organisation whose short calls are refused
      * because its own long prompts have used its limit up, though all of them together would take a small part of it.
      */
     private static final double SMALL_SHARE = 0.2;
 
-    /** For how long the kept share may gather, in milliseconds; each scheduler exceeds the limit by no more. */
+    /** What the kept share may gather to at one scheduler, in milliseconds of it; each exceeds the limit once by no more. */
     private static final long SMALL_GATHERING_MILLIS = 50;
 
     /** A request is small whose cost is less than this part of the organisation's usual one. */
@@ -174,10 +174,22 @@
             bucket = new Bucket(capacity, now);
             buckets.put(organisation.name(), bucket);
         }
-        bucket.refill(rate, capacity, now);
+        bucket.refill(rate, capacity, SMALL_SHARE / schedulersOf(organisation, now), now);
         return bucket;
     }
 
+    /** Counts the schedulers that admit requests of an organisation: this one, and the peers that report its use. */
+    private int schedulersOf(OrganisationRule organisation, long now) {
+        int count = 1;
+        for (Map<String, Use> uses : peerUse.values()) {
+            Use use = uses.get(organisation.name());
+            if (use != null && now - use.at() <= SILENCE_MILLIS) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     private double capacity(OrganisationRule organisation) {
         return organisation.burst() + tolerance.amount();
     }
@@ -213,11 +225,11 @@
             this.filledAt = now;
         }
 
-        void refill(double rate, double capacity, long now) {
+        void refill(double rate, double capacity, double smallShare, long now) {
             double refilled = rate * Math.max(0, now - filledAt) / 1_000;
             level = Math.min(capacity, level + refilled);
             double mostKept = rate * SMALL_SHARE * SMALL_GATHERING_MILLIS / 1_000;
-            kept = Math.min(mostKept, kept + refilled * SMALL_SHARE);
+            kept = Math.min(mostKept, kept + refilled * smallShare);
             filledAt = now;
         }
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerPropertyTest.java
@@ -52,6 +52,38 @@
         assertThat(admitted).isGreaterThan(RATE * seconds * 0.9);
     }
 
+    /** Guards against a limit that is exceeded as each scheduler keeps a part of it for small requests by itself. */
+    @Property(tries = 60, seed = "4712")
+    void keepsTheSumWithinTheLimitWhereSmallRequestsHaveTheirPart(
+            @ForAll @IntRange(min = 2, max = 9) int schedulers,
+            @ForAll @LongRange(min = 10, max = 60) long delay,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        int large = 4_000;
+        int small = 200;
+        List<QuotaLedger> ledgers = new ArrayList<>();
+        for (int scheduler = 0; scheduler < schedulers; scheduler++) {
+            ledgers.add(new QuotaLedger(QuotaLedger.Tolerance.NONE));
+        }
+        double admitted = 0;
+        double admittedSmall = 0;
+        long seconds = 30;
+        for (long now = 0; now < seconds * 1_000; now++) {
+            int cost = random.nextInt(5) < 2 ? large : small;
+            boolean taken = ledgers.get(random.nextInt(schedulers))
+                    .take(rule(RATE, BURST), cost, false, now)
+                    .isEmpty();
+            admitted += taken ? cost : 0;
+            admittedSmall += taken && cost == small ? cost : 0;
+            if (now % delay == 0) {
+                share(ledgers, now);
+            }
+        }
+        double offeredUnheard = (0.4 * large + 0.6 * small) * delay;
+        assertThat(admitted).isLessThanOrEqualTo(RATE * seconds + BURST + offeredUnheard + schedulers * large);
+        assertThat(admittedSmall).isGreaterThan(RATE * seconds * 0.1);
+    }
+
     private void share(List<QuotaLedger> ledgers, long now) {
         for (int from = 0; from < ledgers.size(); from++) {
             for (int to = 0; to < ledgers.size(); to++) {
