Weigh candidates of affinity and of the choice of a scheduler by one piece of code

Cause: the same mixing of hash codes stood in PrefixAffinity and SchedulerChoice; the weights stay what they were. The mixing in UpstreamLoad is another one (it makes a share between 0 and 1) and stays. The two properties of quotas share how they make their ledgers.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PrefixAffinity.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PrefixAffinity.java
@@ -19,19 +19,11 @@
     /** How many engines keep a prefix; with two, requests for a popular one have a second engine when the first is full. */
     private static final int REPLICAS = 2;
 
-    /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
-    private static final int GOLDEN_RATIO = 0x9E3779B9;
-
     /** Returns the upstreams that should keep a prefix. */
     List<UpstreamLoad> affine(QueuedRequest.Prefix prefix, Collection<UpstreamLoad> among) {
         return among.stream()
-                .sorted(Comparator.comparingInt(load -> weight(prefix, load)))
+                .sorted(Comparator.comparingInt(load -> RendezvousWeight.INSTANCE.of(prefix.id(), load.run())))
                 .limit(REPLICAS)
                 .toList();
     }
-
-    private static int weight(QueuedRequest.Prefix prefix, UpstreamLoad load) {
-        int mixed = (prefix.id().hashCode() * 31 + load.run().hashCode()) * GOLDEN_RATIO;
-        return (mixed ^ mixed >>> 15) * GOLDEN_RATIO;
-    }
 }
--- a/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.radishspur.decision.dispatch.RendezvousWeight;
+
 /**
  * Chooses the scheduler of one entry: one of its own failure domain where that answers, else any other. Entries without one of
  * their own spread over the others by rendezvous hashing.
@@ -22,9 +24,6 @@
     /** How long one gets no request that says that it isn't ready, in milliseconds. */
     private static final long UNREADY_MILLIS = 100;
 
-    /** Spreads hash codes that differ in their last bits only, as Knuth's multiplicative hashing does. */
-    private static final int GOLDEN_RATIO = 0x9E3779B9;
-
     private final String entry;
     private final String failureDomain;
     private final Map<String, Avoidance> avoided = new HashMap<>();
@@ -54,7 +53,7 @@
         List<String> addresses = new ArrayList<>(failureDomains.keySet());
         addresses.sort(Comparator.<String, Boolean>comparing(
                         address -> !failureDomains.get(address).equals(failureDomain))
-                .thenComparingInt(address -> weight(name, address)));
+                .thenComparingInt(address -> RendezvousWeight.INSTANCE.of(name, address)));
         return List.copyOf(addresses);
     }
 
@@ -116,11 +115,6 @@
         return now < avoided.getOrDefault(address, Avoidance.NONE).until();
     }
 
-    private static int weight(String name, String address) {
-        int mixed = (name.hashCode() * 31 + address.hashCode()) * GOLDEN_RATIO;
-        return (mixed ^ mixed >>> 15) * GOLDEN_RATIO;
-    }
-
     /**
      * Says until when a scheduler gets no request.
      *
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerPropertyTest.java
@@ -1,9 +1,9 @@
 package org.radishspur.decision.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -21,6 +21,12 @@
         return new OrganisationRule("fleet", Set.of("key"), 0, rate, burst, true, 10);
     }
 
+    private static List<QuotaLedger> ledgers(int count) {
+        return Stream.generate(() -> new QuotaLedger(QuotaLedger.Tolerance.NONE))
+                .limit(count)
+                .toList();
+    }
+
     /**
      * An organisation sends six times its usual through all entries at once. Each entry receives the others' use a moment
      * later; what they admit together in any window must stay within the limit and what can be admitted unheard.
@@ -32,10 +38,7 @@
             @ForAll long seed) {
         Random random = new Random(seed);
         int cost = 4_000;
-        List<QuotaLedger> ledgers = new ArrayList<>();
-        for (int entry = 0; entry < entries; entry++) {
-            ledgers.add(new QuotaLedger(QuotaLedger.Tolerance.NONE));
-        }
+        List<QuotaLedger> ledgers = ledgers(entries);
         double admitted = 0;
         long seconds = 10;
         for (long now = 0; now < seconds * 1_000; now++) {
@@ -61,10 +64,7 @@
         Random random = new Random(seed);
         int large = 4_000;
         int small = 200;
-        List<QuotaLedger> ledgers = new ArrayList<>();
-        for (int scheduler = 0; scheduler < schedulers; scheduler++) {
-            ledgers.add(new QuotaLedger(QuotaLedger.Tolerance.NONE));
-        }
+        List<QuotaLedger> ledgers = ledgers(schedulers);
         double admitted = 0;
         double admittedSmall = 0;
         long seconds = 30;
