Ask two control hosts a round in turn while no leader confirms

Cause: where nobody confirms, every entry and scheduler asked every control host each 80 ms. At a restart of all processes that is 12.5 questions a second of each to each: 4,600 messages a second with 61 entries and six control hosts, 74,000 with 370 and sixteen, at hosts that are electing and can't answer yet; each keeps the newest question until a leader is known, so that the others gain nothing. Worked out, not measured, for those sizes.

--- a/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ControlFollower.java
@@ -30,7 +30,7 @@
     /** How often control hosts are asked while no leader is known, in milliseconds. */
     private static final long SEEK_MILLIS = 80;
 
-    /** After so long without a confirmation every known control host is asked, in milliseconds. */
+    /** After so long without a confirmation the other control hosts are asked as well, in milliseconds. */
     private static final long LEADER_LOST_MILLIS = 500;
 
     /** Questions that were not answered for so long are forgotten, in milliseconds. */
@@ -47,6 +47,7 @@
     private final Set<String> seeds = new TreeSet<>();
     private final Map<String, ControlHost> controls = new TreeMap<>();
     private final Map<Long, Moment> questions = new HashMap<>();
+    private final SeekOrder seekOrder = new SeekOrder();
     private ConfirmedView view = ConfirmedView.NOTHING;
     private String leader = "";
     private boolean lost = true;
@@ -196,7 +197,7 @@
             asked.add(leader);
         }
         if (missing || leader.isEmpty()) {
-            asked.addAll(wanted());
+            asked.addAll(seekOrder.next(wanted()));
         }
         List<FleetMessage.VersionCounts> seen = tallies.tallies();
         for (String address : asked) {
