Compare records by written code as strictly as the generated one did

Cause: the written equals of hosts and upstreams failed on a text that is missing, as one that an older peer leaves out; the generated one didn't. Nothing showed it; read in the diff. The long lines of one comment are shorter.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -27,8 +27,8 @@
     private static final double LATE_SHARE = 0.25;
 
     /**
-     * The share of a limit that is kept for small requests, by all schedulers that admit requests of the organisation together. Guards against an organisation whose short calls are refused
-     * because its own long prompts have used its limit up, though all of them together would take a small part of it.
+     * The share of a limit that all schedulers together keep for small requests. Guards against an organisation whose short calls
+     * are refused because its own long prompts have used its limit up, though all of them together would take a small part.
      */
     private static final double SMALL_SHARE = 0.2;
 
--- a/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/Upstream.java
@@ -63,11 +63,11 @@
                 && slots == upstream.slots
                 && leaving == upstream.leaving
                 && cold == upstream.cold
-                && id.equals(upstream.id)
-                && pool.equals(upstream.pool)
-                && address.equals(upstream.address)
-                && failureDomain.equals(upstream.failureDomain)
-                && version.equals(upstream.version);
+                && Objects.equals(id, upstream.id)
+                && Objects.equals(pool, upstream.pool)
+                && Objects.equals(address, upstream.address)
+                && Objects.equals(failureDomain, upstream.failureDomain)
+                && Objects.equals(version, upstream.version);
     }
 
     /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/fleet/ControlHost.java
+++ b/node/src/main/java/org/radishspur/node/fleet/ControlHost.java
@@ -14,8 +14,8 @@
     @Override
     public boolean equals(Object other) {
         return other instanceof ControlHost host
-                && address.equals(host.address)
-                && failureDomain.equals(host.failureDomain);
+                && Objects.equals(address, host.address)
+                && Objects.equals(failureDomain, host.failureDomain);
     }
 
     /** {@inheritDoc} */
