Say in the field's words what a few comments of this change told in ours

Cause: read once more, six comments had words of our own (told, tells, come back), and one still said that an entry sets the general JSON mapper up at its start, which it no longer does.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -228,7 +228,7 @@
     }
 
     /**
-     * Returns whether the upstream bears few requests only. One that can't be reached is likely to come back cold, some time
+     * Returns whether the upstream bears few requests only. One that can't be reached is likely to return cold, some time
      * before the host list shows it.
      */
     boolean isCold(long now) {
--- a/model/src/main/java/org/radishspur/model/catalogue/PoolRule.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/PoolRule.java
@@ -5,7 +5,7 @@
  *
  * @param name the name of the pool.
  * @param maximumConnections how many connections one upstream takes from all entries together.
- * @param slots how many requests an upstream runs at once, or 0 where only the host list tells.
+ * @param slots how many requests an upstream runs at once, or 0 where only the host list says so.
  * @param engine whether the upstreams are model engines; else they are plain services.
  * @param coldStart how many requests an upstream bears after its start.
  */
@@ -15,7 +15,7 @@
      *
      * @param name the name of the pool.
      * @param maximumConnections how many connections one upstream takes from all entries together.
-     * @param slots how many requests an upstream runs at once, or 0 where only the host list tells.
+     * @param slots how many requests an upstream runs at once, or 0 where only the host list says so.
      * @param engine whether the upstreams are model engines; else they are plain services.
      */
     public PoolRule(String name, int maximumConnections, int slots, boolean engine) {
--- a/node/src/main/java/org/radishspur/node/entry/CallerAnswer.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerAnswer.java
@@ -44,7 +44,7 @@
         return headWritten;
     }
 
-    /** Returns whether the caller is still connected; its leaving is told to the request a moment later. */
+    /** Returns whether the caller is still connected; the request is notified of its leaving a moment later. */
     boolean isOpen() {
         return context.channel().isActive();
     }
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -100,9 +100,7 @@
                         root.supervise("metrics-server", () -> new MetricsServer(address, group, metrics.registry())));
         root.start(cause -> failed.countDown());
         control.execute(() -> follower.seeds(addresses(settings.seeds())));
-        // The first reading of a catalogue sets the JSON mapper up, which takes as long as the start itself. An entry
-        // that has
-        // just started waits for the control leader anyway.
+        // The first reading loads the JSON parser; an entry that has just started waits for the control leader anyway.
         control.execute(() -> Json.INSTANCE.readTree("{}", ErrorCode.TABLE_INVALID));
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/PublishRounds.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PublishRounds.java
@@ -67,7 +67,7 @@
         return true;
     }
 
-    /** Returns whether everything is to be told in this round, and counts from here if so. */
+    /** Returns whether everything is to be published in this round, and counts from here if so. */
     boolean takeWhole() {
         long rounds = Math.max(LEAST_ROUNDS_PER_WHOLE, WHOLE_MILLIS / roundMillis());
         boolean whole = roundsSinceWhole >= rounds;
--- a/testkit/src/test/java/org/radishspur/testkit/process/LateCallerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/LateCallerTest.java
@@ -32,7 +32,7 @@
         }
     }
 
-    /** Guards against a failure in which a caller's report ran, but the resend is told that nobody knows. */
+    /** Guards against a failure in which a caller's report ran, but the resend is answered that nobody knows. */
     @Test
     void aRequestThatMayNotBeRepeatedEndsAlthoughItsCallerStoppedReading() throws Exception {
         try (ProcessCluster cluster = new ProcessCluster(folder)) {
