Measure the free space of a disk without reading the list of mounts

The file's own call asks for the space alone. A disk that can't be measured now counts as full, so that nothing is proposed; before, the failure ended the check unseen and the last answer held.

--- a/replication/src/main/java/org/radishspur/replication/disk/DataFolder.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/DataFolder.java
@@ -126,13 +126,10 @@
     /**
      * Returns the space that is left on the disk.
      *
-     * @return the number of bytes.
+     * @return the number of bytes, 0 where the disk can't be measured.
      */
     public long usableBytes() {
-        try {
-            return Files.getFileStore(path).getUsableSpace();
-        } catch (IOException exception) {
-            throw DiskFaults.translate("can't measure " + path, exception);
-        }
+        // A file store would read the list of all mounts each time, on the thread that waits for the disk.
+        return path.toFile().getUsableSpace();
     }
 }
