Allow a new version the slowness of its first hundred answers

Cause: the processes of a new version have just started. Until their code is compiled and their caches are filled, they answer more slowly; on a busy host this shows by a fifth to a third over some hundred answers. The watch took each of them as proof that the version is slower: it bounded one slow answer, but not a start.

Evidence: reproduced at the first try beside twelve busy loops and three plays (load 17 on 8 cores), with each answer traced.

Fix: what an upstream may show on top falls with the number of answers of its own run: half as long again at first, a third of that after 60 answers. A version that stays slower is found when the allowance has gone.

VersionWatchTest.aVersionThatWarmsUpOnABusyHostIsLeftAlone and MoveTrialTest with GOOD_AFTER_A_START failed before. The other tests have the same bounds; they say how many answers came earlier.

--- a/decision/src/main/java/org/radishspur/decision/move/VersionWatch.java
+++ b/decision/src/main/java/org/radishspur/decision/move/VersionWatch.java
@@ -24,6 +24,13 @@
     private static final double LEAST_SPREAD = 0.2;
 
     private static final double FIRST_SPREAD = 0.4;
+
+    /** The slowness that the first answer of an upstream may show on top, as a logarithm. */
+    private static final double WARM_UP = Math.log(1.5);
+
+    /** The number of answers in which the allowance for a start falls to a third. */
+    private static final double WARM_UP_ANSWERS = 60;
+
     private static final double OUTLIER = 2;
     private static final double MOST_FROM_ONE = SLOWNESS_THRESHOLD / 10;
     private static final double GAIN = 0.004;
@@ -65,8 +72,9 @@
      *
      * @param failed whether it failed.
      * @param logSlowness the logarithm of the time that it took against the time that such a request should take.
+     * @param earlierAnswers how many answers the same upstream had given before.
      */
-    public void observeNew(boolean failed, double logSlowness) {
+    public void observeNew(boolean failed, double logSlowness, int earlierAnswers) {
         samplesInStage++;
         answers += failed ? 0 : 1;
         failuresInRow = failed ? failuresInRow + 1 : 0;
@@ -75,12 +83,23 @@
         failures.add(failed ? Math.log(bad / usual) : Math.log((1 - bad) / (1 - usual)));
         if (!failed && controls >= CONTROLS_NEEDED) {
             double variance = Math.max(LEAST_SPREAD * LEAST_SPREAD, controlVariance);
-            double shift = Math.max(-OUTLIER, Math.min(OUTLIER, logSlowness - controlMean));
+            double excess = logSlowness - controlMean - warmUp(earlierAnswers);
+            double shift = Math.max(-OUTLIER, Math.min(OUTLIER, excess));
             // One answer, however slow, is weak evidence: a version that has just started answers slowly at first.
             slowness.add(Math.min(MOST_FROM_ONE, SLOWNESS / variance * (shift - SLOWNESS / 2)));
         }
     }
 
+    /**
+     * Returns the slowness that an upstream may show as it has just started, as a logarithm.
+     *
+     * <p>Guards against a good version taken back while its code isn't compiled and its caches are empty: its first hundred
+     * answers are slower than those of the old version, the more so on a busy host.
+     */
+    private static double warmUp(int earlierAnswers) {
+        return WARM_UP * Math.exp(-earlierAnswers / WARM_UP_ANSWERS);
+    }
+
     private double usualFailureRate() {
         return Math.max(LEAST_FAILURE_RATE, (controlFailures + 1) / (controls + FAILURE_PRIOR));
     }
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -192,7 +192,7 @@
         judge(upstream, flight, outcome, now);
         versions.ended(
                 flight.request().route(),
-                upstream.row().version(),
+                upstream,
                 outcome,
                 flight.request().work().promptTokens());
         if (outcome.ending() == PermitOutcome.Ending.ANSWERED) {
--- a/decision/src/main/java/org/radishspur/decision/permit/VersionDesk.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/VersionDesk.java
@@ -7,6 +7,7 @@
 import org.radishspur.decision.move.VersionSplit;
 import org.radishspur.decision.move.VersionWatch;
 import org.radishspur.decision.upstream.SpeedEstimate;
+import org.radishspur.decision.upstream.UpstreamState;
 
 /**
  * Keeps the routes of one pool to the versions that they may use, and watches the new ones.
@@ -77,7 +78,7 @@
      * <p>Guards against a good version taken back as slower: times are compared with a yardstick that never changes. Held
      * against learnt speeds, the old version's times seem to drift while the pool learns how fast the new one is.
      */
-    void ended(String route, String version, PermitOutcome outcome, int promptTokens) {
+    void ended(String route, UpstreamState upstream, PermitOutcome outcome, int promptTokens) {
         SplitCounter counter = counters.get(route);
         boolean telling = outcome.ending() == PermitOutcome.Ending.ANSWERED
                 || outcome.ending().isFailure() && outcome.ending() != PermitOutcome.Ending.UNREACHABLE;
@@ -88,8 +89,9 @@
         double reference = SpeedEstimate.referenceMicros(promptTokens, Math.max(1, outcome.outputTokens()));
         double slowness = Math.log(Math.max(1, outcome.totalMicros()) / reference);
         double bounded = Math.max(-MOST_SLOWNESS, Math.min(MOST_SLOWNESS, slowness));
-        if (counter.split().allows(version, true)) {
-            watch(route).observeNew(failed, bounded);
+        if (counter.split().allows(upstream.row().version(), true)) {
+            int earlierAnswers = upstream.answers() - (failed ? 0 : 1);
+            watch(route).observeNew(failed, bounded, earlierAnswers);
         } else {
             watch(route).observeOld(failed, bounded);
         }
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -33,6 +33,7 @@
     private long ejectedUntil;
     private int ejectionsInRow;
     private int failuresInRow;
+    private int answers;
     private int answersSinceEjection;
     private int externalLoad;
     private int recentPeak;
@@ -318,12 +319,22 @@
         speed.learnOutput(flight.uncachedTokens > 0 ? totalMicros - firstTokenMicros : totalMicros, outputTokens);
         learnLimit(flight, inFlight.size() + 1, now);
         failuresInRow = 0;
+        answers++;
         answersSinceEjection++;
         if (answersSinceEjection > options.failuresToEject()) {
             ejectionsInRow = 0;
         }
     }
 
+    /**
+     * Returns how many answers this run of the upstream has given, as far as this scheduler has seen them.
+     *
+     * @return the number.
+     */
+    public int answers() {
+        return answers;
+    }
+
     /**
      * Counts a failure.
      *
@@ -380,6 +391,7 @@
             leaving = false;
             ejectedUntil = 0;
             failuresInRow = 0;
+            answers = 0;
             prefixes.clear();
         }
     }
--- a/testkit/src/main/java/org/radishspur/testkit/move/VersionKind.java
+++ b/testkit/src/main/java/org/radishspur/testkit/move/VersionKind.java
@@ -13,6 +13,18 @@
             return usual(random, 1);
         }
     },
+    /** It is as good as the old one once it has warmed up; its first answers take a third longer. */
+    GOOD_AFTER_A_START {
+        @Override
+        Answer answer(Context context, Random random) {
+            return usual(random, 1 + FIRST_ANSWERS_LONGER * Math.exp(-context.answersBefore() / STARTING_ANSWERS));
+        }
+
+        @Override
+        boolean isBadOn(boolean secondRoute) {
+            return false;
+        }
+    },
     /** Every answer fails. */
     FAILS_OUTRIGHT {
         @Override
@@ -73,6 +85,8 @@
     };
 
     private static final double SPREAD = 0.3;
+    private static final double FIRST_ANSWERS_LONGER = 1 / 3.0;
+    private static final double STARTING_ANSWERS = 100;
     private static final int USUAL_FAILURES = 1_000;
 
     abstract Answer answer(Context context, Random random);
@@ -108,6 +122,7 @@
      * @param elapsedShare how much of the window has passed.
      * @param share the share that the version gets.
      * @param secondRoute whether the request came by the second route.
+     * @param answersBefore how many answers the version has given before.
      */
-    record Context(double elapsedShare, double share, boolean secondRoute) {}
+    record Context(double elapsedShare, double share, boolean secondRoute, long answersBefore) {}
 }
