--- a/testkit/src/test/java/org/radishspur/testkit/process/ProcessCluster.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/ProcessCluster.java
@@ -10,7 +10,9 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -154,14 +156,31 @@
                     .timeout(java.time.Duration.ofSeconds(10))
                     .method(path.equals("/v1/edits") || path.endsWith("replace") ? "POST" : "GET", body)
                     .build();
-            return client.send(request, HttpResponse.BodyHandlers.ofString());
+            long begin = System.nanoTime();
+            try {
+                HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+                record(node, path, begin, response.statusCode() + " " + response.body());
+                return response;
+            } catch (IOException exception) {
+                record(node, path, begin, exception.toString());
+                return new UnansweredResponse();
+            }
         } catch (IOException exception) {
-            return new UnansweredResponse();
+            throw new UncheckedIOException(exception);
         } catch (InterruptedException exception) {
             throw new IllegalStateException(exception);
         }
     }
 
+    /** Writes a line for each call that wasn't answered as asked, beside the logs of the nodes. */
+    private void record(String node, String path, long begin, String outcome) throws IOException {
+        if (!outcome.startsWith("200 ")) {
+            String line = Instant.now() + " " + node + ' ' + path + " after "
+                    + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin) + " ms: " + outcome + '\n';
+            Files.writeString(folder.resolve("calls.log"), line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        }
+    }
+
     String get(String node, String path) {
         return call(node, HttpRequest.BodyPublishers.noBody(), path).body();
     }
