Let elections and leaders wait for slow disks

Cause: the times of elections left no room for the disk. A candidate writes its vote before it asks for others, and the voters write theirs: with writes of half an election timeout (600 ms by default) and more, the next election begins before the votes of the last one can come, its term makes them void, and so on without end. A leader, once there is one, steps down after two timeouts, since followers answer its heartbeats only behind what they are writing.

Fix: the time to an election begins when the vote is on the disk; a candidate leaves voters twice the time of its own slow writes, as does one that yields to another; a follower answers a heartbeat at once for what is on its disk, if its term is on the disk as well. A write still counts only once it is durable, and leases are as short as before. On fast disks nothing changes.

RaftCoreTest says when a write began; nothing else in it changes.

--- a/node/src/main/java/org/radishspur/node/control/DiskWriter.java
+++ b/node/src/main/java/org/radishspur/node/control/DiskWriter.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 import org.radishspur.model.error.ErrorCode;
@@ -45,14 +46,14 @@
 
     /** {@inheritDoc} */
     @Override
-    public void write(WriteBatch batch, Runnable written) {
+    public void write(WriteBatch batch, LongConsumer written) {
         thread.execute(() -> {
             if (!batch.isEmpty()) {
                 writeWithRetries(batch);
             }
             if (!closed.get()) {
                 loop.execute(() -> {
-                    written.run();
+                    written.accept(loop.nowMillis());
                     afterWrite.run();
                 });
             }
--- a/replication/src/main/java/org/radishspur/replication/control/ControlReplica.java
+++ b/replication/src/main/java/org/radishspur/replication/control/ControlReplica.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -131,10 +132,10 @@
             applied.onApplied(state);
         });
         if (!effects.write().isEmpty() || !effects.afterWrite().isEmpty()) {
-            writer.write(effects.write(), () -> {
+            writer.write(effects.write(), writtenAt -> {
                 effects.afterWrite().forEach(outbound -> network.send(outbound.to(), outbound.message()));
                 if (!effects.write().isEmpty()) {
-                    core.persisted(effects.write(), now);
+                    core.persisted(effects.write(), now, writtenAt);
                 }
             });
         }
@@ -265,9 +266,9 @@
          * Makes a batch durable after every earlier one, then runs an action on the control thread.
          *
          * @param batch what to write, perhaps nothing.
-         * @param written what to do afterwards.
+         * @param written what to do afterwards; takes the monotonic clock in milliseconds.
          */
-        void write(WriteBatch batch, Runnable written);
+        void write(WriteBatch batch, LongConsumer written);
 
         /**
          * Makes a snapshot and stores it aside while other work goes on, then runs an action on the control thread.
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -20,14 +20,19 @@
     /** How many heartbeats a replica that has heard no leader yet waits at least, where leaders hold no lease. */
     private static final int FIRST_HEARTBEATS = 1;
 
+    /** By how many election timeouts a slow disk delays an election at most. */
+    private static final int LONGEST_WRITE_TIMEOUTS = 8;
+
     private final RaftOptions options;
     private final String self;
     private final RandomGenerator random;
     private final RaftLog log;
     private final Followers followers;
     private final Set<String> votes = new HashSet<>();
+    private final WriteTime writeTime;
 
     private HardState hardState;
+    private boolean hardStateDurable = true;
     private Role role = Role.FOLLOWER;
     private String leader = "";
     private long commitIndex;
@@ -63,6 +68,7 @@
         this.self = self;
         this.random = random;
         this.followers = new Followers(options, self);
+        this.writeTime = new WriteTime(LONGEST_WRITE_TIMEOUTS * options.electionTimeoutMillis());
         this.hardState = recovered.hardState();
         this.log = new RaftLog(recovered.snapshot(), recovered.entries());
         this.commitIndex = recovered.snapshot().lastIndex();
@@ -85,7 +91,7 @@
     public void tick(long now) {
         if (role == Role.LEADER) {
             tickLeader(now);
-        } else if (now >= electionDueAt) {
+        } else if (now >= electionDueAt && hardStateDurable) {
             if (log.configuration().voters().contains(self)) {
                 campaign(true, false, now);
             } else {
@@ -162,9 +168,12 @@
      * Learns that a write has become durable.
      *
      * @param batch the batch that was written.
+     * @param startedAt the monotonic clock in milliseconds when it was given to the disk.
      * @param now the monotonic clock in milliseconds.
      */
-    public void persisted(WriteBatch batch, long now) {
+    public void persisted(WriteBatch batch, long startedAt, long now) {
+        writeTime.learn(now - startedAt);
+        batch.hardState().filter(hardState::equals).ifPresent(durable -> onHardStateDurable(now));
         if (!batch.entries().isEmpty()) {
             LogEntry last = batch.entries().get(batch.entries().size() - 1);
             if (log.term(last.index()) == last.term()) {
@@ -479,7 +488,7 @@
         votes.clear();
         votes.add(self);
         leader = "";
-        scheduleElection(now);
+        awaitVotes(now);
         if (preVote) {
             role = Role.PRE_CANDIDATE;
         } else {
@@ -535,7 +544,7 @@
             // each other, and then vote for themselves. One of them, the same for all, goes on; nothing is lost if it
             // can't, as the others ask again after their next timeout.
             role = Role.FOLLOWER;
-            scheduleElection(now);
+            awaitVotes(now);
         }
         if (granted && !request.preVote()) {
             setHardState(new HardState(hardState.term(), from));
@@ -601,7 +610,15 @@
         }
         long matched = request.previousIndex() + request.entries().size();
         commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
-        reply(from, true, matched, request.sentAt());
+        if (hardStateDurable) {
+            // Guards against a leader that steps down while its followers' disks are slow. It may count on what is on
+            // the
+            // disk, and that this replica follows it is on the disk too.
+            immediate.add(new Outbound(from, appendReply(true, Math.min(matched, persistedIndex), request.sentAt())));
+        }
+        if (!hardStateDurable || persistedIndex < matched) {
+            reply(from, true, matched, request.sentAt());
+        }
     }
 
     private boolean acceptLeader(String from, long term, long now) {
@@ -644,7 +661,11 @@
     }
 
     private void reply(String to, boolean matched, long index, long sentAt) {
-        afterWrite.add(new Outbound(to, new RaftMessage.AppendReply(hardState.term(), matched, index, sentAt)));
+        afterWrite.add(new Outbound(to, appendReply(matched, index, sentAt)));
+    }
+
+    private RaftMessage appendReply(boolean matched, long index, long sentAt) {
+        return new RaftMessage.AppendReply(hardState.term(), matched, index, sentAt);
     }
 
     private void onAppendReply(String from, RaftMessage.AppendReply reply, long now) {
@@ -758,6 +779,27 @@
     private void setHardState(HardState changed) {
         hardState = changed;
         hardStateChanged = true;
+        hardStateDurable = false;
+    }
+
+    /**
+     * Lets the time to an election begin when a vote is on the disk, as nobody has it before.
+     *
+     * <p>Guards against a group that elects no leader while its disks are slow: each replica would seek the next election
+     * before the votes of the last one were written.
+     */
+    private void onHardStateDurable(long now) {
+        hardStateDurable = true;
+        if (role == Role.CANDIDATE) {
+            awaitVotes(now);
+        } else if (role != Role.LEADER) {
+            scheduleElection(now);
+        }
+    }
+
+    /** Leaves the voters the time to write their votes, and what they are writing before them. */
+    private void awaitVotes(long now) {
+        scheduleElection(now + 2 * writeTime.millis());
     }
 
     private void scheduleElection(long now) {
--- a/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
+++ b/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
@@ -33,7 +33,7 @@
         core.tick(LATER);
         core.drain();
         core.receive("b", new RaftMessage.VoteReply(hardState.term() + 1, true, true), LATER);
-        core.persisted(core.drain().write(), LATER);
+        core.persisted(core.drain().write(), LATER, LATER);
         core.receive("b", new RaftMessage.VoteReply(hardState.term() + 1, false, true), LATER);
         assertThat(core.role()).isEqualTo(Role.LEADER);
         return core;
@@ -100,7 +100,7 @@
         @Test
         void anEntryOfAnEarlierTermIsNotCommittedByCounting() {
             RaftCore core = leader(new HardState(2, ""), List.of(entry(1, 2)));
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER);
             assertThat(core.commitIndex()).isZero();
             core.receive("b", stored(core, 2, LATER), LATER);
@@ -113,7 +113,7 @@
             WriteBatch batch = core.drain().write();
             core.receive("b", stored(core, 1, LATER), LATER);
             assertThat(core.commitIndex()).isZero();
-            core.persisted(batch, LATER);
+            core.persisted(batch, LATER, LATER);
             assertThat(core.commitIndex()).isEqualTo(1);
         }
     }
@@ -123,7 +123,7 @@
         @Test
         void aLeaderThatNobodyAnswersStopsReadingBeforeAnotherCanBeElected() {
             RaftCore core = leader(HardState.INITIAL, List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER);
             core.drain();
             assertThat(core.mayRead(LATER + 1)).isTrue();
@@ -134,7 +134,7 @@
         @Test
         void aLeaderThatHandsOverReadsNoMore() {
             RaftCore core = leader(HardState.INITIAL, List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER);
             core.drain();
             assertThat(core.transferLeadership()).isTrue();
@@ -151,7 +151,7 @@
         @Test
         void aSecondChangeWaitsForTheFirst() {
             RaftCore core = leader(HardState.INITIAL, List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER);
             assertThat(core.proposeConfiguration(four)).isPresent();
             assertThat(core.proposeConfiguration(four.withPromoted("d"))).isEmpty();
@@ -160,17 +160,17 @@
         @Test
         void aNewLeaderFirstCommitsAnEntryOfItsOwn() {
             RaftCore core = leader(HardState.INITIAL, List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             assertThat(core.proposeConfiguration(four)).isEmpty();
         }
 
         @Test
         void aBlankReplicaIsNotCaughtUp() {
             RaftCore core = leader(HardState.INITIAL, List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER);
             core.proposeConfiguration(four);
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 2, LATER), LATER);
             assertThat(core.isCaughtUp("d")).isFalse();
             core.receive("d", stored(core, 2, LATER), LATER);
@@ -205,7 +205,7 @@
         @Test
         void anAnswerToAnEarlierMessageConfirmsNothing() {
             RaftCore core = leader(new HardState(1, ""), List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER), LATER + 1);
             core.drain();
             assertThat(core.confirmedSince(LATER - 1)).isTrue();
@@ -215,7 +215,7 @@
         @Test
         void anAnswerToALaterMessageConfirms() {
             RaftCore core = leader(new HardState(1, ""), List.of());
-            core.persisted(core.drain().write(), LATER);
+            core.persisted(core.drain().write(), LATER, LATER);
             core.receive("b", stored(core, 1, LATER + 50), LATER + 51);
             core.drain();
             assertThat(core.confirmedSince(LATER + 49)).isTrue();
--- a/testkit/src/main/java/org/radishspur/testkit/schedule/SimulatedReplica.java
+++ b/testkit/src/main/java/org/radishspur/testkit/schedule/SimulatedReplica.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 import org.radishspur.replication.control.ControlReplica;
@@ -158,7 +159,7 @@
         }
         Pending pending = unwritten.removeFirst();
         disk.write(pending.batch());
-        pending.written().run();
+        pending.written().accept(clock());
         step();
     }
 
@@ -168,7 +169,7 @@
      * @param batch the batch.
      * @param written what waits for it.
      */
-    private record Pending(WriteBatch batch, Runnable written) {}
+    private record Pending(WriteBatch batch, LongConsumer written) {}
 
     /**
      * Writes batches after a random time, in order.
@@ -176,7 +177,7 @@
     private final class Writer implements ControlReplica.Writer {
         /** {@inheritDoc} */
         @Override
-        public void write(WriteBatch batch, Runnable written) {
+        public void write(WriteBatch batch, LongConsumer written) {
             unwritten.addLast(new Pending(batch, written));
             int ofRun = run;
             world.schedule(() -> finishWrite(ofRun), world.writeDelay());
