--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -611,9 +611,8 @@
         long matched = request.previousIndex() + request.entries().size();
         commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
         if (hardStateDurable) {
-            // Guards against a leader that steps down while its followers' disks are slow. It may count on what is on
-            // the
-            // disk, and that this replica follows it is on the disk too.
+            // Guards against a leader that steps down while disks are slow: only what is on the disk is acknowledged
+            // here.
             immediate.add(new Outbound(from, appendReply(true, Math.min(matched, persistedIndex), request.sentAt())));
         }
         if (!hardStateDurable || persistedIndex < matched) {
@@ -709,9 +708,11 @@
     private void install(Snapshot snapshot) {
         log.install(snapshot);
         unwritten.removeIf(entry -> entry.index() <= snapshot.lastIndex() || entry.index() > log.lastIndex());
+        // What the disk holds beyond the entries known as committed may differ from the snapshot, until that is
+        // written.
+        persistedIndex = Math.min(persistedIndex, commitIndex);
         commitIndex = snapshot.lastIndex();
         appliedIndex = snapshot.lastIndex();
-        persistedIndex = Math.min(persistedIndex, log.lastIndex());
         unwrittenSnapshot = Optional.of(snapshot);
         installed = Optional.of(snapshot);
     }
--- a/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
+++ b/replication/src/test/java/org/radishspur/replication/raft/RaftCoreTest.java
@@ -94,6 +94,54 @@
         }
     }
 
+    @Nested
+    class Acknowledging {
+        private final RaftCore follower = core(new HardState(5, ""), List.of(entry(1, 4), entry(2, 4), entry(3, 4)));
+
+        private List<RaftMessage> answersToHeartbeat(long previousIndex, long previousTerm) {
+            follower.receive(
+                    "b", new RaftMessage.AppendRequest(5, previousIndex, previousTerm, List.of(), 0, LATER), LATER);
+            return follower.drain().immediate().stream()
+                    .map(Effects.Outbound::message)
+                    .toList();
+        }
+
+        @Test
+        void aHeartbeatIsAnsweredWithoutWaitingForTheDisk() {
+            assertThat(answersToHeartbeat(3, 4)).containsExactly(new RaftMessage.AppendReply(5, true, 3, LATER));
+        }
+
+        /** Guards against an accepted edit that is gone, as a follower acknowledged what it was still writing. */
+        @Test
+        void whatIsStillBeingWrittenIsNotAcknowledged() {
+            follower.receive("b", new RaftMessage.AppendRequest(5, 3, 4, List.of(entry(4, 5)), 0, LATER), LATER);
+            WriteBatch batch = follower.drain().write();
+            assertThat(answersToHeartbeat(4, 5)).containsExactly(new RaftMessage.AppendReply(5, true, 3, LATER));
+            follower.persisted(batch, LATER, LATER);
+            assertThat(answersToHeartbeat(4, 5)).containsExactly(new RaftMessage.AppendReply(5, true, 4, LATER));
+        }
+
+        /** Guards against a replica that forgets after a restart which leader it has followed. */
+        @Test
+        void nothingIsAcknowledgedBeforeTheTermIsOnTheDisk() {
+            follower.receive("b", new RaftMessage.AppendRequest(6, 3, 4, List.of(), 0, LATER), LATER);
+            Effects effects = follower.drain();
+            assertThat(effects.immediate()).isEmpty();
+            assertThat(effects.afterWrite())
+                    .containsExactly(new Effects.Outbound("b", new RaftMessage.AppendReply(6, true, 3, LATER)));
+        }
+
+        /** Guards against a learner that votes before the snapshot it has received is on its disk. */
+        @Test
+        void aSnapshotThatIsNotWrittenIsNotAcknowledged() {
+            follower.receive("b", new RaftMessage.SnapshotRequest(5, 2, 5, THREE, 0, new byte[1], true, LATER), LATER);
+            WriteBatch batch = follower.drain().write();
+            assertThat(answersToHeartbeat(2, 5)).containsExactly(new RaftMessage.AppendReply(5, true, 0, LATER));
+            follower.persisted(batch, LATER, LATER);
+            assertThat(answersToHeartbeat(2, 5)).containsExactly(new RaftMessage.AppendReply(5, true, 2, LATER));
+        }
+    }
+
     @Nested
     class Committing {
         /** Guards against a failure in which an accepted edit is replaced by another one. */
