--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/permit/StarvedPoolTest.java
@@ -0,0 +1,101 @@
+package org.radishspur.decision.permit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.radishspur.decision.permit.PermitOutcome.Ending;
+import org.radishspur.model.request.PermitId;
+import org.radishspur.model.request.Tier;
+import org.radishspur.model.table.PoolKind;
+import org.radishspur.model.table.PoolRow;
+import org.radishspur.model.table.UpstreamRow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Sends a thousand requests at once to two engines on hosts that get no processor for a while.
+ */
+class StarvedPoolTest {
+    private static final int REQUESTS = 1_000;
+    private static final long MILLI = 1_000;
+    private static final long SECOND = 1_000_000;
+    private static final long DEADLINE = 60 * SECOND;
+    private static final long STEP = 25 * MILLI;
+
+    /** Guards against a caller with a minute left who is refused for the estimate of a starved moment. */
+    @Property(tries = 60, seed = "36")
+    void nobodyWithAMinuteLeftIsRefused(
+            @ForAll @LongRange(min = 0, max = 2_000) long starvedAtMillis,
+            @ForAll @LongRange(min = 0, max = 5_000) long starvedMillis,
+            @ForAll @IntRange(min = 1, max = 500) int apartMillis,
+            @ForAll long seed) {
+        List<UpstreamRow> rows = List.of(
+                new UpstreamRow("fast", "127.0.0.1:1", "domain", "hardware", false),
+                new UpstreamRow("slow", "127.0.0.1:2", "domain", "hardware", false));
+        Map<String, Long> tokenMicros = Map.of("fast", 500L, "slow", 2_000L);
+        PoolScheduler scheduler = new PoolScheduler(
+                new PoolRow("pool", PoolKind.ENGINE, rows, 5_000, 512, Map.of()), SchedulerOptions.STANDARD, "owner");
+        Random random = new Random(seed);
+        long begin = SECOND;
+        long starvedFrom = begin + starvedAtMillis * MILLI;
+        long starvedUntil = starvedFrom + starvedMillis * MILLI;
+        PriorityQueue<Answer> running = new PriorityQueue<>(Comparator.comparingLong(Answer::at));
+        Map<PermitId, Integer> tokens = new HashMap<>();
+        List<PermitAction.Refuse> refused = new ArrayList<>();
+        int sent = 0;
+        for (long now = begin; now < begin + DEADLINE && (sent < REQUESTS || !running.isEmpty()); now += STEP) {
+            while (sent < REQUESTS && now - begin >= sent * apartMillis) {
+                PermitId id = new PermitId("entry", 1, sent);
+                tokens.put(id, sent % 10 == 0 ? 100 : 1 + sent % 7);
+                scheduler.arrive(
+                        new PermitRequest(
+                                id,
+                                Tier.NORMAL,
+                                "organisation",
+                                "route",
+                                now + DEADLINE,
+                                new Work(3, 256, List.of()),
+                                "print" + sent),
+                        now);
+                sent++;
+            }
+            while (!running.isEmpty() && running.peek().at() <= now) {
+                Answer answer = running.remove();
+                long total = answer.at() - answer.startedAt();
+                scheduler.finish(
+                        answer.id(),
+                        new PermitOutcome(Ending.ANSWERED, total / 4, total, tokens.get(answer.id())),
+                        now);
+            }
+            for (PermitAction action : scheduler.decide(now)) {
+                if (action instanceof PermitAction.Refuse refuse) {
+                    refused.add(refuse);
+                } else if (action instanceof PermitAction.Grant grant) {
+                    long usual = 2 * MILLI + tokens.get(grant.id()) * tokenMicros.get(grant.upstream());
+                    boolean starved = now + usual >= starvedFrom && now < starvedUntil;
+                    long end = starved ? starvedUntil + random.nextInt((int) SECOND) + usual : now + usual;
+                    running.add(new Answer(grant.id(), now, end));
+                }
+            }
+        }
+        assertThat(refused).isEmpty();
+    }
+
+    /**
+     * Holds an answer that is on its way.
+     *
+     * @param id the attempt.
+     * @param startedAt when it was granted, in microseconds.
+     * @param at when it comes, in microseconds.
+     */
+    private record Answer(PermitId id, long startedAt, long at) {}
+}
