Name a unit and a bound as they are, and shorten two comments

StarvedPoolTest's gap between requests is in microseconds, not milliseconds, so its thousand requests come within half a second, as its text says; the constant of RaftCore bounds the time of a write, and an election waits twice that.

--- a/decision/src/test/java/org/radishspur/decision/permit/StarvedPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/StarvedPoolTest.java
@@ -36,7 +36,7 @@
     void nobodyWithAMinuteLeftIsRefused(
             @ForAll @LongRange(min = 0, max = 2_000) long starvedAtMillis,
             @ForAll @LongRange(min = 0, max = 5_000) long starvedMillis,
-            @ForAll @IntRange(min = 1, max = 500) int apartMillis,
+            @ForAll @IntRange(min = 1, max = 500) int apartMicros,
             @ForAll long seed) {
         List<UpstreamRow> rows = List.of(
                 new UpstreamRow("fast", "127.0.0.1:1", "domain", "hardware", false),
@@ -53,7 +53,7 @@
         List<PermitAction.Refuse> refused = new ArrayList<>();
         int sent = 0;
         for (long now = begin; now < begin + DEADLINE && (sent < REQUESTS || !running.isEmpty()); now += STEP) {
-            while (sent < REQUESTS && now - begin >= sent * apartMillis) {
+            while (sent < REQUESTS && now - begin >= sent * apartMicros) {
                 PermitId id = new PermitId("entry", 1, sent);
                 tokens.put(id, sent % 10 == 0 ? 100 : 1 + sent % 7);
                 scheduler.arrive(
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -20,7 +20,7 @@
     /** How many heartbeats a replica that has heard no leader yet waits at least, where leaders hold no lease. */
     private static final int FIRST_HEARTBEATS = 1;
 
-    /** By how many election timeouts a slow disk delays an election at most. */
+    /** The longest time that is assumed for a write, in election timeouts. */
     private static final int LONGEST_WRITE_TIMEOUTS = 8;
 
     private final RaftOptions options;
@@ -611,8 +611,7 @@
         long matched = request.previousIndex() + request.entries().size();
         commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
         if (hardStateDurable) {
-            // Guards against a leader that steps down while disks are slow: only what is on the disk is acknowledged
-            // here.
+            // Guards against a leader that steps down while disks are slow. Only what is on the disk is acknowledged.
             immediate.add(new Outbound(from, appendReply(true, Math.min(matched, persistedIndex), request.sentAt())));
         }
         if (!hardStateDurable || persistedIndex < matched) {
@@ -708,8 +707,7 @@
     private void install(Snapshot snapshot) {
         log.install(snapshot);
         unwritten.removeIf(entry -> entry.index() <= snapshot.lastIndex() || entry.index() > log.lastIndex());
-        // What the disk holds beyond the entries known as committed may differ from the snapshot, until that is
-        // written.
+        // Until the snapshot is written, the disk may hold other entries than it behind the committed ones.
         persistedIndex = Math.min(persistedIndex, commitIndex);
         commitIndex = snapshot.lastIndex();
         appliedIndex = snapshot.lastIndex();
