--- a/testkit/src/test/java/org/radishspur/testkit/process/CrashSuspectProcessTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/CrashSuspectProcessTest.java
@@ -55,6 +55,7 @@
             // A crashing engine closes its connections before its parent process detects its end, so the answer can
             // arrive while the second engine still counts as alive. No request is sent while the test waits.
             ProcessCluster.await(() -> countLiveEngines(cluster) == ENGINES.size() - 2);
+            assertThat(countLiveEngines(cluster)).isEqualTo(ENGINES.size() - 2);
             for (String node : ProcessCluster.NODES) {
                 ProcessCluster.await(
                         () -> send(cluster, node, "poison", true).body().contains("crash-suspect"));
