Log the inputs of a refusal for a deadline, and a queue that moves no more

Cause: a caller with a minute left was refused as unreachable, or got no answer at all, and no log told which estimate said so or why nothing was granted. A queue that waits for 3 s without a grant is logged likewise. The id of a request is that of its first attempt, so that the id that the caller got leads to the line.

--- a/decision/src/main/java/org/radishspur/decision/permit/PermitAction.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PermitAction.java
@@ -1,5 +1,7 @@
 package org.radishspur.decision.permit;
 
+import java.util.List;
+
 import org.radishspur.model.error.Refusal;
 import org.radishspur.model.request.PermitId;
 
@@ -24,6 +26,23 @@
      */
     record Refuse(PermitId id, Refusal refusal) implements PermitAction {}
 
+    /**
+     * Explains the refusal of a request that can't meet its deadline; the refusal is an action of its own.
+     *
+     * @param id the attempt.
+     * @param estimate the estimate and its inputs.
+     */
+    record DeadlineUnreachable(PermitId id, DeadlineEstimate estimate) implements PermitAction {}
+
+    /**
+     * Reports that requests wait although none has been granted for a while.
+     *
+     * @param stalledMicros the time since the last grant, or since the queue was last empty, in microseconds.
+     * @param waiting the number of requests in the queue.
+     * @param upstreams what is assumed about the upstreams of the pool.
+     */
+    record QueueStalled(long stalledMicros, int waiting, List<UpstreamSnapshot> upstreams) implements PermitAction {}
+
     /**
      * Reports that a request was in flight when an upstream crashed.
      *
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -38,6 +38,9 @@
     /** The interval at which slow upstreams are detected and idle organisations removed. */
     private static final long HOUSEKEEPING_INTERVAL_MICROS = 100_000;
 
+    /** How long requests wait without a grant before this is reported, and how often it is reported again. */
+    private static final long STALL_REPORT_MICROS = 3_000_000;
+
     /** How often a request that is first in order may wait for requests with a larger cached share. */
     private static final int MAX_TIMES_PASSED_OVER = 8;
 
@@ -70,6 +73,11 @@
     private long grantsPausedUntil;
     private long nextHousekeepingAt;
 
+    /** When a request was last granted, or when the first one arrived at an empty queue. */
+    private long lastProgressAt;
+
+    private long stallReportedAt;
+
     /**
      * Creates the scheduler of a pool.
      *
@@ -426,6 +434,7 @@
         if (now >= grantsPausedUntil) {
             grantAll(now);
         }
+        reportStall(now);
         List<PermitAction> decided = new ArrayList<>(actions);
         actions.clear();
         return decided;
@@ -488,6 +497,9 @@
             refuseForDeadline(request, now);
             return;
         }
+        if (queue.size() == 0) {
+            lastProgressAt = now;
+        }
         long latestStart = (long) (request.deadlineAt() - options.deadlineMargin() * service);
         queue.add(
                 new WaitingRequest(request, sequence++, cost, latestStart),
@@ -509,7 +521,29 @@
                         retryAfterMillis(shed.request.tier())));
     }
 
+    private void reportStall(long now) {
+        if (queue.size() > 0 && now - Math.max(lastProgressAt, stallReportedAt) >= STALL_REPORT_MICROS) {
+            stallReportedAt = now;
+            actions.add(new PermitAction.QueueStalled(now - lastProgressAt, queue.size(), upstreamSnapshots(now)));
+        }
+    }
+
+    private List<UpstreamSnapshot> upstreamSnapshots(long now) {
+        return upstreams.values().stream()
+                .map(upstream -> UpstreamSnapshot.of(upstream, now))
+                .toList();
+    }
+
     private void refuseForDeadline(PermitRequest request, long now) {
+        actions.add(new PermitAction.DeadlineUnreachable(
+                request.id(),
+                new DeadlineEstimate(
+                        request.deadlineAt() - now,
+                        expectedWaitMicros(request.tier()),
+                        shortestServiceMicros(request.size(), now),
+                        queue.size(),
+                        costCorrection.factor(),
+                        upstreamSnapshots(now))));
         String detail = "The request can't be finished within the "
                 + Math.max(0, (request.deadlineAt() - now) / (long) MICROS_PER_MILLI) + " ms that it has left.";
         refuse(
@@ -625,6 +659,7 @@
         versionRouting.granted(request.route(), upstream.row().version());
         speeds.granted(upstream.cachedShare(request.size()));
         upstream.start(request, exclusive, now);
+        lastProgressAt = now;
         actions.add(new PermitAction.Grant(request.id(), upstream.name()));
     }
 
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -152,6 +152,35 @@
         return limit.value();
     }
 
+    /**
+     * Returns how many requests of other sources the upstream was last inferred to run.
+     *
+     * @return the number of requests.
+     */
+    public int externalLoad() {
+        return externalLoad;
+    }
+
+    /**
+     * Returns how old the last load report is.
+     *
+     * @param now the current time in microseconds.
+     * @return the time since it was received, in microseconds.
+     */
+    public long reportAgeMicros(long now) {
+        return now - lastReportAt;
+    }
+
+    /**
+     * Returns how old the last measurement of an answer is.
+     *
+     * @param now the current time in microseconds.
+     * @return the time since the answer was complete, in microseconds.
+     */
+    public long measuredAgeMicros(long now) {
+        return now - lastMeasuredAt;
+    }
+
     /**
      * Returns the estimate of the upstream's speed.
      *
@@ -252,7 +281,7 @@
         if (!inFlight.isEmpty()) {
             return 1;
         }
-        double decay = Math.max(0, now - lastMeasuredAt) / MEASUREMENT_DECAY_MICROS;
+        double decay = Math.max(0, measuredAgeMicros(now)) / MEASUREMENT_DECAY_MICROS;
         return Math.max(MIN_DECAY_FACTOR, 1 / (1 + decay));
     }
 
@@ -291,7 +320,7 @@
     }
 
     private void adjustLimit(InFlightRequest flight, int running, long now) {
-        boolean noneWaiting = reportedNoneWaiting && now - lastReportAt < REPORT_VALID_MICROS;
+        boolean noneWaiting = reportedNoneWaiting && reportAgeMicros(now) < REPORT_VALID_MICROS;
         if (limit.update(speed.isCongested(noneWaiting), flight.startedAt, running, now)) {
             speed.resetCongestion();
         }
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -213,6 +213,61 @@
         }
     }
 
+    @Nested
+    class Explanations {
+        private List<PermitAction.QueueStalled> stalls(List<PermitAction> actions) {
+            return actions.stream()
+                    .filter(PermitAction.QueueStalled.class::isInstance)
+                    .map(PermitAction.QueueStalled.class::cast)
+                    .toList();
+        }
+
+        @Test
+        void aRefusalForADeadlineStatesItsInputs() {
+            PoolScheduler scheduler = scheduler(1, 100, 4);
+            measureSpeeds(scheduler, 10);
+            PermitRequest late = new PermitRequest(
+                    new PermitId("entry", 1, ++sequence),
+                    Tier.URGENT,
+                    "a",
+                    "route",
+                    now + 100,
+                    new RequestSize(100, 10, List.of()),
+                    "x");
+            scheduler.submit(late, now);
+            assertThat(scheduler.decide(now)).anySatisfy(action -> {
+                assertThat(action).isInstanceOf(PermitAction.DeadlineUnreachable.class);
+                DeadlineEstimate estimate = ((PermitAction.DeadlineUnreachable) action).estimate();
+                assertThat(estimate.remainingMicros()).isEqualTo(100);
+                assertThat(estimate.serviceMicros()).isGreaterThan(100);
+                assertThat(estimate.upstreams()).hasSize(1);
+            });
+        }
+
+        /** Guards against a pool that serves nobody without a line that says why. */
+        @Test
+        void aQueueWithoutGrantsIsReported() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            scheduler.submit(request(Tier.NORMAL, "a", "running"), now);
+            scheduler.decide(now);
+            scheduler.submit(request(Tier.NORMAL, "a", "waiting"), now);
+            assertThat(stalls(scheduler.decide(now + MICROS_PER_SECOND))).isEmpty();
+            List<PermitAction.QueueStalled> stalls = stalls(scheduler.decide(now + 4 * MICROS_PER_SECOND));
+            assertThat(stalls).hasSize(1);
+            assertThat(stalls.get(0).waiting()).isEqualTo(1);
+            assertThat(stalls.get(0).upstreams().get(0).inFlight()).isEqualTo(1);
+        }
+
+        @Test
+        void aNewOwnerWithAnEmptyQueueReportsNoStall() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            now += 1_000 * MICROS_PER_SECOND;
+            scheduler.pauseGrantsUntil(now + MICROS_PER_SECOND);
+            scheduler.submit(request(Tier.NORMAL, "a", "first"), now);
+            assertThat(stalls(scheduler.decide(now))).isEmpty();
+        }
+    }
+
     @Nested
     class WithFailingUpstreams {
         @Test
--- a/model/src/main/java/org/radishspur/model/request/PermitId.java
+++ b/model/src/main/java/org/radishspur/model/request/PermitId.java
@@ -9,6 +9,15 @@
  */
 public record PermitId(String node, long incarnation, long sequence) implements Comparable<PermitId> {
 
+    /**
+     * Returns the text by which headers and logs name the attempt.
+     *
+     * @return the node, the incarnation and the sequence number.
+     */
+    public String text() {
+        return node + '-' + incarnation + '-' + sequence;
+    }
+
     /** {@inheritDoc} */
     @Override
     public int compareTo(PermitId other) {
--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -53,6 +53,10 @@
     private final CallerHandler connection;
     private final ChannelHandlerContext context;
     private final HttpRequest request;
+
+    /** Also the id of the request, so that the caller's id leads to the lines of the queue's owner. */
+    private final PermitId firstAttemptId;
+
     private final long beganNanos = System.nanoTime();
     private final ByteBuf initialBody = Unpooled.buffer(0);
     private final AnswerWriter answer;
@@ -83,10 +87,9 @@
         this.connection = connection;
         this.context = context;
         this.request = request;
-        PermitId permitId = services.core().nextPermitId();
-        String requestId = permitId.node() + '-' + permitId.incarnation() + '-' + permitId.sequence();
+        this.firstAttemptId = services.core().nextPermitId();
         boolean beforeHttp11 = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
-        this.answer = new AnswerWriter(connection, context, requestId, beforeHttp11);
+        this.answer = new AnswerWriter(connection, context, firstAttemptId.text(), beforeHttp11);
     }
 
     void begin() {
@@ -257,7 +260,8 @@
     private void requestPermit() {
         stage = Stage.WAITING;
         attemptCount++;
-        Attempt next = new Attempt(services.core().nextPermitId());
+        Attempt next =
+                new Attempt(attemptCount == 1 ? firstAttemptId : services.core().nextPermitId());
         attempt = next;
         long elapsedMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - beganNanos);
         PeerMessage.PermitAcquire acquire = new PeerMessage.PermitAcquire(
@@ -555,7 +559,7 @@
             }
             long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos);
             head.headers().set(HttpHeaderNames.HOST, address);
-            head.headers().set(UpstreamHeaders.REQUEST, id.node() + '-' + id.incarnation() + '-' + id.sequence());
+            head.headers().set(UpstreamHeaders.REQUEST, id.text());
             head.headers().set(UpstreamHeaders.REMAINING_MILLIS, Math.max(0, validated.deadlineMillis() - elapsed));
             return head;
         }
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -48,6 +48,7 @@
     private final String ownerIdentity;
     private final LeaderService.Sender sender;
     private final Reporter reporter;
+    private final DecisionLog decisionLog = new DecisionLog();
     private final Map<String, OwnedPool> ownedPools = new TreeMap<>();
     private final Set<ClusterView.Member> entryMembers = new HashSet<>();
     private Tables tables = Tables.EMPTY;
@@ -293,8 +294,11 @@
         } else if (action instanceof PermitAction.SuspectCleared cleared) {
             reporter.clearSuspect(pool, cleared.fingerprint());
         } else if (action instanceof PermitAction.Ejected ejected) {
-            ComponentLog.OWNER.warn("Upstream " + ejected.upstream() + " of pool " + pool + " is ejected, cause "
-                    + ejected.cause() + '.');
+            decisionLog.log(pool, ejected);
+        } else if (action instanceof PermitAction.QueueStalled stalled) {
+            decisionLog.log(pool, stalled);
+        } else if (action instanceof PermitAction.DeadlineUnreachable refused) {
+            decisionLog.log(pool, refused, loop.nowMicros());
         }
     }
 
