Give an idle upstream a request whatever load it last reported

Cause: reports of load arrive only with answers. A report that is late, so that its requests have ended by then, is taken for the load of other sources. While the limit is at one, as after an ejection, one such request fills the upstream; without a grant there is no answer, without an answer no report, and the pool stands still until all deadlines have passed.

Why it works: an upstream at which nothing of ours runs always has a slot, so there is always an answer that brings the next report. anIdleUpstreamGetsARequestWhateverItLastReported failed before (no grant) and passes.

--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -140,7 +140,10 @@
         if (!isUsable(now) || runsExclusive) {
             return 0;
         }
-        return Math.max(0, limit.value() - inFlight.size() - externalLoad);
+        int free = limit.value() - inFlight.size() - externalLoad;
+        // An idle upstream gets a request whatever it last reported: reports arrive only with answers, so a false one
+        // would keep the upstream idle for ever.
+        return Math.max(inFlight.isEmpty() ? 1 : 0, free);
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -268,6 +268,22 @@
         }
     }
 
+    @Nested
+    class WithLoadReports {
+        /** Guards against a pool that serves nobody: reports arrive only with answers, so a false one stayed forever. */
+        @Test
+        void anIdleUpstreamGetsARequestWhateverItLastReported() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            PermitRequest first = request(Tier.NORMAL, "a", "first");
+            scheduler.submit(first, now);
+            scheduler.decide(now);
+            scheduler.loadReported("u0", 3, 0, now);
+            scheduler.finish(first.id(), answered(), now);
+            scheduler.submit(request(Tier.NORMAL, "a", "second"), now);
+            assertThat(grants(scheduler.decide(now + MICROS_PER_SECOND))).hasSize(1);
+        }
+    }
+
     @Nested
     class WithFailingUpstreams {
         @Test
