Compare a load report with the requests of the last seconds, not of this moment

Cause: the load of other sources was what a report counts beyond the requests in flight since the report before. Several reports of one moment that arrive together, after their requests have ended, are the usual case on a busy machine: the first one sets the maximum back to the present zero, and each further one makes all requests that it counts the load of others. Evidence: reportsThatArriveAfterTheirRequestsEndedAreNoOtherLoad failed before (8 instead of 0 from others). Why it works: the maximum now covers the last two to four seconds, longer than a report takes. Requests of other sources beyond it count as before (requestsBeyondTheOwnOnesAreOtherLoad).

--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -20,6 +20,9 @@
     /** How long a load report counts as evidence that no request waits in the upstream's queue. */
     private static final long REPORT_VALID_MICROS = 6_000_000;
 
+    /** How long a load report may take at most to arrive without being mistaken for load of other sources. */
+    private static final long MAX_REPORT_DELAY_MICROS = 2_000_000;
+
     /** The share of the time for processing a prompt by which each request in flight is delayed. */
     private static final double PREFILL_DELAY_SHARE = 0.3;
 
@@ -34,6 +37,7 @@
     private final SpeedEstimate speed;
     private final ConcurrencyLimit limit;
     private final PrefixIndex prefixes;
+    private final RecentPeak peakInFlight = new RecentPeak(MAX_REPORT_DELAY_MICROS);
     private UpstreamRow row;
     private long incarnation;
     private boolean leaving;
@@ -45,7 +49,6 @@
     private int answerCount;
     private int answersSinceEjection;
     private int externalLoad;
-    private int recentPeakInFlight;
     private int pendingPrefillTokens;
     private boolean runsExclusive;
     private long lastMeasuredAt;
@@ -301,7 +304,7 @@
                 request.id(), new InFlightRequest(request, now, uncached, expectedMicros(request.size()), exclusive));
         pendingPrefillTokens += uncached;
         runsExclusive |= exclusive;
-        recentPeakInFlight = Math.max(recentPeakInFlight, inFlight.size());
+        peakInFlight.record(inFlight.size(), now);
         prefixes.dispatched(request.size().blockDigests());
     }
 
@@ -450,8 +453,8 @@
     }
 
     /**
-     * Applies the upstream's own report of its load. Since the report is stale, only requests beyond the maximum number
-     * in flight since the previous report count as load from other sources.
+     * Applies the upstream's own report of its load. Since the report is stale, only requests beyond the recent maximum
+     * in flight count as load from other sources: the requests that it counts may have ended by now.
      *
      * @param running the number of requests that the upstream reports as running.
      * @param waiting the number of requests that the upstream reports as waiting in its own queue.
@@ -460,8 +463,8 @@
     public void loadReported(int running, int waiting, long now) {
         lastReportAt = now;
         reportedNoneWaiting = waiting == 0;
-        externalLoad = Math.max(0, running + waiting - recentPeakInFlight);
-        recentPeakInFlight = inFlight.size();
+        peakInFlight.record(inFlight.size(), now);
+        externalLoad = Math.max(0, running + waiting - peakInFlight.value());
         if (waiting > 0) {
             limit.capAtRunning(running);
         }
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -7,9 +7,12 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.decision.move.RollbackReason;
 import org.radishspur.decision.move.VersionSplit;
 import org.radishspur.decision.permit.PermitOutcome.Ending;
+import org.radishspur.decision.upstream.UpstreamState;
 import org.radishspur.model.error.RefusalReason;
 import org.radishspur.model.request.PermitId;
 import org.radishspur.model.request.Tier;
@@ -282,6 +285,39 @@
             scheduler.submit(request(Tier.NORMAL, "a", "second"), now);
             assertThat(grants(scheduler.decide(now + MICROS_PER_SECOND))).hasSize(1);
         }
+
+        /** Guards against taking own requests for the load of others when their reports arrive after their ends. */
+        @ParameterizedTest
+        @ValueSource(longs = {0, MICROS_PER_SECOND, 30 * MICROS_PER_SECOND})
+        void reportsThatArriveAfterTheirRequestsEndedAreNoOtherLoad(long micros) {
+            PoolScheduler scheduler = scheduler(1, 100, 8);
+            List<PermitRequest> requests = new ArrayList<>();
+            for (int number = 0; number < 8; number++) {
+                requests.add(request(Tier.NORMAL, "a", "r" + number));
+                scheduler.submit(requests.get(number), now);
+            }
+            assertThat(grants(scheduler.decide(now))).hasSize(8);
+            now += micros;
+            requests.forEach(request -> scheduler.finish(request.id(), answered(), now));
+            for (int report = 1; report <= 8; report++) {
+                scheduler.loadReported("u0", report, 0, now);
+            }
+            UpstreamState upstream = scheduler.upstreams().iterator().next();
+            assertThat(upstream.externalLoad()).isZero();
+            assertThat(upstream.freeSlots(now)).isEqualTo(8);
+        }
+
+        @Test
+        void requestsBeyondTheOwnOnesAreOtherLoad() {
+            PoolScheduler scheduler = scheduler(1, 100, 8);
+            PermitRequest own = request(Tier.NORMAL, "a", "own");
+            scheduler.submit(own, now);
+            scheduler.decide(now);
+            scheduler.loadReported("u0", 6, 0, now);
+            UpstreamState upstream = scheduler.upstreams().iterator().next();
+            assertThat(upstream.externalLoad()).isEqualTo(5);
+            assertThat(upstream.freeSlots(now)).isEqualTo(2);
+        }
     }
 
     @Nested
