Price the requests of a queue by the present speeds when a wait is estimated

What callers saw: deadline-unreachable after the upstreams had become fast again, and a Retry-After of a minute. Cause: each request kept the time that it would have taken at the speeds of its arrival, and the wait was the sum of these times. In the users' log line 962 waiting requests stood for 4,849 s and were served within 53 ms. Evidence: theExpectedWaitFollowsThePresentSpeeds: 40 requests that arrived while an upstream took a second for each, after sixty answers of 10 ms: 40.4 s expected before, where the present speeds make 3.3 s; below 4.9 s now. Why it works: the queue adds up sizes (prompt tokens with the wait for a step, output tokens) and turns them into a time at the present speeds. The shares of organisations are still charged by the cost at the arrival, so that the order of grants is unchanged.

--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -703,7 +703,7 @@
 
     /** Returns the expected wait of a new request of a tier, or 0 as long as no upstream has been measured. */
     private double expectedWaitMicros(Tier tier) {
-        return speeds.isAnyMeasured() ? queue.costAhead(tier) * costCorrection.factor() / speeds.serviceRate() : 0;
+        return speeds.isAnyMeasured() ? speeds.drainMicros(queue.workAhead(tier)) * costCorrection.factor() : 0;
     }
 
     private double costOf(int promptTokens, int outputTokens) {
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolSpeeds.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolSpeeds.java
@@ -24,7 +24,10 @@
     private List<UpstreamState> fastestFirst = List.of();
     private double meanPrefillMicros;
     private double meanOutputMicros;
+
+    /** How much cost the pool completes in a microsecond while all slots are in use, at least 1. */
     private double serviceRate = 1;
+
     private double meanCachedShare;
     private boolean anyMeasured;
     private boolean anyUnmeasured;
@@ -78,9 +81,9 @@
         return anyMeasured;
     }
 
-    /** Returns how much cost the pool completes in a microsecond while all slots are in use, at least 1. */
-    double serviceRate() {
-        return serviceRate;
+    /** Returns how long the pool takes for queued requests while all slots are in use, in microseconds. */
+    double drainMicros(QueuedWork work) {
+        return (work.stepTokens() * meanPrefillMicros + work.outputTokens() * meanOutputMicros) / serviceRate;
     }
 
     /** Returns the cost of a request: the time that an upstream of average speed takes for it, in microseconds. */
@@ -100,7 +103,7 @@
         if (anyUnmeasured) {
             return 0;
         }
-        int uncached = (int) Math.ceil(size.promptTokens() * (1 - meanCachedShare));
+        int uncached = usualUncachedTokens(size);
         double fastest = Double.MAX_VALUE;
         for (int index = 0; index < Math.min(FASTEST_COMPARED, fastestFirst.size()); index++) {
             UpstreamState upstream = fastestFirst.get(index);
@@ -108,4 +111,9 @@
         }
         return fastest;
     }
+
+    /** Returns how many prompt tokens of a request have to be processed if the usual share of its prompt is cached. */
+    private int usualUncachedTokens(RequestSize size) {
+        return (int) Math.ceil(size.promptTokens() * (1 - meanCachedShare));
+    }
 }
--- a/decision/src/main/java/org/radishspur/decision/permit/TierQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/TierQueue.java
@@ -14,15 +14,15 @@
     private final TreeSet<Organisation> byVirtualTime = new TreeSet<>(Organisation::compareVirtualTime);
     private final TreeSet<Organisation> byQueuedCost = new TreeSet<>(Organisation::compareQueuedCost);
     private double virtualClock;
-    private double queuedCost;
+    private QueuedWork queuedWork = QueuedWork.NONE;
     private int size;
 
     int size() {
         return size;
     }
 
-    double queuedCost() {
-        return size == 0 ? 0 : queuedCost;
+    QueuedWork queuedWork() {
+        return queuedWork;
     }
 
     void add(WaitingRequest waiting, double weight) {
@@ -34,7 +34,7 @@
         organisation.weight = weight;
         organisation.requests.add(waiting);
         organisation.queuedCost += waiting.cost;
-        queuedCost += waiting.cost;
+        queuedWork = queuedWork.plus(QueuedWork.of(waiting.request.size()));
         size++;
         addToOrders(organisation);
     }
@@ -44,7 +44,7 @@
         removeFromOrders(organisation);
         if (organisation.requests.remove(waiting)) {
             organisation.queuedCost -= waiting.cost;
-            queuedCost -= waiting.cost;
+            queuedWork = queuedWork.minus(QueuedWork.of(waiting.request.size()));
             size--;
         }
         addToOrders(organisation);
--- a/decision/src/main/java/org/radishspur/decision/permit/WaitingQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/WaitingQueue.java
@@ -81,13 +81,13 @@
         return byLatestStart.isEmpty() ? Long.MAX_VALUE : byLatestStart.first().latestStart + 1;
     }
 
-    /** Returns the total cost of the requests in this and the more urgent tiers, which a new request waits for. */
-    double costAhead(Tier tier) {
-        double cost = 0;
+    /** Returns the sizes of the requests in this and the more urgent tiers, which a new request waits for. */
+    QueuedWork workAhead(Tier tier) {
+        QueuedWork work = QueuedWork.NONE;
         for (int ahead = 0; ahead <= tier.ordinal(); ahead++) {
-            cost += tiers[ahead].queuedCost();
+            work = work.plus(tiers[ahead].queuedWork());
         }
-        return cost;
+        return work;
     }
 
     List<PermitId> idsOfEntry(String node, long incarnation) {
--- a/decision/src/main/java/org/radishspur/decision/upstream/SpeedEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/SpeedEstimate.java
@@ -105,8 +105,17 @@
      * @return the time in microseconds.
      */
     public static double micros(int uncachedTokens, double prefillMicros, int outputTokens, double outputMicros) {
-        int prompt = uncachedTokens == 0 ? 0 : uncachedTokens + STEP_OVERHEAD_TOKENS;
-        return prompt * prefillMicros + outputTokens * outputMicros;
+        return stepTokens(uncachedTokens) * prefillMicros + outputTokens * outputMicros;
+    }
+
+    /**
+     * Returns the number of prompt tokens that take the same time as a prompt and the wait for a step of the engine.
+     *
+     * @param uncachedTokens the number of prompt tokens that would have to be processed.
+     * @return the number of tokens, 0 where there is no prompt.
+     */
+    public static int stepTokens(int uncachedTokens) {
+        return uncachedTokens == 0 ? 0 : uncachedTokens + STEP_OVERHEAD_TOKENS;
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -12,6 +12,7 @@
 import org.radishspur.decision.move.RollbackReason;
 import org.radishspur.decision.move.VersionSplit;
 import org.radishspur.decision.permit.PermitOutcome.Ending;
+import org.radishspur.decision.upstream.SpeedEstimate;
 import org.radishspur.decision.upstream.UpstreamState;
 import org.radishspur.model.error.RefusalReason;
 import org.radishspur.model.request.PermitId;
@@ -197,6 +198,47 @@
         }
     }
 
+    @Nested
+    class WithChangingSpeeds {
+        private void answerNext(PoolScheduler scheduler, long micros) {
+            PermitAction.Grant grant = grants(scheduler.decide(now)).get(0);
+            now += micros;
+            scheduler.finish(grant.id(), new PermitOutcome(Ending.ANSWERED, 0, micros, 10), now);
+        }
+
+        private DeadlineEstimate estimateOfHopelessRequest(PoolScheduler scheduler) {
+            PermitId id = new PermitId("entry", 1, ++sequence);
+            RequestSize size = new RequestSize(100, 10, List.of());
+            scheduler.submit(new PermitRequest(id, Tier.NORMAL, "a", "route", now + 1, size, "x"), now);
+            return scheduler.decide(now).stream()
+                    .filter(PermitAction.DeadlineUnreachable.class::isInstance)
+                    .map(action -> ((PermitAction.DeadlineUnreachable) action).estimate())
+                    .findFirst()
+                    .orElseThrow();
+        }
+
+        /** Guards against refusals by a queue whose requests keep the price of the slow time in which they arrived. */
+        @Test
+        void theExpectedWaitFollowsThePresentSpeeds() {
+            PoolScheduler scheduler = scheduler(1, 1_000, 1);
+            for (int number = 0; number < 10; number++) {
+                scheduler.submit(request(Tier.NORMAL, "a", "slow" + number), now);
+                answerNext(scheduler, MICROS_PER_SECOND);
+            }
+            for (int number = 0; number < 100; number++) {
+                scheduler.submit(request(Tier.NORMAL, "a", "r" + number), now);
+            }
+            for (int number = 0; number < 60; number++) {
+                answerNext(scheduler, 10_000);
+            }
+            DeadlineEstimate estimate = estimateOfHopelessRequest(scheduler);
+            UpstreamSnapshot upstream = estimate.upstreams().get(0);
+            double service = SpeedEstimate.micros(100, upstream.prefillMicros(), 10, upstream.outputMicros());
+            assertThat(upstream.outputMicros()).isLessThan(2_000);
+            assertThat(estimate.waitMicros()).isLessThan(1.5 * estimate.waiting() * service);
+        }
+    }
+
     @Nested
     class WithLeavingUpstreams {
         /**
