Refuse a request for its deadline only by speeds that were assumed for a while

What callers saw: 503 deadline-unreachable with most of a minute left, between the stalls of a busy machine. Cause: one reading of the estimate at the arrival decided, although a refusal is final for the caller and the estimate changes by the second while hosts stall again and again. A request is refused if it is unreachable now and was so, for the queue of now, in at least half of the periods of the last fifth of its remaining time: for a minute 6 s of evidence, for a second 0.1 s. A queue that grows at known speeds is refused at once as before, since only the speeds are taken from the past.

--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -41,6 +41,9 @@
     /** How long requests wait without a grant before this is reported, and how often it is reported again. */
     private static final long STALL_REPORT_MICROS = 3_000_000;
 
+    /** The share of a request's remaining time in which most speeds must have made its deadline unreachable. */
+    private static final double EVIDENCE_SHARE = 0.2;
+
     /** How often a request that is first in order may wait for requests with a larger cached share. */
     private static final int MAX_TIMES_PASSED_OVER = 8;
 
@@ -493,7 +496,8 @@
         }
         double cost = costOf(request.size().promptTokens(), request.size().outputTokens());
         double wait = expectedWaitMicros(request.tier());
-        if (now + options.deadlineMargin() * (wait + service) > request.deadlineAt()) {
+        if (now + options.deadlineMargin() * (wait + service) > request.deadlineAt()
+                && isLastinglyUnreachable(request, queue.workAhead(request.tier()), now)) {
             refuseForDeadline(request, now);
             return;
         }
@@ -701,6 +705,22 @@
         return speeds.shortestServiceMicros(size, now);
     }
 
+    /**
+     * Returns whether a request can't meet its deadline by the speeds that were assumed most of the time lately. The
+     * more time it has left, the longer they must have been assumed.
+     */
+    private boolean isLastinglyUnreachable(PermitRequest request, QueuedWork ahead, long now) {
+        long remaining = request.deadlineAt() - now;
+        QueuedWork own = speeds.usualWorkOf(request.size());
+        return speeds.history()
+                .heldMostly(
+                        assumed -> {
+                            double wait = assumed.drainMicros(ahead) * costCorrection.factor();
+                            return options.deadlineMargin() * (wait + assumed.serviceMicros(own)) > remaining;
+                        },
+                        (long) (remaining * EVIDENCE_SHARE));
+    }
+
     /** Returns the expected wait of a new request of a tier, or 0 as long as no upstream has been measured. */
     private double expectedWaitMicros(Tier tier) {
         return speeds.isAnyMeasured() ? speeds.drainMicros(queue.workAhead(tier)) * costCorrection.factor() : 0;
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolSpeeds.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolSpeeds.java
@@ -31,6 +31,7 @@
     private double meanCachedShare;
     private boolean anyMeasured;
     private boolean anyUnmeasured;
+    private final SpeedHistory history = new SpeedHistory();
     private long refreshedAt = Long.MIN_VALUE / 2;
 
     /** Has the aggregates computed again at the next use. */
@@ -65,6 +66,21 @@
         serviceRate = Math.max(1, rate * meanOutputMicros);
         members.sort(Comparator.comparingDouble(upstream -> upstream.speed().outputMicros()));
         fastestFirst = members;
+        history.record(anyMeasured ? currentSpeeds() : SpeedHistory.Speeds.UNMEASURED, now);
+    }
+
+    private SpeedHistory.Speeds currentSpeeds() {
+        double fastestStep = 0;
+        double fastestOutput = 0;
+        if (!anyUnmeasured) {
+            fastestStep = fastestFirst.stream()
+                    .mapToDouble(upstream -> upstream.speed().prefillMicros())
+                    .min()
+                    .orElse(0);
+            fastestOutput = fastestFirst.get(0).speed().outputMicros();
+        }
+        return new SpeedHistory.Speeds(
+                meanPrefillMicros / serviceRate, meanOutputMicros / serviceRate, fastestStep, fastestOutput);
     }
 
     /** Records which share of its prompt a granted request found in the cache of its upstream. */
@@ -81,6 +97,11 @@
         return anyMeasured;
     }
 
+    /** Returns the speeds that were assumed over the last seconds. */
+    SpeedHistory history() {
+        return history;
+    }
+
     /** Returns how long the pool takes for queued requests while all slots are in use, in microseconds. */
     double drainMicros(QueuedWork work) {
         return (work.stepTokens() * meanPrefillMicros + work.outputTokens() * meanOutputMicros) / serviceRate;
@@ -116,4 +137,9 @@
     private int usualUncachedTokens(RequestSize size) {
         return (int) Math.ceil(size.promptTokens() * (1 - meanCachedShare));
     }
+
+    /** Returns the work of a request of which the usual share of the prompt is cached. */
+    QueuedWork usualWorkOf(RequestSize size) {
+        return new QueuedWork(SpeedEstimate.stepTokens(usualUncachedTokens(size)), size.outputTokens());
+    }
 }
--- a/decision/src/test/java/org/radishspur/decision/permit/StarvedPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/StarvedPoolTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
 import org.radishspur.decision.permit.PermitOutcome.Ending;
 import org.radishspur.model.request.PermitId;
 import org.radishspur.model.request.Tier;
@@ -57,6 +58,24 @@
         assertThat(refusals(pauses, arrivalGapMicros, seed)).isEmpty();
     }
 
+    /** Guards against the same on hosts that stall again and again, a third of the time to the deadline in all. */
+    @Property(tries = 300, seed = "43")
+    void noRequestIsRefusedBetweenRepeatedStalls(
+            @ForAll @Size(min = 2, max = 10) List<@LongRange(min = 1, max = 2_000) Long> stallMillis,
+            @ForAll @LongRange(min = 1, max = 2_000) long maxGapMillis,
+            @ForAll @IntRange(min = 1, max = 20_000) int arrivalGapMicros,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        Pauses pauses = new Pauses();
+        long beginsAt = 0;
+        for (long millis : stallMillis) {
+            beginsAt += random.nextLong(maxGapMillis);
+            pauses.add(beginsAt, millis);
+            beginsAt += millis;
+        }
+        assertThat(refusals(pauses, arrivalGapMicros, seed)).isEmpty();
+    }
+
     private static List<PermitAction.Refuse> refusals(Pauses pauses, int arrivalGapMicros, long seed) {
         List<UpstreamRow> rows = List.of(
                 new UpstreamRow("fast", "127.0.0.1:1", "domain", "hardware", false),
