Send requests with short deadlines to an upstream that was slow long ago

What callers saw: requests of a pool that wait until their deadline and are refused, for as long as all deadlines are shorter than a time that was measured once. Cause: admission lowers the measured time of an idle upstream by its age, the choice of an upstream did not: nothing was granted, and only an answer brings a new time. Found by looking for the fault of the load reports elsewhere: an old belief that keeps away what would renew it. Evidence: anUpstreamThatWasSlowIsMeasuredAgainByRequestsWithShortDeadlines granted none of 60 requests in 60 s before, and does now. Why it works: the same lowered time decides in both places.

--- a/decision/src/main/java/org/radishspur/decision/permit/UpstreamSelector.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/UpstreamSelector.java
@@ -67,7 +67,7 @@
         if (!upstream.speed().hasEnoughSamples()) {
             return true;
         }
-        double expected = upstream.expectedMicros(request.size());
+        double expected = upstream.decayedExpectedMicros(request.size(), now);
         boolean atRisk = now + LATENESS_MARGIN * expected > request.deadlineAt();
         boolean muchSlower = expected > MUCH_SLOWER_FACTOR * speeds.shortestServiceMicros(request.size(), now);
         return now + expected <= request.deadlineAt() && !(atRisk && muchSlower);
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -241,6 +241,18 @@
         return speed.expectedMicros(uncachedTokens(size) + ahead, size.outputTokens());
     }
 
+    /**
+     * Estimates the same for an upstream that may not have been measured lately. An idle upstream counts as faster the
+     * longer it has not been measured, so that requests are sent to it again.
+     *
+     * @param size the size of the request.
+     * @param now the current time in microseconds.
+     * @return the time in microseconds.
+     */
+    public double decayedExpectedMicros(RequestSize size, long now) {
+        return expectedMicros(size) * decayFactor(now);
+    }
+
     /**
      * Rates how soon the upstream would finish a request, for selecting among upstreams: the expected time, raised by
      * the delay of other requests and by failures, and lowered while the upstream is idle.
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -217,14 +217,43 @@
                     .orElseThrow();
         }
 
-        /** Guards against refusals by a queue whose requests keep the price of the slow time in which they arrived. */
-        @Test
-        void theExpectedWaitFollowsThePresentSpeeds() {
-            PoolScheduler scheduler = scheduler(1, 1_000, 1);
+        private PermitRequest requestWithin(long micros) {
+            PermitId id = new PermitId("entry", 1, ++sequence);
+            return new PermitRequest(
+                    id, Tier.NORMAL, "a", "route", now + micros, new RequestSize(100, 10, List.of()), "x" + sequence);
+        }
+
+        private void measureSlow(PoolScheduler scheduler) {
             for (int number = 0; number < 10; number++) {
                 scheduler.submit(request(Tier.NORMAL, "a", "slow" + number), now);
                 answerNext(scheduler, MICROS_PER_SECOND);
             }
+        }
+
+        /** Guards against a pool that serves nobody because it was slow once: only an answer brings a new speed. */
+        @Test
+        void anUpstreamThatWasSlowIsMeasuredAgainByRequestsWithShortDeadlines() {
+            PoolScheduler scheduler = scheduler(1, 100, 1);
+            measureSlow(scheduler);
+            int granted = 0;
+            for (int second = 0; second < 60; second++) {
+                scheduler.submit(requestWithin(MICROS_PER_SECOND / 2), now);
+                for (int step = 0; step < 10; step++) {
+                    for (PermitAction.Grant grant : grants(scheduler.decide(now))) {
+                        granted++;
+                        scheduler.finish(grant.id(), new PermitOutcome(Ending.ANSWERED, 0, 10_000, 10), now + 10_000);
+                    }
+                    now += 100_000;
+                }
+            }
+            assertThat(granted).isPositive();
+        }
+
+        /** Guards against refusals by a queue whose requests keep the price of the slow time in which they arrived. */
+        @Test
+        void theExpectedWaitFollowsThePresentSpeeds() {
+            PoolScheduler scheduler = scheduler(1, 1_000, 1);
+            measureSlow(scheduler);
             for (int number = 0; number < 100; number++) {
                 scheduler.submit(request(Tier.NORMAL, "a", "r" + number), now);
             }
