Check a queued request by the present speeds before it is refused

What callers saw: deadline-unreachable for a queued request that could still have been answered in time. Cause: the latest start of a request was worked out at its arrival and never again, so that a time measured during a stall refused it up to a minute later. Evidence: aQueuedRequestIsRefusedOnlyByThePresentSpeeds (3 s to the deadline, an upstream that has become a hundred times faster since) was refused before.

--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -425,7 +425,7 @@
      * @return the decisions since the last call.
      */
     public List<PermitAction> decide(long now) {
-        for (WaitingRequest expired : queue.expire(now)) {
+        for (WaitingRequest expired : queue.expire(now, request -> latestStart(request, now))) {
             refuseForDeadline(expired.request, now);
         }
         if (now >= nextHousekeepingAt) {
@@ -504,15 +504,27 @@
         if (queue.size() == 0) {
             lastProgressAt = now;
         }
-        long latestStart = (long) (request.deadlineAt() - options.deadlineMargin() * service);
         queue.add(
-                new WaitingRequest(request, sequence++, cost, latestStart),
+                new WaitingRequest(request, sequence++, cost, latestStart(request, now)),
                 row.organisationWeights().getOrDefault(request.organisation(), 1.0));
         if (queue.size() > row.queueLimit()) {
             shedOne();
         }
     }
 
+    /**
+     * Returns the time after which a request can no longer meet its deadline. If it is past by the present speeds alone,
+     * the request is checked again a little later.
+     */
+    private long latestStart(PermitRequest request, long now) {
+        double service = shortestServiceMicros(request.size(), now);
+        long latest = (long) (request.deadlineAt() - options.deadlineMargin() * service);
+        if (latest >= now || isLastinglyUnreachable(request, QueuedWork.NONE, now)) {
+            return latest;
+        }
+        return Math.min(request.deadlineAt(), now + HOUSEKEEPING_INTERVAL_MICROS);
+    }
+
     /** Sheds one request of the least urgent tier that has any, which may be the one just added. */
     private void shedOne() {
         WaitingRequest shed = queue.nextToShed();
--- a/decision/src/main/java/org/radishspur/decision/permit/WaitingQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/WaitingQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.ToLongFunction;
 
 import org.radishspur.model.request.PermitId;
 import org.radishspur.model.request.Tier;
@@ -67,11 +68,19 @@
         throw new IllegalStateException("the queue is empty");
     }
 
-    /** Removes and returns the requests that can no longer be finished before their deadlines. */
-    List<WaitingRequest> expire(long now) {
+    /**
+     * Removes and returns the requests that can no longer be finished before their deadlines. The latest start of each
+     * that is due is computed again first, since speeds may have changed while it waited.
+     */
+    List<WaitingRequest> expire(long now, ToLongFunction<PermitRequest> latestStart) {
         List<WaitingRequest> expired = new ArrayList<>();
         while (!byLatestStart.isEmpty() && byLatestStart.first().latestStart < now) {
-            expired.add(remove(byLatestStart.first().request.id()));
+            WaitingRequest due = byLatestStart.pollFirst();
+            due.latestStart = latestStart.applyAsLong(due.request);
+            byLatestStart.add(due);
+            if (due.latestStart < now) {
+                expired.add(remove(due.request.id()));
+            }
         }
         return expired;
     }
--- a/decision/src/main/java/org/radishspur/decision/permit/WaitingRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/WaitingRequest.java
@@ -10,8 +10,11 @@
     /** The estimated cost by {@link PoolSpeeds#costOf}, in microseconds. */
     final double cost;
 
-    /** The time in microseconds after which the request can no longer meet its deadline. */
-    final long latestStart;
+    /**
+     * The time in microseconds after which the request can no longer meet its deadline, by the speeds when it was last
+     * checked.
+     */
+    long latestStart;
 
     /** How often a request of another organisation was granted although this one was first in order. */
     int timesPassedOver;
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -230,6 +230,31 @@
             }
         }
 
+        /** Guards against refusing a queued request by the speeds of its arrival although it can still be answered. */
+        @Test
+        void aQueuedRequestIsRefusedOnlyByThePresentSpeeds() {
+            PoolScheduler scheduler = scheduler(1, 1_000, 1);
+            measureSlow(scheduler);
+            scheduler.submit(request(Tier.NORMAL, "a", "running"), now);
+            scheduler.decide(now);
+            PermitRequest queued = requestWithin(3 * MICROS_PER_SECOND);
+            scheduler.submit(queued, now);
+            for (int number = 0; number < 200; number++) {
+                scheduler.submit(request(Tier.URGENT, "a", "other" + number), now);
+            }
+            List<PermitAction> seen = new ArrayList<>();
+            for (int number = 0; number < 250; number++) {
+                now += 10_000;
+                for (PermitId id : List.copyOf(
+                        scheduler.upstreams().iterator().next().inFlight().keySet())) {
+                    scheduler.finish(id, new PermitOutcome(Ending.ANSWERED, 0, 10_000, 10), now);
+                }
+                seen.addAll(scheduler.decide(now));
+            }
+            assertThat(refusals(seen)).isEmpty();
+            assertThat(grants(seen)).extracting(PermitAction.Grant::id).contains(queued.id());
+        }
+
         /** Guards against a pool that serves nobody because it was slow once: only an answer brings a new speed. */
         @Test
         void anUpstreamThatWasSlowIsMeasuredAgainByRequestsWithShortDeadlines() {
