--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -41,9 +41,6 @@
     /** How long requests wait without a grant before this is reported, and how often it is reported again. */
     private static final long STALL_REPORT_MICROS = 3_000_000;
 
-    /** The share of a request's remaining time in which most speeds must have made its deadline unreachable. */
-    private static final double EVIDENCE_SHARE = 0.2;
-
     /** How often a request that is first in order may wait for requests with a larger cached share. */
     private static final int MAX_TIMES_PASSED_OVER = 8;
 
@@ -52,7 +49,6 @@
 
     private final SchedulerOptions options;
     private final OutputLengthCorrection outputLengths = new OutputLengthCorrection();
-    private final CostCorrection costCorrection = new CostCorrection();
     private final WaitingQueue queue = new WaitingQueue();
     private final Map<String, UpstreamState> upstreams = new LinkedHashMap<>();
     private Set<String> evacuated = Set.of();
@@ -66,6 +62,7 @@
     private final FinishedAttempts finishedAttempts = new FinishedAttempts(MAX_FINISHED_ATTEMPTS);
     private final CrashSuspects crashSuspects;
     private final PoolSpeeds speeds = new PoolSpeeds();
+    private final DeadlineEstimator deadlines;
     private final VersionRouting versionRouting = new VersionRouting();
     private final SlotReserve slotReserve = new SlotReserve();
     private final List<PermitAction> actions = new ArrayList<>();
@@ -91,6 +88,7 @@
     public PoolScheduler(PoolRow row, SchedulerOptions options, String owner) {
         this.options = options;
         this.crashSuspects = new CrashSuspects(owner);
+        this.deadlines = new DeadlineEstimator(options, upstreams, queue, speeds);
         this.ejector = new Ejector(options, upstreams, actions);
         this.selector = new UpstreamSelector(crashSuspects, versionRouting, speeds);
         configure(row);
@@ -232,7 +230,7 @@
             double estimated =
                     costOf(request.size().promptTokens(), request.size().outputTokens());
             double actual = costOf(request.size().promptTokens(), outcome.outputTokens());
-            costCorrection.addSample(estimated, actual);
+            deadlines.recordCost(estimated, actual);
             queue.tier(request.tier()).charge(request.organisation(), actual - estimated);
         }
     }
@@ -425,7 +423,7 @@
      * @return the decisions since the last call.
      */
     public List<PermitAction> decide(long now) {
-        for (WaitingRequest expired : queue.expire(now, request -> latestStart(request, now))) {
+        for (WaitingRequest expired : queue.expire(now, request -> deadlines.latestStart(request, now))) {
             refuseForDeadline(expired.request, now);
         }
         if (now >= nextHousekeepingAt) {
@@ -487,17 +485,14 @@
     }
 
     private void admit(PermitRequest request, long now) {
-        double service = shortestServiceMicros(request.size(), now);
-        if (service == Double.MAX_VALUE) {
+        if (deadlines.shortestServiceMicros(request.size(), now) == Double.MAX_VALUE) {
             refuse(
                     request.id(),
                     Refusal.notRun(RefusalReason.NO_UPSTREAM, "The pool has no upstream to give work to.", 1_000));
             return;
         }
         double cost = costOf(request.size().promptTokens(), request.size().outputTokens());
-        double wait = expectedWaitMicros(request.tier());
-        if (now + options.deadlineMargin() * (wait + service) > request.deadlineAt()
-                && isLastinglyUnreachable(request, queue.workAhead(request.tier()), now)) {
+        if (deadlines.isUnreachable(request, now)) {
             refuseForDeadline(request, now);
             return;
         }
@@ -505,26 +500,13 @@
             lastProgressAt = now;
         }
         queue.add(
-                new WaitingRequest(request, sequence++, cost, latestStart(request, now)),
+                new WaitingRequest(request, sequence++, cost, deadlines.latestStart(request, now)),
                 row.organisationWeights().getOrDefault(request.organisation(), 1.0));
         if (queue.size() > row.queueLimit()) {
             shedOne();
         }
     }
 
-    /**
-     * Returns the time after which a request can no longer meet its deadline. If it is past by the present speeds alone,
-     * the request is checked again a little later.
-     */
-    private long latestStart(PermitRequest request, long now) {
-        double service = shortestServiceMicros(request.size(), now);
-        long latest = (long) (request.deadlineAt() - options.deadlineMargin() * service);
-        if (latest >= now || isLastinglyUnreachable(request, QueuedWork.NONE, now)) {
-            return latest;
-        }
-        return Math.min(request.deadlineAt(), now + HOUSEKEEPING_INTERVAL_MICROS);
-    }
-
     /** Sheds one request of the least urgent tier that has any, which may be the one just added. */
     private void shedOne() {
         WaitingRequest shed = queue.nextToShed();
@@ -540,26 +522,13 @@
     private void reportStall(long now) {
         if (queue.size() > 0 && now - Math.max(lastProgressAt, stallReportedAt) >= STALL_REPORT_MICROS) {
             stallReportedAt = now;
-            actions.add(new PermitAction.QueueStalled(now - lastProgressAt, queue.size(), upstreamSnapshots(now)));
+            actions.add(new PermitAction.QueueStalled(
+                    now - lastProgressAt, queue.size(), deadlines.upstreamSnapshots(now)));
         }
     }
 
-    private List<UpstreamSnapshot> upstreamSnapshots(long now) {
-        return upstreams.values().stream()
-                .map(upstream -> UpstreamSnapshot.of(upstream, now))
-                .toList();
-    }
-
     private void refuseForDeadline(PermitRequest request, long now) {
-        actions.add(new PermitAction.DeadlineUnreachable(
-                request.id(),
-                new DeadlineEstimate(
-                        request.deadlineAt() - now,
-                        expectedWaitMicros(request.tier()),
-                        shortestServiceMicros(request.size(), now),
-                        queue.size(),
-                        costCorrection.factor(),
-                        upstreamSnapshots(now))));
+        actions.add(new PermitAction.DeadlineUnreachable(request.id(), deadlines.estimate(request, now)));
         String detail = "The request can't be finished within the "
                 + Math.max(0, (request.deadlineAt() - now) / (long) MICROS_PER_MILLI) + " ms that it has left.";
         refuse(
@@ -568,7 +537,7 @@
     }
 
     private long retryAfterMillis(Tier tier) {
-        double wait = expectedWaitMicros(tier) / MICROS_PER_MILLI;
+        double wait = deadlines.expectedWaitMicros(tier) / MICROS_PER_MILLI;
         return (long) Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, wait));
     }
 
@@ -708,36 +677,6 @@
         }
     }
 
-    /**
-     * Returns the shortest time that an upstream of the pool takes for a request. It is 0 as long as the speed of any
-     * upstream is unknown: a refusal based on an assumed speed would keep that upstream from ever being measured.
-     */
-    private double shortestServiceMicros(RequestSize size, long now) {
-        speeds.refreshIfStale(upstreams.values(), now);
-        return speeds.shortestServiceMicros(size, now);
-    }
-
-    /**
-     * Returns whether a request can't meet its deadline by the speeds that were assumed most of the time lately. The
-     * more time it has left, the longer they must have been assumed.
-     */
-    private boolean isLastinglyUnreachable(PermitRequest request, QueuedWork ahead, long now) {
-        long remaining = request.deadlineAt() - now;
-        QueuedWork own = speeds.usualWorkOf(request.size());
-        return speeds.history()
-                .heldMostly(
-                        assumed -> {
-                            double wait = assumed.drainMicros(ahead) * costCorrection.factor();
-                            return options.deadlineMargin() * (wait + assumed.serviceMicros(own)) > remaining;
-                        },
-                        (long) (remaining * EVIDENCE_SHARE));
-    }
-
-    /** Returns the expected wait of a new request of a tier, or 0 as long as no upstream has been measured. */
-    private double expectedWaitMicros(Tier tier) {
-        return speeds.isAnyMeasured() ? speeds.drainMicros(queue.workAhead(tier)) * costCorrection.factor() : 0;
-    }
-
     private double costOf(int promptTokens, int outputTokens) {
         return speeds.costOf(promptTokens, outputTokens);
     }
