Compare an upstream with others again only by answers since its ejection

Cause, of two: when an ejection ended, the times for which the upstream had been ejected were still its estimate, so that the next check ejected it again before it had answered anything, each time for twice as long. Evidence: the owner's log (SLOW at 45.798, 46.910, 48.015 and 50.082); anUpstreamThatIsNormalAgainStays failed before. Why it works: after an ejection an upstream is compared once it has answered two requests, and the new times count as if they were the first ones. anUpstreamThatIsStillSlowIsEjectedAgain holds before and after.

--- a/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
@@ -84,7 +84,7 @@
                     upstream.speed().addOverdueOutputTime(minMicrosPerToken, flight.startedAt(), now);
                 }
             }
-            if (upstream.isUsable(now) && upstream.speed().hasEnoughSamples()) {
+            if (upstream.isUsable(now) && upstream.isComparable()) {
                 outputMicrosByGroup
                         .computeIfAbsent(comparisonGroup(upstream), key -> new ArrayList<>())
                         .add(upstream.speed().outputMicros());
@@ -99,8 +99,7 @@
         });
         for (UpstreamState upstream : upstreams.values()) {
             Double median = medians.get(comparisonGroup(upstream));
-            boolean comparable =
-                    median != null && upstream.isUsable(now) && upstream.speed().hasEnoughSamples();
+            boolean comparable = median != null && upstream.isUsable(now) && upstream.isComparable();
             if (comparable && upstream.speed().outputMicros() > options.slowFactor() * median) {
                 eject(upstream, PermitAction.EjectionCause.SLOW, now);
             }
--- a/decision/src/main/java/org/radishspur/decision/upstream/SampleAverage.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/SampleAverage.java
@@ -16,6 +16,10 @@
 
     private double value;
     private int samples;
+
+    /** The number of samples by which a new one is weighted. */
+    private int weightedSamples;
+
     private int groups;
     private long groupBeganAt;
     private double groupMaximum;
@@ -38,7 +42,8 @@
      */
     void add(double sample, long startedAt, long now) {
         samples++;
-        move(sample, Math.max(SMOOTHING, 1.0 / samples), startedAt, now);
+        weightedSamples++;
+        move(sample, Math.max(SMOOTHING, 1.0 / weightedSamples), startedAt, now);
     }
 
     /**
@@ -64,6 +69,11 @@
         value = Math.min(groupMaximum, value + weight * (sample - value));
     }
 
+    /** Lets the next samples count as if they were the first ones, after a time without samples. */
+    void restart() {
+        weightedSamples = 0;
+    }
+
     /** Lowers the value to at most a maximum. */
     void limit(double maximum) {
         value = Math.min(value, maximum);
--- a/decision/src/main/java/org/radishspur/decision/upstream/SpeedEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/SpeedEstimate.java
@@ -170,6 +170,12 @@
         prefill.limit(bestPrefillMicros * RESET_SHARE * SLOW_PREFILL_FACTOR);
     }
 
+    /** Lets the next measurements count as if they were the first ones, after a time without requests. */
+    public void restart() {
+        prefill.restart();
+        output.restart();
+    }
+
     /**
      * Returns whether the estimate is based on enough requests to be used in decisions about the upstream.
      *
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -23,6 +23,9 @@
     /** How long a load report may take at most to arrive without being mistaken for load of other sources. */
     private static final long MAX_REPORT_DELAY_MICROS = 2_000_000;
 
+    /** From how many answers since its last ejection on an upstream is compared with others again. */
+    private static final int MIN_ANSWERS_SINCE_EJECTION = 2;
+
     /** The share of the time for processing a prompt by which each request in flight is delayed. */
     private static final double PREFILL_DELAY_SHARE = 0.3;
 
@@ -418,6 +421,7 @@
      * @param now the current time in microseconds.
      */
     public void eject(long now) {
+        speed.restart();
         long duration = options.firstEjectionMicros() << Math.min(consecutiveEjections, Integer.SIZE / 2);
         ejectedUntil = now + Math.min(duration, options.maxEjectionMicros());
         consecutiveEjections++;
@@ -426,6 +430,17 @@
         limit.reset();
     }
 
+    /**
+     * Returns whether the speed of the upstream may be compared with that of others. After an ejection it needs answers
+     * of its own first: the times for which it was ejected say nothing about its speed now.
+     *
+     * @return whether enough answers were measured, in all and since its last ejection.
+     */
+    public boolean isComparable() {
+        boolean measuredSinceEjection = consecutiveEjections == 0 || answersSinceEjection >= MIN_ANSWERS_SINCE_EJECTION;
+        return speed.hasEnoughSamples() && measuredSinceEjection;
+    }
+
     /** Ends the ejection; the upstream is still probed with one request at a time. */
     public void readmit() {
         ejectedUntil = 0;
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -472,6 +472,75 @@
         }
     }
 
+    /** Two upstreams, of which the second one was ejected because it had been much slower for a while. */
+    @Nested
+    class AfterAnEjectionAsSlow {
+        private final PoolScheduler scheduler = scheduler(2, 100, 4);
+        private final List<PermitAction> seen = new ArrayList<>();
+
+        /** Has both upstreams measured, the second one as slow, until it is ejected. */
+        private void ejectSecond() {
+            for (int round = 0; round < 60 && !isEjected("u1"); round++) {
+                for (int number = 0; number < 8; number++) {
+                    scheduler.submit(request(Tier.NORMAL, "a", "m" + round + '-' + number), now);
+                }
+                for (PermitAction.Grant grant : grants(decide())) {
+                    long micros = grant.upstream().equals("u1") ? 200_000 : 10_000;
+                    scheduler.finish(grant.id(), new PermitOutcome(Ending.ANSWERED, 0, micros, 10), now);
+                }
+                now += 100_000;
+            }
+            assertThat(isEjected("u1")).isTrue();
+            seen.clear();
+        }
+
+        private boolean isEjected(String name) {
+            return scheduler.upstreams().stream()
+                    .anyMatch(upstream -> upstream.name().equals(name) && !upstream.isUsable(now));
+        }
+
+        private List<PermitAction> decide() {
+            List<PermitAction> actions = scheduler.decide(now);
+            seen.addAll(actions);
+            return actions;
+        }
+
+        /** Guards against ejecting an upstream again by the times for which it was ejected before. */
+        @Test
+        void anUpstreamThatIsNormalAgainStays() {
+            ejectSecond();
+            int toSecond = 0;
+            for (int step = 0; step < 100; step++) {
+                for (int number = 0; number < 8; number++) {
+                    scheduler.submit(request(Tier.NORMAL, "a", "n" + step + '-' + number), now);
+                }
+                for (PermitAction.Grant grant : grants(decide())) {
+                    toSecond += grant.upstream().equals("u1") ? 1 : 0;
+                    scheduler.finish(grant.id(), answered(), now);
+                }
+                now += 100_000;
+            }
+            assertThat(seen).doesNotHaveAnyElementsOfTypes(PermitAction.Ejected.class);
+            assertThat(toSecond).isPositive();
+        }
+
+        @Test
+        void anUpstreamThatIsStillSlowIsEjectedAgain() {
+            ejectSecond();
+            for (int step = 0; step < 100; step++) {
+                for (int number = 0; number < 8; number++) {
+                    scheduler.submit(request(Tier.NORMAL, "a", "n" + step + '-' + number), now);
+                }
+                for (PermitAction.Grant grant : grants(decide())) {
+                    long micros = grant.upstream().equals("u1") ? 200_000 : 10_000;
+                    scheduler.finish(grant.id(), new PermitOutcome(Ending.ANSWERED, 0, micros, 10), now);
+                }
+                now += 100_000;
+            }
+            assertThat(seen).contains(new PermitAction.Ejected("u1", PermitAction.EjectionCause.SLOW));
+        }
+    }
+
     @Nested
     class WithCrashSuspects {
         private final PoolScheduler scheduler = scheduler(3, 100, 4);
