Use an ejected slow upstream rather than one that no connection can be made to

Cause, of two: the last usable upstream of a pool is never ejected, also when it is gone and the others are only ejected as slow or failing. All requests went to it, each three times. Evidence: at the kill of the fast engine the slow one was ejected as SLOW; the fast one was not ejected (29 upstream-unreachable within 0.4 s, 258 at the end). theSlowUpstreamServesOnceTheOtherOneIsUnreachable sent 40 of 40 requests to the upstream that was gone before, at most 3 now. Why it works: an upstream that is found unreachable is replaced by one that was ejected for another reason, if it was the last usable one; likewise if all are ejected, one that was reachable comes first.

--- a/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
@@ -29,25 +29,44 @@
     /**
      * Ejects an upstream unless too large a share of the pool would be ejected at the same time. The share limits the
      * damage of a wrong decision about failures or speed. It doesn't apply to an upstream to which no connection can be
-     * made, since that can serve no request; such an upstream is kept only if it is the last usable one.
+     * made, since that can serve no request; such an upstream is kept only if no other one can be used in its place.
      */
     void eject(UpstreamState upstream, PermitAction.EjectionCause cause, long now) {
+        boolean unreachable = cause == PermitAction.EjectionCause.UNREACHABLE;
+        if (unreachable && isLastUsable(upstream, now)) {
+            readmitOneInPlaceOf(upstream);
+        }
         long memberCount =
                 upstreams.values().stream().filter(UpstreamState::isMember).count();
         long ejectedCount = upstreams.values().stream()
                 .filter(other -> other != upstream && other.isMember() && !other.isUsable(now))
                 .count();
         boolean withinShare = ejectedCount + 1 <= Math.max(1, memberCount * options.maxEjectedShare());
-        boolean unreachable = cause == PermitAction.EjectionCause.UNREACHABLE;
         boolean allowed = (unreachable || withinShare) && ejectedCount + 1 < memberCount;
         if (allowed && upstream.isUsable(now)) {
-            upstream.eject(now);
+            upstream.eject(unreachable, now);
             actions.add(new PermitAction.Ejected(upstream.name(), cause));
         }
     }
 
+    private boolean isLastUsable(UpstreamState upstream, long now) {
+        return upstreams.values().stream().noneMatch(other -> other != upstream && other.isUsable(now));
+    }
+
+    /**
+     * Readmits an upstream that was ejected for failures or speed, since it can serve requests, unlike the one that no
+     * connection can be made to.
+     */
+    private void readmitOneInPlaceOf(UpstreamState unreachable) {
+        upstreams.values().stream()
+                .filter(other -> other != unreachable && other.isMember() && !other.wasUnreachable())
+                .min(Comparator.comparingLong(UpstreamState::ejectedUntil))
+                .ifPresent(UpstreamState::readmit);
+    }
+
     /**
-     * Readmits the upstream whose ejection ends first if no upstream of the pool is usable.
+     * Readmits the upstream whose ejection ends first if no upstream of the pool is usable, a reachable one if there is
+     * any.
      *
      * <p>The checks at an ejection can't prevent this state: the upstreams that were usable then may leave the pool
      * later.
@@ -57,7 +76,8 @@
         if (noneUsable) {
             upstreams.values().stream()
                     .filter(UpstreamState::isMember)
-                    .min(Comparator.comparingLong(UpstreamState::ejectedUntil))
+                    .min(Comparator.comparing(UpstreamState::wasUnreachable)
+                            .thenComparingLong(UpstreamState::ejectedUntil))
                     .ifPresent(UpstreamState::readmit);
         }
     }
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -47,6 +47,7 @@
     private Set<String> evacuated = Set.of();
     private boolean removed;
     private long ejectedUntil;
+    private boolean ejectedAsUnreachable;
     private int consecutiveEjections;
     private int consecutiveFailures;
     private int answerCount;
@@ -418,9 +419,11 @@
      * Ejects the upstream. Each further ejection in a row lasts twice as long, up to a bound; afterwards the upstream
      * is probed with one request at a time.
      *
+     * @param unreachable whether no connection to the upstream could be made.
      * @param now the current time in microseconds.
      */
-    public void eject(long now) {
+    public void eject(boolean unreachable, long now) {
+        ejectedAsUnreachable = unreachable;
         speed.restart();
         long duration = options.firstEjectionMicros() << Math.min(consecutiveEjections, Integer.SIZE / 2);
         ejectedUntil = now + Math.min(duration, options.maxEjectionMicros());
@@ -441,6 +444,15 @@
         return speed.hasEnoughSamples() && measuredSinceEjection;
     }
 
+    /**
+     * Returns whether the upstream was last ejected because no connection to it could be made.
+     *
+     * @return whether it was unreachable.
+     */
+    public boolean wasUnreachable() {
+        return ejectedAsUnreachable;
+    }
+
     /** Ends the ejection; the upstream is still probed with one request at a time. */
     public void readmit() {
         ejectedUntil = 0;
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -539,6 +539,23 @@
             }
             assertThat(seen).contains(new PermitAction.Ejected("u1", PermitAction.EjectionCause.SLOW));
         }
+
+        /** Guards against sending all requests to an upstream that is gone while a slow one is ejected. */
+        @Test
+        void theSlowUpstreamServesOnceTheOtherOneIsUnreachable() {
+            ejectSecond();
+            int unreachable = 0;
+            for (int number = 0; number < 40; number++) {
+                PermitRequest request = request(Tier.NORMAL, "a", "u" + number);
+                scheduler.submit(request, now);
+                PermitAction.Grant grant = grants(decide()).get(0);
+                boolean gone = grant.upstream().equals("u0");
+                unreachable += gone ? 1 : 0;
+                now += 10_000;
+                scheduler.finish(grant.id(), gone ? PermitOutcome.of(Ending.UNREACHABLE) : answered(), now);
+            }
+            assertThat(unreachable).isLessThanOrEqualTo(SchedulerOptions.DEFAULTS.failuresToEject());
+        }
     }
 
     @Nested
