Estimate the wait for a slot by the usual release rate too, not by the last second alone

What callers saw: on the users' platform, overload refusals right after a stall of a second and more, with a Retry-After of seconds, though the queue moves on at its usual rate. Found by looking for the refusal by the speeds of a stall elsewhere.

Cause: the rate at which slots are released was that of the last second; without a release it was taken for two a second, whatever the pool's size. Evidence: requestsThatCanBeServedAfterItAreQueued: eight slots, eighty releases a second for 5 s, then 1.5 s without: the fifth of twenty requests that may wait 2 s was refused before (Retry-After 2,500 ms); all are queued now and need 0.25 s. Why it works: the higher of the rates of the last second and the last five counts, so that one stall is no proof. A pool that has stood still for longer, and requests beyond the usual rate, are refused as before (two further tests).

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -17,8 +17,11 @@
  * before new requests, these would be refused, retry and be late in turn.
  */
 public final class AdmissionQueue {
-    /** Period over which released slots are counted to estimate the release rate, in milliseconds. */
-    private static final long RATE_WINDOW_MILLIS = 1_000;
+    /** Period over which released slots are counted to estimate the present release rate, in milliseconds. */
+    private static final long PRESENT_WINDOW_MILLIS = 1_000;
+
+    /** Period over which they are counted to estimate the usual rate, in milliseconds; longer than most stalls. */
+    private static final long USUAL_WINDOW_MILLIS = 5_000;
 
     /** Minimum release rate that is assumed, in slots per second; it applies where no slot was released recently. */
     private static final double MIN_RELEASES_PER_SECOND = 2;
@@ -28,7 +31,8 @@
             .thenComparing(Comparator.comparingDouble(QueuedRequest::slotValue).reversed())
             .thenComparingLong(QueuedRequest::queueingDeadline)
             .thenComparingLong(QueuedRequest::sequence));
-    private final Deque<Long> releases = new ArrayDeque<>();
+    private final Deque<Long> presentReleases = new ArrayDeque<>();
+    private final Deque<Long> usualReleases = new ArrayDeque<>();
     private long nextSequence;
 
     /** Creates an empty queue. */
@@ -40,12 +44,17 @@
      * @param now the current time in milliseconds.
      */
     public void recordRelease(long now) {
-        releases.addLast(now);
+        presentReleases.addLast(now);
+        usualReleases.addLast(now);
         removeOldReleases(now);
     }
 
     /**
-     * Estimates how long a request would wait for a slot, from its position and the recent release rate.
+     * Estimates how long a request would wait for a slot, from its position and the present or the usual release rate,
+     * whichever is higher.
+     *
+     * <p>While upstreams stall, no slot is released. By the present rate alone, requests that can be served right after
+     * the stall would be refused.
      *
      * @param queued the request.
      * @param now the current time in milliseconds.
@@ -53,7 +62,9 @@
      */
     public long expectedWaitMillis(QueuedRequest queued, long now) {
         removeOldReleases(now);
-        double rate = Math.max(MIN_RELEASES_PER_SECOND, releases.size() * 1_000.0 / RATE_WINDOW_MILLIS);
+        double present = presentReleases.size() * 1_000.0 / PRESENT_WINDOW_MILLIS;
+        double usual = usualReleases.size() * 1_000.0 / USUAL_WINDOW_MILLIS;
+        double rate = Math.max(MIN_RELEASES_PER_SECOND, Math.max(present, usual));
         int ahead = requests.headSet(queued, false).size();
         return (long) ((ahead + 1) * 1_000 / rate);
     }
@@ -125,7 +136,12 @@
     }
 
     private void removeOldReleases(long now) {
-        while (!releases.isEmpty() && releases.peekFirst() <= now - RATE_WINDOW_MILLIS) {
+        removeUntil(presentReleases, now - PRESENT_WINDOW_MILLIS);
+        removeUntil(usualReleases, now - USUAL_WINDOW_MILLIS);
+    }
+
+    private static void removeUntil(Deque<Long> releases, long until) {
+        while (!releases.isEmpty() && releases.peekFirst() <= until) {
             releases.removeFirst();
         }
     }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/PoolDispatcherTest.java
@@ -142,6 +142,68 @@
         }
     }
 
+    @Nested
+    class AfterAStall {
+        private static final long HOLD_MILLIS = 100;
+        private static final int SLOTS = 8;
+        private static final int QUEUED = 20;
+
+        private final PoolDispatcher dispatcher = dispatcher(upstream("one", "a", SLOTS, false));
+        private long now = NOW;
+
+        private QueuedRequest arriving(String name, long queueingMillis) {
+            return new QueuedRequest(
+                    name,
+                    0,
+                    now,
+                    now + queueingMillis,
+                    VersionRule.Any.INSTANCE,
+                    new QueuedRequest.Requirements(100, 50, 0, now + 400, now + 8_000));
+        }
+
+        /** Serves full slots for a time, and leaves requests in all of them. */
+        private void serveFor(long millis) {
+            for (long until = now + millis; now < until; now += HOLD_MILLIS) {
+                for (int slot = 0; slot < SLOTS; slot++) {
+                    QueuedRequest served = arriving("served", 0);
+                    UpstreamLoad upstream = granted(dispatcher.offer(served, now));
+                    dispatcher.release(upstream, served, now + HOLD_MILLIS);
+                }
+            }
+            for (int slot = 0; slot < SLOTS; slot++) {
+                granted(dispatcher.offer(arriving("running", 0), now));
+            }
+        }
+
+        /** Guards against refusing requests that are served right after a stall in which no slot was released. */
+        @Test
+        void requestsThatCanBeServedAfterItAreQueued() {
+            serveFor(5_000);
+            now += 1_500;
+            for (int number = 0; number < QUEUED; number++) {
+                assertThat(dispatcher.offer(arriving("r" + number, 2_000), now)).isInstanceOf(Decision.Queued.class);
+            }
+        }
+
+        @Test
+        void requestsAreRefusedOnceThePoolHasStoodStillForLong() {
+            serveFor(5_000);
+            now += 10_000;
+            dispatcher.offer(arriving("first", 600), now);
+            assertThat(dispatcher.offer(arriving("second", 600), now)).isInstanceOf(Decision.Refused.class);
+        }
+
+        @Test
+        void requestsBeyondTheUsualRateAreRefusedImmediately() {
+            serveFor(5_000);
+            int queued = 0;
+            while (dispatcher.offer(arriving("r" + queued, 1_000), now) instanceof Decision.Queued) {
+                queued++;
+            }
+            assertThat(queued).isLessThanOrEqualTo((int) (SLOTS * 1_000 / HOLD_MILLIS));
+        }
+    }
+
     /**
      * Each of several schedulers has its own queue. Without reserved slots, a slot that becomes free where only less
      * urgent requests wait would go to one of them while a more urgent request is refused at another scheduler.
