--- a/decision/src/main/java/org/radishspur/decision/permit/UpstreamSnapshot.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/UpstreamSnapshot.java
@@ -10,10 +10,10 @@
  * @param limit the number of requests that it may run at once.
  * @param inFlight the number of requests that this scheduler has in flight at it.
  * @param otherLoad the number of further requests that it was last inferred to run.
- * @param reportAgeMicros the time since its last load report.
+ * @param reportAgeMicros the time since its last load report, or {@link #NEVER}.
  * @param outputMicros the estimated time for each output token.
  * @param prefillMicros the estimated time for each prompt token.
- * @param measuredAgeMicros the time since its last answer.
+ * @param measuredAgeMicros the time since its last answer, or {@link #NEVER}.
  */
 public record UpstreamSnapshot(
         String name,
@@ -25,6 +25,8 @@
         double outputMicros,
         double prefillMicros,
         long measuredAgeMicros) {
+    /** The age of what has never been received. */
+    public static final long NEVER = -1;
 
     static UpstreamSnapshot of(UpstreamState state, long now) {
         return new UpstreamSnapshot(
@@ -33,9 +35,9 @@
                 state.limit(),
                 state.inFlight().size(),
                 state.externalLoad(),
-                state.reportAgeMicros(now),
+                state.isReported() ? state.reportAgeMicros(now) : NEVER,
                 state.speed().outputMicros(),
                 state.speed().prefillMicros(),
-                state.measuredAgeMicros(now));
+                state.isAnswered() ? state.measuredAgeMicros(now) : NEVER);
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -171,6 +171,24 @@
         return externalLoad;
     }
 
+    /**
+     * Returns whether a load report was ever received.
+     *
+     * @return whether there was one.
+     */
+    public boolean isReported() {
+        return lastReportAt != 0;
+    }
+
+    /**
+     * Returns whether an answer was ever complete.
+     *
+     * @return whether there was one.
+     */
+    public boolean isAnswered() {
+        return lastMeasuredAt != 0;
+    }
+
     /**
      * Returns how old the last load report is.
      *
--- a/node/src/main/java/org/radishspur/node/control/DecisionLog.java
+++ b/node/src/main/java/org/radishspur/node/control/DecisionLog.java
@@ -74,17 +74,21 @@
     private static String describe(UpstreamSnapshot upstream) {
         return String.format(
                 Locale.ROOT,
-                "%s %s, limit %d, %d in flight, %d from others (report %d ms old), "
-                        + "%.0f us an output token and %.0f us a prompt token (measured %d ms ago)",
+                "%s %s, limit %d, %d in flight, %d from others (report: %s), "
+                        + "%.0f us an output token and %.0f us a prompt token (measured: %s)",
                 upstream.name(),
                 upstream.usable() ? "usable" : "not usable",
                 upstream.limit(),
                 upstream.inFlight(),
                 upstream.otherLoad(),
-                millis(upstream.reportAgeMicros()),
+                age(upstream.reportAgeMicros()),
                 upstream.outputMicros(),
                 upstream.prefillMicros(),
-                millis(upstream.measuredAgeMicros()));
+                age(upstream.measuredAgeMicros()));
+    }
+
+    private static String age(long micros) {
+        return micros == UpstreamSnapshot.NEVER ? "never" : millis(micros) + " ms ago";
     }
 
     private static long millis(double micros) {
