Log the content of a request that loses its upstream, and whether that upstream has ended

Change: after a connection is lost in the middle of a response, an entry checks with one connection whether the upstream still runs, and logs CONNECTION_LOST with the fingerprint of the request's content and the result. No decision uses it yet.

--- a/node/src/main/java/org/radishspur/node/caller/BodyDigest.java
+++ b/node/src/main/java/org/radishspur/node/caller/BodyDigest.java
@@ -14,7 +14,7 @@
  * Digests the beginning of a request: as a whole, to recognise a retry, and block by block, to recognise a shared
  * prefix.
  */
-final class BodyDigest {
+public final class BodyDigest {
     /** The number of bytes that count as one token where token counts are estimated from sizes. */
     static final int BYTES_PER_TOKEN = 4;
 
@@ -25,7 +25,16 @@
 
     private BodyDigest() {}
 
-    static String fingerprint(String method, String uri, long contentLength, ByteBuf initialBody) {
+    /**
+     * Identifies a request by its content, so that a retry has the fingerprint of the first try.
+     *
+     * @param method the method.
+     * @param uri what the request is addressed to, with anything else that tells requests apart.
+     * @param contentLength the length of the whole body in bytes.
+     * @param initialBody the beginning of the body.
+     * @return the fingerprint, in hexadecimal digits.
+     */
+    public static String fingerprint(String method, String uri, long contentLength, ByteBuf initialBody) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             digest.update((method + '\n' + uri + '\n' + contentLength + '\n').getBytes(StandardCharsets.UTF_8));
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -24,6 +24,8 @@
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.model.catalogue.RouteRule;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.caller.BodyDigest;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
 import org.radishspur.node.schedule.ConfirmedView;
 
@@ -69,6 +71,9 @@
     /** The minimum time until the deadline for another attempt, in milliseconds. */
     private static final long MIN_RETRY_MILLIS = 60;
 
+    /** The number of hexadecimal digits of a fingerprint that are used, as many as a long holds. */
+    private static final int FINGERPRINT_DIGITS = 16;
+
     private final EntryServices services;
     private final CallerResponse response;
     private final HttpRequest request;
@@ -374,6 +379,22 @@
                 && deadlineAt - EntryServices.now() > MIN_RETRY_MILLIS;
     }
 
+    /** Lets the upstream be checked after the connection to it was lost while it was running the request. */
+    void onConnectionLost(Upstream upstream) {
+        services.crashes().onConnectionLost(upstream, head.requestId(), fingerprint());
+    }
+
+    /**
+     * Returns the fingerprint of the request by what doesn't change when its caller sends it again: its route, its
+     * organisation, its method, its target and its body.
+     */
+    private long fingerprint() {
+        String target =
+                route.name() + '\n' + organisation.map(OrganisationRule::name).orElse("") + '\n' + request.uri();
+        String digits = BodyDigest.fingerprint(request.method().name(), target, body.readableBytes(), body);
+        return Long.parseUnsignedLong(digits.substring(0, FINGERPRINT_DIGITS), 16);
+    }
+
     /** Counts the request as possibly run, since it is being sent. */
     void onSent() {
         possibleRuns++;
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -28,6 +28,7 @@
 import org.radishspur.node.supervise.Supervisor;
 import org.radishspur.node.upstream.UpstreamConnections;
 import org.radishspur.node.upstream.UpstreamExchange;
+import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Runs an entry process: the traffic thread, the control thread, and the servers for callers, health checks and
@@ -93,7 +94,7 @@
                 callerDialect,
                 events,
                 metrics,
-                new EntryServices.Transport(traffic, exchanges, links),
+                new EntryServices.Transport(traffic, exchanges, new UpstreamProbe.Default(traffic), links),
                 versionCounters);
         metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
         metrics.registry().register("catalogue.revision", (Gauge<Long>)
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -22,6 +22,7 @@
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.settings.PlatformProcessSettings;
 import org.radishspur.node.upstream.UpstreamExchange;
+import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Holds the state and the services that all requests of one entry share: the confirmed view, the slot client, the retry
@@ -47,6 +48,7 @@
     private final EntryMetrics metrics;
     private final Transport transport;
     private final SlotClient slots;
+    private final CrashDetector crashes;
     private final PoolRetryBudgets retryBudgets;
     private final VersionCounters versionCounters;
     private final Map<EntryExchange, Runnable> awaitingConfirmation = new LinkedHashMap<>();
@@ -72,6 +74,7 @@
         this.transport = transport;
         this.versionCounters = versionCounters;
         slots = new SlotClient(settings, transport.schedulers(), events);
+        crashes = new CrashDetector(transport.probe(), events);
         retryBudgets = new PoolRetryBudgets(
                 settings.bounds().retryShare(), settings.bounds().retrySlack());
     }
@@ -230,6 +233,10 @@
         return slots;
     }
 
+    CrashDetector crashes() {
+        return crashes;
+    }
+
     RetryBudget retryBudget(String pool) {
         return retryBudgets.forPool(pool);
     }
@@ -260,7 +267,8 @@
      *
      * @param loop the event loop of the traffic thread.
      * @param exchanges starts exchanges with upstreams.
+     * @param probe checks whether upstreams still run.
      * @param schedulers sends messages to the schedulers.
      */
-    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, FleetSender schedulers) {}
+    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, UpstreamProbe probe, FleetSender schedulers) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -364,6 +364,7 @@
         if (phase != Phase.RUNNING) {
             return;
         }
+        caller.onConnectionLost(upstream.upstream());
         if (upstream.isSeparateBreak(EntryServices.now())) {
             recordResponse(false);
         }
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -65,6 +65,8 @@
             "expectedTokens",
             "rank",
             "returning"),
+    /** The connection of a request to its upstream was lost, and a check has shown whether the upstream still runs. */
+    CONNECTION_LOST(true, "upstream", "content", "check"),
     /** A request is retried at another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /** An answer was forwarded to its end; logged for errors and for a sample of the other answers. */
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -79,7 +79,7 @@
                 new FakeDialect(),
                 events,
                 new EntryMetrics(),
-                new EntryServices.Transport(caller.eventLoop(), this::open, links),
+                new EntryServices.Transport(caller.eventLoop(), this::open, (address, listener) -> {}, links),
                 new VersionCounters());
         RouteRule route = new RouteRule(
                 "route",
