Refuse a request that has ended three upstreams, at every entry

Cause: on the path of slots nothing knows a request by its content. EntryExchange bounds the upstreams of one attempt, so every return under another id, at any entry, was allowed as many engines as its route allows. The path of permits has CrashSuspects and a replicated table; the path that entries use had neither. Change: when an upstream has ended (a check after the lost connection is refused), the entry notes every request that was in flight there by its content. CrashLedger refuses one with three ended upstreams that no upstream has answered since; any complete response clears it, which keeps frequent sound requests served. Notes last ten minutes, keep their age, are bounded, and may arrive twice or in any order. Entries send them to their scheduler and, when they attach, all that they have; schedulers send them to each other and, with the next reply, to their entries. They are further components of existing messages, so that a build without them skips them. Why it holds: an entry decides when a request arrives and again when its slot is granted, after the notes in that reply; its own scheduler needs no knowledge, so a replaced one gets it back from the entries, and the entries' fallback decides by the same notes.

--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -4,7 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
+import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
@@ -12,16 +16,29 @@
 import org.radishspur.node.upstream.UpstreamProbe.Result;
 
 /**
- * Determines whether the upstream has ended where connections to it were lost, and which requests were in flight then.
- * The traffic thread owns it.
+ * Determines whether the upstream has ended where connections to it were lost, and notes the requests that were in
+ * flight then, so that a request that ends each upstream is refused at all entries. The traffic thread owns it.
  */
 final class CrashDetector {
     private final UpstreamProbe probe;
+    private final CrashLedger ledger;
+    private final Consumer<List<CrashNote>> publisher;
     private final EventLog events;
     private final Map<String, List<LostRequest>> pending = new HashMap<>();
+    private long published;
 
-    CrashDetector(UpstreamProbe probe, EventLog events) {
+    /**
+     * Creates a detector.
+     *
+     * @param probe checks whether an upstream still runs.
+     * @param ledger holds the notes on crashes.
+     * @param publisher sends new notes to the other hosts.
+     * @param events the event log.
+     */
+    CrashDetector(UpstreamProbe probe, CrashLedger ledger, Consumer<List<CrashNote>> publisher, EventLog events) {
         this.probe = probe;
+        this.ledger = ledger;
+        this.publisher = publisher;
         this.events = events;
     }
 
@@ -44,6 +61,30 @@
                     upstream.id(),
                     Long.toHexString(lost.fingerprint()),
                     result.name());
+            if (result == Result.REFUSED) {
+                ledger.recordCrash(lost.fingerprint(), upstream.runId().hashCode(), EntryServices.now());
+            }
+        }
+        publish();
+    }
+
+    /** Clears a request that an upstream has answered to the end; its fingerprint is computed only if it may matter. */
+    void onResponseComplete(LongSupplier fingerprint) {
+        if (!ledger.isEmpty() && ledger.recordCompletion(fingerprint.getAsLong())) {
+            publish();
+        }
+    }
+
+    /** Returns for how long a request is refused, in milliseconds; 0 if it may run. */
+    long refusedForMillis(LongSupplier fingerprint) {
+        return ledger.isEmpty() ? 0 : ledger.refusedForMillis(fingerprint.getAsLong(), EntryServices.now());
+    }
+
+    private void publish() {
+        CrashLedger.Changes changes = ledger.changesSince(published, EntryServices.now());
+        published = changes.position();
+        if (!changes.notes().isEmpty()) {
+            publisher.accept(changes.notes());
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/EndReason.java
+++ b/node/src/main/java/org/radishspur/node/entry/EndReason.java
@@ -21,6 +21,8 @@
     UNCONFIRMED(503, true),
     /** No slot becomes free in time. */
     OVERLOAD(503, true),
+    /** Several upstreams have ended while they ran this request, and none has answered it since. */
+    CRASH_SUSPECT(503, true),
     /** The deadline passed before the request was sent to an upstream. */
     EXPIRED(503, true),
     /** No upstream accepted the request. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -100,6 +100,7 @@
     private boolean firstByteReceived;
     private long firstMillis;
     private EventSplitter splitter;
+    private Optional<Long> fingerprint = Optional.empty();
 
     EntryExchange(
             EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
@@ -195,6 +196,9 @@
         }
         deadlineAt = Math.min(deadlineAt, arrivedAt + route.timeoutMillis());
         callerRetry = services.isCallerRetry(route.name(), statedMillis);
+        if (refuseIfItEndsUpstreams()) {
+            return;
+        }
         timer = services.loop()
                 .schedule(this::onDeadline, Math.max(1, deadlineAt - EntryServices.now()), TimeUnit.MILLISECONDS);
         requestFirstSlot();
@@ -320,6 +324,10 @@
             refuse(EndReason.UNCONFIRMED, maxRetryAfter(), false);
             return;
         }
+        if (refuseIfItEndsUpstreams()) {
+            granted.end(SlotOutcome.UNUSED);
+            return;
+        }
         services.metrics().recordSlotWait(EntryServices.now() - arrivedAt);
         viewAtGrant = services.view();
         attempt = new UpstreamAttempt(this, services, granted);
@@ -384,15 +392,35 @@
         services.crashes().onConnectionLost(upstream, head.requestId(), fingerprint());
     }
 
+    /** Records that an upstream has answered the request to the end, so that it doesn't end upstreams. */
+    void onResponseComplete() {
+        services.crashes().onResponseComplete(this::fingerprint);
+    }
+
+    /** Refuses the request if it has ended several upstreams, here or through other entries; returns whether it did. */
+    private boolean refuseIfItEndsUpstreams() {
+        long refusedForMillis = services.crashes().refusedForMillis(this::fingerprint);
+        if (refusedForMillis > 0) {
+            refuse(EndReason.CRASH_SUSPECT, refusedForMillis, false);
+        }
+        return refusedForMillis > 0;
+    }
+
     /**
      * Returns the fingerprint of the request by what doesn't change when its caller sends it again: its route, its
      * organisation, its method, its target and its body.
      */
     private long fingerprint() {
-        String target =
-                route.name() + '\n' + organisation.map(OrganisationRule::name).orElse("") + '\n' + request.uri();
-        String digits = BodyDigest.fingerprint(request.method().name(), target, body.readableBytes(), body);
-        return Long.parseUnsignedLong(digits.substring(0, FINGERPRINT_DIGITS), 16);
+        if (fingerprint.isEmpty()) {
+            String target = route.name()
+                    + '\n'
+                    + organisation.map(OrganisationRule::name).orElse("")
+                    + '\n'
+                    + request.uri();
+            String digits = BodyDigest.fingerprint(request.method().name(), target, body.readableBytes(), body);
+            fingerprint = Optional.of(Long.parseUnsignedLong(digits.substring(0, FINGERPRINT_DIGITS), 16));
+        }
+        return fingerprint.get();
     }
 
     /** Counts the request as possibly run, since it is being sent. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -10,6 +10,7 @@
 
 import io.netty.channel.EventLoop;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
+import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.Upstream;
@@ -73,8 +74,9 @@
         this.metrics = metrics;
         this.transport = transport;
         this.versionCounters = versionCounters;
-        slots = new SlotClient(settings, transport.schedulers(), events);
-        crashes = new CrashDetector(transport.probe(), events);
+        CrashLedger crashLedger = new CrashLedger();
+        slots = new SlotClient(settings, transport.schedulers(), events, crashLedger);
+        crashes = new CrashDetector(transport.probe(), crashLedger, slots::publishCrashes, events);
         retryBudgets = new PoolRetryBudgets(
                 settings.bounds().retryShare(), settings.bounds().retrySlack());
     }
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -8,6 +8,8 @@
 
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.decision.slot.SchedulerChoice;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -51,9 +53,13 @@
     /** The empty address, which denotes the local scheduler. */
     private static final String LOCAL_ADDRESS = "";
 
+    /** The number in a report that is about no slot. */
+    private static final long NO_SLOT = 0;
+
     private final FleetSender links;
     private final EventLog events;
     private final String entry;
+    private final CrashLedger crashes;
     private final PoolSet pools;
     private final SlotScheduler localScheduler;
     private final SchedulerChoice schedulerChoice;
@@ -62,9 +68,10 @@
     private int attachedConnection;
     private long nextId;
 
-    SlotClient(PlatformProcessSettings settings, FleetSender links, EventLog events) {
+    SlotClient(PlatformProcessSettings settings, FleetSender links, EventLog events, CrashLedger crashes) {
         this.links = links;
         this.events = events;
+        this.crashes = crashes;
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
@@ -119,12 +126,21 @@
     void report(UpstreamSlot slot, SlotReport report) {
         localScheduler.report(LOCAL_ENTRY, slot.id(), report, EntryServices.now());
         if (!attachedScheduler.equals(LOCAL_ADDRESS)) {
-            links.send(attachedScheduler, new FleetMessage.ReportSlot(slot.id(), report));
+            links.send(attachedScheduler, new FleetMessage.ReportSlot(slot.id(), report, List.of()));
+        }
+    }
+
+    /** Sends new notes on crashes to the attached scheduler; one that is attached later gets all notes. */
+    void publishCrashes(List<CrashNote> notes) {
+        if (!attachedScheduler.equals(LOCAL_ADDRESS)) {
+            SlotReport noReport = new SlotReport.Ended(SlotOutcome.UNUSED);
+            links.send(attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, noReport, notes));
         }
     }
 
     /** Handles a scheduler's reply; a slot granted to a request that is no longer pending is released. */
     void onReply(String scheduler, FleetMessage.Reply reply, long now) {
+        crashes.merge(reply.crashes(), now);
         UpstreamSlot slot = pending.get(reply.id());
         if (slot == null) {
             if (reply.reply() instanceof SlotReply.Granted) {
@@ -213,7 +229,9 @@
         links.setWatchedAddress(next);
         events.emit(EventCode.SCHEDULER, next, previous, pending.size());
         if (chosen.isPresent()) {
-            links.send(next, new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY)));
+            links.send(
+                    next,
+                    new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.latestNotes(now)));
         }
         if (!previous.equals(LOCAL_ADDRESS)) {
             links.send(previous, new FleetMessage.Detach());
@@ -247,7 +265,7 @@
         if (scheduler.equals(LOCAL_ADDRESS)) {
             localScheduler.report(LOCAL_ENTRY, id, unused, EntryServices.now());
         } else {
-            links.send(scheduler, new FleetMessage.ReportSlot(id, unused));
+            links.send(scheduler, new FleetMessage.ReportSlot(id, unused, List.of()));
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -301,6 +301,7 @@
             return;
         }
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        caller.onResponseComplete();
         endComplete(succeeded);
         caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis);
         if (isEventStream()) {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -106,9 +107,22 @@
      *     responses, failed responses, the logarithmic step of the time per event, and the pending prompt tokens in
      *     units of 256.
      * @param organisations the total usage admitted for each organisation since the scheduler started.
+     * @param crashes the notes on crashes that have changed since the last report, or all of them after a connection was
+     *     made.
      */
-    record LoadReport(String scheduler, boolean full, int[] upstreams, int[] counts, Map<String, Long> organisations)
-            implements FleetMessage {}
+    record LoadReport(
+            String scheduler,
+            boolean full,
+            int[] upstreams,
+            int[] counts,
+            Map<String, Long> organisations,
+            List<CrashNote> crashes)
+            implements FleetMessage {
+        /** Replaces notes that an older build doesn't send. */
+        public LoadReport {
+            crashes = crashes == null ? List.of() : crashes;
+        }
+    }
 
     /**
      * Counts the responses of one version of a pool on one route that an entry has received since it started.
@@ -135,8 +149,14 @@
      *
      * @param entry the address of the entry.
      * @param held the slots that the entry holds already.
+     * @param crashes the notes on crashes that the entry has.
      */
-    record Attach(String entry, List<HeldSlot> held) implements FleetMessage {}
+    record Attach(String entry, List<HeldSlot> held, List<CrashNote> crashes) implements FleetMessage {
+        /** Replaces notes that an older build doesn't send. */
+        public Attach {
+            crashes = crashes == null ? List.of() : crashes;
+        }
+    }
 
     /** Detaches an entry from a scheduler; the entry sends its pending requests to another one. */
     record Detach() implements FleetMessage {}
@@ -154,16 +174,28 @@
      *
      * @param id the number of the request at its entry.
      * @param reply the reply.
+     * @param crashes the notes on crashes that have changed since the last reply to the same entry.
      */
-    record Reply(long id, SlotReply reply) implements FleetMessage {}
+    record Reply(long id, SlotReply reply, List<CrashNote> crashes) implements FleetMessage {
+        /** Replaces notes that an older build doesn't send. */
+        public Reply {
+            crashes = crashes == null ? List.of() : crashes;
+        }
+    }
 
     /**
      * Reports to a scheduler how the use of a slot proceeds or has ended.
      *
-     * @param id the number of the request at its entry.
+     * @param id the number of the request at its entry, 0 if the message only carries notes.
      * @param report the report.
+     * @param crashes new notes on crashes. They aren't a message of their own, which an older build could not decode.
      */
-    record ReportSlot(long id, SlotReport report) implements FleetMessage {}
+    record ReportSlot(long id, SlotReport report, List<CrashNote> crashes) implements FleetMessage {
+        /** Replaces notes that an older build doesn't send. */
+        public ReportSlot {
+            crashes = crashes == null ? List.of() : crashes;
+        }
+    }
 
     /**
      * Carries a newer catalogue, and precedes the {@link ViewResponse} that confirms it on the same connection.
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -11,13 +11,15 @@
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
 
 /**
- * Publishes the load and the quota usage of this scheduler to the other schedulers, its peers, and applies the reports
- * that they send. The traffic thread owns it.
+ * Publishes the load, the quota usage and the notes on crashes of this scheduler to the other schedulers, its peers, and
+ * applies the reports that they send. The traffic thread owns it.
  *
  * <p>Each scheduler decides by the sum of its own load and the reports of its peers, which are a few tens of
  * milliseconds old. Two schedulers can therefore grant the last slot of an upstream at the same time, and the upstream
@@ -66,12 +68,14 @@
     private final FleetSender links;
     private final PoolSet pools;
     private final QuotaLedger quotas;
+    private final CrashLedger crashes;
     private final String self;
     private final Map<UpstreamLoad, long[]> outcomes = new HashMap<>();
     private final PublishRounds publishRounds = new PublishRounds(MIN_ROUND_MILLIS, MAX_MESSAGES_PER_SECOND);
     private final Map<String, Integer> connectionCounts = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
+    private long publishedCrashes;
 
     /**
      * Creates the exchange of one scheduler, without peers.
@@ -79,12 +83,14 @@
      * @param links the connections to the peers.
      * @param pools the load to publish, to which the load of the peers is added.
      * @param quotas the quota usage to publish, to which the usage at the peers is added.
+     * @param crashes the notes on crashes, to which those of the peers are added.
      * @param self the incarnation of this scheduler: its address, a slash and the time at which it started.
      */
-    LoadReportExchange(FleetSender links, PoolSet pools, QuotaLedger quotas, String self) {
+    LoadReportExchange(FleetSender links, PoolSet pools, QuotaLedger quotas, CrashLedger crashes, String self) {
         this.links = links;
         this.pools = pools;
         this.quotas = quotas;
+        this.crashes = crashes;
         this.self = self;
     }
 
@@ -111,6 +117,7 @@
         }
         Map<Integer, int[]> current =
                 currentCounts(publishRounds.publishedUpstreams().keySet());
+        List<String> everythingTo = new ArrayList<>();
         List<String> fullReportTo = new ArrayList<>();
         List<String> changesTo = new ArrayList<>();
         boolean full = publishRounds.beginFullReport();
@@ -118,15 +125,27 @@
             int connection = links.connectionCount(other);
             boolean reconnected = connection != connectionCounts.getOrDefault(other, 0);
             connectionCounts.put(other, connection);
-            (full || reconnected ? fullReportTo : changesTo).add(other);
+            (reconnected ? everythingTo : full ? fullReportTo : changesTo).add(other);
+        }
+        CrashLedger.Changes newCrashes = crashes.changesSince(publishedCrashes, now);
+        publishedCrashes = newCrashes.position();
+        if (!everythingTo.isEmpty()) {
+            List<CrashNote> allCrashes = crashes.latestNotes(now);
+            links.send(everythingTo, report(current, Map.of(), quotas.ownUse(), true, allCrashes));
         }
         if (!fullReportTo.isEmpty()) {
-            links.send(fullReportTo, report(current, Map.of(), quotas.ownUse(), true));
+            links.send(fullReportTo, report(current, Map.of(), quotas.ownUse(), true, newCrashes.notes()));
         }
         if (!changesTo.isEmpty()) {
             FleetMessage.LoadReport changes = report(
-                    current, publishRounds.publishedUpstreams(), publishRounds.changedUsage(quotas.ownUse()), false);
-            if (changes.upstreams().length > 0 || !changes.organisations().isEmpty()) {
+                    current,
+                    publishRounds.publishedUpstreams(),
+                    publishRounds.changedUsage(quotas.ownUse()),
+                    false,
+                    newCrashes.notes());
+            if (changes.upstreams().length > 0
+                    || !changes.organisations().isEmpty()
+                    || !changes.crashes().isEmpty()) {
                 links.send(changesTo, changes);
             }
         }
@@ -137,6 +156,7 @@
     boolean onReport(FleetMessage.LoadReport report, Map<String, OrganisationRule> organisations, long now) {
         Peer peer = peers.computeIfAbsent(report.scheduler(), key -> new Peer());
         peer.receivedAt = now;
+        crashes.merge(report.crashes(), now);
         if (report.full()) {
             removeMissingUpstreams(report, peer);
         }
@@ -236,9 +256,13 @@
         return millis <= 0 ? 0 : 1 + (int) Math.max(0, Math.round(Math.log(millis) / Math.log(EVENT_TIME_STEP_RATIO)));
     }
 
-    /** Builds a report of the counts that differ from the published ones and of the given usage. */
+    /** Builds a report of the counts that differ from the published ones, of the given usage and the given notes. */
     private FleetMessage.LoadReport report(
-            Map<Integer, int[]> current, Map<Integer, int[]> published, Map<String, Long> usage, boolean full) {
+            Map<Integer, int[]> current,
+            Map<Integer, int[]> published,
+            Map<String, Long> usage,
+            boolean full,
+            List<CrashNote> notes) {
         List<Integer> changed = new ArrayList<>();
         current.forEach((digest, counts) -> {
             if (!Arrays.equals(counts, published.get(digest))) {
@@ -251,7 +275,7 @@
             digests[index] = changed.get(index);
             System.arraycopy(current.get(digests[index]), 0, counts, index * COUNTS_PER_UPSTREAM, COUNTS_PER_UPSTREAM);
         }
-        return new FleetMessage.LoadReport(self, full, digests, counts, new HashMap<>(usage));
+        return new FleetMessage.LoadReport(self, full, digests, counts, new HashMap<>(usage), notes);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -12,6 +12,8 @@
 import io.netty.channel.EventLoop;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotScheduler;
 import org.radishspur.node.control.ControlLoop;
@@ -61,11 +63,16 @@
     private final ViewPoller viewPoller;
     private final PoolSet pools;
     private final QuotaLedger quotas;
+    private final CrashLedger crashes = new CrashLedger();
     private final SlotScheduler slotScheduler;
     private final LoadReportExchange loadReports;
     private final String self;
     private final Map<String, Sender> attachedEntries = new HashMap<>();
     private final Map<String, String> connectionsByEntry = new HashMap<>();
+
+    /** The position in {@link #crashes} up to which each attached entry has the notes. */
+    private final Map<String, Long> sentCrashes = new HashMap<>();
+
     private final EvacuationLog evacuationLog;
     private ConfirmedView view = ConfirmedView.EMPTY;
 
@@ -97,7 +104,7 @@
         quotas = new QuotaLedger(settings.bounds().quotaTolerance());
         slotScheduler = new SlotScheduler(pools, quotas, new SchedulerListener());
         evacuationLog = new EvacuationLog(pools, events);
-        loadReports = new LoadReportExchange(links, pools, quotas, self + '/' + System.currentTimeMillis());
+        loadReports = new LoadReportExchange(links, pools, quotas, crashes, self + '/' + System.currentTimeMillis());
         viewPoller = new ViewPoller(
                 pollerLoop, links, dialect, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
         metrics.register("scheduler.entries", (Gauge<Integer>) slotScheduler::entryCount);
@@ -147,6 +154,7 @@
         } else if (message instanceof FleetMessage.RequestSlot request) {
             onSlotRequest(sender, request);
         } else if (message instanceof FleetMessage.ReportSlot report) {
+            crashes.merge(report.crashes(), now());
             slotScheduler.report(sender.peer(), report.id(), report.report(), now());
         } else if (message instanceof FleetMessage.LoadReport loadReport) {
             if (loadReports.onReport(loadReport, view.organisations(), now())) {
@@ -155,7 +163,7 @@
         } else if (message instanceof FleetMessage.Attach attach) {
             onAttach(sender, attach);
         } else if (message instanceof FleetMessage.Detach) {
-            detach(sender);
+            detach(sender.peer());
         }
     }
 
@@ -170,9 +178,10 @@
 
     private void onAttach(Sender sender, FleetMessage.Attach attach) {
         String previous = connectionsByEntry.put(attach.entry(), sender.peer());
-        if (previous != null && !previous.equals(sender.peer()) && attachedEntries.remove(previous) != null) {
-            slotScheduler.detach(previous, now());
+        if (previous != null && !previous.equals(sender.peer())) {
+            detach(previous);
         }
+        crashes.merge(attach.crashes(), now());
         attachedEntries.put(sender.peer(), sender);
         slotScheduler.attach(sender.peer(), attach.held(), now());
     }
@@ -180,12 +189,13 @@
     /** {@inheritDoc} */
     @Override
     public void onClosed(Sender sender) {
-        detach(sender);
+        detach(sender.peer());
     }
 
-    private void detach(Sender sender) {
-        if (attachedEntries.remove(sender.peer()) != null) {
-            slotScheduler.detach(sender.peer(), now());
+    private void detach(String peer) {
+        sentCrashes.remove(peer);
+        if (attachedEntries.remove(peer) != null) {
+            slotScheduler.detach(peer, now());
         }
     }
 
@@ -207,7 +217,7 @@
     private void maintain() {
         List.copyOf(attachedEntries.values()).stream()
                 .filter(entry -> entry.silentMillis() > ENTRY_TIMEOUT_MILLIS)
-                .forEach(this::detach);
+                .forEach(entry -> detach(entry.peer()));
         slotScheduler.advance(now());
         evacuationLog.logDrained();
     }
@@ -218,7 +228,17 @@
 
     private void reply(Sender sender, long id, SlotReply reply) {
         metrics.counter("scheduler.replies." + metricNameOf(reply)).inc();
-        sender.send(new FleetMessage.Reply(id, reply));
+        sender.send(new FleetMessage.Reply(id, reply, takeNewCrashes(sender.peer())));
+    }
+
+    /** Returns the notes on crashes that an attached entry doesn't have yet. */
+    private List<CrashNote> takeNewCrashes(String peer) {
+        if (!attachedEntries.containsKey(peer)) {
+            return List.of();
+        }
+        CrashLedger.Changes changes = crashes.changesSince(sentCrashes.getOrDefault(peer, 0L), now());
+        sentCrashes.put(peer, changes.position());
+        return changes.notes();
     }
 
     private static String metricNameOf(SlotReply reply) {
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -45,7 +46,8 @@
     private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
     private final FakeLinks links = new FakeLinks();
     private final RecordingListener listener = new RecordingListener();
-    private final SlotClient client = new SlotClient(settings(), links, events);
+    private final CrashLedger crashes = new CrashLedger();
+    private final SlotClient client = new SlotClient(settings(), links, events, crashes);
 
     @BeforeEach
     void applyViewWithTwoSchedulers() {
@@ -107,7 +109,7 @@
     }
 
     private void reply(String scheduler, UpstreamSlot slot, SlotReply reply, long now) {
-        client.onReply(scheduler, new FleetMessage.Reply(slot.id(), reply), now);
+        client.onReply(scheduler, new FleetMessage.Reply(slot.id(), reply, List.of()), now);
     }
 
     private static SlotReply granted(Upstream upstream) {
@@ -206,7 +208,8 @@
             UpstreamSlot slot = requestSlot(0);
             long previousId = slot.id();
             client.checkPending(AFTER_TIMEOUT_MILLIS);
-            client.onReply(NEAR, new FleetMessage.Reply(previousId, granted(ENGINE)), AFTER_TIMEOUT_MILLIS + 5);
+            client.onReply(
+                    NEAR, new FleetMessage.Reply(previousId, granted(ENGINE), List.of()), AFTER_TIMEOUT_MILLIS + 5);
             assertThat(listener.granted).isEmpty();
             assertThat(links.outcomes(NEAR)).contains(SlotOutcome.UNUSED);
             reply(FAR, slot, granted(ENGINE), AFTER_TIMEOUT_MILLIS + 6);
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -0,0 +1,62 @@
+package org.radishspur.node.fleet;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.radishspur.decision.slot.CrashNote;
+import org.radishspur.decision.slot.HeldSlot;
+import org.radishspur.decision.slot.SlotOutcome;
+import org.radishspur.decision.slot.SlotReply;
+import org.radishspur.decision.slot.SlotReport;
+import org.radishspur.replication.codec.MessagePack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against processes that can't decode each other's messages, or fail on them, while hosts get another build one
+ * by one. The records below are the messages as the earlier build declares them.
+ */
+class EarlierBuildTest {
+    private static final List<CrashNote> NOTES = List.of(new CrashNote(Long.MIN_VALUE, -7, true, 12));
+    private static final HeldSlot HELD = new HeldSlot(3, "pool", "run", 5, 1);
+    private static final SlotReport REPORT = new SlotReport.Ended(SlotOutcome.BROKEN);
+
+    private static <T> T reread(Object message, Class<T> type) {
+        return MessagePack.INSTANCE.decode(MessagePack.INSTANCE.encode(message), type);
+    }
+
+    @Test
+    void readsWhatThisBuildSends() {
+        assertThat(reread(new FleetMessage.Attach("entry", List.of(HELD), NOTES), EarlierAttach.class))
+                .isEqualTo(new EarlierAttach("entry", List.of(HELD)));
+        assertThat(reread(new FleetMessage.ReportSlot(4, REPORT, NOTES), EarlierReportSlot.class))
+                .isEqualTo(new EarlierReportSlot(4, REPORT));
+        assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
+                .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
+        FleetMessage.LoadReport report =
+                new FleetMessage.LoadReport("s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES);
+        assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
+    }
+
+    @Test
+    void sendsWhatThisBuildReads() {
+        assertThat(reread(new EarlierAttach("entry", List.of(HELD)), FleetMessage.Attach.class))
+                .isEqualTo(new FleetMessage.Attach("entry", List.of(HELD), List.of()));
+        assertThat(reread(new EarlierReportSlot(4, REPORT), FleetMessage.ReportSlot.class))
+                .isEqualTo(new FleetMessage.ReportSlot(4, REPORT, List.of()));
+        assertThat(reread(new EarlierReply(4, new SlotReply.Queued(9)), FleetMessage.Reply.class))
+                .isEqualTo(new FleetMessage.Reply(4, new SlotReply.Queued(9), List.of()));
+        EarlierLoadReport report = new EarlierLoadReport("s", true, new int[] {1}, new int[5], Map.of());
+        assertThat(reread(report, FleetMessage.LoadReport.class).crashes()).isEmpty();
+    }
+
+    private record EarlierAttach(String entry, List<HeldSlot> held) {}
+
+    private record EarlierReportSlot(long id, SlotReport report) {}
+
+    private record EarlierReply(long id, SlotReply reply) {}
+
+    private record EarlierLoadReport(
+            String scheduler, boolean full, int[] upstreams, int[] counts, Map<String, Long> organisations) {}
+}
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.PoolRule;
@@ -33,9 +34,10 @@
     private final PoolSet pools = new PoolSet("scheduler", "a", 0.1);
     private final List<FleetMessage.LoadReport> sentReports = new ArrayList<>();
     private final Map<String, Integer> sentTo = new HashMap<>();
+    private final CrashLedger crashes = new CrashLedger();
     private long messageCount;
     private final LoadReportExchange exchange = new LoadReportExchange(
-            new RecordingFleetSender(), pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), "self/1");
+            new RecordingFleetSender(), pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), crashes, "self/1");
 
     private UpstreamLoad engine() {
         return pools.dispatcher("pool").upstreams().find(ENGINE.runId()).orElseThrow();
@@ -62,7 +64,12 @@
 
     private static FleetMessage.LoadReport report(boolean full, int inProgress) {
         return new FleetMessage.LoadReport(
-                "other-0/1", full, new int[] {ENGINE.runId().hashCode()}, new int[] {inProgress, 0, 0, 0, 0}, Map.of());
+                "other-0/1",
+                full,
+                new int[] {ENGINE.runId().hashCode()},
+                new int[] {inProgress, 0, 0, 0, 0},
+                Map.of(),
+                List.of());
     }
 
     @Nested
