Keep the requests to an upstream within the limit that it states

Callers saw: nothing yet; an engine in need that states how many requests a second it takes got as many as before (28 in 4 s at 2.2 a second, 18 allowed). Cause: no code read the statement. The schedulers know slots only, so an engine that asks for less looks like the one with most room. Change: an entry decodes the limit of each response and reports it with the first byte, or with the end where there was none. RequestLimiter holds a token bucket for each upstream; schedulers report to each other the limit, its age and how many requests they have sent, and each token is offered to one scheduler after the other, since reports are late. An entry that schedules for itself uses its share. The limit ends with a response without it; older statements, in late reports or responses that overtook each other, don't end or revive it. An upstream whose limit is used up is left out of each decision (no request waits for it as the fastest one), and its empty slots count as one slot of the pool. The new fields are further components of existing messages. Why it holds: the property plays 1 to 16 schedulers, limits of 0.5 to 30 a second and reports of 1 to 90 ms, all with requests waiting: no 4 s exceed one and a half times the limit and five, and two thirds of the limit are used at least.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -1,6 +1,7 @@
 package org.radishspur.decision.dispatch;
 
 import org.radishspur.model.catalogue.ColdStart;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.Upstream;
 
 /**
@@ -65,6 +66,7 @@
     private final FirstByteModel poolFirstByte;
     private boolean usesPoolTimes;
     private ColdStartLimit coldLimit = new ColdStartLimit(ColdStart.NONE);
+    private final RequestLimiter limiter = new RequestLimiter();
     private final MovingAverage eventMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
     private final MovingAverage failures = new MovingAverage(FAILURE_AVERAGE_WEIGHT);
     private double peerEventMillis;
@@ -140,6 +142,18 @@
      * @param now the current time in milliseconds.
      */
     public void recordSent(Object request, long promptTokens, long now) {
+        limiter.recordSent(now);
+        recordHeld(request, promptTokens, now);
+    }
+
+    /**
+     * Records a request in progress that an entry had sent before it attached to this scheduler.
+     *
+     * @param request identifies the request.
+     * @param promptTokens the tokens of its prompt that the upstream may still have to process.
+     * @param now the current time in milliseconds.
+     */
+    public void recordHeld(Object request, long promptTokens, long now) {
         ownRequests++;
         lastSentAt = now;
         coldLimit.recordSent(now);
@@ -242,6 +256,80 @@
         return coldLimit.isLimited() && (upstream.cold() || unreachable || coldLimit.mayBeCold(now));
     }
 
+    /** Sets how this scheduler shares the limit that the upstream may state. */
+    void setLimitTurns(RequestLimiter.Turns turns) {
+        limiter.setTurns(turns);
+    }
+
+    /**
+     * Records what a response of the upstream stated about its limit.
+     *
+     * @param stated the limit, or that there is none.
+     * @param ageMillis how long ago the response arrived, in milliseconds.
+     * @param now the current time in milliseconds.
+     * @return whether the limit has changed.
+     */
+    public boolean recordStatedLimit(RequestLimit stated, long ageMillis, long now) {
+        return limiter.recordStatement(stated, now - ageMillis, now);
+    }
+
+    /**
+     * Records how many requests another scheduler has sent to the upstream since that scheduler started.
+     *
+     * @param scheduler the other scheduler.
+     * @param total the number.
+     * @param now the current time in milliseconds.
+     */
+    public void recordPeerSent(String scheduler, long total, long now) {
+        limiter.recordPeerSent(scheduler, total, now);
+    }
+
+    /**
+     * Returns how many requests this scheduler has sent to the upstream since it started.
+     *
+     * @return the number.
+     */
+    public long ownSent() {
+        return limiter.ownSent();
+    }
+
+    /**
+     * Returns the limit that the upstream states.
+     *
+     * @return the limit, or that there is none.
+     */
+    public RequestLimit statedLimit() {
+        return limiter.limit();
+    }
+
+    /**
+     * Returns whether the upstream states a limit or has stated one.
+     *
+     * @return whether other schedulers have to receive the limit or its end.
+     */
+    public boolean wasEverLimited() {
+        return limiter.wasEverLimited();
+    }
+
+    /**
+     * Returns how long ago the upstream stated its limit, or responded without it and so ended it.
+     *
+     * @param now the current time in milliseconds.
+     * @return the time in milliseconds.
+     */
+    public long statedLimitAgeMillis(long now) {
+        return limiter.statementAgeMillis(now);
+    }
+
+    boolean isLimited() {
+        return limiter.isLimited();
+    }
+
+    /** Returns whether one more request stays within the limit that the upstream states. */
+    boolean allowsLimitedRequest(long now) {
+        return limiter.allows(now);
+    }
+
     /** Returns whether one more request stays within the rate that the upstream can serve while it is cold. */
     boolean allowsColdRequest(long now) {
         return coldLimit.allows(now);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 import org.radishspur.decision.dispatch.UpstreamLoad.Timeliness;
 import org.radishspur.model.catalogue.ColdStart;
@@ -81,6 +82,9 @@
     private Set<String> evacuatedDomains = Set.of();
     private ColdStart coldStartRule = ColdStart.NONE;
     private Predicate<String> mayUseCold = run -> true;
+    private ToIntFunction<String> limitPosition = run -> 0;
+    private int limitSchedulers = 1;
+    private double limitShare = 1;
 
     /**
      * Creates a pool without upstreams.
@@ -126,6 +130,24 @@
         }
     }
 
+    /**
+     * Sets how this scheduler shares the limits that upstreams may state.
+     *
+     * @param position returns the position of this scheduler among those that use an upstream, given the upstream's run.
+     * @param schedulers the number of schedulers that report to each other how many requests they send.
+     * @param share the share of each limit that they may use together.
+     */
+    public void setLimitSharing(ToIntFunction<String> position, int schedulers, double share) {
+        limitPosition = position;
+        limitSchedulers = schedulers;
+        limitShare = share;
+        loads.values().forEach(this::updateLimitTurns);
+    }
+
+    private void updateLimitTurns(UpstreamLoad load) {
+        load.setLimitTurns(new RequestLimiter.Turns(limitPosition.applyAsInt(load.run()), limitSchedulers, limitShare));
+    }
+
     /**
      * Sets the failure domains whose upstreams get no new requests. When a failure domain is put back into service, its
      * upstreams count as possibly restarted.
@@ -159,6 +181,7 @@
             if (known == null) {
                 UpstreamLoad load = new UpstreamLoad(upstream, firstByte, self);
                 load.setColdStart(coldStartRule);
+                updateLimitTurns(load);
                 loads.put(run, load);
             } else {
                 known.update(upstream);
@@ -191,6 +214,8 @@
      */
     public Optional<UpstreamLoad> choose(QueuedRequest queued, double reserved, long now) {
         List<UpstreamLoad> usable = usable(queued, now);
+        // No request waits for a fast upstream whose limit is used up, as it would for one whose slots are taken.
+        usable.removeIf(load -> !load.allowsLimitedRequest(now));
         if (reserved > 0) {
             removeReserved(usable, reserved, now);
         }
@@ -314,7 +339,7 @@
     }
 
     /**
-     * Returns the number of slots, free or taken, of the upstreams in service.
+     * Returns the number of slots, free or taken, of the upstreams in service. One that states a limit counts as one slot.
      *
      * @param now the current time in milliseconds.
      * @return the number.
@@ -322,7 +347,7 @@
     public int slots(long now) {
         return loads.values().stream()
                 .filter(load -> isInService(load, now))
-                .mapToInt(this::slots)
+                .mapToInt(this::countedSlots)
                 .sum();
     }
 
@@ -387,8 +412,8 @@
         int free = 0;
         for (UpstreamLoad load : loads.values()) {
             if (isSlow(load, slowAboveMillis) == slow && isInService(load, now)) {
-                slots += slots(load);
-                free += freeSlots(load);
+                slots += countedSlots(load);
+                free += load.isLimited() ? (load.allowsLimitedRequest(now) ? 1 : 0) : freeSlots(load);
             }
         }
         return slots == 0 ? 0 : (double) free / slots;
@@ -521,6 +546,11 @@
      */
     private record Candidate(UpstreamLoad load, Timeliness timeliness, double cost) {}
 
+    /** Returns the slots of an upstream as capacity of the pool; a limit leaves most slots of an upstream empty. */
+    private int countedSlots(UpstreamLoad load) {
+        return load.isLimited() ? 1 : slots(load);
+    }
+
     private int slots(UpstreamLoad load) {
         return Math.max(1, load.upstream().slots() > 0 ? load.upstream().slots() : defaultSlots);
     }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
@@ -1,5 +1,9 @@
 package org.radishspur.decision.slot;
 
+import java.util.Optional;
+
+import org.radishspur.model.catalogue.RequestLimit;
+
 /**
  * A report of an entry to its scheduler about a slot that it holds or a request that it has queued.
  */
@@ -8,8 +12,18 @@
      * Reports that the first byte of the answer was received.
      *
      * @param elapsedMillis the time since the request was sent, in milliseconds.
+     * @param limit what the answer stated about the upstream's limit; empty if an older build sent the report.
      */
-    record FirstByte(long elapsedMillis) implements SlotReport {}
+    record FirstByte(long elapsedMillis, Optional<RequestLimit> limit) implements SlotReport {
+        /**
+         * Creates a report that states nothing about a limit.
+         *
+         * @param elapsedMillis the time since the request was sent, in milliseconds.
+         */
+        public FirstByte(long elapsedMillis) {
+            this(elapsedMillis, Optional.empty());
+        }
+    }
 
     /**
      * Reports the time for one event while the answer is still being streamed. It is sent if the speed of the upstream
@@ -28,8 +42,16 @@
      *     wasn't measured.
      * @param events the number of events of a complete stream; 0 if it doesn't indicate the usual length of answers.
      * @param expectedTokens the number of output tokens that the caller had expected.
+     * @param limit what the answer stated about the upstream's limit; empty if there was no answer or if a
+     *     {@link FirstByte} has reported it.
      */
-    record Ended(SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens)
+    record Ended(
+            SlotOutcome outcome,
+            long heldMillis,
+            double eventMillis,
+            long events,
+            long expectedTokens,
+            Optional<RequestLimit> limit)
             implements SlotReport {
         /**
          * Creates a report without measurements.
@@ -39,5 +61,28 @@
         public Ended(SlotOutcome outcome) {
             this(outcome, 0, 0, 0, 0);
         }
+
+        /**
+         * Creates a report that states nothing about a limit.
+         *
+         * @param outcome how the attempt ended.
+         * @param heldMillis the time for which the slot was held, in milliseconds.
+         * @param eventMillis the time for one event, or for the complete answer of a plain call, in milliseconds.
+         * @param events the number of events of a complete stream.
+         * @param expectedTokens the number of output tokens that the caller had expected.
+         */
+        public Ended(SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens) {
+            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty());
+        }
+
+        /**
+         * Returns this report with what the answer stated about the upstream's limit.
+         *
+         * @param stated the limit, or that there is none.
+         * @return the changed report.
+         */
+        public Ended withLimit(RequestLimit stated) {
+            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated));
+        }
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -14,6 +14,7 @@
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.VersionRule;
 import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.model.catalogue.RequestLimit;
 
 /**
  * Grants slots at upstreams to the requests of several entries, with one queue per pool. The reports of the entries
@@ -54,28 +55,33 @@
     public void attach(String entry, Collection<HeldSlot> held, long now) {
         detach(entry, now);
         requestsByEntry.put(entry, new HashMap<>());
-        held.forEach(slot -> adopt(entry, slot, now));
+        held.forEach(slot -> adopt(entry, slot, now)
+                .ifPresent(tracked -> tracked.upstream.recordHeld(tracked.queued, slot.pendingPromptTokens(), now)));
     }
 
     /**
-     * Counts a slot that another scheduler granted.
+     * Counts a slot that another scheduler has just granted.
      *
      * @param entry the entry that holds the slot.
      * @param held the slot.
      * @param now the current time in milliseconds.
      * @return the upstream, or empty if it is unknown to this scheduler; the slot isn't counted then.
      */
-    public Optional<UpstreamLoad> adopt(String entry, HeldSlot held, long now) {
+    public Optional<UpstreamLoad> recordGrant(String entry, HeldSlot held, long now) {
+        Optional<TrackedRequest> adopted = adopt(entry, held, now);
+        adopted.ifPresent(tracked -> tracked.upstream.recordSent(tracked.queued, held.pendingPromptTokens(), now));
+        return adopted.map(tracked -> tracked.upstream);
+    }
+
+    private Optional<TrackedRequest> adopt(String entry, HeldSlot held, long now) {
         PoolDispatcher pool = pools.dispatcher(held.pool());
-        Optional<UpstreamLoad> found = pool.upstreams().find(held.upstreamRun());
-        found.ifPresent(upstream -> {
+        return pool.upstreams().find(held.upstreamRun()).map(upstream -> {
             QueuedRequest queued = held.toQueuedRequest(now);
             TrackedRequest tracked = new TrackedRequest(entry, held.requestId(), pool, queued, Optional.empty(), 0);
             tracked.upstream = upstream;
-            upstream.recordSent(queued, held.pendingPromptTokens(), now);
             requestsOf(entry).put(held.requestId(), tracked);
+            return tracked;
         });
-        return found;
     }
 
     /**
@@ -223,9 +229,16 @@
         }
     }
 
-    private static void recordProgress(TrackedRequest tracked, SlotReport report, long now) {
+    private void recordLimit(UpstreamLoad upstream, RequestLimit stated, long now) {
+        if (upstream.recordStatedLimit(stated, 0, now)) {
+            listener.onLimitChanged(upstream);
+        }
+    }
+
+    private void recordProgress(TrackedRequest tracked, SlotReport report, long now) {
         UpstreamLoad upstream = tracked.upstream;
         if (report instanceof SlotReport.FirstByte first) {
+            first.limit().ifPresent(limit -> recordLimit(upstream, limit, now));
             upstream.recordFirstByte(tracked.queued, tracked.queued.uncachedTokens(), first.elapsedMillis(), now);
         } else if (report instanceof SlotReport.FirstEventTime measured && upstream.ownEventMillis() == 0) {
             upstream.recordEventTime(measured.eventMillis(), 1);
@@ -234,6 +247,7 @@
 
     private void endRequest(TrackedRequest tracked, SlotReport.Ended ended, long now) {
         if (tracked.upstream != null) {
+            ended.limit().ifPresent(limit -> recordLimit(tracked.upstream, limit, now));
             ended.outcome().notifyObserver(new OutcomeRecorder(tracked, now));
             if (ended.eventMillis() > 0) {
                 tracked.upstream.recordEventTime(ended.eventMillis(), 1);
@@ -327,6 +341,13 @@
          * @param cause the cause in words, for the event log.
          */
         void onEjected(UpstreamLoad upstream, String cause);
+
+        /**
+         * Receives that an upstream states another limit than before, or none any more; ignored by default.
+         *
+         * @param upstream the upstream.
+         */
+        default void onLimitChanged(UpstreamLoad upstream) {}
     }
 
     /** Holds a request that is queued or has a slot; its upstream is null while it is queued. */
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.Upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -52,6 +53,49 @@
                 .toList();
     }
 
+    @Nested
+    class StatedLimits {
+        private final RequestLimit limit = RequestLimit.ofRate(2);
+
+        /** Guards against requests that wait for a limited upstream while others have free slots. */
+        @Test
+        void sendTheRestToOtherUpstreams() {
+            load("one").recordEventTime(1, 1);
+            load("two").recordEventTime(40, 1);
+            load("three").recordEventTime(40, 1);
+            load("one").recordStatedLimit(limit, 0, NOW);
+            assertThat(chosen(8)).hasSize(8).doesNotContain("one");
+        }
+
+        /** Guards against a limited upstream that gets nothing at all. */
+        @Test
+        void leaveAnUpstreamItsShare() {
+            load("one").recordStatedLimit(limit, 1_000, NOW - 1_000);
+            assertThat(chosen(12)).containsOnlyOnce("one");
+        }
+
+        /**
+         * Guards against less urgent requests that find no slot reserved for others, and so none at all, because the
+         * empty slots of limited upstreams count as taken or as free.
+         */
+        @Test
+        void leaveLessUrgentRequestsTheirShare() {
+            for (String id : List.of("one", "two", "three")) {
+                load(id).recordStatedLimit(limit, 1_000, NOW - 1_000);
+            }
+            assertThat(upstreams.choose(queued(), 0.08, NOW)).isPresent();
+            assertThat(upstreams.slots(NOW)).isEqualTo(3);
+        }
+
+        /** Guards against a limit that is used up by requests which an entry had sent before it attached here. */
+        @Test
+        void areNotUsedUpByRequestsInProgressOfAnEntryThatAttaches() {
+            load("one").recordStatedLimit(limit, 1_000, NOW - 1_000);
+            load("one").recordHeld(new Object(), 0, NOW);
+            assertThat(chosen(12)).contains("one");
+        }
+    }
+
     @Nested
     class Faults {
         /** Guards against requests that are sent to a failing upstream while others are healthy. */
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import org.radishspur.model.catalogue.RequestLimit;
 
 /**
  * Decodes callers' requests and upstreams' responses, and encodes the parameters that the system adds to a request.
@@ -35,6 +36,14 @@
      */
     ResponseKind classify(HttpResponse response, String requestId);
 
+    /**
+     * Decodes how many requests an upstream takes from all hosts together, as it states in a response.
+     *
+     * @param response the head of the response.
+     * @return the limit, or that there is none.
+     */
+    RequestLimit decodeLimit(HttpResponse response);
+
     /**
      * Holds the decoded head of a caller's request.
      *
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -160,7 +160,8 @@
     }
 
     private void onGranted(UpstreamSlot slot, SlotReply.Granted granted, long now) {
-        Optional<UpstreamLoad> upstream = localScheduler.adopt(LOCAL_ENTRY, slot.toHeldSlot(granted.upstream()), now);
+        Optional<UpstreamLoad> upstream =
+                localScheduler.recordGrant(LOCAL_ENTRY, slot.toHeldSlot(granted.upstream()), now);
         if (upstream.isPresent() && pools.isUsable(upstream.get())) {
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
@@ -299,5 +300,14 @@
         public void onEjected(UpstreamLoad upstream, String cause) {
             events.emit(EventCode.EJECTED, upstream.upstream().id(), cause);
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onLimitChanged(UpstreamLoad upstream) {
+            events.emit(
+                    EventCode.LIMITED,
+                    upstream.upstream().id(),
+                    upstream.statedLimit().requestsPerMinute());
+        }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -1,5 +1,7 @@
 package org.radishspur.node.entry;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -14,6 +16,7 @@
 import org.radishspur.decision.slot.SlotReport;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.node.dialect.CallerDialect.ForwardParameters;
 import org.radishspur.node.dialect.CallerDialect.ResponseKind;
 import org.radishspur.node.log.EventCode;
@@ -46,6 +49,7 @@
     private HttpResponse responseHead;
     private ResponseKind kind;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
+    private Optional<RequestLimit> unreportedLimit = Optional.empty();
     private boolean firstByteReceived;
     private boolean eventTimeReported;
     private long firstByteAt;
@@ -158,6 +162,9 @@
         long now = EntryServices.now();
         lastByteAt = now;
         responseHead = response;
+        if (kind != ResponseKind.WRONG_INSTANCE) {
+            unreportedLimit = Optional.of(services.dialect().decodeLimit(response));
+        }
         switch (kind) {
             case SUCCESS -> onSuccess();
             case FAILURE -> onFailure();
@@ -264,7 +271,8 @@
         if (!firstByteReceived) {
             firstByteReceived = true;
             firstByteAt = now;
-            slot.report(new SlotReport.FirstByte(now - sentAt));
+            slot.report(new SlotReport.FirstByte(now - sentAt, unreportedLimit));
+            unreportedLimit = Optional.empty();
             caller.recordFirstByte(now - sentAt);
         }
     }
@@ -397,7 +405,7 @@
 
     private void end(SlotReport.Ended ended) {
         phase = Phase.ENDED;
-        slot.end(ended);
+        slot.end(unreportedLimit.map(ended::withLimit).orElse(ended));
     }
 
     /** The phases of an attempt. */
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -109,6 +109,9 @@
      * @param organisations the total usage admitted for each organisation since the scheduler started.
      * @param crashes the notes on crashes that have changed since the last report, or all of them after a connection was
      *     made.
+     * @param limits four numbers for each upstream that states a limit or has stated one, one upstream after the other:
+     *     the hash code of its run, the requests per minute or 0, the age of that statement in milliseconds, and the
+     *     requests that the scheduler has sent to it since it started.
      */
     record LoadReport(
             String scheduler,
@@ -116,11 +119,13 @@
             int[] upstreams,
             int[] counts,
             Map<String, Long> organisations,
-            List<CrashNote> crashes)
+            List<CrashNote> crashes,
+            int[] limits)
             implements FleetMessage {
-        /** Replaces notes that an older build doesn't send. */
+        /** Replaces notes and limits that an older build doesn't send. */
         public LoadReport {
             crashes = crashes == null ? List.of() : crashes;
+            limits = limits == null ? new int[0] : limits;
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -86,6 +86,8 @@
     LEFT(true, "upstream", "millis", "events", "promptTokens", "expectedTokens", "rank", "returning"),
     /** An upstream is ejected: it gets no requests for some time. */
     EJECTED(false, "upstream", "cause"),
+    /** An upstream states a limit, or another one than before; 0 requests mean that it states none any more. */
+    LIMITED(false, "upstream", "requestsPerMinute"),
     /** Lines were dropped, because they exceeded the rate limit or the queue was full. */
     SUPPRESSED(false, "lines");
 
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -44,6 +44,7 @@
     private final Map<String, Rollout> rollouts = new HashMap<>();
     private final Map<String, Double> trialCredit = new HashMap<>();
     private final Set<String> usableWhileCold = new HashSet<>();
+    private final Map<String, Integer> preferenceByRun = new HashMap<>();
     private ConfirmedView view = ConfirmedView.EMPTY;
     private double quotaShare = 1;
 
@@ -71,7 +72,8 @@
     public void apply(ConfirmedView newer, int schedulers, long now) {
         view = newer;
         view.rollouts().forEach(rollout -> rollouts.put(rollout.pool(), rollout));
-        chooseUsableWhileCold();
+        rankSchedulers();
+        boolean reports = !preferenceByRun.isEmpty();
         Map<String, List<Upstream>> upstreamsByPool = new HashMap<>();
         view.hosts()
                 .upstreams()
@@ -86,6 +88,10 @@
                 upstreams.setSchedulerCount(schedulers);
                 upstreams.setColdStart(
                         rule(name).map(PoolRule::coldStart).orElse(ColdStart.NONE), usableWhileCold::contains);
+                upstreams.setLimitSharing(
+                        run -> preferenceByRun.getOrDefault(run, 0),
+                        reports ? schedulers : 1,
+                        reports ? 1 : 1.0 / schedulers);
                 upstreams.refresh(upstreamsByPool.getOrDefault(name, List.of()));
                 upstreams.setEvacuatedDomains(view.evacuated(), now);
             }
@@ -93,19 +99,26 @@
     }
 
     /**
-     * Finds the upstreams that this process may use while they are cold: those for which it is the preferred scheduler.
+     * Finds the position of this process among the schedulers of each upstream, and the upstreams that it may use while
+     * they are cold: those for which it is the preferred scheduler. An entry has no position, as its scheduler doesn't
+     * report to others.
      */
-    private void chooseUsableWhileCold() {
+    private void rankSchedulers() {
         usableWhileCold.clear();
+        preferenceByRun.clear();
         Map<String, String> failureDomains = view.controlHosts().stream()
                 .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one));
-        if (failureDomains.containsKey(self)) {
-            view.hosts().upstreams().stream()
-                    .filter(upstream -> SchedulerChoice.sortByPreference(
-                                    upstream.runId(), upstream.failureDomain(), failureDomains)
-                            .get(0)
-                            .equals(self))
-                    .forEach(upstream -> usableWhileCold.add(upstream.runId()));
+        if (!failureDomains.containsKey(self)) {
+            return;
+        }
+        for (Upstream upstream : view.hosts().upstreams()) {
+            String run = upstream.runId();
+            int position = SchedulerChoice.sortByPreference(run, upstream.failureDomain(), failureDomains)
+                    .indexOf(self);
+            preferenceByRun.put(run, position);
+            if (position == 0) {
+                usableWhileCold.add(run);
+            }
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -276,5 +276,14 @@
         public void onEjected(UpstreamLoad upstream, String cause) {
             events.emit(EventCode.EJECTED, upstream.upstream().id(), cause);
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onLimitChanged(UpstreamLoad upstream) {
+            events.emit(
+                    EventCode.LIMITED,
+                    upstream.upstream().id(),
+                    upstream.statedLimit().requestsPerMinute());
+        }
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -28,6 +28,7 @@
 import org.radishspur.model.catalogue.PoolRule;
 import org.radishspur.model.catalogue.PoolShare;
 import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.dialect.CallerDialect;
@@ -258,6 +259,12 @@
         @Override
         public void rewriteHeaders(HttpHeaders headers, ForwardParameters forward) {}
 
+        /** {@inheritDoc} */
+        @Override
+        public RequestLimit decodeLimit(HttpResponse response) {
+            return RequestLimit.NONE;
+        }
+
         /** {@inheritDoc} */
         @Override
         public ResponseKind classify(HttpResponse response, String request) {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.slot.CrashNote;
@@ -9,6 +10,7 @@
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.replication.codec.MessagePack;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,10 +37,21 @@
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
         FleetMessage.LoadReport report =
-                new FleetMessage.LoadReport("s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES);
+                new FleetMessage.LoadReport("s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4]);
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
+    @Test
+    void readsReportsWithALimit() {
+        SlotReport.FirstByte first = new SlotReport.FirstByte(5, Optional.of(RequestLimit.ofRate(2)));
+        assertThat(reread(first, EarlierFirstByte.class)).isEqualTo(new EarlierFirstByte(5));
+        assertThat(reread(new EarlierFirstByte(5), SlotReport.FirstByte.class)).isEqualTo(new SlotReport.FirstByte(5));
+        SlotReport.Ended ended = new SlotReport.Ended(SlotOutcome.NOT_RUN).withLimit(RequestLimit.NONE);
+        EarlierEnded earlier = new EarlierEnded(SlotOutcome.NOT_RUN, 0, 0, 0, 0);
+        assertThat(reread(ended, EarlierEnded.class)).isEqualTo(earlier);
+        assertThat(reread(earlier, SlotReport.Ended.class)).isEqualTo(new SlotReport.Ended(SlotOutcome.NOT_RUN));
+    }
+
     @Test
     void sendsWhatThisBuildReads() {
         assertThat(reread(new EarlierAttach("entry", List.of(HELD)), FleetMessage.Attach.class))
@@ -49,6 +62,7 @@
                 .isEqualTo(new FleetMessage.Reply(4, new SlotReply.Queued(9), List.of()));
         EarlierLoadReport report = new EarlierLoadReport("s", true, new int[] {1}, new int[5], Map.of());
         assertThat(reread(report, FleetMessage.LoadReport.class).crashes()).isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).limits()).isEmpty();
     }
 
     private record EarlierAttach(String entry, List<HeldSlot> held) {}
@@ -57,6 +71,11 @@
 
     private record EarlierReply(long id, SlotReply reply) {}
 
+    private record EarlierFirstByte(long elapsedMillis) {}
+
+    private record EarlierEnded(
+            SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens) {}
+
     private record EarlierLoadReport(
             String scheduler, boolean full, int[] upstreams, int[] counts, Map<String, Long> organisations) {}
 }
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -69,7 +69,8 @@
                 new int[] {ENGINE.runId().hashCode()},
                 new int[] {inProgress, 0, 0, 0, 0},
                 Map.of(),
-                List.of());
+                List.of(),
+                new int[0]);
     }
 
     @Nested
