Count an upstream's end again where it was started again under its id

Cause: an end is identified by the run in the host list, which lags; an upstream that starts again under the id that it had and is ended again before the list shows it counted once. Change: a later end, two seconds or more after the one that is known, gets the next number; all processes count on from the same number, so that reports of one end still count once.

--- a/decision/src/main/java/org/radishspur/decision/slot/CrashLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/CrashLedger.java
@@ -29,6 +29,9 @@
      */
     static final long RETENTION_MILLIS = 600_000;
 
+    /** The time within which requests that lose the same upstream have been in flight at the same end of it. */
+    private static final long SAME_END_MILLIS = 2_000;
+
     /** The maximum number of requests; the one that was changed least recently is forgotten first. */
     static final int MAX_REQUESTS = 1_000;
 
@@ -61,7 +64,13 @@
      * @param now the current time in milliseconds.
      */
     public void recordCrash(long request, int upstream, long now) {
-        merge(List.of(new CrashNote(request, upstream, false, 0)), now);
+        Map<Integer, Crash> known = crashesByRequest.getOrDefault(request, Map.of());
+        int end = upstream;
+        while (known.containsKey(end) && now - known.get(end).endedAt > SAME_END_MILLIS) {
+            // It was started again, and the host list doesn't show it yet. All processes count on from the hash code.
+            end++;
+        }
+        merge(List.of(new CrashNote(request, end, false, 0)), now);
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/slot/CrashLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/CrashLedgerTest.java
@@ -36,6 +36,21 @@
             assertThat(ledger.refusedForMillis(REQUEST, NOW + 5)).isZero();
         }
 
+        /** Guards against ends that aren't counted because an upstream starts again under the id that it had. */
+        @Test
+        void countsAnUpstreamAgainThatWasStartedAgain() {
+            CrashLedger ledger = new CrashLedger();
+            CrashLedger other = new CrashLedger();
+            for (int end = 0; end < 3; end++) {
+                ledger.recordCrash(REQUEST, 5, NOW + end * 4_000);
+                other.merge(ledger.latestNotes(NOW + end * 4_000 + 40), NOW + end * 4_000 + 40);
+                other.recordCrash(REQUEST, 5, NOW + end * 4_000 + 50);
+                ledger.merge(other.latestNotes(NOW + end * 4_000 + 90), NOW + end * 4_000 + 90);
+                assertThat(ledger.refusedForMillis(REQUEST, NOW + end * 4_000 + 90) > 0)
+                        .isEqualTo(end == 2);
+            }
+        }
+
         /** Guards against a request that stays refused after the upstreams were fixed. */
         @Test
         void endsWhenItsCrashesAreOld() {
