Publish stated limits in a class of their own, and forget those of schedulers that are gone

Cause: LoadReportExchange had grown by the limits, its publishing was one long method, it compared the limits of all upstreams in each round, and a scheduler that was replaced stayed in the count by which the turns are found, at some schedulers only. Change: StatedLimitExchange encodes and applies limits, and looks only at upstreams that have stated one; a peer that has been silent is removed there too. Publishing is split by its receivers; what each gets is unchanged. Result: LoadReportExchangeTest, also with a reconnected peer (everything is sent again), RequestLimiter tests, StatedLimitTest and RepeatedCrashTest pass.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RequestLimiter.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RequestLimiter.java
@@ -110,6 +110,11 @@
         }
     }
 
+    /** Removes a peer that is gone, which all others do, so that they agree on whose turn it is. */
+    void forgetPeer(String peer) {
+        peerSent.remove(peer);
+    }
+
     /** Returns whether one more request may be sent. */
     boolean allows(long now) {
         if (!isLimited()) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -284,6 +284,15 @@
         limiter.recordPeerSent(scheduler, total, now);
     }
 
+    /**
+     * Removes what another scheduler has reported, once that scheduler is gone.
+     *
+     * @param scheduler the other scheduler.
+     */
+    public void forgetPeerSent(String scheduler) {
+        limiter.forgetPeer(scheduler);
+    }
+
     /**
      * Returns how many requests this scheduler has sent to the upstream since it started.
      *
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
@@ -15,7 +14,6 @@
 import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.model.catalogue.OrganisationRule;
-import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
 
@@ -55,14 +53,6 @@
     private static final int EVENT_TIME_STEPS = 3;
     private static final int PENDING_TOKEN_STEPS = 4;
 
-    /** The number of values that a report carries for each stated limit; the constants below are their positions. */
-    private static final int NUMBERS_PER_LIMIT = 4;
-
-    private static final int LIMITED_UPSTREAM = 0;
-    private static final int REQUESTS_PER_MINUTE = 1;
-    private static final int STATEMENT_AGE_MILLIS = 2;
-    private static final int SENT = 3;
-
     /**
      * The unit in which pending prompt tokens, which the upstream has not processed yet, are published. An upstream
      * processes fewer tokens in a few milliseconds.
@@ -79,6 +69,7 @@
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final CrashLedger crashes;
+    private final StatedLimitExchange limits = new StatedLimitExchange();
     private final String self;
     private final Map<UpstreamLoad, long[]> outcomes = new HashMap<>();
     private final PublishRounds publishRounds = new PublishRounds(MIN_ROUND_MILLIS, MAX_MESSAGES_PER_SECOND);
@@ -86,7 +77,6 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
     private long publishedCrashes;
-    private final Map<Integer, PublishedLimit> publishedLimits = new HashMap<>();
 
     /**
      * Creates the exchange of one scheduler, without peers.
@@ -112,7 +102,7 @@
     void refresh(List<String> others) {
         publishRounds.setPeers(others);
         upstreams = upstreamsByDigest();
-        publishedLimits.keySet().retainAll(upstreams.keySet());
+        limits.setUpstreams(upstreams);
         outcomes.keySet().retainAll(Set.copyOf(upstreams.values()));
     }
 
@@ -129,43 +119,54 @@
         }
         Map<Integer, int[]> current =
                 currentCounts(publishRounds.publishedUpstreams().keySet());
-        List<String> everythingTo = new ArrayList<>();
-        List<String> fullReportTo = new ArrayList<>();
-        List<String> changesTo = new ArrayList<>();
-        boolean full = publishRounds.beginFullReport();
-        for (String other : publishRounds.peers()) {
-            int connection = links.connectionCount(other);
-            boolean reconnected = connection != connectionCounts.getOrDefault(other, 0);
-            connectionCounts.put(other, connection);
-            (reconnected ? everythingTo : full ? fullReportTo : changesTo).add(other);
-        }
         CrashLedger.Changes newCrashes = crashes.changesSince(publishedCrashes, now);
         publishedCrashes = newCrashes.position();
-        if (!everythingTo.isEmpty()) {
-            List<CrashNote> allCrashes = crashes.latestNotes(now);
-            links.send(everythingTo, report(current, Map.of(), quotas.ownUse(), true, allCrashes, allLimits(now)));
-        }
-        if (!fullReportTo.isEmpty()) {
-            links.send(
-                    fullReportTo, report(current, Map.of(), quotas.ownUse(), true, newCrashes.notes(), allLimits(now)));
+        List<String> reconnected = takeReconnectedPeers();
+        List<String> others = new ArrayList<>(publishRounds.peers());
+        others.removeAll(reconnected);
+        if (!reconnected.isEmpty()) {
+            links.send(reconnected, fullReport(current, crashes.latestNotes(now), now));
         }
-        if (!changesTo.isEmpty()) {
-            FleetMessage.LoadReport changes = report(
-                    current,
-                    publishRounds.publishedUpstreams(),
-                    publishRounds.changedUsage(quotas.ownUse()),
-                    false,
-                    newCrashes.notes(),
-                    changedLimits(now));
-            if (changes.upstreams().length > 0
-                    || !changes.organisations().isEmpty()
-                    || !changes.crashes().isEmpty()
-                    || changes.limits().length > 0) {
-                links.send(changesTo, changes);
+        boolean full = publishRounds.beginFullReport();
+        if (!others.isEmpty()) {
+            FleetMessage.LoadReport report = full
+                    ? fullReport(current, newCrashes.notes(), now)
+                    : changeReport(current, newCrashes.notes(), now);
+            if (full || !isEmpty(report)) {
+                links.send(others, report);
             }
         }
         publishRounds.recordPublished(current, quotas.ownUse());
-        upstreams.forEach((digest, upstream) -> publishedLimits.put(digest, PublishedLimit.of(upstream)));
+        limits.recordPublished();
+    }
+
+    /** Returns the peers to which a connection was made since the last call; they have none of the values. */
+    private List<String> takeReconnectedPeers() {
+        List<String> reconnected = new ArrayList<>();
+        for (String peer : publishRounds.peers()) {
+            int connection = links.connectionCount(peer);
+            Integer previous = connectionCounts.put(peer, connection);
+            if (connection != (previous == null ? 0 : previous)) {
+                reconnected.add(peer);
+            }
+        }
+        return reconnected;
+    }
+
+    private FleetMessage.LoadReport fullReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
+        return report(current, Map.of(), quotas.ownUse(), true, notes, limits.all(now));
+    }
+
+    private FleetMessage.LoadReport changeReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
+        Map<String, Long> changedUsage = publishRounds.changedUsage(quotas.ownUse());
+        return report(current, publishRounds.publishedUpstreams(), changedUsage, false, notes, limits.changes(now));
+    }
+
+    private static boolean isEmpty(FleetMessage.LoadReport report) {
+        return report.upstreams().length == 0
+                && report.organisations().isEmpty()
+                && report.crashes().isEmpty()
+                && report.limits().length == 0;
     }
 
     /** Applies a report of a peer and returns whether it shows that a slot has become free. */
@@ -173,7 +174,7 @@
         Peer peer = peers.computeIfAbsent(report.scheduler(), key -> new Peer());
         peer.receivedAt = now;
         crashes.merge(report.crashes(), now);
-        applyLimits(report, now);
+        limits.apply(report.scheduler(), report.limits(), now);
         if (report.full()) {
             removeMissingUpstreams(report, peer);
         }
@@ -211,42 +212,6 @@
         return slotFreed;
     }
 
-    private void applyLimits(FleetMessage.LoadReport report, long now) {
-        int[] limits = report.limits();
-        for (int index = 0; index + NUMBERS_PER_LIMIT <= limits.length; index += NUMBERS_PER_LIMIT) {
-            UpstreamLoad upstream = upstreams.get(limits[index + LIMITED_UPSTREAM]);
-            if (upstream != null) {
-                RequestLimit stated = new RequestLimit(limits[index + REQUESTS_PER_MINUTE]);
-                upstream.recordStatedLimit(stated, limits[index + STATEMENT_AGE_MILLIS], now);
-                upstream.recordPeerSent(report.scheduler(), limits[index + SENT], now);
-            }
-        }
-    }
-
-    private int[] allLimits(long now) {
-        return limits(upstreams.keySet(), now);
-    }
-
-    /** Returns the limits that have changed, and those of upstreams that got requests, since the last round. */
-    private int[] changedLimits(long now) {
-        Set<Integer> changed = upstreams.entrySet().stream()
-                .filter(each -> !PublishedLimit.of(each.getValue()).equals(publishedLimits.get(each.getKey())))
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toSet());
-        return limits(changed, now);
-    }
-
-    private int[] limits(Set<Integer> digests, long now) {
-        return digests.stream()
-                .filter(digest -> upstreams.get(digest).wasEverLimited())
-                .flatMapToInt(digest -> IntStream.of(
-                        digest,
-                        (int) upstreams.get(digest).statedLimit().requestsPerMinute(),
-                        (int) Math.min(Integer.MAX_VALUE, upstreams.get(digest).statedLimitAgeMillis(now)),
-                        (int) upstreams.get(digest).ownSent()))
-                .toArray();
-    }
-
     private void removeMissingUpstreams(FleetMessage.LoadReport report, Peer peer) {
         Set<Integer> reported = Arrays.stream(report.upstreams()).boxed().collect(Collectors.toSet());
         peer.counts.keySet().removeIf(digest -> {
@@ -277,7 +242,10 @@
         peers.entrySet().removeIf(peer -> {
             boolean lost = now - peer.getValue().receivedAt > publishRounds.peerTimeoutMillis(PEER_TIMEOUT_MILLIS);
             if (lost) {
-                upstreams.values().forEach(upstream -> clearPeerLoad(peer.getKey(), upstream));
+                upstreams.values().forEach(upstream -> {
+                    clearPeerLoad(peer.getKey(), upstream);
+                    upstream.forgetPeerSent(peer.getKey());
+                });
             }
             return lost;
         });
@@ -316,7 +284,7 @@
             Map<String, Long> usage,
             boolean full,
             List<CrashNote> notes,
-            int[] limits) {
+            int[] statedLimits) {
         List<Integer> changed = new ArrayList<>();
         current.forEach((digest, counts) -> {
             if (!Arrays.equals(counts, published.get(digest))) {
@@ -329,7 +297,7 @@
             digests[index] = changed.get(index);
             System.arraycopy(current.get(digests[index]), 0, counts, index * COUNTS_PER_UPSTREAM, COUNTS_PER_UPSTREAM);
         }
-        return new FleetMessage.LoadReport(self, full, digests, counts, new HashMap<>(usage), notes, limits);
+        return new FleetMessage.LoadReport(self, full, digests, counts, new HashMap<>(usage), notes, statedLimits);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
@@ -343,18 +311,6 @@
         return byDigest;
     }
 
-    /**
-     * Holds what was last published about the limit of an upstream.
-     *
-     * @param requestsPerMinute the limit, 0 for none.
-     * @param sent the requests that this scheduler has sent to the upstream.
-     */
-    private record PublishedLimit(long requestsPerMinute, long sent) {
-        static PublishedLimit of(UpstreamLoad upstream) {
-            return new PublishedLimit(upstream.statedLimit().requestsPerMinute(), upstream.ownSent());
-        }
-    }
-
     /** Holds the latest counts that a peer has published, by the digest of the upstream. */
     private static final class Peer {
         private final Map<Integer, int[]> counts = new HashMap<>();
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -19,6 +19,7 @@
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.PoolRule;
+import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
@@ -36,6 +37,7 @@
     private final Map<String, Integer> sentTo = new HashMap<>();
     private final CrashLedger crashes = new CrashLedger();
     private long messageCount;
+    private int connectionCount = 1;
     private final LoadReportExchange exchange = new LoadReportExchange(
             new RecordingFleetSender(), pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), crashes, "self/1");
 
@@ -105,6 +107,22 @@
             assertThat(publishedAt).isLessThanOrEqualTo(2 * TICK_MILLIS + others * 1_000L / 200);
         }
 
+        /** Guards against notes on crashes, and limits, that a peer never receives because a message was lost. */
+        @Test
+        void sendsEverythingAgainAfterAReconnection() {
+            applyView(1);
+            crashes.recordCrash(1, 2, 0);
+            engine().recordStatedLimit(RequestLimit.ofRate(2), 0, 0);
+            exchange.publishIfDue(0);
+            exchange.publishIfDue(TICK_MILLIS);
+            sentReports.clear();
+            connectionCount++;
+            exchange.publishIfDue(2 * TICK_MILLIS);
+            assertThat(sentReports).hasSize(1);
+            assertThat(sentReports.get(0).crashes()).hasSize(1);
+            assertThat(sentReports.get(0).limits()).hasSize(4).contains(120);
+        }
+
         /** Guards against messages between idle schedulers in every round. */
         @Test
         void sendsOnlyFullReportsWhileNothingChanges() {
@@ -176,7 +194,7 @@
         /** {@inheritDoc} */
         @Override
         public int connectionCount(String address) {
-            return 1;
+            return connectionCount;
         }
     }
 }
