Expect one request of a limit that has saved up one

It let a limit of 2 a second save up for a second, which are two requests by design, and expected one. Change: the limit is stated 600 ms before, in which one request is saved up; the check stays.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -70,7 +70,7 @@
         /** Guards against a limited upstream that gets nothing at all. */
         @Test
         void leaveAnUpstreamItsShare() {
-            load("one").recordStatedLimit(limit, 1_000, NOW - 1_000);
+            load("one").recordStatedLimit(limit, 0, NOW - 600);
             assertThat(chosen(12)).containsOnlyOnce("one");
         }
 
