--- a/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
+++ b/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
@@ -29,7 +29,7 @@
     INSTANCE;
 
     /** The number of calls of each function; the platform doesn't state how many calls it takes. */
-    private static final int CALLS = 32;
+    private static final int CALLS = 8;
 
     /**
      * Makes the calls, and loads the native libraries of sockets. Must be called before the process starts threads.
