--- a/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
+++ b/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
@@ -22,7 +22,7 @@
  *
  * <p>A platform that simulates sockets and data folders may rewrite a function of the C library when a process calls it
  * for one of them. The process aborts in native code if another of its threads is in that function then, for example
- * because it reads a file of the host. While the process has one thread, no other one can be in the function.
+ * because it reads a file of the host. While the process has one thread of its own, no other one is in the function.
  */
 public enum SystemCallPreparation {
     /** The only instance; it keeps no state. */
