Let the virtual machine reach its first safepoint before a process has threads

What callers saw: a process ends by itself with code 134 a second or more after its start.

After a safepoint it wakes its threads by syscall() of the C library, by which its compiler also asks for the ID of its thread, some 18,000 times in eight seconds of an entry.

Evidence: asked which functions two threads share later than at a start, all system calls of eight lives were recorded (three control hosts, two entries; reload, planned stop, lost disk, first line of the log, collections). Of the functions that are called for the host and for something simulated, read, write, close, fcntl, open, fstat and lseek were first called for something simulated before the first thread; syscall() wasn't.

--- a/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
+++ b/node/src/main/java/org/radishspur/node/startup/SystemCallPreparation.java
@@ -17,12 +17,12 @@
 import org.radishspur.node.log.ComponentLog;
 
 /**
- * Makes the system calls on sockets and on the data folder that threads of the process will share with calls on files
- * of the host.
+ * Makes the system calls that the platform simulates, on sockets, on the data folder and to wake threads, and that the
+ * threads of the process will make beside calls that the host answers.
  *
- * <p>A platform that simulates sockets and data folders may rewrite a function of the C library when a process calls it
- * for one of them. The process aborts in native code if another of its threads is in that function then, for example
- * because it reads a file of the host. While the process has one thread of its own, no other one is in the function.
+ * <p>A platform may rewrite a function of the C library when a process first calls it for something simulated. The
+ * process aborts in native code if another of its threads is in that function then, for example because it reads a file
+ * of the host. While the process has one thread of its own and compiles nothing, no other thread is in the function.
  */
 public enum SystemCallPreparation {
     /** The only instance; it keeps no state. */
@@ -31,6 +31,9 @@
     /** The number of calls of each function; the platform doesn't state how many calls it takes. */
     private static final int CALLS = 8;
 
+    /** How long the compiler may take for what the start has queued, in milliseconds. */
+    private static final long COMPILATION_MILLIS = 10;
+
     /**
      * Makes the calls, and loads the native libraries of sockets. Must be called before the process starts threads.
      *
@@ -41,6 +44,24 @@
         if (dataFolder.isPresent()) {
             callOnFolder(dataFolder.get());
         }
+        awaitCompiler();
+        reachSafepoint();
+    }
+
+    private static void awaitCompiler() {
+        try {
+            Thread.sleep(COMPILATION_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Lets the virtual machine wake its threads for the first time. It does so after a safepoint, through the function
+     * by which its compiler asks the host for the ID of a thread.
+     */
+    private static void reachSafepoint() {
+        Thread.getAllStackTraces();
     }
 
     private static void callOnSockets() {
