Log ejections and limits of upstreams in one listener for both schedulers

Cause: the local scheduler of an entry and a control host's scheduler logged both events by the same lines, each in its own listener, since stated limits were added. UpstreamEventLogger holds them once; events and fields are the same.

--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -23,6 +23,7 @@
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.schedule.PoolSet;
+import org.radishspur.node.schedule.UpstreamEventLogger;
 import org.radishspur.node.settings.PlatformProcessSettings;
 
 /**
@@ -271,7 +272,11 @@
     }
 
     /** Handles the replies of the local scheduler. */
-    private final class LocalReplies implements SlotScheduler.Listener {
+    private final class LocalReplies extends UpstreamEventLogger {
+        LocalReplies() {
+            super(events);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onReply(String entryName, long id, SlotReply reply) {
@@ -294,20 +299,5 @@
         /** {@inheritDoc} */
         @Override
         public void onResponse(UpstreamLoad upstream, boolean succeeded) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEjected(UpstreamLoad upstream, String cause) {
-            events.emit(EventCode.EJECTED, upstream.upstream().id(), cause);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onLimitChanged(UpstreamLoad upstream) {
-            events.emit(
-                    EventCode.LIMITED,
-                    upstream.upstream().id(),
-                    upstream.statedLimit().requestsPerMinute());
-        }
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -23,7 +23,6 @@
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.Moment;
-import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.PlatformProcessSettings;
@@ -255,7 +254,11 @@
     }
 
     /** Sends replies to the entries, and passes on responses and ejections of upstreams. */
-    private final class SchedulerListener implements SlotScheduler.Listener {
+    private final class SchedulerListener extends UpstreamEventLogger {
+        SchedulerListener() {
+            super(events);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onReply(String entry, long id, SlotReply reply) {
@@ -270,20 +273,5 @@
         public void onResponse(UpstreamLoad upstream, boolean succeeded) {
             loadReports.recordOutcome(upstream, succeeded);
         }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEjected(UpstreamLoad upstream, String cause) {
-            events.emit(EventCode.EJECTED, upstream.upstream().id(), cause);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onLimitChanged(UpstreamLoad upstream) {
-            events.emit(
-                    EventCode.LIMITED,
-                    upstream.upstream().id(),
-                    upstream.statedLimit().requestsPerMinute());
-        }
     }
 }
