--- a/node/src/main/java/org/radishspur/node/caller/BodyDigest.java
+++ b/node/src/main/java/org/radishspur/node/caller/BodyDigest.java
@@ -29,7 +29,7 @@
      * Identifies a request by its content, so that a retry has the fingerprint of the first try.
      *
      * @param method the method.
-     * @param uri what the request is addressed to, with anything else that tells requests apart.
+     * @param uri the target of the request, with anything else that distinguishes requests.
      * @param contentLength the length of the whole body in bytes.
      * @param initialBody the beginning of the body.
      * @return the fingerprint, in hexadecimal digits.
