Log what showed the end of a response, and what was left after the last event

A response that ended with its connection was logged like one that ended with its last chunk, and only one in 16 of either; so the log couldn't tell whether an upstream's close or the entry itself made a short stream look complete. The connection to an upstream now says how the end of a response is determined. ANSWERED has the fields end and restBytes, is written for each response whose end only the close shows, and answers.ended-by-close counts these. No decision uses it yet.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -33,6 +33,7 @@
 import org.radishspur.node.control.PermitListener;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.peer.PeerMessage.ControlResult;
+import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -644,7 +645,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onResponseComplete() {
+        public void onResponseComplete(ResponseEnd end) {
             if (admission != UpstreamHeaders.Admission.ADMITTED) {
                 boolean draining = admission == UpstreamHeaders.Admission.DRAINING;
                 retryOrRefuse(
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -28,6 +28,7 @@
 import org.radishspur.node.caller.BodyDigest;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
 import org.radishspur.node.schedule.ConfirmedView;
+import org.radishspur.node.upstream.ResponseEnd;
 
 /**
  * Processes one request from the arrival of its head to its only response: it reads the body, finds the route and the
@@ -523,8 +524,8 @@
         }
     }
 
-    void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis) {
-        log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis);
+    void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis, ResponseEnd end) {
+        log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis, end);
     }
 
     /** Returns the identifier of the upstream of the current attempt, or an empty text where there is none. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
@@ -40,6 +40,11 @@
         responseTime.update(millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Counts a response whose end was shown only by the close of the connection to its upstream. */
+    void countEndedByClose() {
+        registry.counter("answers.ended-by-close").inc();
+    }
+
     void countDisconnected() {
         registry.counter("requests.left").inc();
     }
--- a/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
+++ b/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
@@ -51,6 +51,11 @@
         return remainder;
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int restBytes() {
+        return partial.readableBytes();
+    }
+
     /** Discards the partial event of a broken stream. */
     void discardPartial() {
         partial.clear();
--- a/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
+++ b/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.radishspur.node.log.EventCode;
+import org.radishspur.node.upstream.ResponseEnd;
 
 /**
  * Counts the outcome of one request in the metrics and writes it to the structured log.
@@ -58,9 +59,15 @@
         services.events().emitForRequest(EventCode.RETRIED, requestId(), reason, upstream, attempt, elapsedMillis());
     }
 
-    void answered(int status, String upstream, long firstMillis, long longestPauseMillis) {
+    void answered(int status, String upstream, long firstMillis, long longestPauseMillis, ResponseEnd end) {
         services.metrics().recordAnswered(firstMillis, elapsedMillis());
-        if (status >= HttpResponseStatus.BAD_REQUEST.code() || services.events().isSampled(requestId())) {
+        boolean endUncertain = end == ResponseEnd.CONNECTION_CLOSED;
+        if (endUncertain) {
+            services.metrics().countEndedByClose();
+        }
+        if (endUncertain
+                || status >= HttpResponseStatus.BAD_REQUEST.code()
+                || services.events().isSampled(requestId())) {
             services.events()
                     .emitForRequest(
                             EventCode.ANSWERED,
@@ -74,7 +81,9 @@
                             exchange.head().promptTokens(),
                             exchange.head().expectedOutputTokens(),
                             rank(),
-                            exchange.isCallerRetry());
+                            exchange.isCallerRetry(),
+                            end.name(),
+                            exchange.splitter().restBytes());
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -20,6 +20,7 @@
 import org.radishspur.node.dialect.CallerDialect.ForwardParameters;
 import org.radishspur.node.dialect.CallerDialect.ResponseKind;
 import org.radishspur.node.log.EventCode;
+import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -299,7 +300,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public void onResponseComplete() {
+    public void onResponseComplete(ResponseEnd end) {
         Phase before = phase;
         if (before == Phase.DRAINING && (kind == ResponseKind.NOT_RUN || kind == ResponseKind.WRONG_INSTANCE)) {
             endNotRun();
@@ -311,7 +312,7 @@
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         caller.onResponseComplete();
         endComplete(succeeded);
-        caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis);
+        caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis, end);
         if (isEventStream()) {
             caller.response()
                     .writeContent(caller.route().resumable() ? caller.splitter().takeRest() : Unpooled.EMPTY_BUFFER);
--- a/node/src/main/java/org/radishspur/node/group/HostListReader.java
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -26,6 +26,7 @@
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamConnections;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -241,7 +242,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onResponseComplete() {
+        public void onResponseComplete(ResponseEnd end) {
             if (!HttpResponseStatus.OK.equals(status)) {
                 fail("status " + status);
             } else if (markEnded()) {
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -69,7 +69,10 @@
     CONNECTION_LOST(true, "upstream", "content", "check"),
     /** A request is retried at another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
-    /** An answer was forwarded to its end; logged for errors and for a sample of the other answers. */
+    /**
+     * An answer was forwarded to its end; logged for errors, for answers whose end only the close of the connection
+     * shows, and for a sample of the others. The rest is the number of bytes after the last complete event.
+     */
     ANSWERED(
             true,
             "status",
@@ -81,7 +84,9 @@
             "promptTokens",
             "expectedTokens",
             "rank",
-            "returning"),
+            "returning",
+            "end",
+            "restBytes"),
     /** A caller disconnected before its answer was complete. */
     LEFT(true, "upstream", "millis", "events", "promptTokens", "expectedTokens", "rank", "returning"),
     /** An upstream is ejected: it gets no requests for some time. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -8,7 +8,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -30,6 +32,8 @@
     private final String address;
     private Channel channel;
     private UpstreamListener listener;
+    private HttpMethod method = HttpMethod.GET;
+    private ResponseEnd responseEnd = ResponseEnd.STATED;
     private boolean requestComplete;
     private boolean responseComplete;
     private boolean reusable;
@@ -56,6 +60,9 @@
     /** {@inheritDoc} */
     @Override
     public ChannelFuture write(HttpObject part) {
+        if (part instanceof HttpRequest request) {
+            method = request.method();
+        }
         requestComplete |= part instanceof LastHttpContent;
         return channel.writeAndFlush(part);
     }
@@ -117,6 +124,7 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
+            responseEnd = ResponseEnd.of(method, response);
             reusable &= HttpUtil.isKeepAlive(response);
             maxIdleMillis = keepAliveMillis(response);
             listener.onResponseHead(response);
@@ -156,7 +164,7 @@
         } else {
             channel.close();
         }
-        receiver.onResponseComplete();
+        receiver.onResponseComplete(responseEnd);
     }
 
     private void fail(Throwable cause) {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
@@ -30,8 +30,12 @@
     /** Invoked when a read is complete: all received data was passed on, and more is read only on request. */
     void onReadComplete();
 
-    /** Invoked when the response is complete. */
-    void onResponseComplete();
+    /**
+     * Invoked when the response is complete, as far as its end shows it.
+     *
+     * @param end how the end was determined.
+     */
+    void onResponseComplete(ResponseEnd end);
 
     /**
      * Invoked when the connection was lost, or invalid bytes were received, before the response was complete.
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -39,6 +39,7 @@
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.PlatformProcessSettings;
+import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
 
@@ -213,7 +214,7 @@
         }
 
         void complete() {
-            listener.onResponseComplete();
+            listener.onResponseComplete(ResponseEnd.STATED);
         }
 
         void loseConnection() {
