Take a stream that its upstream closes inside an event for a broken one

What callers saw: status 200, the engine's signature, part of a stream, and a last chunk that says that it is complete. Cause: an answer without a length or chunks ends with its connection, and the HTTP decoder ends it alike whether the upstream has sent everything or has ended itself. Nobody asked how the end was known, so the entry promised its caller a completeness that its upstream had never stated. The class of the fault: the absence of an error is taken for proof of success. Where only the close shows it, a stream has to end between two events (EventBoundary; line ends LF, CR LF and CR; comments, reconnection times and blanks are no events); else the attempt has lost its connection, with all that follows from that: the upstream is checked and the request may be suspected, the version and the upstream are charged, a resumable stream goes on elsewhere, and any other one is cut for the caller. The same cause elsewhere: on the path of permits the same check, and an answer whose end is uncertain isn't stored for replays, which would give it a length. A response that only its close ended no longer clears a request that is suspected of ending its upstreams, unless the upstream still runs. Why it works: an upstream that ends can't finish its event, and nothing else than the events differs on the wire. What is left: an upstream that ends exactly between two events, or in a plain answer of this kind, can't be told from a whole one.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.caller;
 
+import java.net.ProtocolException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -33,6 +34,7 @@
 import org.radishspur.node.control.PermitListener;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.peer.PeerMessage.ControlResult;
+import org.radishspur.node.upstream.EventBoundary;
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
@@ -498,6 +500,8 @@
         private int status;
         private String contentType = "";
         private boolean headReceived;
+        private boolean eventStream;
+        private final EventBoundary events = new EventBoundary();
         private UpstreamHeaders.Admission admission = UpstreamHeaders.Admission.ADMITTED;
 
         Attempt(PermitId id) {
@@ -580,6 +584,7 @@
             headReceived = true;
             status = response.status().code();
             contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+            eventStream = !contentType.isEmpty() && UpstreamHeaders.INSTANCE.mayBeEventStream(response);
             admission = UpstreamHeaders.INSTANCE.admissionOf(response);
             reportUpstreamStatus(response.headers());
             if (admission == UpstreamHeaders.Admission.ADMITTED) {
@@ -619,6 +624,7 @@
                 services.core().reportFirstToken(id);
             }
             tokens.add(content);
+            followEvents(content);
             if (claim != null) {
                 claim.appendBody(content);
             }
@@ -629,6 +635,15 @@
             }
         }
 
+        private void followEvents(ByteBuf content) {
+            if (eventStream) {
+                content.forEachByte(value -> {
+                    events.add(value);
+                    return true;
+                });
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onReadComplete() {
@@ -653,10 +668,15 @@
                         draining ? Ending.DRAINING : Ending.NOT_ADMITTED);
                 return;
             }
+            boolean endStated = end == ResponseEnd.STATED;
+            if (!endStated && events.isInsideEvent()) {
+                onConnectionLost(new ProtocolException("the connection was closed inside an event"));
+                return;
+            }
             boolean failed = HttpStatusClass.valueOf(status) == HttpStatusClass.SERVER_ERROR;
             services.core().releasePermit(id, outcome(failed ? Ending.FAILED : Ending.ANSWERED));
             if (claim != null) {
-                claim.finish(status, contentType);
+                claim.finish(status, contentType, endStated);
             }
             if (!callerDone) {
                 services.metrics().countAnswered();
--- a/node/src/main/java/org/radishspur/node/caller/RequestClaim.java
+++ b/node/src/main/java/org/radishspur/node/caller/RequestClaim.java
@@ -48,11 +48,15 @@
         }
     }
 
-    void finish(int status, String contentType) {
+    /**
+     * Stores the answer for retries with the same key, or only its status where the body is too large or its end is
+     * uncertain: a stored answer would be replayed with a length, as a complete one.
+     */
+    void finish(int status, String contentType, boolean bodyComplete) {
         submitEnd(new ControlCommand.FinishClaim(
                 key,
                 holder,
-                bodyTooLarge
+                bodyTooLarge || !bodyComplete
                         ? StoredAnswer.withoutBody(status)
                         : new StoredAnswer(status, contentType, ByteBufUtil.getBytes(body), true),
                 System.currentTimeMillis()));
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -44,13 +44,25 @@
 
     /** Checks an upstream after a request has lost its connection to it. Requests lost together share one check. */
     void onConnectionLost(Upstream upstream, String requestId, long fingerprint) {
-        List<LostRequest> lost = pending.get(upstream.runId());
-        if (lost == null) {
-            lost = new ArrayList<>();
-            pending.put(upstream.runId(), lost);
+        check(upstream, new LostRequest(requestId, fingerprint, false));
+    }
+
+    /**
+     * Checks an upstream after a response that seems complete, but whose end only the close of the connection shows.
+     * Nothing is checked while no request is suspected, as such a response is the usual one of some upstreams.
+     */
+    void onResponseClosed(Upstream upstream, String requestId, LongSupplier fingerprint) {
+        if (!ledger.isEmpty()) {
+            check(upstream, new LostRequest(requestId, fingerprint.getAsLong(), true));
+        }
+    }
+
+    private void check(Upstream upstream, LostRequest request) {
+        boolean checking = pending.containsKey(upstream.runId());
+        pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).add(request);
+        if (!checking) {
             probe.check(upstream.address(), result -> onResult(upstream, result));
         }
-        lost.add(new LostRequest(requestId, fingerprint));
     }
 
     private void onResult(Upstream upstream, Result result) {
@@ -63,6 +75,8 @@
                     result.name());
             if (result == Result.REFUSED) {
                 ledger.recordCrash(lost.fingerprint(), upstream.runId().hashCode(), EntryServices.now());
+            } else if (result == Result.ACCEPTED && lost.answered()) {
+                ledger.recordCompletion(lost.fingerprint());
             }
         }
         publish();
@@ -93,6 +107,7 @@
      *
      * @param requestId the caller's identifier of the request.
      * @param fingerprint identifies the request by its content.
+     * @param answered whether it has a response that is complete unless the upstream has ended.
      */
-    private record LostRequest(String requestId, long fingerprint) {}
+    private record LostRequest(String requestId, long fingerprint, boolean answered) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -393,9 +393,16 @@
         services.crashes().onConnectionLost(upstream, head.requestId(), fingerprint());
     }
 
-    /** Records that an upstream has answered the request to the end, so that it doesn't end upstreams. */
-    void onResponseComplete() {
-        services.crashes().onResponseComplete(this::fingerprint);
+    /**
+     * Records that an upstream has answered the request to the end, so that it doesn't end upstreams. Where only the
+     * close of the connection shows the end, the upstream may have ended instead.
+     */
+    void onResponseComplete(Upstream upstream, ResponseEnd end) {
+        if (end == ResponseEnd.STATED) {
+            services.crashes().onResponseComplete(this::fingerprint);
+        } else {
+            services.crashes().onResponseClosed(upstream, head.requestId(), this::fingerprint);
+        }
     }
 
     /** Refuses the request if it has ended several upstreams, here or through other entries; returns whether it did. */
--- a/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
+++ b/node/src/main/java/org/radishspur/node/entry/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.radishspur.node.upstream.EventBoundary;
 
 /**
  * Splits the bytes of an event stream into complete events and a partial one.
@@ -13,6 +14,8 @@
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     private final ByteBuf partial = Unpooled.buffer();
+    private final EventBoundary boundary = new EventBoundary();
+    private int lineOffset;
     private long lastEventId;
     private long pendingEventId = -1;
     private long eventCount;
@@ -33,12 +36,14 @@
      * @return the bytes of complete events, empty where there are none; the caller of this method releases them.
      */
     ByteBuf split(ByteBuf content) {
+        int scannedBytes = partial.readableBytes();
         partial.writeBytes(content, content.readerIndex(), content.readableBytes());
-        int end = scanEvents();
+        int end = scanEvents(partial.readerIndex() + scannedBytes);
         if (end == partial.readerIndex()) {
             return Unpooled.EMPTY_BUFFER;
         }
         ByteBuf complete = Unpooled.copiedBuffer(partial.slice(partial.readerIndex(), end - partial.readerIndex()));
+        lineOffset -= end - partial.readerIndex();
         partial.readerIndex(end);
         partial.discardSomeReadBytes();
         return complete;
@@ -47,10 +52,15 @@
     /** Removes and returns the bytes after the last complete event, at the end of the stream. */
     ByteBuf takeRest() {
         ByteBuf remainder = Unpooled.copiedBuffer(partial);
-        partial.clear();
+        discardPartial();
         return remainder;
     }
 
+    /** Returns whether the stream so far ends inside an event, so that it isn't complete. */
+    boolean isInsideEvent() {
+        return boundary.isInsideEvent();
+    }
+
     /** Returns the number of bytes after the last complete event. */
     int restBytes() {
         return partial.readableBytes();
@@ -59,6 +69,8 @@
     /** Discards the partial event of a broken stream. */
     void discardPartial() {
         partial.clear();
+        boundary.discardEvent();
+        lineOffset = 0;
         pendingEventId = -1;
     }
 
@@ -72,23 +84,27 @@
         return eventCount;
     }
 
-    /** Counts the complete events of the buffered bytes and returns the index after the last one. */
-    private int scanEvents() {
+    /** Scans the bytes from an index on, and returns the index after the last complete event. */
+    private int scanEvents(int from) {
         int end = partial.readerIndex();
-        int lineStart = partial.readerIndex();
-        for (int index = partial.readerIndex(); index < partial.writerIndex(); index++) {
-            if (partial.getByte(index) != '\n') {
-                continue;
-            }
-            boolean blank = index == lineStart || index == lineStart + 1 && partial.getByte(lineStart) == '\r';
-            if (blank) {
-                eventCount++;
-                lastEventId = Math.max(lastEventId, pendingEventId);
-                end = index + 1;
-            } else {
-                readEventId(lineStart, index);
+        for (int index = from; index < partial.writerIndex(); index++) {
+            switch (boundary.add(partial.getByte(index))) {
+                case LINE_END -> {
+                    readEventId(partial.readerIndex() + lineOffset, index);
+                    lineOffset = index + 1 - partial.readerIndex();
+                }
+                case EVENT_END -> {
+                    eventCount++;
+                    lastEventId = Math.max(lastEventId, pendingEventId);
+                    end = index + 1;
+                    lineOffset = end - partial.readerIndex();
+                }
+                case AFTER_LINE_END -> {
+                    end = index == end ? index + 1 : end;
+                    lineOffset = index + 1 - partial.readerIndex();
+                }
+                default -> {}
             }
-            lineStart = index + 1;
         }
         return end;
     }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.entry;
 
+import java.net.ProtocolException;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -309,8 +310,12 @@
         if (before != Phase.RUNNING) {
             return;
         }
+        if (isBrokenOff(end)) {
+            onConnectionLost(new ProtocolException("the connection was closed inside an event"));
+            return;
+        }
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        caller.onResponseComplete();
+        caller.onResponseComplete(upstream.upstream(), end);
         endComplete(succeeded);
         caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis, end);
         if (isEventStream()) {
@@ -326,6 +331,17 @@
         }
     }
 
+    /**
+     * Returns whether a stream has ended with its connection in the middle of an event. An upstream that ends closes
+     * its connections like one that has sent everything; only the events show the difference.
+     */
+    private boolean isBrokenOff(ResponseEnd end) {
+        return end == ResponseEnd.CONNECTION_CLOSED
+                && isEventStream()
+                && UpstreamHeaders.INSTANCE.mayBeEventStream(responseHead)
+                && caller.splitter().isInsideEvent();
+    }
+
     private void endNotRun() {
         end(kind == ResponseKind.WRONG_INSTANCE ? SlotOutcome.REPLACED : SlotOutcome.NOT_RUN);
         caller.onNotRun(kind == ResponseKind.NOT_RUN ? "not-run" : "wrong-instance", true);
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -125,7 +125,7 @@
                 return;
             }
             responseEnd = ResponseEnd.of(method, response);
-            reusable &= HttpUtil.isKeepAlive(response);
+            reusable &= HttpUtil.isKeepAlive(response) && responseEnd == ResponseEnd.STATED;
             maxIdleMillis = keepAliveMillis(response);
             listener.onResponseHead(response);
         }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
@@ -42,6 +42,7 @@
     /** The request header with the time until the deadline, in milliseconds. */
     public static final String REMAINING_MILLIS = "Radishspur-Remaining-Millis";
 
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final Pattern INCARNATION_NUMBER = Pattern.compile("\\d{1,18}");
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
@@ -76,6 +77,17 @@
         });
     }
 
+    /**
+     * Returns whether the body of a response may be an event stream.
+     *
+     * @param response the head of the response.
+     * @return whether it states that, or states no type at all.
+     */
+    public boolean mayBeEventStream(HttpResponse response) {
+        String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
+        return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+    }
+
     /**
      * Returns what an upstream states about the admission of a request.
      *
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -0,0 +1,84 @@
+package org.radishspur.node.entry;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.log.EventLog;
+import org.radishspur.node.upstream.UpstreamProbe.Result;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashDetectorTest {
+    private static final long SUSPECTED = 1;
+
+    /** Crashes of this many upstreams let a request be refused. */
+    private static final int CRASHES = 3;
+
+    private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
+    private final CrashLedger ledger = new CrashLedger();
+    private final List<String> checked = new ArrayList<>();
+    private Result result = Result.REFUSED;
+    private final CrashDetector detector = new CrashDetector(
+            (address, listener) -> {
+                checked.add(address);
+                listener.accept(result);
+            },
+            ledger,
+            notes -> {},
+            events);
+
+    @AfterEach
+    void closeLog() {
+        events.close();
+    }
+
+    private static Upstream upstream(int number) {
+        return new Upstream("u" + number, 1, "pool", "127.0.0.1:" + number, "a", "v1", 4, false, false);
+    }
+
+    private void crashAll() {
+        for (int number = 1; number <= CRASHES; number++) {
+            detector.onConnectionLost(upstream(number), "request", SUSPECTED);
+        }
+        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+    }
+
+    /** Guards against upstreams that are checked after each of their responses because they never state their end. */
+    @Test
+    void checksNothingWhereNoRequestIsSuspected() {
+        detector.onResponseClosed(upstream(1), "request", () -> SUSPECTED);
+        assertThat(checked).isEmpty();
+    }
+
+    /** Guards against a request that clears itself with the responses that its own crashes cut short. */
+    @Test
+    void countsACrashWhereTheUpstreamHasEndedWithItsResponse() {
+        crashAll();
+        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        assertThat(checked).hasSize(CRASHES + 1);
+        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+    }
+
+    /** Guards against a sound request that stays refused because its upstreams never state the end of a response. */
+    @Test
+    void clearsARequestWhoseUpstreamStillRuns() {
+        crashAll();
+        result = Result.ACCEPTED;
+        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isZero();
+    }
+
+    @Test
+    void clearsNothingWhereTheCheckShowsNothing() {
+        crashAll();
+        result = Result.UNKNOWN;
+        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+    }
+}
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -42,6 +44,7 @@
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
+import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Runs one entry without a network: a test sends requests as its caller and controls the responses of its upstreams.
@@ -58,6 +61,7 @@
     private final Catalogue catalogue;
     private final HostList hosts;
     private boolean connectsAutomatically = true;
+    private int checks;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
         PlatformProcessSettings.Bounds bounds =
@@ -81,7 +85,7 @@
                 new FakeDialect(),
                 events,
                 new EntryMetrics(),
-                new EntryServices.Transport(caller.eventLoop(), this::open, (address, listener) -> {}, links),
+                new EntryServices.Transport(caller.eventLoop(), this::open, this::check, links),
                 new VersionCounters());
         RouteRule route = new RouteRule(
                 "route",
@@ -160,6 +164,16 @@
         return new ReceivedResponse(status, text.toString(), complete);
     }
 
+    /** Returns how often it was checked whether an upstream still runs. */
+    int checks() {
+        return checks;
+    }
+
+    private void check(String address, Consumer<UpstreamProbe.Result> listener) {
+        checks++;
+        listener.accept(UpstreamProbe.Result.ACCEPTED);
+    }
+
     private UpstreamExchange open(String address, UpstreamListener listener) {
         FakeExchange exchange = new FakeExchange(listener);
         exchanges.add(exchange);
@@ -208,6 +222,12 @@
             listener.onResponseHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status)));
         }
 
+        void sendHead(int status, String contentType) {
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            head.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+            listener.onResponseHead(head);
+        }
+
         void sendBody(String text) {
             listener.onContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
             listener.onReadComplete();
@@ -217,6 +237,11 @@
             listener.onResponseComplete(ResponseEnd.STATED);
         }
 
+        /** Ends a response without a length or chunks by closing the connection. */
+        void completeByClose() {
+            listener.onResponseComplete(ResponseEnd.CONNECTION_CLOSED);
+        }
+
         void loseConnection() {
             listener.onConnectionLost(new java.io.IOException("reset"));
         }
--- a/node/src/test/java/org/radishspur/node/entry/EventSplitterTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/EventSplitterTest.java
@@ -57,4 +57,39 @@
         assertThat(split("id: 3\r\ndata: a\r\n\r\n")).endsWith("\r\n\r\n");
         assertThat(splitter.lastEventId()).isEqualTo(3);
     }
+
+    /** Guards against events that are held back until the next one because their lines end with carriage returns. */
+    @Test
+    void acceptsLinesThatEndWithASingleCarriageReturn() {
+        assertThat(split("id: 4\rdata: a\r\r")).isEqualTo("id: 4\rdata: a\r\r");
+        assertThat(splitter.lastEventId()).isEqualTo(4);
+    }
+
+    /** Guards against a line feed that counts as an event because its carriage return came in the part before it. */
+    @Test
+    void acceptsALineEndThatArrivesInTwoParts() {
+        assertThat(split("id: 5\r\ndata: a\r\n\r")).isEqualTo("id: 5\r\ndata: a\r\n\r");
+        assertThat(split("\nid: 6\r")).isEqualTo("\n");
+        assertThat(split("\ndata: b\r\n\r\n")).isEqualTo("id: 6\r\ndata: b\r\n\r\n");
+        assertThat(splitter.lastEventId()).isEqualTo(6);
+        assertThat(splitter.eventCount()).isEqualTo(2);
+    }
+
+    @Test
+    void findsTheSameEventsInPartsOfEachSize() {
+        String stream = ": c\r\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\r";
+        for (int size = 1; size <= stream.length(); size++) {
+            EventSplitter parts = new EventSplitter(-1);
+            StringBuilder received = new StringBuilder();
+            for (int start = 0; start < stream.length(); start += size) {
+                String part = stream.substring(start, Math.min(stream.length(), start + size));
+                ByteBuf complete = parts.split(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8));
+                received.append(complete.toString(StandardCharsets.UTF_8));
+                complete.release();
+            }
+            assertThat(received.toString()).isEqualTo(stream);
+            assertThat(parts.lastEventId()).isEqualTo(3);
+            assertThat(parts.eventCount()).isEqualTo(3);
+        }
+    }
 }
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -60,6 +60,91 @@
         }
     }
 
+    @Nested
+    class StreamWithoutFraming {
+        private static final String EVENT_STREAM = "text/event-stream";
+        private static final String PARTIAL_EVENT = "id: 2\nda";
+
+        private EntryFixture streamOf(boolean resumable, String contentType, String body) {
+            EntryFixture entry = new EntryFixture(RequestKind.STREAM, resumable, 2);
+            entry.request();
+            entry.exchange(0).sendHead(200, contentType);
+            entry.exchange(0).sendBody(body);
+            entry.exchange(0).completeByClose();
+            return entry;
+        }
+
+        /** Guards against a stream that an upstream broke off inside an event and that its caller gets as complete. */
+        @Test
+        void isBrokenOffInsideAnEvent() {
+            try (EntryFixture entry = streamOf(false, EVENT_STREAM, FIRST_EVENT + PARTIAL_EVENT)) {
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, FIRST_EVENT + PARTIAL_EVENT, false));
+                assertThat(entry.isCallerConnected()).isFalse();
+            }
+        }
+
+        /** Guards against a request that ends its upstreams and is never suspected, because its streams seem whole. */
+        @Test
+        void letsItsUpstreamBeCheckedWhenItIsBrokenOff() {
+            try (EntryFixture entry = streamOf(false, EVENT_STREAM, FIRST_EVENT + PARTIAL_EVENT)) {
+                assertThat(entry.checks()).isEqualTo(1);
+            }
+        }
+
+        /** Guards against a resumable stream that is given up where another upstream could go on with it. */
+        @Test
+        void isResumedWhenItIsBrokenOff() {
+            try (EntryFixture entry = streamOf(true, EVENT_STREAM, FIRST_EVENT + PARTIAL_EVENT)) {
+                entry.exchange(1).sendHead(200, EVENT_STREAM);
+                entry.exchange(1).sendBody(SECOND_EVENT);
+                entry.exchange(1).completeByClose();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, FIRST_EVENT + SECOND_EVENT, true));
+            }
+        }
+
+        /** Guards against a resumed stream that looks complete although it is broken off a second time. */
+        @Test
+        void abortsWhenItIsBrokenOffTwice() {
+            try (EntryFixture entry = streamOf(true, EVENT_STREAM, FIRST_EVENT + PARTIAL_EVENT)) {
+                entry.exchange(1).sendHead(200, EVENT_STREAM);
+                entry.exchange(1).sendBody(PARTIAL_EVENT);
+                entry.exchange(1).completeByClose();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, FIRST_EVENT, false));
+                assertThat(entry.isCallerConnected()).isFalse();
+            }
+        }
+
+        /** Guards against whole streams that are taken for broken ones. */
+        @ParameterizedTest
+        @ValueSource(strings = {"", "\n", ": comment\n", "retry: 100\n", "  "})
+        void isCompleteBetweenEvents(String rest) {
+            for (boolean resumable : new boolean[] {false, true}) {
+                try (EntryFixture entry = streamOf(resumable, EVENT_STREAM, FIRST_EVENT + rest)) {
+                    assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, FIRST_EVENT + rest, true));
+                }
+            }
+        }
+
+        /** Guards against responses without events that are taken for broken streams. */
+        @Test
+        void isCompleteWhereItIsNoEventStream() {
+            try (EntryFixture entry = streamOf(true, "application/json", "{}")) {
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, "{}", true));
+            }
+        }
+
+        @Test
+        void isPassedOnWhereItIsAnError() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.STREAM, false, 1)) {
+                entry.request();
+                entry.exchange(0).sendHead(500, EVENT_STREAM);
+                entry.exchange(0).sendBody("an error");
+                entry.exchange(0).completeByClose();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(500, "an error", true));
+            }
+        }
+    }
+
     @Nested
     class DelayedConnection {
         /**
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -0,0 +1,171 @@
+package org.radishspur.node.upstream;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Receives the bytes of responses as an upstream sends them, and closes or resets the connection after them.
+ */
+class UpstreamConnectionTest {
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
+
+    private final RecordingListener listener = new RecordingListener();
+    private EmbeddedChannel channel;
+    private UpstreamConnection connection;
+
+    @BeforeEach
+    void connect() {
+        channel = new EmbeddedChannel();
+        UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000);
+        connection = new UpstreamConnection(connections, "127.0.0.1:1");
+        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+        connection.begin(channel, listener);
+    }
+
+    @AfterEach
+    void release() {
+        channel.finishAndReleaseAll();
+    }
+
+    private void request(HttpMethod method) {
+        connection.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
+    }
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    @Nested
+    class EndOfResponse {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                    "HTTP/1.1 204 No Content\r\n\r\n",
+                    "HTTP/1.1 304 Not Modified\r\n\r\n"
+                })
+        void isStatedByTheResponse(String response) {
+            request(HttpMethod.GET);
+            receive(response);
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+            assertThat(listener.lost).isFalse();
+        }
+
+        @Test
+        void isStatedByTheMethodHead() {
+            request(HttpMethod.HEAD);
+            receive("HTTP/1.1 200 OK\r\n\r\n");
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+        }
+
+        /** Guards against a response that ends with its connection and is taken for one that states its end. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    UNFRAMED,
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody",
+                    "HTTP/1.0 200 OK\r\n\r\nbody",
+                    "HTTP/1.1 500 Internal Server Error\r\n\r\nbody"
+                })
+        void isOnlyTheCloseOfTheConnection(String response) {
+            request(HttpMethod.GET);
+            receive(response);
+            assertThat(listener.end).isNull();
+            channel.close();
+            assertThat(listener.end).isEqualTo(ResponseEnd.CONNECTION_CLOSED);
+            assertThat(listener.body.toString()).isEqualTo("body");
+            assertThat(listener.lost).isFalse();
+        }
+
+        /** Guards against a response that seems complete although its connection closed before its stated end. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbody",
+                    "HTTP/1.1 200 OK\r\nConte"
+                })
+        void isMissing(String response) {
+            request(HttpMethod.GET);
+            receive(response);
+            channel.close();
+            assertThat(listener.end).isNull();
+            assertThat(listener.lost).isTrue();
+        }
+
+        /** Guards against a response that ends with its connection and seems complete although that was reset. */
+        @Test
+        void isMissingAfterAReset() {
+            request(HttpMethod.GET);
+            receive(UNFRAMED);
+            channel.pipeline().fireExceptionCaught(new IOException("reset"));
+            channel.close();
+            assertThat(listener.end).isNull();
+            assertThat(listener.lost).isTrue();
+        }
+    }
+
+    /** Guards against bytes after the end of a response that reach the caller of the next request. */
+    @Test
+    void closesAConnectionWithBytesAfterTheEndOfTheResponse() {
+        request(HttpMethod.GET);
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertThat(listener.body.toString()).isEqualTo("body");
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Records what the listener of an exchange receives. */
+    private static final class RecordingListener implements UpstreamListener {
+        private final StringBuilder body = new StringBuilder();
+        private ResponseEnd end;
+        private boolean lost;
+
+        @Override
+        public void onConnected() {}
+
+        @Override
+        public void onConnectFailed() {}
+
+        @Override
+        public void onResponseHead(HttpResponse response) {}
+
+        @Override
+        public void onContent(ByteBuf content) {
+            body.append(content.toString(StandardCharsets.ISO_8859_1));
+            content.release();
+        }
+
+        @Override
+        public void onReadComplete() {}
+
+        @Override
+        public void onResponseComplete(ResponseEnd responseEnd) {
+            end = responseEnd;
+        }
+
+        @Override
+        public void onConnectionLost(Throwable cause) {
+            lost = true;
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
@@ -0,0 +1,133 @@
+package org.radishspur.testkit.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.radishspur.model.table.PoolKind;
+import org.radishspur.model.table.RowChange;
+import org.radishspur.model.table.TableEdit;
+import org.radishspur.model.table.UpstreamRow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Sends requests through a cluster to a plain service whose answers have neither a length nor chunks.
+ */
+class UnframedAnswerTest {
+    private static final String WHOLE_EVENT = "id: 1\ndata: a\n\n";
+    private static final String PARTIAL_EVENT = "id: 2\nda";
+
+    @TempDir
+    Path folder;
+
+    private ProcessCluster cluster;
+    private ServerSocket upstream;
+    private volatile String answer = "";
+    private volatile int runs;
+
+    @BeforeEach
+    void start() throws IOException {
+        cluster = new ProcessCluster(folder);
+        upstream = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread server = new Thread(this::serve, "unframed-upstream");
+        server.setDaemon(true);
+        server.start();
+        UpstreamRow row = new UpstreamRow("service", "127.0.0.1:" + upstream.getLocalPort(), "a", "plain", false);
+        TableEdit edit = new TableEdit(
+                "install",
+                List.of(
+                        new RowChange.PutPool(ProcessCluster.poolRow("services", PoolKind.SERVICE, List.of(row)), 0),
+                        new RowChange.PutRoute(ProcessCluster.routeRow("record", "services", false), 0)));
+        ProcessCluster.await(() -> cluster.submitEdit("a", edit) == 200);
+        ProcessCluster.await(() -> cluster.revision("a") == 1);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        cluster.close();
+        upstream.close();
+    }
+
+    /** Answers one request after the other, and closes the connection after each. */
+    private void serve() {
+        try {
+            while (true) {
+                try (Socket socket = upstream.accept()) {
+                    BufferedReader reader = new BufferedReader(
+                            new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                    int length = 0;
+                    for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+                        if (line.regionMatches(true, 0, "content-length:", 0, 15)) {
+                            length = Integer.parseInt(line.substring(15).strip());
+                        }
+                    }
+                    for (int read = 0; read < length; read++) {
+                        reader.read();
+                    }
+                    runs++;
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        } catch (IOException exception) {
+            // The test has ended.
+        }
+    }
+
+    private HttpResponse<String> send(String key) {
+        HttpRequest request = HttpRequest.newBuilder(cluster.callerUri("a", "/record"))
+                .header("Radishspur-Organisation", "crew")
+                .header("Idempotency-Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString("hello"))
+                .build();
+        return cluster.client()
+                .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .exceptionally(failure -> new UnansweredResponse())
+                .join();
+    }
+
+    private static String eventStream(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + body;
+    }
+
+    /** Guards against a stream that an upstream broke off inside an event and that its caller gets as complete. */
+    @Test
+    void streamCutInsideAnEventIsNotComplete() {
+        answer = eventStream(WHOLE_EVENT + PARTIAL_EVENT);
+        assertThat(send("cut").statusCode()).isZero();
+        HttpResponse<String> again = send("cut");
+        assertThat(again.statusCode()).isNotEqualTo(200);
+        assertThat(runs).isEqualTo(1);
+    }
+
+    @Test
+    void streamThatEndsBetweenEventsIsComplete() {
+        answer = eventStream(WHOLE_EVENT);
+        HttpResponse<String> response = send("whole");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(WHOLE_EVENT);
+    }
+
+    /** Guards against a stored answer that is replayed with a length although its end was uncertain. */
+    @Test
+    void plainAnswerIsPassedOnButNotReplayed() {
+        answer = "HTTP/1.1 200 OK\r\n\r\ndone";
+        assertThat(send("plain").body()).isEqualTo("done");
+        HttpResponse<String> again = send("plain");
+        assertThat(again.statusCode()).isNotEqualTo(200);
+        assertThat(again.body()).contains("answer-not-stored");
+        assertThat(runs).isEqualTo(1);
+    }
+}
