Reset the connection where a broken answer would end with a plain close

What callers saw: a caller of HTTP 1.0 on the path of permits gets answers that end with the connection, so one that was broken off, and whose connection the node closed, looked complete. The same cause as of the streams without framing, at our own end. Evidence: UnframedAnswerTest.brokenAnswerIsResetForACallerWithoutChunks read a normal end on the code before. Change: AnswerWriter.abort lets the close of such a connection be a reset, which no client takes for an end.

--- a/node/src/main/java/org/radishspur/node/caller/AnswerWriter.java
+++ b/node/src/main/java/org/radishspur/node/caller/AnswerWriter.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -61,6 +62,17 @@
         context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
+    /**
+     * Closes the connection in the middle of an answer. Where the answer ends with the connection, a plain close would
+     * make it look complete, so that the connection is reset.
+     */
+    void abort() {
+        if (beforeHttp11) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        context.close();
+    }
+
     void writeRefusal(Refusal refusal) {
         writeFull(Problem.of(refusal).toResponse());
     }
--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -397,7 +397,7 @@
         services.metrics().countRefused(refusal.reason());
         if (answer.isHeadWritten()) {
             services.metrics().countTruncated();
-            context.close();
+            answer.abort();
             return;
         }
         answer.writeRefusal(refusal);
--- a/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
@@ -22,6 +22,7 @@
 import org.radishspur.model.table.UpstreamRow;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Sends requests through a cluster to a plain service whose answers have neither a length nor chunks.
@@ -130,4 +131,19 @@
         assertThat(again.body()).contains("answer-not-stored");
         assertThat(runs).isEqualTo(1);
     }
+
+    /**
+     * Guards against a broken answer that looks complete to a caller of HTTP 1.0, whose answers end with the connection.
+     */
+    @Test
+    void brokenAnswerIsResetForACallerWithoutChunks() throws IOException {
+        answer = eventStream(WHOLE_EVENT + PARTIAL_EVENT);
+        String request =
+                "GET /record HTTP/1.0\r\nHost: h\r\nRadishspur-Organisation: crew\r\nIdempotency-Key: old\r\n\r\n";
+        try (Socket caller = new Socket("127.0.0.1", cluster.callerPort("a"))) {
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            assertThatThrownBy(() -> caller.getInputStream().readAllBytes()).isInstanceOf(IOException.class);
+        }
+        assertThat(runs).isEqualTo(1);
+    }
 }
