--- a/node/src/test/java/org/radishspur/node/upstream/EventBoundaryTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/EventBoundaryTest.java
@@ -6,9 +6,9 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -100,7 +100,7 @@
         assertThat(boundary.add((byte) '\n')).isEqualTo(Position.EVENT_END);
     }
 
-    @Nested
+    @Group
     class Streams {
         @Provide
         Arbitrary<String> lineEnds() {
