Let an entry that has lost its links to upstreams connect through other entries

Cause: an entry learns of upstreams and nothing of its own links. It tried each upstream afresh for each request, blamed the upstreams, and had no other way to them. The class: a local fault that is taken for a fault of everything remote. A connection that can't be made directly, or whose path is broken, is made through another entry (RelayServer, RelayDialer; framed, so that the end of the upstream's connection can be told from the loss of the entry between). Only bytes are relayed: the request with its id, deadline, slot and budget stays where it is, none is sent twice for it, and a relayed connection is never relayed again. A broken path is tried by one repeatable request at a time, and at once by the next after one that was answered. What a cut entry gives back: the slots of requests that hang on a broken path; repeatable ones go on through another entry, within the budget of retries, and others stay in doubt until their deadline. What doesn't learn from its failures: ejection (unreachable only if another entry can't connect either), the version under trial, and crash suspicion (the check of an upstream that refuses is made through another entry as well). Earlier builds neither relay nor are they named; they read the longer messages (EarlierBuildTest).

--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -380,6 +380,22 @@
         }
     }
 
+    /**
+     * Retries a request that waits on a broken path if it may run again. Any other one waits on, as it may have run and
+     * its response may still come, but its slot is released, so that it doesn't keep the requests of others waiting.
+     */
+    void checkPath(long now) {
+        if (done || attempt == null || !attempt.isStalledOnBrokenPath(now)) {
+            return;
+        }
+        if (isRetryAllowed()) {
+            attempt.abandon();
+            onAttemptFailed("broken path");
+        } else {
+            attempt.releaseSlot();
+        }
+    }
+
     /** Returns whether the request may be sent to another upstream although it may have run already. */
     private boolean isRetryAllowed() {
         return route.isRepeatable()
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -19,13 +19,17 @@
 import org.radishspur.node.fleet.FleetInbox;
 import org.radishspur.node.fleet.FleetLinks;
 import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetMessage.UpstreamReach;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.metrics.MetricsServer;
+import org.radishspur.node.relay.RelayDialer;
+import org.radishspur.node.relay.RelayServer;
 import org.radishspur.node.schedule.ViewPoller;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.PlatformProcessSettings;
 import org.radishspur.node.supervise.Supervisor;
+import org.radishspur.node.upstream.RelayedProbe;
 import org.radishspur.node.upstream.UpstreamConnections;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamProbe;
@@ -64,6 +68,7 @@
     private final EntryServices services;
     private final ViewPoller viewPoller;
     private final FrontServer frontServer;
+    private final RelayServer relayServer;
     private final Supervisor.Scheduler.ThreadScheduler restartScheduler = new Supervisor.Scheduler.ThreadScheduler();
     private final Supervisor supervisor;
     private final CountDownLatch failed = new CountDownLatch(1);
@@ -88,13 +93,19 @@
         EntryMetrics metrics = new EntryMetrics();
         VersionCounters versionCounters = new VersionCounters();
         links = new FleetLinks(traffic, this);
-        UpstreamExchange.Factory exchanges = new UpstreamConnections(traffic, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        LinkMonitor linkMonitor = new LinkMonitor(events, this::reportReach, EntryServices::now);
+        UpstreamExchange.Factory exchanges =
+                new UpstreamConnections(traffic, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, linkMonitor.paths());
+        UpstreamProbe probe = new RelayedProbe(
+                new UpstreamProbe.Default(traffic),
+                new RelayDialer(traffic, CONNECT_TIMEOUT_MILLIS),
+                linkMonitor.paths());
         services = new EntryServices(
                 settings,
                 callerDialect,
                 events,
                 metrics,
-                new EntryServices.Transport(traffic, exchanges, new UpstreamProbe.Default(traffic), links),
+                new EntryServices.Transport(traffic, exchanges, probe, linkMonitor, links),
                 versionCounters);
         metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
         metrics.registry().register("catalogue.revision", (Gauge<Long>)
@@ -106,16 +117,23 @@
                     }
                 });
         frontServer = new FrontServer(settings.callerAddress().orElseThrow(), traffic, services);
+        relayServer = new RelayServer(
+                settings.peerAddress(),
+                traffic,
+                CONNECT_TIMEOUT_MILLIS,
+                upstream -> !services.isStopping() && linkMonitor.relaysTo(upstream));
         supervisor = new Supervisor("entry", restartScheduler, control::nowMillis)
                 .supervise(
                         "ready-server",
                         () -> new ReadyServer(settings.readyAddress().orElseThrow(), traffic, services))
-                .supervise("front-server", () -> frontServer);
+                .supervise("front-server", () -> frontServer)
+                .supervise("relay-server", () -> relayServer);
         settings.metricsAddress()
                 .ifPresent(address -> supervisor.supervise(
                         "metrics-server", () -> new MetricsServer(address, eventLoops, metrics.registry())));
         supervisor.start(cause -> failed.countDown());
         control.execute(() -> viewPoller.setSeeds(addresses(settings.seeds())));
+        reportReach(UpstreamReach.REACHED);
         // Loads the JSON parser now, while the entry waits for the control leader, and not at the first catalogue.
         control.execute(() -> Json.INSTANCE.readTree("{}", ErrorCode.TABLE_INVALID));
     }
@@ -165,10 +183,11 @@
     public void shutDown() {
         events.emit(EventCode.STOPPING, services.inProgress());
         services.stop();
+        reportReach(UpstreamReach.NO_RELAY);
         long startedAtNanos = System.nanoTime();
         long maxMillis = settings.bounds().plannedStopMillis() - GRACE_MARGIN_MILLIS;
         long elapsedMillis = 0;
-        while (elapsedMillis < maxMillis && (elapsedMillis < BALANCER_UPDATE_MILLIS || services.inProgress() > 0)) {
+        while (elapsedMillis < maxMillis && (elapsedMillis < BALANCER_UPDATE_MILLIS || isBusy())) {
             pause();
             elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
             if (elapsedMillis >= BALANCER_UPDATE_MILLIS) {
@@ -190,6 +209,15 @@
         eventLoops.shutdownGracefully();
     }
 
+    /** Returns whether requests are in progress here, or at another entry through connections of this one. */
+    private boolean isBusy() {
+        return services.inProgress() > 0 || relayServer.isBusy();
+    }
+
+    private void reportReach(UpstreamReach reach) {
+        control.execute(() -> viewPoller.setReach(reach));
+    }
+
     private static void pause() {
         try {
             Thread.sleep(DRAIN_POLL_MILLIS);
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -103,6 +103,7 @@
         if (!same) {
             retryBudgets.setEntryCount(newer.entryCount());
             slots.onView(newer, now());
+            links().onView(newer);
         }
         resumeAwaiting();
     }
@@ -127,11 +128,13 @@
     private void check() {
         checkScheduled = false;
         long now = now();
+        links().check(now);
         slots.checkPending(now);
         for (EntryExchange exchange : Set.copyOf(running)) {
             exchange.checkSilence(now);
+            exchange.checkPath(now);
         }
-        if (slots.hasPending() || !running.isEmpty()) {
+        if (slots.hasPending() || !running.isEmpty() || links().isCutOff()) {
             scheduleCheck();
         }
     }
@@ -231,6 +234,10 @@
         return transport.exchanges();
     }
 
+    LinkMonitor links() {
+        return transport.links();
+    }
+
     SlotClient slots() {
         return slots;
     }
@@ -270,7 +277,13 @@
      * @param loop the event loop of the traffic thread.
      * @param exchanges starts exchanges with upstreams.
      * @param probe checks whether upstreams still run.
+     * @param links finds out whether this entry is cut off from upstreams.
      * @param schedulers sends messages to the schedulers.
      */
-    record Transport(EventLoop loop, UpstreamExchange.Factory exchanges, UpstreamProbe probe, FleetSender schedulers) {}
+    record Transport(
+            EventLoop loop,
+            UpstreamExchange.Factory exchanges,
+            UpstreamProbe probe,
+            LinkMonitor links,
+            FleetSender schedulers) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -67,7 +67,8 @@
     }
 
     void start() {
-        exchange = services.exchanges().open(upstream.upstream().address(), this);
+        exchange = services.exchanges()
+                .open(upstream.upstream().address(), this, caller.route().isRepeatable());
     }
 
     UpstreamLoad upstream() {
@@ -391,10 +392,14 @@
             return;
         }
         caller.onConnectionLost(upstream.upstream());
-        if (upstream.isSeparateBreak(EntryServices.now())) {
-            recordResponse(false);
+        if (isPathBroken()) {
+            end(SlotOutcome.ABANDONED);
+        } else {
+            if (upstream.isSeparateBreak(EntryServices.now())) {
+                recordResponse(false);
+            }
+            end(SlotOutcome.BROKEN);
         }
-        end(SlotOutcome.BROKEN);
         caller.onAttemptFailed("broken: " + cause.getMessage());
     }
 
@@ -404,6 +409,24 @@
         return upstreamSilent && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
     }
 
+    /** Returns whether this entry has lost its direct path to the upstream, so that the upstream is not at fault. */
+    private boolean isPathBroken() {
+        return exchange.isDirect()
+                && services.links().isCutOff()
+                && services.links().paths().isBroken(upstream.upstream().address());
+    }
+
+    /** Returns whether no part of the response has come for a while and the path to the upstream is broken. */
+    boolean isStalledOnBrokenPath(long now) {
+        boolean stalled = now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
+        return phase == Phase.RUNNING && stalled && isPathBroken();
+    }
+
+    /** Releases the slot while the attempt goes on. */
+    void releaseSlot() {
+        slot.end(SlotOutcome.ABANDONED);
+    }
+
     /** Ends the attempt early: cancels the request at the upstream and releases the slot. */
     void abandon() {
         if (phase == Phase.ENDED) {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -57,6 +57,7 @@
      * @param listTerm the term of the sender's host list.
      * @param listReading the reading of the sender's host list within that term.
      * @param versionCounts the responses that the entry has counted since it started, by version.
+     * @param reach whether the sender reaches upstreams, so that it could relay for others.
      */
     record ViewRequest(
             long nonce,
@@ -65,8 +66,24 @@
             long revision,
             long listTerm,
             long listReading,
-            List<VersionCounts> versionCounts)
-            implements FleetMessage {}
+            List<VersionCounts> versionCounts,
+            UpstreamReach reach)
+            implements FleetMessage {
+        /** Replaces what an older build doesn't send. */
+        public ViewRequest {
+            reach = reach == null ? UpstreamReach.NO_RELAY : reach;
+        }
+    }
+
+    /** What a process can do for others that don't reach upstreams. */
+    enum UpstreamReach {
+        /** It relays no connections. */
+        NO_RELAY,
+        /** It reaches upstreams, and relays connections to them. */
+        REACHED,
+        /** It is cut off from upstreams itself. */
+        CUT_OFF
+    }
 
     /**
      * Responds to a {@link ViewRequest}.
@@ -81,6 +98,7 @@
      * @param entryCount the number of entries that have sent requests recently.
      * @param controlHosts all control hosts.
      * @param evacuated the failure domains whose upstreams must get no new requests.
+     * @param relays the addresses of some entries that relay connections to upstreams.
      */
     record ViewResponse(
             long nonce,
@@ -91,8 +109,14 @@
             List<CatalogueState.Rollout> rollouts,
             int entryCount,
             List<ControlHost> controlHosts,
-            Set<String> evacuated)
-            implements FleetMessage {}
+            Set<String> evacuated,
+            List<String> relays)
+            implements FleetMessage {
+        /** Replaces what an older build doesn't send. */
+        public ViewResponse {
+            relays = relays == null ? List.of() : relays;
+        }
+    }
 
     /**
      * Reports the load and the quota usage at one scheduler to another one.
--- a/node/src/main/java/org/radishspur/node/group/ViewService.java
+++ b/node/src/main/java/org/radishspur/node/group/ViewService.java
@@ -38,6 +38,7 @@
     private final Deque<PendingRead> pendingReads = new ArrayDeque<>();
     private final DocumentSender documentSender = new DocumentSender();
     private final DeferredRequests deferredRequests = new DeferredRequests();
+    private final RelayDirectory relays = new RelayDirectory();
 
     ViewService(
             ControlLoop loop,
@@ -58,6 +59,7 @@
         long now = loop.nowMillis();
         if (!request.entry().isEmpty()) {
             entriesLastSeenAt.put(request.entry(), now);
+            relays.record(request.entry(), request.reach(), now);
         }
         if (!replica.isLeader() && replica.leaderNode().isEmpty()) {
             deferredRequests.defer(new DeferredRequests.DeferredRequest(sender, request, now));
@@ -81,7 +83,8 @@
                     List.of(),
                     0,
                     membership.controlHosts(),
-                    Set.of()));
+                    Set.of(),
+                    List.of()));
             return;
         }
         if (!request.entry().isEmpty()) {
@@ -160,7 +163,8 @@
                 new ArrayList<>(state.rollouts()),
                 countEntries(),
                 membership.controlHosts(),
-                state.evacuated());
+                state.evacuated(),
+                relays.relaysFor(request.entry(), loop.nowMillis()));
     }
 
     private int countEntries() {
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -89,6 +89,8 @@
             "restBytes"),
     /** A caller disconnected before its answer was complete. */
     LEFT(true, "upstream", "millis", "events", "promptTokens", "expectedTokens", "rank", "returning"),
+    /** This entry is cut off from upstreams, or reaches them again; others may relay for it. */
+    UPSTREAM_LINKS(false, "state", "relays"),
     /** An upstream is ejected: it gets no requests for some time. */
     EJECTED(false, "upstream", "cause"),
     /** An upstream states a limit, or another one than before; 0 requests mean that it states none any more. */
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
@@ -0,0 +1,117 @@
+package org.radishspur.node.relay;
+
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.radishspur.node.peer.PeerCodec;
+import org.radishspur.node.settings.HostPort;
+
+/**
+ * Opens connections to upstreams through other hosts.
+ */
+public final class RelayDialer {
+    /** How many hosts are asked for one connection, as several may be cut off at the same time. */
+    private static final int MAX_RELAYS = 3;
+
+    /** The time that a host has to answer beyond its own time to connect, in milliseconds. */
+    private static final long ANSWER_MARGIN_MILLIS = 100;
+
+    private final EventLoop loop;
+    private final int connectMillis;
+
+    /**
+     * Creates a dialer.
+     *
+     * @param loop the event loop of the traffic thread, on which {@link #dial} must be called.
+     * @param connectMillis the maximum time to connect to a host, and of that host to connect to the upstream, in
+     *     milliseconds.
+     */
+    public RelayDialer(EventLoop loop, long connectMillis) {
+        this.loop = loop;
+        this.connectMillis = (int) connectMillis;
+    }
+
+    /**
+     * Opens a connection through the first of some hosts that connects.
+     *
+     * @param relays the addresses of the hosts, in the order in which they are asked.
+     * @param upstream the address of the upstream.
+     * @param listener receives the outcome.
+     */
+    public void dial(List<String> relays, String upstream, Listener listener) {
+        dialNext(relays.stream().limit(MAX_RELAYS).iterator(), upstream, listener, RelayMessage.Result.DECLINED);
+    }
+
+    private void dialNext(Iterator<String> relays, String upstream, Listener listener, RelayMessage.Result previous) {
+        if (!relays.hasNext()) {
+            listener.onFailed(previous);
+            return;
+        }
+        RelayTunnel tunnel = new RelayTunnel(upstream, new RelayTunnel.Listener() {
+            @Override
+            public void onOpened(Channel channel) {
+                listener.onOpened(channel);
+            }
+
+            @Override
+            public void onFailed(RelayMessage.Result result) {
+                if (result == RelayMessage.Result.REFUSED) {
+                    listener.onFailed(result);
+                } else {
+                    boolean known = result == RelayMessage.Result.UNREACHABLE;
+                    dialNext(relays, upstream, listener, known ? result : previous);
+                }
+            }
+        });
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        PeerCodec.install(channel, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
+                        channel.pipeline().addLast(tunnel);
+                    }
+                })
+                .connect(HostPort.parse(relays.next()).toSocketAddress())
+                .addListener((ChannelFuture future) -> {
+                    if (future.isSuccess()) {
+                        loop.schedule(tunnel::onTimeout, connectMillis + ANSWER_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+                    } else {
+                        tunnel.fail(RelayMessage.Result.DECLINED);
+                    }
+                });
+    }
+
+    /**
+     * Receives the outcome of dialing, on the traffic thread.
+     */
+    public interface Listener {
+        /**
+         * Invoked when the upstream is connected.
+         *
+         * @param channel the connection, which reads only on request; bytes that are written to it reach the upstream.
+         */
+        void onOpened(Channel channel);
+
+        /**
+         * Invoked when no host has connected to the upstream.
+         *
+         * @param result what is known: the upstream refuses connections, it is unreachable for the hosts that were
+         *     asked, or no host relays.
+         */
+        void onFailed(RelayMessage.Result result);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -0,0 +1,218 @@
+package org.radishspur.node.relay;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import org.radishspur.node.peer.PeerCodec;
+import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.ServerSocketBinder;
+
+/**
+ * Connects other hosts to upstreams that they can't reach. Only upstreams of the host list are connected, and never
+ * through a third host.
+ */
+public final class RelayServer implements Child {
+    /** The maximum number of relayed connections, so that the callers of this host keep most of its descriptors. */
+    private static final int MAX_CONNECTIONS = 500;
+
+    /** The time since the last bytes for which relayed requests may be in progress, in nanoseconds. */
+    private static final long BUSY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final HostPort address;
+    private final EventLoop loop;
+    private final int connectMillis;
+    private final Predicate<String> relaysTo;
+    private Channel channel;
+    private int connections;
+    private volatile long transferredAtNanos = System.nanoTime() - BUSY_NANOS;
+
+    /**
+     * Creates a server that doesn't listen yet.
+     *
+     * @param address the address to listen on.
+     * @param loop the event loop of the traffic thread.
+     * @param connectMillis the maximum time to connect to an upstream, in milliseconds.
+     * @param relaysTo returns whether connections to an upstream's address are relayed now.
+     */
+    public RelayServer(HostPort address, EventLoop loop, long connectMillis, Predicate<String> relaysTo) {
+        this.address = address;
+        this.loop = loop;
+        this.connectMillis = (int) connectMillis;
+        this.relaysTo = relaysTo;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void start(FailureListener listener) {
+        channel = ServerSocketBinder.INSTANCE.bind(address, loop, accepted -> {
+            PeerCodec.install(accepted, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
+            accepted.pipeline().addLast(new Relay(accepted));
+        });
+    }
+
+    /**
+     * Returns whether requests may be in progress on relayed connections; any thread may call this.
+     *
+     * @return whether bytes were passed on a moment ago.
+     */
+    public boolean isBusy() {
+        return System.nanoTime() - transferredAtNanos < BUSY_NANOS;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /**
+     * Passes the bytes of one connection on, in both directions. Each side is read only while the other is writable.
+     */
+    private final class Relay extends SimpleChannelInboundHandler<RelayMessage> {
+        private final Channel host;
+        private Channel upstream;
+
+        Relay(Channel host) {
+            this.host = host;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections++;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, RelayMessage message) {
+            if (message instanceof RelayMessage.Open open) {
+                open(open.upstream());
+            } else if (message instanceof RelayMessage.Data data && upstream != null) {
+                transferredAtNanos = System.nanoTime();
+                upstream.writeAndFlush(Unpooled.wrappedBuffer(data.bytes()), upstream.voidPromise());
+            }
+        }
+
+        private void open(String target) {
+            if (connections > MAX_CONNECTIONS || !relaysTo.test(target)) {
+                decline(RelayMessage.Result.DECLINED);
+                return;
+            }
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new UpstreamSide())
+                    .connect(HostPort.parse(target).toSocketAddress())
+                    .addListener((ChannelFuture future) -> onConnected(future));
+        }
+
+        private void onConnected(ChannelFuture future) {
+            if (!future.isSuccess()) {
+                decline(
+                        future.cause() instanceof java.net.ConnectException
+                                        && !(future.cause() instanceof ConnectTimeoutException)
+                                ? RelayMessage.Result.REFUSED
+                                : RelayMessage.Result.UNREACHABLE);
+            } else if (!host.isActive()) {
+                future.channel().close();
+            } else {
+                upstream = future.channel();
+                host.writeAndFlush(new RelayMessage.Opened(RelayMessage.Result.CONNECTED), host.voidPromise());
+            }
+        }
+
+        private void decline(RelayMessage.Result result) {
+            host.writeAndFlush(new RelayMessage.Opened(result)).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (upstream != null) {
+                upstream.config().setAutoRead(host.isWritable());
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections--;
+            if (upstream != null) {
+                upstream.close();
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        /** Handles the connection to the upstream. */
+        private final class UpstreamSide extends ChannelInboundHandlerAdapter {
+            private boolean lost;
+
+            /** {@inheritDoc} */
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                transferredAtNanos = System.nanoTime();
+                ByteBuf bytes = (ByteBuf) message;
+                while (bytes.isReadable()) {
+                    int count = Math.min(bytes.readableBytes(), RelayMessage.Data.MAX_BYTES);
+                    byte[] part = ByteBufUtil.getBytes(bytes.readSlice(count));
+                    host.write(new RelayMessage.Data(part), host.voidPromise());
+                }
+                ReferenceCountUtil.release(message);
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void channelReadComplete(ChannelHandlerContext context) {
+                host.flush();
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void channelWritabilityChanged(ChannelHandlerContext context) {
+                host.config().setAutoRead(context.channel().isWritable());
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void channelInactive(ChannelHandlerContext context) {
+                if (lost) {
+                    host.close();
+                } else {
+                    host.writeAndFlush(new RelayMessage.End()).addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                lost = true;
+                context.close();
+            }
+        }
+    }
+}
--- a/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
@@ -23,6 +23,7 @@
  * @param entryCount the number of entries that poll the leader.
  * @param controlHosts the control hosts, each of which runs a scheduler.
  * @param evacuated the failure domains whose upstreams must get no new requests.
+ * @param relays the addresses of some entries that relay connections to upstreams.
  * @param confirmedAt the time at which the request for the latest confirmation was sent.
  */
 public record ConfirmedView(
@@ -32,24 +33,27 @@
         int entryCount,
         List<ControlHost> controlHosts,
         Set<String> evacuated,
+        List<String> relays,
         Moment confirmedAt) {
     /** The view of a process that has just started; it was never confirmed. */
-    public static final ConfirmedView EMPTY =
-            new ConfirmedView(Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Set.of(), Moment.LONG_AGO);
+    public static final ConfirmedView EMPTY = new ConfirmedView(
+            Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Set.of(), List.of(), Moment.LONG_AGO);
 
     /** Makes immutable copies of the collections. */
     public ConfirmedView {
         rollouts = List.copyOf(rollouts);
         controlHosts = List.copyOf(controlHosts);
         evacuated = Set.copyOf(evacuated);
+        relays = List.copyOf(relays);
     }
 
     ConfirmedView withCatalogue(Catalogue newer) {
-        return new ConfirmedView(Optional.of(newer), hosts, rollouts, entryCount, controlHosts, evacuated, confirmedAt);
+        return new ConfirmedView(
+                Optional.of(newer), hosts, rollouts, entryCount, controlHosts, evacuated, relays, confirmedAt);
     }
 
     ConfirmedView withHosts(HostList newer) {
-        return new ConfirmedView(catalogue, newer, rollouts, entryCount, controlHosts, evacuated, confirmedAt);
+        return new ConfirmedView(catalogue, newer, rollouts, entryCount, controlHosts, evacuated, relays, confirmedAt);
     }
 
     ConfirmedView withResponse(FleetMessage.ViewResponse response, Moment sentAt) {
@@ -60,6 +64,7 @@
                 response.entryCount(),
                 response.controlHosts(),
                 response.evacuated(),
+                response.relays(),
                 sentAt);
     }
 
@@ -104,6 +109,7 @@
                 && catalogue.equals(other.catalogue)
                 && rollouts.equals(other.rollouts)
                 && controlHosts.equals(other.controlHosts)
-                && evacuated.equals(other.evacuated);
+                && evacuated.equals(other.evacuated)
+                && relays.equals(other.relays);
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
@@ -54,6 +54,7 @@
     private ConfirmedView view = ConfirmedView.EMPTY;
     private String leader = "";
     private boolean leaderLost = true;
+    private FleetMessage.UpstreamReach reach = FleetMessage.UpstreamReach.NO_RELAY;
     private long nextNonce;
 
     /**
@@ -98,6 +99,18 @@
         sendRequests();
     }
 
+    /**
+     * Sets whether this process reaches upstreams, and reports it at once if it has changed.
+     *
+     * @param newReach what this process can do for others.
+     */
+    public void setReach(FleetMessage.UpstreamReach newReach) {
+        if (reach != newReach) {
+            reach = newReach;
+            sendRequests();
+        }
+    }
+
     /**
      * Handles the response to a request. A confirmed response updates the view; any other one only names the control
      * hosts and, where it is known, the leader.
@@ -224,7 +237,8 @@
                             view.revision(),
                             view.hosts().term(),
                             view.hosts().reading(),
-                            counts));
+                            counts,
+                            reach));
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.radishspur.node.upstream.UpstreamConnections.Target;
 
 /**
  * A connection to an upstream, which carries one exchange at a time.
@@ -29,21 +30,22 @@
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
 
     private final UpstreamConnections connections;
-    private final String address;
+    private Target target;
     private Channel channel;
     private UpstreamListener listener;
     private HttpMethod method = HttpMethod.GET;
     private ResponseEnd responseEnd = ResponseEnd.STATED;
+    private boolean unanswered;
     private boolean requestComplete;
     private boolean responseComplete;
     private boolean reusable;
     private boolean skippingResponse;
     private long maxIdleMillis;
 
-    UpstreamConnection(UpstreamConnections connections, String address) {
+    UpstreamConnection(UpstreamConnections connections, Target target) {
         super(false);
         this.connections = connections;
-        this.address = address;
+        this.target = target;
     }
 
     /** Starts an exchange on a new or idle connection. */
@@ -62,6 +64,10 @@
     public ChannelFuture write(HttpObject part) {
         if (part instanceof HttpRequest request) {
             method = request.method();
+            unanswered = true;
+            if (isDirect()) {
+                connections.paths().recordSent(target.address());
+            }
         }
         requestComplete |= part instanceof LastHttpContent;
         return channel.writeAndFlush(part);
@@ -80,10 +86,17 @@
         reusable = false;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean isDirect() {
+        return !target.relayed();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void abort() {
         listener = null;
+        recordEnded();
         if (channel != null) {
             channel.close();
         }
@@ -92,7 +105,7 @@
     /** {@inheritDoc} */
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        connections.remove(address, this);
+        connections.remove(target, this);
         fail(new java.nio.channels.ClosedChannelException());
     }
 
@@ -114,6 +127,9 @@
     /** {@inheritDoc} */
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+        if (unanswered && isDirect() && context.channel().isActive()) {
+            connections.paths().recordBytes(target.address());
+        }
         if (listener == null || part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
             fail(new java.net.ProtocolException("unexpected bytes from the upstream"));
@@ -157,19 +173,32 @@
     /** Ends the exchange, and keeps the connection for reuse where request and response are complete. */
     private void complete() {
         responseComplete = true;
+        recordEnded();
         UpstreamListener receiver = listener;
         listener = null;
         if (requestComplete && responseComplete && reusable) {
-            connections.returnIdle(address, this, channel, maxIdleMillis);
+            connections.returnIdle(target, this, channel, maxIdleMillis);
         } else {
             channel.close();
         }
         receiver.onResponseComplete(responseEnd);
     }
 
+    /** Records once that the request that was sent has ended, for the direct path that it was sent on. */
+    private void recordEnded() {
+        if (unanswered && isDirect()) {
+            connections.paths().recordEnded(target.address());
+        }
+        unanswered = false;
+    }
+
     private void fail(Throwable cause) {
         UpstreamListener receiver = listener;
         listener = null;
+        if (unanswered && isDirect()) {
+            connections.paths().recordLoss(target.address());
+        }
+        recordEnded();
         if (receiver != null) {
             receiver.onConnectionLost(cause);
         }
@@ -178,4 +207,13 @@
     Channel channel() {
         return channel;
     }
+
+    Target target() {
+        return target;
+    }
+
+    /** Sets where the connection leads, before it is established. */
+    void setTarget(Target newTarget) {
+        target = newTarget;
+    }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -3,79 +3,143 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.radishspur.node.relay.RelayDialer;
+import org.radishspur.node.relay.RelayMessage;
 import org.radishspur.node.settings.HostPort;
 
 /**
  * Holds the connections of one traffic thread to all upstreams, and starts exchanges on idle or new ones. As each
  * traffic thread has an instance of its own, an exchange runs on the thread of its caller.
+ *
+ * <p>Where the direct path to an upstream is broken, connections are made through another host, if one relays.
  */
 public final class UpstreamConnections implements UpstreamExchange.Factory {
     private final EventLoop loop;
     private final int connectMillis;
     private final long keepMillis;
-    private final Map<String, Deque<Idle>> idle = new HashMap<>();
+    private final UpstreamPaths paths;
+    private final RelayDialer dialer;
+    private final Map<Target, Deque<Idle>> idle = new HashMap<>();
 
     /**
-     * Creates an empty set of connections.
+     * Creates an empty set of direct connections.
      *
      * @param loop the event loop of the traffic thread, on which every method must be called.
      * @param connectMillis the maximum time to connect to an upstream, in milliseconds.
      * @param keepMillis the maximum time that an idle connection is kept, in milliseconds; an upstream may state less.
      */
     public UpstreamConnections(EventLoop loop, long connectMillis, long keepMillis) {
+        this(loop, connectMillis, keepMillis, UpstreamPaths.DirectOnly.INSTANCE);
+    }
+
+    /**
+     * Creates an empty set of connections.
+     *
+     * @param loop the event loop of the traffic thread, on which every method must be called.
+     * @param connectMillis the maximum time to connect to an upstream, in milliseconds.
+     * @param keepMillis the maximum time that an idle connection is kept, in milliseconds; an upstream may state less.
+     * @param paths tells which direct paths are broken and which hosts relay.
+     */
+    public UpstreamConnections(EventLoop loop, long connectMillis, long keepMillis, UpstreamPaths paths) {
         this.loop = loop;
         this.connectMillis = (int) connectMillis;
         this.keepMillis = keepMillis;
+        this.paths = paths;
+        this.dialer = new RelayDialer(loop, connectMillis);
     }
 
     /** {@inheritDoc} */
     @Override
     public UpstreamExchange open(String address, UpstreamListener listener) {
-        Deque<Idle> candidates = idle.getOrDefault(address, new ArrayDeque<>());
+        return open(address, listener, false);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
+        Target direct = new Target(address, false);
+        if (paths.isBroken(address)) {
+            closeIdle(direct);
+        }
+        Optional<Idle> kept = takeIdle(direct);
+        boolean directAllowed =
+                kept.isPresent() || !paths.isBrokenForNew(address) || paths.takeTrial(address, repeatable);
+        if (kept.isEmpty() && !directAllowed) {
+            kept = takeIdle(new Target(address, true));
+        }
+        if (kept.isPresent()) {
+            UpstreamConnection connection = kept.get().connection();
+            connection.begin(kept.get().channel(), listener);
+            loop.execute(listener::onConnected);
+            return connection;
+        }
+        UpstreamConnection connection = new UpstreamConnection(this, new Target(address, !directAllowed));
+        if (directAllowed) {
+            connectDirectly(connection, listener);
+        } else {
+            connectThroughRelay(connection, listener, paths.relays());
+        }
+        return connection;
+    }
+
+    private Optional<Idle> takeIdle(Target target) {
+        Deque<Idle> candidates = idle.getOrDefault(target, new ArrayDeque<>());
         while (!candidates.isEmpty()) {
             Idle candidate = candidates.removeLast();
             if (candidate.channel().isActive() && System.nanoTime() < candidate.keepUntilNanos()) {
-                candidate.connection().begin(candidate.channel(), listener);
-                loop.execute(listener::onConnected);
-                return candidate.connection();
+                return Optional.of(candidate);
             }
             candidate.channel().close();
         }
-        return connect(address, listener);
+        return Optional.empty();
+    }
+
+    private void closeIdle(Target target) {
+        Deque<Idle> closed = idle.remove(target);
+        if (closed != null) {
+            closed.forEach(each -> each.channel().close());
+        }
     }
 
     /** Makes a connection available for reuse, for a time in milliseconds that the upstream has stated. */
-    void returnIdle(String address, UpstreamConnection connection, Channel channel, long maxIdleMillis) {
+    void returnIdle(Target target, UpstreamConnection connection, Channel channel, long maxIdleMillis) {
         long keepUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.min(keepMillis, maxIdleMillis));
-        idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(new Idle(connection, channel, keepUntilNanos));
+        idle.computeIfAbsent(target, key -> new ArrayDeque<>()).addLast(new Idle(connection, channel, keepUntilNanos));
         // A pending read detects that the upstream closes the idle connection, before it is reused.
         channel.read();
     }
 
     /** Removes a closed connection. */
-    void remove(String address, UpstreamConnection connection) {
-        Deque<Idle> candidates = idle.get(address);
+    void remove(Target target, UpstreamConnection connection) {
+        Deque<Idle> candidates = idle.get(target);
         if (candidates != null) {
             candidates.removeIf(candidate -> candidate.connection() == connection);
             if (candidates.isEmpty()) {
-                idle.remove(address);
+                idle.remove(target);
             }
         }
     }
 
-    private UpstreamExchange connect(String address, UpstreamListener listener) {
-        UpstreamConnection connection = new UpstreamConnection(this, address);
+    UpstreamPaths paths() {
+        return paths;
+    }
+
+    private void connectDirectly(UpstreamConnection connection, UpstreamListener listener) {
+        String address = connection.target().address();
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -89,17 +153,53 @@
                     }
                 })
                 .connect(HostPort.parse(address).toSocketAddress())
-                .addListener((io.netty.channel.ChannelFuture future) -> {
+                .addListener((ChannelFuture future) -> {
                     if (future.isSuccess()) {
+                        paths.recordConnected(address);
                         connection.begin(future.channel(), listener);
                         listener.onConnected();
-                    } else {
+                        return;
+                    }
+                    List<String> relays = paths.relays();
+                    paths.recordConnectFailure(address);
+                    if (relays.isEmpty()) {
                         listener.onConnectFailed();
+                    } else {
+                        connection.setTarget(new Target(address, true));
+                        connectThroughRelay(connection, listener, relays);
                     }
                 });
-        return connection;
     }
 
+    /** Connects through one of some hosts. Where none of them reaches the upstream, the upstream itself is at fault. */
+    private void connectThroughRelay(UpstreamConnection connection, UpstreamListener listener, List<String> relays) {
+        String address = connection.target().address();
+        dialer.dial(relays, address, new RelayDialer.Listener() {
+            @Override
+            public void onOpened(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+                connection.begin(channel, listener);
+                listener.onConnected();
+            }
+
+            @Override
+            public void onFailed(RelayMessage.Result result) {
+                if (result != RelayMessage.Result.DECLINED) {
+                    paths.recordUpstreamDown(address);
+                }
+                listener.onConnectFailed();
+            }
+        });
+    }
+
+    /**
+     * Where connections lead.
+     *
+     * @param address the address of the upstream.
+     * @param relayed whether they are made through another host.
+     */
+    record Target(String address, boolean relayed) {}
+
     /**
      * An idle connection.
      *
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -28,6 +28,15 @@
      */
     void skipResponse();
 
+    /**
+     * Returns whether the exchange is on a direct connection, and not on one through another host.
+     *
+     * @return whether it is.
+     */
+    default boolean isDirect() {
+        return true;
+    }
+
     /** Aborts the exchange and closes the connection; the listener is not invoked again. */
     void abort();
 
@@ -43,5 +52,17 @@
          * @return the exchange, to which nothing may be written before {@link UpstreamListener#onConnected()}.
          */
         UpstreamExchange open(String address, UpstreamListener listener);
+
+        /**
+         * Starts an exchange, which may try a path that was broken.
+         *
+         * @param address the host and port of the upstream.
+         * @param listener the listener of the exchange.
+         * @param repeatable whether the request may run more than once, so that a failed trial does no harm.
+         * @return the exchange, as above.
+         */
+        default UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
+            return open(address, listener);
+        }
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -35,6 +35,8 @@
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.dialect.CallerDialect;
 import org.radishspur.node.fleet.FleetLinks;
+import org.radishspur.node.fleet.FleetMessage;
+import org.radishspur.node.fleet.FleetMessage.UpstreamReach;
 import org.radishspur.node.fleet.HostList;
 import org.radishspur.node.fleet.Moment;
 import org.radishspur.node.log.EventLog;
@@ -60,6 +62,10 @@
     private final EntryServices services;
     private final Catalogue catalogue;
     private final HostList hosts;
+    private final VersionCounters versionCounters = new VersionCounters();
+    private long linkMillis;
+    private UpstreamReach reach = UpstreamReach.REACHED;
+    private final LinkMonitor linkMonitor = new LinkMonitor(events, changed -> reach = changed, () -> linkMillis);
     private boolean connectsAutomatically = true;
     private int checks;
 
@@ -85,8 +91,8 @@
                 new FakeDialect(),
                 events,
                 new EntryMetrics(),
-                new EntryServices.Transport(caller.eventLoop(), this::open, this::check, links),
-                new VersionCounters());
+                new EntryServices.Transport(caller.eventLoop(), this::open, this::check, linkMonitor, links),
+                versionCounters);
         RouteRule route = new RouteRule(
                 "route",
                 "host",
@@ -114,8 +120,8 @@
 
     /** Applies a view with the given evacuated failure domains and time of confirmation. */
     void applyView(Set<String> evacuated, Moment confirmedAt) {
-        services.onView(
-                new ConfirmedView(Optional.of(catalogue), hosts, List.of(), 1, List.of(), evacuated, confirmedAt));
+        services.onView(new ConfirmedView(
+                Optional.of(catalogue), hosts, List.of(), 1, List.of(), evacuated, List.of("relay"), confirmedAt));
     }
 
     /** Leaves connections to upstreams pending until {@link FakeExchange#connect()}. */
@@ -123,6 +129,25 @@
         connectsAutomatically = false;
     }
 
+    /** Lets this entry find that it has lost its direct connections to all upstreams. */
+    void cutOff() {
+        hosts.upstreams().forEach(upstream -> linkMonitor.paths().recordLoss(upstream.address()));
+        linkMillis += 1_000;
+        linkMonitor.check(linkMillis);
+    }
+
+    /** Returns whether this entry has last reported that it reaches upstreams. */
+    UpstreamReach reach() {
+        return reach;
+    }
+
+    /** Returns how many failures of upstreams count against their version. */
+    long versionFailures() {
+        return versionCounters.versionCounts().stream()
+                .mapToLong(FleetMessage.VersionCounts::failures)
+                .sum();
+    }
+
     /** Sends a request as the caller. */
     void request() {
         caller.writeInbound(new DefaultFullHttpRequest(
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -61,6 +61,7 @@
                         91,
                         List.of(new ControlHost(NEAR, "a"), new ControlHost(FAR, "b")),
                         Set.of(),
+                        List.of(),
                         Moment.now()),
                 0);
     }
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.node.entry.EntryFixture.ReceivedResponse;
+import org.radishspur.node.fleet.FleetMessage.UpstreamReach;
 import org.radishspur.node.fleet.Moment;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -176,6 +177,42 @@
         }
     }
 
+    @Nested
+    class CutOffEntry {
+        private EntryFixture withRequest() {
+            EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2);
+            entry.request();
+            return entry;
+        }
+
+        @Test
+        void reportsThatItIsCutOff() {
+            try (EntryFixture entry = withRequest()) {
+                entry.cutOff();
+                assertThat(entry.reach()).isEqualTo(UpstreamReach.CUT_OFF);
+            }
+        }
+
+        /** Guards against a version that is taken back because an entry has lost its own links. */
+        @Test
+        void countsNoLossAgainstTheVersionOfTheUpstream() {
+            try (EntryFixture entry = withRequest()) {
+                entry.cutOff();
+                entry.exchange(0).loseConnection();
+                assertThat(entry.versionFailures()).isZero();
+                assertThat(entry.received().status()).isEqualTo(502);
+            }
+        }
+
+        @Test
+        void countsALossWhileItReachesUpstreams() {
+            try (EntryFixture entry = withRequest()) {
+                entry.exchange(0).loseConnection();
+                assertThat(entry.versionFailures()).isEqualTo(1);
+            }
+        }
+    }
+
     @Nested
     class FailureResponse {
         @Test
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.slot.CrashNote;
@@ -12,6 +13,7 @@
 import org.radishspur.decision.slot.SlotReport;
 import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.replication.codec.MessagePack;
+import org.radishspur.replication.state.CatalogueState;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -65,6 +67,23 @@
         assertThat(reread(report, FleetMessage.LoadReport.class).limits()).isEmpty();
     }
 
+    @Test
+    void readsViewsWithAndWithoutRelays() {
+        FleetMessage.ViewRequest request =
+                new FleetMessage.ViewRequest(1, "entry", 2, 3, 4, 5, List.of(), FleetMessage.UpstreamReach.REACHED);
+        EarlierViewRequest earlierRequest = new EarlierViewRequest(1, "entry", 2, 3, 4, 5, List.of());
+        assertThat(reread(request, EarlierViewRequest.class)).isEqualTo(earlierRequest);
+        assertThat(reread(earlierRequest, FleetMessage.ViewRequest.class).reach())
+                .isEqualTo(FleetMessage.UpstreamReach.NO_RELAY);
+        FleetMessage.ViewResponse response = new FleetMessage.ViewResponse(
+                1, true, "leader", 2, Optional.empty(), List.of(), 3, List.of(), Set.of("a"), List.of("relay"));
+        EarlierViewResponse earlierResponse =
+                new EarlierViewResponse(1, true, "leader", 2, Optional.empty(), List.of(), 3, List.of(), Set.of("a"));
+        assertThat(reread(response, EarlierViewResponse.class)).isEqualTo(earlierResponse);
+        assertThat(reread(earlierResponse, FleetMessage.ViewResponse.class).relays())
+                .isEmpty();
+    }
+
     private record EarlierAttach(String entry, List<HeldSlot> held) {}
 
     private record EarlierReportSlot(long id, SlotReport report) {}
@@ -78,4 +97,24 @@
 
     private record EarlierLoadReport(
             String scheduler, boolean full, int[] upstreams, int[] counts, Map<String, Long> organisations) {}
+
+    private record EarlierViewRequest(
+            long nonce,
+            String entry,
+            long incarnation,
+            long revision,
+            long listTerm,
+            long listReading,
+            List<FleetMessage.VersionCounts> versionCounts) {}
+
+    private record EarlierViewResponse(
+            long nonce,
+            boolean confirmed,
+            String leader,
+            long revision,
+            Optional<HostList> list,
+            List<CatalogueState.Rollout> rollouts,
+            int entryCount,
+            List<ControlHost> controlHosts,
+            Set<String> evacuated) {}
 }
--- a/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
+++ b/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
@@ -13,7 +13,9 @@
 
     private void defer(String entry, long nonce, long now) {
         deferredRequests.defer(new DeferredRequests.DeferredRequest(
-                new RecordingSender(entry), new FleetMessage.ViewRequest(nonce, entry, 1, 0, 0, 0, List.of()), now));
+                new RecordingSender(entry),
+                new FleetMessage.ViewRequest(nonce, entry, 1, 0, 0, 0, List.of(), FleetMessage.UpstreamReach.NO_RELAY),
+                now));
     }
 
     private List<Long> removeDue(boolean leaderKnown, long now) {
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -58,6 +58,7 @@
                         0,
                         List.of(),
                         Set.of(),
+                        List.of(),
                         Moment.LONG_AGO),
                 others + 1,
                 0);
--- a/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
@@ -74,6 +74,7 @@
                         0,
                         controlHosts,
                         Set.of(),
+                        List.of(),
                         Moment.LONG_AGO),
                 controlHosts.size(),
                 0);
@@ -108,6 +109,7 @@
                         0,
                         List.of(),
                         Set.of(),
+                        List.of(),
                         Moment.LONG_AGO),
                 1,
                 0);
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -34,7 +34,7 @@
     void connect() {
         channel = new EmbeddedChannel();
         UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000);
-        connection = new UpstreamConnection(connections, "127.0.0.1:1");
+        connection = new UpstreamConnection(connections, new UpstreamConnections.Target("127.0.0.1:1", false));
         channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
         connection.begin(channel, listener);
     }
