Don't report upstreams as unreachable from an entry that is cut off

The slot is given back unused instead. UpstreamAttemptTest.doesNotReportUpstreamsAsUnreachable failed before; node's tests pass.

--- a/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
@@ -65,6 +65,13 @@
         return cutOff;
     }
 
+    /**
+     * Returns whether a connection that fails shows nothing about its upstream: this entry is cut off, and others are not.
+     */
+    boolean isOwnFault() {
+        return cutOff && !paths.relays().isEmpty();
+    }
+
     /** Returns whether this entry relays connections of others to an upstream. */
     boolean relaysTo(String upstream) {
         return !cutOff && upstreams.contains(upstream);
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -147,7 +147,7 @@
         if (phase != Phase.CONNECTING) {
             return;
         }
-        end(SlotOutcome.UNREACHABLE);
+        end(services.links().isOwnFault() ? SlotOutcome.UNUSED : SlotOutcome.UNREACHABLE);
         caller.onNotRun("connect-failed", false);
     }
 
@@ -412,7 +412,7 @@
     /** Returns whether this entry has lost its direct path to the upstream, so that the upstream is not at fault. */
     private boolean isPathBroken() {
         return exchange.isDirect()
-                && services.links().isCutOff()
+                && services.links().isOwnFault()
                 && services.links().paths().isBroken(upstream.upstream().address());
     }
 
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -136,6 +136,11 @@
         linkMonitor.check(linkMillis);
     }
 
+    /** Returns the runs of upstreams that count as unreachable for this entry. */
+    List<String> unreachable() {
+        return services.slots().unreachable("pool", EntryServices.now());
+    }
+
     /** Returns whether this entry has last reported that it reaches upstreams. */
     UpstreamReach reach() {
         return reach;
@@ -235,6 +240,10 @@
             this.listener = listener;
         }
 
+        void failToConnect() {
+            listener.onConnectFailed();
+        }
+
         void connect() {
             listener.onConnected();
         }
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -204,6 +204,28 @@
             }
         }
 
+        /** Guards against sound upstreams that are ejected for all because entries that are cut off can't connect. */
+        @Test
+        void doesNotReportUpstreamsAsUnreachable() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.delayConnections();
+                entry.request();
+                entry.cutOff();
+                entry.exchange(0).failToConnect();
+                assertThat(entry.unreachable()).isEmpty();
+            }
+        }
+
+        @Test
+        void reportsAnUpstreamAsUnreachableWhileItReachesOthers() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.delayConnections();
+                entry.request();
+                entry.exchange(0).failToConnect();
+                assertThat(entry.unreachable()).hasSize(1);
+            }
+        }
+
         @Test
         void countsALossWhileItReachesUpstreams() {
             try (EntryFixture entry = withRequest()) {
