Relay only while an entry is cut off, and ask a second entry before blaming an upstream

Cause: as first built, each single upstream that had ended or gone dark was tried through other entries as well, so that its failure took up to a second to show where it takes 250 ms; and the word of one relaying entry, which may be cut off itself, was taken for the upstream's end. Change: no path counts as broken while the entry isn't cut off; two entries have to fail to connect, and their failures count as evidence at their own side. Result: node's tests, CutEntryTest, RepeatedCrashTest and UnframedStreamTest pass.

--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -13,7 +13,8 @@
  *
  * <p>One upstream that fails says nothing about the host's own links. The host counts as cut off while at least two
  * upstreams fail, and more of them fail than answer from the same time on. Then the upstreams of which nothing is known
- * are taken to be out of reach too. A broken path is tried again by one request at a time.
+ * are taken to be out of reach too. While it isn't cut off, no path counts as broken. A broken path is tried again by one
+ * request at a time.
  */
 public final class DirectPaths {
     /** The time without any byte on all direct connections after which unanswered upstreams fail, in milliseconds. */
@@ -208,8 +209,9 @@
      * @return whether the path is broken for established connections.
      */
     public boolean isBroken(String upstream, long now) {
+        long since = cutOffSince(now, Path::lostSince);
         Path path = paths.getOrDefault(upstream, Path.UNKNOWN);
-        return path.loss.isRecent(now) || path.answeredAt <= cutOffSince(now, Path::lostSince);
+        return since > BEFORE_ALL && (path.loss.isRecent(now) || path.answeredAt <= since);
     }
 
     /**
@@ -220,8 +222,9 @@
      * @return whether the path is broken for new connections.
      */
     public boolean isBrokenForNew(String upstream, long now) {
+        long since = cutOffSince(now, Path::failedSince);
         Path path = paths.getOrDefault(upstream, Path.UNKNOWN);
-        return path.isBroken(now) || path.answeredAt <= cutOffSince(now, Path::failedSince);
+        return since > BEFORE_ALL && (path.isBroken(now) || path.answeredAt <= since);
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -121,7 +121,8 @@
                 settings.peerAddress(),
                 traffic,
                 CONNECT_TIMEOUT_MILLIS,
-                upstream -> !services.isStopping() && linkMonitor.relaysTo(upstream));
+                upstream -> !services.isStopping() && linkMonitor.relaysTo(upstream),
+                linkMonitor.paths()::recordConnectFailure);
         supervisor = new Supervisor("entry", restartScheduler, control::nowMillis)
                 .supervise(
                         "ready-server",
--- a/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
@@ -19,8 +19,8 @@
  * Opens connections to upstreams through other hosts.
  */
 public final class RelayDialer {
-    /** How many hosts are asked for one connection, as several may be cut off at the same time. */
-    private static final int MAX_RELAYS = 3;
+    /** How many hosts have to fail to connect; one may be cut off itself without knowing it yet. */
+    private static final int MAX_FAILED = 2;
 
     /** The time that a host has to answer beyond its own time to connect, in milliseconds. */
     private static final long ANSWER_MARGIN_MILLIS = 100;
@@ -48,51 +48,70 @@
      * @param listener receives the outcome.
      */
     public void dial(List<String> relays, String upstream, Listener listener) {
-        dialNext(relays.stream().limit(MAX_RELAYS).iterator(), upstream, listener, RelayMessage.Result.DECLINED);
+        new Dialing(relays.iterator(), upstream, listener).next();
     }
 
-    private void dialNext(Iterator<String> relays, String upstream, Listener listener, RelayMessage.Result previous) {
-        if (!relays.hasNext()) {
-            listener.onFailed(previous);
-            return;
+    /**
+     * Asks one host after the other until one connects, enough of them have failed, or all have been asked.
+     */
+    private final class Dialing implements RelayTunnel.Listener {
+        private final Iterator<String> relays;
+        private final String upstream;
+        private final Listener listener;
+        private int failed;
+        private RelayMessage.Result worst = RelayMessage.Result.REFUSED;
+
+        Dialing(Iterator<String> relays, String upstream, Listener listener) {
+            this.relays = relays;
+            this.upstream = upstream;
+            this.listener = listener;
         }
-        RelayTunnel tunnel = new RelayTunnel(upstream, new RelayTunnel.Listener() {
-            @Override
-            public void onOpened(Channel channel) {
-                listener.onOpened(channel);
+
+        void next() {
+            if (failed == MAX_FAILED || !relays.hasNext()) {
+                listener.onFailed(failed == 0 ? RelayMessage.Result.DECLINED : worst);
+                return;
             }
+            RelayTunnel tunnel = new RelayTunnel(upstream, this);
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.AUTO_READ, false)
+                    .handler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel channel) {
+                            PeerCodec.install(channel, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
+                            channel.pipeline().addLast(tunnel);
+                        }
+                    })
+                    .connect(HostPort.parse(relays.next()).toSocketAddress())
+                    .addListener((ChannelFuture future) -> {
+                        if (future.isSuccess()) {
+                            loop.schedule(
+                                    tunnel::onTimeout, connectMillis + ANSWER_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+                        } else {
+                            tunnel.fail(RelayMessage.Result.DECLINED);
+                        }
+                    });
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onOpened(Channel channel) {
+            listener.onOpened(channel);
+        }
 
-            @Override
-            public void onFailed(RelayMessage.Result result) {
-                if (result == RelayMessage.Result.REFUSED) {
-                    listener.onFailed(result);
-                } else {
-                    boolean known = result == RelayMessage.Result.UNREACHABLE;
-                    dialNext(relays, upstream, listener, known ? result : previous);
-                }
+        /** {@inheritDoc} */
+        @Override
+        public void onFailed(RelayMessage.Result result) {
+            if (result != RelayMessage.Result.DECLINED) {
+                failed++;
+                worst = result == RelayMessage.Result.REFUSED ? worst : result;
             }
-        });
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        PeerCodec.install(channel, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
-                        channel.pipeline().addLast(tunnel);
-                    }
-                })
-                .connect(HostPort.parse(relays.next()).toSocketAddress())
-                .addListener((ChannelFuture future) -> {
-                    if (future.isSuccess()) {
-                        loop.schedule(tunnel::onTimeout, connectMillis + ANSWER_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
-                    } else {
-                        tunnel.fail(RelayMessage.Result.DECLINED);
-                    }
-                });
+            next();
+        }
     }
 
     /**
@@ -109,8 +128,8 @@
         /**
          * Invoked when no host has connected to the upstream.
          *
-         * @param result what is known: the upstream refuses connections, it is unreachable for the hosts that were
-         *     asked, or no host relays.
+         * @param result what is known: the upstream refuses all hosts that have tried, at least one of them could not
+         *     reach it, or no host relays.
          */
         void onFailed(RelayMessage.Result result);
     }
--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.relay;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
@@ -38,6 +39,7 @@
     private final EventLoop loop;
     private final int connectMillis;
     private final Predicate<String> relaysTo;
+    private final Consumer<String> connectFailures;
     private Channel channel;
     private int connections;
     private volatile long transferredAtNanos = System.nanoTime() - BUSY_NANOS;
@@ -49,12 +51,20 @@
      * @param loop the event loop of the traffic thread.
      * @param connectMillis the maximum time to connect to an upstream, in milliseconds.
      * @param relaysTo returns whether connections to an upstream's address are relayed now.
+     * @param connectFailures receives the upstreams to which no connection could be made, which may show that this host
+     *     is cut off as well.
      */
-    public RelayServer(HostPort address, EventLoop loop, long connectMillis, Predicate<String> relaysTo) {
+    public RelayServer(
+            HostPort address,
+            EventLoop loop,
+            long connectMillis,
+            Predicate<String> relaysTo,
+            Consumer<String> connectFailures) {
         this.address = address;
         this.loop = loop;
         this.connectMillis = (int) connectMillis;
         this.relaysTo = relaysTo;
+        this.connectFailures = connectFailures;
     }
 
     /** {@inheritDoc} */
@@ -123,11 +133,12 @@
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new UpstreamSide())
                     .connect(HostPort.parse(target).toSocketAddress())
-                    .addListener((ChannelFuture future) -> onConnected(future));
+                    .addListener((ChannelFuture future) -> onConnected(target, future));
         }
 
-        private void onConnected(ChannelFuture future) {
+        private void onConnected(String target, ChannelFuture future) {
             if (!future.isSuccess()) {
+                connectFailures.accept(target);
                 decline(
                         future.cause() instanceof java.net.ConnectException
                                         && !(future.cause() instanceof ConnectTimeoutException)
--- a/node/src/main/java/org/radishspur/node/upstream/RelayedProbe.java
+++ b/node/src/main/java/org/radishspur/node/upstream/RelayedProbe.java
@@ -7,7 +7,7 @@
 import org.radishspur.node.relay.RelayMessage;
 
 /**
- * Checks an upstream directly, and then through another host where it doesn't answer: a host that is cut off must not
+ * Checks an upstream directly, and then through other hosts where it refuses connections: a host that is cut off must not
  * take upstreams for ended that only it can't reach.
  */
 public final class RelayedProbe implements UpstreamProbe {
@@ -32,7 +32,7 @@
     @Override
     public void check(String address, Consumer<Result> listener) {
         direct.check(address, result -> {
-            if (result == Result.ACCEPTED || paths.relays().isEmpty()) {
+            if (result != Result.REFUSED || paths.relays().isEmpty()) {
                 listener.accept(result);
                 return;
             }
@@ -46,17 +46,17 @@
 
                 @Override
                 public void onFailed(RelayMessage.Result relayed) {
-                    listener.accept(onRelayFailed(address, result, relayed));
+                    listener.accept(onRelayFailed(address, relayed));
                 }
             });
         });
     }
 
-    private Result onRelayFailed(String address, Result directResult, RelayMessage.Result relayed) {
+    private Result onRelayFailed(String address, RelayMessage.Result relayed) {
         if (relayed == RelayMessage.Result.REFUSED) {
             paths.recordUpstreamDown(address);
             return Result.REFUSED;
         }
-        return paths.isCutOff() ? Result.UNKNOWN : directResult;
+        return paths.isCutOff() ? Result.UNKNOWN : Result.REFUSED;
     }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -160,18 +160,17 @@
                         listener.onConnected();
                         return;
                     }
-                    List<String> relays = paths.relays();
                     paths.recordConnectFailure(address);
-                    if (relays.isEmpty()) {
-                        listener.onConnectFailed();
-                    } else {
+                    if (paths.isBrokenForNew(address)) {
                         connection.setTarget(new Target(address, true));
-                        connectThroughRelay(connection, listener, relays);
+                        connectThroughRelay(connection, listener, paths.relays());
+                    } else {
+                        listener.onConnectFailed();
                     }
                 });
     }
 
-    /** Connects through one of some hosts. Where none of them reaches the upstream, the upstream itself is at fault. */
+    /** Connects through one of some hosts. Where the upstream refuses these as well, it is itself at fault. */
     private void connectThroughRelay(UpstreamConnection connection, UpstreamListener listener, List<String> relays) {
         String address = connection.target().address();
         dialer.dial(relays, address, new RelayDialer.Listener() {
@@ -184,7 +183,7 @@
 
             @Override
             public void onFailed(RelayMessage.Result result) {
-                if (result != RelayMessage.Result.DECLINED) {
+                if (result == RelayMessage.Result.REFUSED) {
                     paths.recordUpstreamDown(address);
                 }
                 listener.onConnectFailed();
