Open outgoing connections by one method, and let hanging requests not fail the trial of a path

Cause of the second: a trial counted as failed at once where older requests hung on the same path, so that an entry needed a second for each upstream after its links were back. Its silence counts from the trial now (DirectPathsTest.isNotBarredByRequestsThatHang failed before).

--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -175,7 +175,8 @@
      */
     public Set<String> findSilent(long now) {
         Path trial = paths.getOrDefault(trialUpstream, Path.UNKNOWN);
-        if (trial.isSilent(SILENCE_MILLIS, now)) {
+        // Requests from before the trial may still wait on the same path.
+        if (trial.isSilent(SILENCE_MILLIS, now) && now - lastTrialAt > SILENCE_MILLIS) {
             recordLoss(trialUpstream, now);
         }
         boolean anyAnswered = paths.values().stream().anyMatch(path -> now - path.answeredAt <= SILENCE_MILLIS);
--- a/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
+++ b/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
@@ -227,6 +227,23 @@
             }
         }
 
+        /** Guards against trials that count as failed at once because older requests hang on the same path. */
+        @Test
+        void isNotBarredByRequestsThatHang() {
+            UPSTREAMS.forEach(upstream -> paths.recordSent(upstream, now));
+            pass(DirectPaths.SILENCE_MILLIS + 1);
+            paths.findSilent(now);
+            pass(DirectPaths.CONFIRMATION_MILLIS);
+            for (String upstream : UPSTREAMS) {
+                assertThat(paths.takeTrial(upstream, true, now)).isTrue();
+                paths.recordSent(upstream, now);
+                pass(20);
+                paths.findSilent(now);
+                paths.recordBytes(upstream, now);
+            }
+            assertThat(paths.isCutOff(now)).isFalse();
+        }
+
         /** Guards against a host that needs a second for each upstream to find out that its links are back. */
         @Test
         void opensForAllWithOneTrialAfterTheOther() {
--- a/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
@@ -4,16 +4,11 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.radishspur.node.peer.PeerCodec;
-import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.transport.ClientSocket;
 
 /**
  * Opens connections to upstreams through other hosts.
@@ -73,20 +68,11 @@
                 return;
             }
             RelayTunnel tunnel = new RelayTunnel(upstream, this);
-            new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.AUTO_READ, false)
-                    .handler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel channel) {
-                            PeerCodec.install(channel, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
-                            channel.pipeline().addLast(tunnel);
-                        }
+            ClientSocket.INSTANCE
+                    .connect(relays.next(), loop, connectMillis, channel -> {
+                        PeerCodec.install(channel, RelayMessage.Data.MAX_FRAME_BYTES, RelayMessage.class);
+                        channel.pipeline().addLast(tunnel);
                     })
-                    .connect(HostPort.parse(relays.next()).toSocketAddress())
                     .addListener((ChannelFuture future) -> {
                         if (future.isSuccess()) {
                             loop.schedule(
--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -4,7 +4,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,15 +12,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.ClientSocket;
 import org.radishspur.node.transport.ServerSocketBinder;
 
 /**
@@ -126,13 +124,12 @@
                 decline(RelayMessage.Result.DECLINED);
                 return;
             }
-            new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .handler(new UpstreamSide())
-                    .connect(HostPort.parse(target).toSocketAddress())
+            ClientSocket.INSTANCE
+                    .connect(
+                            target,
+                            loop,
+                            connectMillis,
+                            channel -> channel.pipeline().addLast(new UpstreamSide()))
                     .addListener((ChannelFuture future) -> onConnected(target, future));
         }
 
@@ -148,6 +145,7 @@
                 future.channel().close();
             } else {
                 upstream = future.channel();
+                upstream.config().setAutoRead(true);
                 host.writeAndFlush(new RelayMessage.Opened(RelayMessage.Result.CONNECTED), host.voidPromise());
             }
         }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -8,18 +8,13 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.radishspur.node.relay.RelayDialer;
 import org.radishspur.node.relay.RelayMessage;
-import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.transport.ClientSocket;
 
 /**
  * Holds the connections of one traffic thread to all upstreams, and starts exchanges on idle or new ones. As each
@@ -140,19 +135,14 @@
 
     private void connectDirectly(UpstreamConnection connection, UpstreamListener listener) {
         String address = connection.target().address();
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
-                    }
-                })
-                .connect(HostPort.parse(address).toSocketAddress())
+        ClientSocket.INSTANCE
+                .connect(
+                        address,
+                        loop,
+                        connectMillis,
+                        channel -> channel.pipeline()
+                                .addLast(new HttpClientCodec())
+                                .addLast(connection))
                 .addListener((ChannelFuture future) -> {
                     if (future.isSuccess()) {
                         paths.recordConnected(address);
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamPaths.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamPaths.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.upstream;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -135,7 +136,7 @@
                 return current;
             }
             firstRelay = (firstRelay + 1) % current.size();
-            List<String> rotated = new java.util.ArrayList<>(current.subList(firstRelay, current.size()));
+            List<String> rotated = new ArrayList<>(current.subList(firstRelay, current.size()));
             rotated.addAll(current.subList(0, firstRelay));
             return rotated;
         }
