Keep idle direct and relayed connections in maps by address

The first use of a record as a key links its methods at run time, which delays each start of an entry. Node's tests pass.

--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -28,7 +28,8 @@
     private final long keepMillis;
     private final UpstreamPaths paths;
     private final RelayDialer dialer;
-    private final Map<Target, Deque<Idle>> idle = new HashMap<>();
+    private final Map<String, Deque<Idle>> directIdle = new HashMap<>();
+    private final Map<String, Deque<Idle>> relayedIdle = new HashMap<>();
 
     /**
      * Creates an empty set of direct connections.
@@ -91,8 +92,13 @@
         return connection;
     }
 
+    /** Returns the idle connections of one kind by the addresses of their upstreams. */
+    private Map<String, Deque<Idle>> idle(Target target) {
+        return target.relayed() ? relayedIdle : directIdle;
+    }
+
     private Optional<Idle> takeIdle(Target target) {
-        Deque<Idle> candidates = idle.getOrDefault(target, new ArrayDeque<>());
+        Deque<Idle> candidates = idle(target).getOrDefault(target.address(), new ArrayDeque<>());
         while (!candidates.isEmpty()) {
             Idle candidate = candidates.removeLast();
             if (candidate.channel().isActive() && System.nanoTime() < candidate.keepUntilNanos()) {
@@ -104,7 +110,7 @@
     }
 
     private void closeIdle(Target target) {
-        Deque<Idle> closed = idle.remove(target);
+        Deque<Idle> closed = idle(target).remove(target.address());
         if (closed != null) {
             closed.forEach(each -> each.channel().close());
         }
@@ -113,18 +119,20 @@
     /** Makes a connection available for reuse, for a time in milliseconds that the upstream has stated. */
     void returnIdle(Target target, UpstreamConnection connection, Channel channel, long maxIdleMillis) {
         long keepUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.min(keepMillis, maxIdleMillis));
-        idle.computeIfAbsent(target, key -> new ArrayDeque<>()).addLast(new Idle(connection, channel, keepUntilNanos));
+        idle(target)
+                .computeIfAbsent(target.address(), key -> new ArrayDeque<>())
+                .addLast(new Idle(connection, channel, keepUntilNanos));
         // A pending read detects that the upstream closes the idle connection, before it is reused.
         channel.read();
     }
 
     /** Removes a closed connection. */
     void remove(Target target, UpstreamConnection connection) {
-        Deque<Idle> candidates = idle.get(target);
+        Deque<Idle> candidates = idle(target).get(target.address());
         if (candidates != null) {
             candidates.removeIf(candidate -> candidate.connection() == connection);
             if (candidates.isEmpty()) {
-                idle.remove(target);
+                idle(target).remove(target.address());
             }
         }
     }
