--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -123,6 +123,8 @@
                 CONNECT_TIMEOUT_MILLIS,
                 upstream -> !services.isStopping() && linkMonitor.relaysTo(upstream),
                 linkMonitor.paths()::recordConnectFailure);
+        metrics.registry().register("upstreams.cut_off", (Gauge<Integer>) () -> linkMonitor.isCutOff() ? 1 : 0);
+        metrics.registry().register("relays.connections", (Gauge<Integer>) relayServer::connections);
         supervisor = new Supervisor("entry", restartScheduler, control::nowMillis)
                 .supervise(
                         "ready-server",
--- a/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
@@ -23,7 +23,7 @@
     private final EventLog events;
     private final Consumer<UpstreamReach> reporter;
     private Set<String> upstreams = Set.of();
-    private boolean cutOff;
+    private volatile boolean cutOff;
 
     /**
      * Creates a monitor of an entry that is taken to reach upstreams.
@@ -61,6 +61,7 @@
         }
     }
 
+    /** Returns whether this entry is cut off; any thread may call this. */
     boolean isCutOff() {
         return cutOff;
     }
--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -39,7 +39,7 @@
     private final Predicate<String> relaysTo;
     private final Consumer<String> connectFailures;
     private Channel channel;
-    private int connections;
+    private volatile int connections;
     private volatile long transferredAtNanos = System.nanoTime() - BUSY_NANOS;
 
     /**
@@ -83,6 +83,15 @@
         return System.nanoTime() - transferredAtNanos < BUSY_NANOS;
     }
 
+    /**
+     * Returns the number of connections of other hosts; any thread may call this.
+     *
+     * @return the number.
+     */
+    public int connections() {
+        return connections;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
