--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -138,7 +138,7 @@
                             target,
                             loop,
                             connectMillis,
-                            channel -> channel.pipeline().addLast(new UpstreamSide()))
+                            connected -> connected.pipeline().addLast(new UpstreamSide()))
                     .addListener((ChannelFuture future) -> onConnected(target, future));
         }
 
