--- a/node/src/main/java/org/radishspur/node/group/RelayDirectory.java
+++ b/node/src/main/java/org/radishspur/node/group/RelayDirectory.java
@@ -1,9 +1,12 @@
 package org.radishspur.node.group;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 
 import org.radishspur.decision.dispatch.RendezvousWeight;
 import org.radishspur.node.fleet.FleetMessage.UpstreamReach;
@@ -24,37 +27,40 @@
 
     private final Map<String, Long> reachingAt = new HashMap<>();
 
-    /** The entries named to each entry, kept until the set of entries changes: the leader is asked often. */
-    private final Map<String, List<String>> named = new HashMap<>();
+    /** The entries that reach upstreams as a ring, in an order that is the same at all times and spreads them. */
+    private final NavigableSet<String> ring =
+            new TreeSet<>(Comparator.comparingInt((String entry) -> RendezvousWeight.INSTANCE.of("", entry))
+                    .thenComparing(Comparator.naturalOrder()));
 
     private long nextExpiryAt;
 
     /** Records the report of an entry. */
     void record(String entry, UpstreamReach reach, long now) {
-        boolean reaches = reach == UpstreamReach.REACHED;
-        Long before = reaches ? reachingAt.put(entry, now) : reachingAt.remove(entry);
-        if (reaches ? before == null : before != null) {
-            named.clear();
+        if (reach == UpstreamReach.REACHED) {
+            reachingAt.put(entry, now);
+            ring.add(entry);
+        } else if (reachingAt.remove(entry) != null) {
+            ring.remove(entry);
         }
     }
 
-    /** Returns the entries through which another one, or none if the name is empty, may reach upstreams. */
+    /** Returns the next entries in the ring, through which another one, or none if the name is empty, may connect. */
     List<String> relaysFor(String entry, long now) {
         if (now >= nextExpiryAt) {
             nextExpiryAt = now + EXPIRY_INTERVAL_MILLIS;
-            if (reachingAt.values().removeIf(reportedAt -> now - reportedAt > REPORT_TIMEOUT_MILLIS)) {
-                named.clear();
+            reachingAt.values().removeIf(reportedAt -> now - reportedAt > REPORT_TIMEOUT_MILLIS);
+            ring.retainAll(reachingAt.keySet());
+        }
+        List<String> relays = new ArrayList<>();
+        String last = entry;
+        while (!entry.isEmpty() && relays.size() < Math.min(RELAYS_PER_ENTRY, ring.size())) {
+            String next = ring.higher(last);
+            last = next == null ? ring.first() : next;
+            if (last.equals(entry)) {
+                break;
             }
+            relays.add(last);
         }
-        return entry.isEmpty() ? List.of() : named.computeIfAbsent(entry, this::choose);
-    }
-
-    private List<String> choose(String entry) {
-        return reachingAt.keySet().stream()
-                .filter(other -> !other.equals(entry))
-                .sorted(Comparator.comparingInt((String other) -> RendezvousWeight.INSTANCE.of(entry, other))
-                        .thenComparing(Comparator.naturalOrder()))
-                .limit(RELAYS_PER_ENTRY)
-                .toList();
+        return relays;
     }
 }
--- a/node/src/test/java/org/radishspur/node/group/RelayDirectoryTest.java
+++ b/node/src/test/java/org/radishspur/node/group/RelayDirectoryTest.java
@@ -55,6 +55,6 @@
             assertThat(directory.relaysFor(entry, 1)).isEqualTo(relays);
             relays.forEach(relay -> named.merge(relay, 1, Integer::sum));
         }
-        assertThat(named.values()).allMatch(count -> count <= 5 * RelayDirectory.RELAYS_PER_ENTRY);
+        assertThat(named.values()).allMatch(count -> count == RelayDirectory.RELAYS_PER_ENTRY);
     }
 }
