Scan the events of an answer once on the path of permits

The check for a stream that ends inside an event scanned each byte beside TokenCounter, which counted the events by rules of its own. A content type is recognised in one place, in any case of letters. Added: a test that a broken stream counts against its version.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -34,7 +34,6 @@
 import org.radishspur.node.control.PermitListener;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.peer.PeerMessage.ControlResult;
-import org.radishspur.node.upstream.EventBoundary;
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
@@ -500,8 +499,6 @@
         private int status;
         private String contentType = "";
         private boolean headReceived;
-        private boolean eventStream;
-        private final EventBoundary events = new EventBoundary();
         private UpstreamHeaders.Admission admission = UpstreamHeaders.Admission.ADMITTED;
 
         Attempt(PermitId id) {
@@ -584,7 +581,6 @@
             headReceived = true;
             status = response.status().code();
             contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-            eventStream = !contentType.isEmpty() && UpstreamHeaders.INSTANCE.mayBeEventStream(response);
             admission = UpstreamHeaders.INSTANCE.admissionOf(response);
             reportUpstreamStatus(response.headers());
             if (admission == UpstreamHeaders.Admission.ADMITTED) {
@@ -624,7 +620,6 @@
                 services.core().reportFirstToken(id);
             }
             tokens.add(content);
-            followEvents(content);
             if (claim != null) {
                 claim.appendBody(content);
             }
@@ -635,15 +630,6 @@
             }
         }
 
-        private void followEvents(ByteBuf content) {
-            if (eventStream) {
-                content.forEachByte(value -> {
-                    events.add(value);
-                    return true;
-                });
-            }
-        }
-
         /** {@inheritDoc} */
         @Override
         public void onReadComplete() {
@@ -669,7 +655,7 @@
                 return;
             }
             boolean endStated = end == ResponseEnd.STATED;
-            if (!endStated && events.isInsideEvent()) {
+            if (!endStated && tokens.isInsideEvent()) {
                 onConnectionLost(new ProtocolException("the connection was closed inside an event"));
                 return;
             }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
@@ -84,8 +84,17 @@
      * @return whether it states that, or states no type at all.
      */
     public boolean mayBeEventStream(HttpResponse response) {
-        String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
-        return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+        return isEventStream(response.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM));
+    }
+
+    /**
+     * Returns whether a content type is that of event streams.
+     *
+     * @param contentType the content type, with or without parameters.
+     * @return whether it is.
+     */
+    public boolean isEventStream(String contentType) {
+        return contentType.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
     }
 
     /**
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -92,6 +92,17 @@
             }
         }
 
+        /** Guards against a bad version whose broken streams count as answers. */
+        @Test
+        void countsAsAFailureOfTheVersionWhenItIsBrokenOff() {
+            try (EntryFixture entry = streamOf(false, EVENT_STREAM, FIRST_EVENT + PARTIAL_EVENT)) {
+                assertThat(entry.versionFailures()).isEqualTo(1);
+            }
+            try (EntryFixture entry = streamOf(false, EVENT_STREAM, FIRST_EVENT)) {
+                assertThat(entry.versionFailures()).isZero();
+            }
+        }
+
         /** Guards against a resumable stream that is given up where another upstream could go on with it. */
         @Test
         void isResumedWhenItIsBrokenOff() {
