--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -126,7 +126,7 @@
             }
         }
 
-        /** Guards against whole streams that are taken for broken ones. */
+        /** Guards against complete streams that count as broken. */
         @ParameterizedTest
         @ValueSource(strings = {"", "\n", ": comment\n", "retry: 100\n", "  "})
         void isCompleteBetweenEvents(String rest) {
@@ -137,7 +137,7 @@
             }
         }
 
-        /** Guards against responses without events that are taken for broken streams. */
+        /** Guards against responses without events that count as broken streams. */
         @Test
         void isCompleteWhereItIsNoEventStream() {
             try (EntryFixture entry = streamOf(true, "application/json", "{}")) {
--- a/node/src/test/java/org/radishspur/node/upstream/EventBoundaryTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/EventBoundaryTest.java
@@ -34,7 +34,7 @@
         return events;
     }
 
-    /** Guards against broken streams that are taken for whole ones, for each place inside an event. */
+    /** Guards against broken streams that count as complete, for each place inside an event. */
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -64,7 +64,7 @@
         assertThat(endsInsideEvent(text)).isTrue();
     }
 
-    /** Guards against whole streams that are taken for broken ones. */
+    /** Guards against complete streams that count as broken. */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -77,7 +77,7 @@
             assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
         }
 
-        /** Guards against a response that ends with its connection and is taken for one that states its end. */
+        /** Guards against a response that ends with its connection and counts as one that states its end. */
         @ParameterizedTest
         @ValueSource(
                 strings = {
