Keep one look at silence, one rule for refused connections, and paths that are direct by default

A request on a broken path is treated where silent ones are, not in a second pass over all requests. RelayServer and UpstreamProbe recognised a refused connection in the same lines, and the probe opened its connection by itself. UpstreamPaths is direct-only by default, so that its null object needs no methods. The list of relaying hosts is a plain getter; the dialer takes them in turn. findSilent returns what it found; it kept a second set that nothing used. Words of the field in comments.

--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -13,7 +13,7 @@
  *
  * <p>One upstream that fails says nothing about the host's own links. The host counts as cut off while at least two
  * upstreams fail, and more of them fail than answer from the same time on. Then the upstreams of which nothing is known
- * are taken to be out of reach too. While it isn't cut off, no path counts as broken. A broken path is tried again by one
+ * count as unreachable too. While it isn't cut off, no path counts as broken. A broken path is tried again by one
  * request at a time.
  */
 public final class DirectPaths {
@@ -171,7 +171,7 @@
      * Finds upstreams that have fallen silent together, and counts them as failed.
      *
      * @param now the current time in milliseconds.
-     * @return the addresses of the upstreams that have just failed; kept connections to them must not be used.
+     * @return their addresses.
      */
     public Set<String> findSilent(long now) {
         Path trial = paths.getOrDefault(trialUpstream, Path.UNKNOWN);
@@ -190,16 +190,9 @@
         if (silent.size() < MIN_FAILED) {
             return Set.of();
         }
-        Set<String> failed = new HashSet<>();
-        for (String upstream : silent) {
-            Failure loss = pathTo(upstream).loss;
-            if (!loss.isRecent(now)) {
-                failed.add(upstream);
-            }
-            loss.record(now);
-            latestFailureAt = now;
-        }
-        return failed;
+        silent.forEach(upstream -> pathTo(upstream).loss.record(now));
+        latestFailureAt = now;
+        return silent;
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
+++ b/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
@@ -94,7 +94,7 @@
             assertThat(UPSTREAMS).noneMatch(upstream -> paths.isBrokenForNew(upstream, now));
         }
 
-        /** Guards against a host that blames its own links for one upstream that has ended. */
+        /** Guards against a host that counts its own links as broken because one upstream has ended. */
         @Test
         void isNotFoundForOneUpstream() {
             for (int count = 0; count < 10; count++) {
@@ -125,7 +125,7 @@
             return paths.findSilent(now);
         }
 
-        /** Guards against requests that hang until their deadlines at a host that hears nothing any more. */
+        /** Guards against requests that hang until their deadlines at a host that receives nothing any more. */
         @Test
         void ofAllUpstreamsIsACut() {
             answerAll();
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -372,26 +372,20 @@
         return routed && keyValid;
     }
 
-    /** Abandons the attempt and retries if its upstream has stopped sending and the request may run again. */
-    void checkSilence(long now) {
-        if (!done && attempt != null && isRetryAllowed() && attempt.isSilent(now)) {
-            attempt.abandon();
-            onAttemptFailed("silence");
-        }
-    }
-
     /**
-     * Retries a request that waits on a broken path if it may run again. Any other one waits on, as it may have run and
-     * its response may still come, but its slot is released, so that it doesn't keep the requests of others waiting.
+     * Abandons the attempt and retries if its upstream has stopped sending, or its path is broken, and the request may run
+     * again. Any other request waits on, as it may have run and its response may still come; on a broken path its slot
+     * is released, so that it doesn't keep the requests of others waiting.
      */
-    void checkPath(long now) {
-        if (done || attempt == null || !attempt.isStalledOnBrokenPath(now)) {
+    void checkSilence(long now) {
+        if (done || attempt == null) {
             return;
         }
-        if (isRetryAllowed()) {
+        boolean pathBroken = attempt.isStalledOnBrokenPath(now);
+        if (isRetryAllowed() && (pathBroken || attempt.isSilent(now))) {
             attempt.abandon();
-            onAttemptFailed("broken path");
-        } else {
+            onAttemptFailed(pathBroken ? "broken path" : "silence");
+        } else if (pathBroken) {
             attempt.releaseSlot();
         }
     }
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -132,7 +132,6 @@
         slots.checkPending(now);
         for (EntryExchange exchange : Set.copyOf(running)) {
             exchange.checkSilence(now);
-            exchange.checkPath(now);
         }
         if (slots.hasPending() || !running.isEmpty() || links().isCutOff()) {
             scheduleCheck();
--- a/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayDialer.java
@@ -1,5 +1,7 @@
 package org.radishspur.node.relay;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +24,7 @@
 
     private final EventLoop loop;
     private final int connectMillis;
+    private int dialed;
 
     /**
      * Creates a dialer.
@@ -36,14 +39,17 @@
     }
 
     /**
-     * Opens a connection through the first of some hosts that connects.
+     * Opens a connection through one of some hosts. Each call begins with the next one, so that none gets all
+     * connections.
      *
-     * @param relays the addresses of the hosts, in the order in which they are asked.
+     * @param relays the addresses of the hosts.
      * @param upstream the address of the upstream.
      * @param listener receives the outcome.
      */
     public void dial(List<String> relays, String upstream, Listener listener) {
-        new Dialing(relays.iterator(), upstream, listener).next();
+        List<String> order = new ArrayList<>(relays);
+        Collections.rotate(order, -dialed++);
+        new Dialing(order.iterator(), upstream, listener).next();
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.util.ReferenceCountUtil;
@@ -145,11 +144,8 @@
         private void onConnected(String target, ChannelFuture future) {
             if (!future.isSuccess()) {
                 connectFailures.accept(target);
-                decline(
-                        future.cause() instanceof java.net.ConnectException
-                                        && !(future.cause() instanceof ConnectTimeoutException)
-                                ? RelayMessage.Result.REFUSED
-                                : RelayMessage.Result.UNREACHABLE);
+                boolean refused = ClientSocket.INSTANCE.isRefused(future.cause());
+                decline(refused ? RelayMessage.Result.REFUSED : RelayMessage.Result.UNREACHABLE);
             } else if (!host.isActive()) {
                 future.channel().close();
             } else {
--- a/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
@@ -84,7 +84,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext source) {
         if (state == State.OPEN) {
-            // The host between was lost, or the upstream's connection was: a response without a length isn't complete.
+            // The relaying host was lost, or the upstream's connection was: a response without a length isn't complete.
             state = State.ENDED;
             source.fireExceptionCaught(new IOException("the relayed connection was lost"));
         }
--- a/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
+++ b/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
@@ -1,11 +1,13 @@
 package org.radishspur.node.transport;
 
+import java.net.ConnectException;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -18,6 +20,16 @@
     /** The only instance. */
     INSTANCE;
 
+    /**
+     * Returns whether a host refused a connection, and did not just fail to answer in time.
+     *
+     * @param cause why no connection was established.
+     * @return whether nothing listens at the address.
+     */
+    public boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     /**
      * Starts to connect.
      *
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -48,7 +48,7 @@
      * @param loop the event loop of the traffic thread, on which every method must be called.
      * @param connectMillis the maximum time to connect to an upstream, in milliseconds.
      * @param keepMillis the maximum time that an idle connection is kept, in milliseconds; an upstream may state less.
-     * @param paths tells which direct paths are broken and which hosts relay.
+     * @param paths states which direct paths are broken and which hosts relay.
      */
     public UpstreamConnections(EventLoop loop, long connectMillis, long keepMillis, UpstreamPaths paths) {
         this.loop = loop;
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamPaths.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamPaths.java
@@ -1,14 +1,13 @@
 package org.radishspur.node.upstream;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 
 import org.radishspur.decision.path.DirectPaths;
 
 /**
- * Tells connections to upstreams whether direct paths are broken and which hosts relay, and receives what happens on
- * direct connections. Upstreams are named by their addresses.
+ * Decides for connections to upstreams whether direct paths are broken and which hosts relay, and receives what happens
+ * on direct connections. Upstreams are named by their addresses. Without more, paths are always direct.
  */
 public interface UpstreamPaths {
     /**
@@ -17,7 +16,9 @@
      * @param upstream the upstream.
      * @return whether the path is broken for established connections.
      */
-    boolean isBroken(String upstream);
+    default boolean isBroken(String upstream) {
+        return false;
+    }
 
     /**
      * Returns whether no new direct connection should be made.
@@ -25,14 +26,18 @@
      * @param upstream the upstream.
      * @return whether the path is broken for new connections.
      */
-    boolean isBrokenForNew(String upstream);
+    default boolean isBrokenForNew(String upstream) {
+        return false;
+    }
 
     /**
      * Returns whether this host is cut off from upstreams.
      *
      * @return whether it is.
      */
-    boolean isCutOff();
+    default boolean isCutOff() {
+        return false;
+    }
 
     /**
      * Returns whether a request should try a broken path.
@@ -41,63 +46,67 @@
      * @param repeatable whether the request may run more than once.
      * @return whether to try; that is noted.
      */
-    boolean takeTrial(String upstream, boolean repeatable);
+    default boolean takeTrial(String upstream, boolean repeatable) {
+        return false;
+    }
 
     /**
      * Returns the hosts that relay connections.
      *
-     * @return their addresses in the order in which to ask them; empty where paths are always direct.
+     * @return their addresses; empty where paths are always direct.
      */
-    List<String> relays();
+    default List<String> relays() {
+        return List.of();
+    }
 
     /**
      * Receives that a request was sent.
      *
      * @param upstream the upstream.
      */
-    void recordSent(String upstream);
+    default void recordSent(String upstream) {}
 
     /**
      * Receives that bytes of a response arrived.
      *
      * @param upstream the upstream.
      */
-    void recordBytes(String upstream);
+    default void recordBytes(String upstream) {}
 
     /**
      * Receives that a request that was sent has ended.
      *
      * @param upstream the upstream.
      */
-    void recordEnded(String upstream);
+    default void recordEnded(String upstream) {}
 
     /**
      * Receives that a connection was lost while a request was on it.
      *
      * @param upstream the upstream.
      */
-    void recordLoss(String upstream);
+    default void recordLoss(String upstream) {}
 
     /**
      * Receives that a connection was established.
      *
      * @param upstream the upstream.
      */
-    void recordConnected(String upstream);
+    default void recordConnected(String upstream) {}
 
     /**
      * Receives that no connection could be established.
      *
      * @param upstream the upstream.
      */
-    void recordConnectFailure(String upstream);
+    default void recordConnectFailure(String upstream) {}
 
     /**
      * Receives that another host can't reach the upstream either.
      *
      * @param upstream the upstream.
      */
-    void recordUpstreamDown(String upstream);
+    default void recordUpstreamDown(String upstream) {}
 
     /**
      * Decides by what the direct connections of this host have shown.
@@ -105,8 +114,7 @@
     class Tracked implements UpstreamPaths {
         private final DirectPaths paths;
         private final LongSupplier clock;
-        private volatile List<String> relays = List.of();
-        private int firstRelay;
+        private List<String> relays = List.of();
 
         /**
          * Creates an instance without relaying hosts.
@@ -128,17 +136,10 @@
             relays = List.copyOf(addresses);
         }
 
-        /** {@inheritDoc} Each call begins with another host, so that none gets all connections. */
+        /** {@inheritDoc} */
         @Override
         public List<String> relays() {
-            List<String> current = relays;
-            if (current.size() < 2) {
-                return current;
-            }
-            firstRelay = (firstRelay + 1) % current.size();
-            List<String> rotated = new ArrayList<>(current.subList(firstRelay, current.size()));
-            rotated.addAll(current.subList(0, firstRelay));
-            return rotated;
+            return relays;
         }
 
         /** {@inheritDoc} */
@@ -213,64 +214,6 @@
      */
     enum DirectOnly implements UpstreamPaths {
         /** The only instance. */
-        INSTANCE;
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean isBroken(String upstream) {
-            return false;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean isBrokenForNew(String upstream) {
-            return false;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean isCutOff() {
-            return false;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean takeTrial(String upstream, boolean repeatable) {
-            return false;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public List<String> relays() {
-            return List.of();
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordSent(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordBytes(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordEnded(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordLoss(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordConnected(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordConnectFailure(String upstream) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void recordUpstreamDown(String upstream) {}
+        INSTANCE
     }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamProbe.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamProbe.java
@@ -2,14 +2,9 @@
 
 import java.util.function.Consumer;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.transport.ClientSocket;
 
 /**
  * Checks whether the process of an upstream still runs, by whether its address accepts a connection.
@@ -57,12 +52,8 @@
         /** {@inheritDoc} */
         @Override
         public void check(String address, Consumer<Result> listener) {
-            new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TIMEOUT_MILLIS)
-                    .handler(new ChannelInboundHandlerAdapter())
-                    .connect(HostPort.parse(address).toSocketAddress())
+            ClientSocket.INSTANCE
+                    .connect(address, loop, TIMEOUT_MILLIS, channel -> {})
                     .addListener((ChannelFuture future) -> {
                         listener.accept(resultOf(future));
                         future.channel().close();
@@ -73,8 +64,7 @@
             if (future.isSuccess()) {
                 return Result.ACCEPTED;
             }
-            boolean refused = future.cause() instanceof java.net.ConnectException
-                    && !(future.cause() instanceof ConnectTimeoutException);
+            boolean refused = ClientSocket.INSTANCE.isRefused(future.cause());
             return refused ? Result.REFUSED : Result.UNKNOWN;
         }
     }
--- a/node/src/test/java/org/radishspur/node/relay/RelayTest.java
+++ b/node/src/test/java/org/radishspur/node/relay/RelayTest.java
@@ -113,7 +113,7 @@
             assertThat(get(received.opened).isActive()).isTrue();
         }
 
-        /** Guards against an upstream that has ended and is taken for one that only this host can't reach. */
+        /** Guards against an upstream that has ended and counts as one that only this host can't reach. */
         @Test
         void reportsThatTheUpstreamRefuses() throws IOException {
             String ended = freeAddress();
@@ -121,7 +121,7 @@
             assertThat(connectFailures).containsExactly(ended, ended);
         }
 
-        /** Guards against a host between that is cut off itself and whose word alone is taken for the upstream's end. */
+        /** Guards against a relaying host that is cut off itself and whose report alone shows the upstream's end. */
         @Test
         void asksAnotherHostWhenOneCanNotConnect() throws IOException {
             String cutOff = freeAddress();
@@ -200,9 +200,9 @@
             assertThat(received.lost).isTrue();
         }
 
-        /** Guards against a response without a length that looks complete although the host between has ended. */
+        /** Guards against a response without a length that looks complete although the relaying host has ended. */
         @Test
-        void reportsTheEndOfTheHostBetweenAsALoss() throws IOException {
+        void reportsTheEndOfTheRelayingHostAsALoss() throws IOException {
             String address = freeAddress();
             try (ServerSocket host = new ServerSocket()) {
                 host.bind(HostPort.parse(address).toSocketAddress());
