--- a/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
+++ b/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
@@ -159,6 +159,34 @@
             assertThat(paths.findSilent(now)).containsExactlyInAnyOrder("a", "b");
         }
 
+        /** Guards against a host with one request at a time that never finds two upstreams silent at the same moment. */
+        @Test
+        void ofOneUpstreamAfterTheOtherIsACut() {
+            paths.recordSent("a", now);
+            pass(1_501);
+            assertThat(paths.findSilent(now)).isEmpty();
+            paths.recordEnded("a", now);
+            paths.recordSent("b", now);
+            pass(DirectPaths.SILENCE_MILLIS + 50);
+            assertThat(paths.findSilent(now)).containsExactlyInAnyOrder("a", "b");
+        }
+
+        /** Guards against short silences that count as long ones because time passes after them. */
+        @Test
+        void countsForNoLongerThanTheRequestsWaited() {
+            for (String upstream : List.of("a", "b")) {
+                paths.recordSent(upstream, now);
+            }
+            pass(DirectPaths.SILENCE_MILLIS + 1);
+            for (String upstream : List.of("a", "b")) {
+                paths.recordEnded(upstream, now);
+            }
+            answer("c");
+            pass(DirectPaths.PARTIAL_SILENCE_MILLIS);
+            answer("c");
+            assertThat(paths.findSilent(now)).isEmpty();
+        }
+
         /** Guards against evidence that is lost because the requests were given up for their silence. */
         @Test
         void countsForSomeTimeAfterTheRequestsWereGivenUp() {
