Let the silence of a request that was given up count as long as other failures

What callers saw: an entry that was restarted while its connections to upstreams carried nothing served nobody as long as it had one request at a time. Cause: two upstreams had to be silent at the same moment. A request is given up for its silence after 0.6 to 1.5 s and the next one waits 0.6 s, by when the evidence of the first, kept for 0.6 s, had ended. Change: it is kept for 3 s, as that of lost connections, with the time for which the request had waited; before, time that passed afterwards counted as waiting too. Evidence: CutEntryTest.entryThatRestartsWhileItIsCutOffServesItsCallers with silence, and DirectPathsTest. ofOneUpstreamAfterTheOtherIsACut failed before; all of both pass now.

--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -94,10 +94,12 @@
      */
     public void recordEnded(String upstream, long now) {
         Path path = pathTo(upstream);
-        // An attempt that was given up for its silence is evidence for some time after its end.
-        if (path.isSilent(SILENCE_MILLIS, now)) {
-            path.silentSince = path.waitingSince;
-            path.silentUntil = now + SILENCE_MILLIS;
+        // An attempt that was given up for its silence is evidence for some time after its end, as other failures are.
+        // A
+        // host with one request at a time has no two upstreams that are silent at the same moment.
+        if (path.isWaiting(SILENCE_MILLIS, now)) {
+            path.silentMillis = now - path.waitingSince;
+            path.silentUntil = now + FAILURE_MILLIS;
         }
         path.unanswered = Math.max(0, path.unanswered - 1);
     }
@@ -293,7 +295,7 @@
         private long answeredAt = NEVER;
         private final Failure loss = new Failure();
         private final Failure connectFailure = new Failure();
-        private long silentSince = NEVER;
+        private long silentMillis;
         private long silentUntil = NEVER;
 
         boolean isBroken(long now) {
@@ -301,8 +303,11 @@
         }
 
         boolean isSilent(long limit, long now) {
-            boolean waiting = unanswered > 0 && now - waitingSince > limit;
-            return waiting || now < silentUntil && now - silentSince > limit;
+            return isWaiting(limit, now) || now < silentUntil && silentMillis > limit;
+        }
+
+        boolean isWaiting(long limit, long now) {
+            return unanswered > 0 && now - waitingSince > limit;
         }
 
         /** Returns since when established connections have failed, or a time before all others if they have not. */
