--- a/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
@@ -113,6 +113,15 @@
         assertThat(runs).isEqualTo(1);
     }
 
+    /** Guards against a request that ends its upstreams and is never suspected, because its streams seem complete. */
+    @Test
+    void requestWhoseStreamsAreCutIsSuspected() {
+        answer = eventStream(WHOLE_EVENT + PARTIAL_EVENT);
+        int[] sent = {0};
+        ProcessCluster.await(() -> send("cut-" + sent[0]++).body().contains("crash-suspect"));
+        assertThat(runs).isGreaterThanOrEqualTo(2);
+    }
+
     @Test
     void streamThatEndsBetweenEventsIsComplete() {
         answer = eventStream(WHOLE_EVENT);
