--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.dialect;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -60,6 +61,7 @@
      * @param prefixId identifies the beginning of the prompt that it shares with other requests, empty where there is
      *     none.
      * @param prefixTokens the length of that beginning in tokens, or 0.
+     * @param sharedParts the identities of the parts of the prompt that other requests may have too, in their order.
      */
     record RequestHead(
             String requestId,
@@ -72,7 +74,13 @@
             long expectedOutputTokens,
             long resumeAfter,
             String prefixId,
-            long prefixTokens) {}
+            long prefixTokens,
+            List<String> sharedParts) {
+        /** Copies the list of parts. */
+        public RequestHead {
+            sharedParts = List.copyOf(sharedParts);
+        }
+    }
 
     /**
      * Holds the parameters that the system adds to a request for an upstream.
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.decision.slot.CrashNote;
@@ -43,17 +44,17 @@
     }
 
     /** Checks an upstream after a request has lost its connection to it. Requests lost together share one check. */
-    void onConnectionLost(Upstream upstream, String requestId, long fingerprint) {
-        check(upstream, new LostRequest(requestId, fingerprint, false));
+    void onConnectionLost(Upstream upstream, LostRequest request) {
+        check(upstream, request);
     }
 
     /**
      * Checks an upstream after a response that seems complete, but whose end only the close of the connection shows.
      * Nothing is checked while no request is suspected, as such a response is the usual one of some upstreams.
      */
-    void onResponseClosed(Upstream upstream, String requestId, LongSupplier fingerprint) {
+    void onResponseClosed(Upstream upstream, Supplier<LostRequest> request) {
         if (!ledger.isEmpty()) {
-            check(upstream, new LostRequest(requestId, fingerprint.getAsLong(), true));
+            check(upstream, request.get());
         }
     }
 
@@ -72,7 +73,10 @@
                     lost.requestId(),
                     upstream.id(),
                     Long.toHexString(lost.fingerprint()),
-                    result.name());
+                    result.name(),
+                    String.join(",", lost.parts()),
+                    lost.begun(),
+                    lost.millis());
             if (result == Result.REFUSED) {
                 ledger.recordCrash(lost.fingerprint(), upstream.runId().hashCode(), EntryServices.now());
             } else if (result == Result.ACCEPTED && lost.answered()) {
@@ -107,7 +111,11 @@
      *
      * @param requestId the caller's identifier of the request.
      * @param fingerprint identifies the request by its content.
+     * @param parts the identities of the shared parts of its prompt.
+     * @param begun whether a part of its response had been received.
+     * @param millis the time since it was sent, in milliseconds.
      * @param answered whether it has a response that is complete unless the upstream has ended.
      */
-    private record LostRequest(String requestId, long fingerprint, boolean answered) {}
+    record LostRequest(
+            String requestId, long fingerprint, List<String> parts, boolean begun, long millis, boolean answered) {}
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -27,6 +27,7 @@
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.caller.BodyDigest;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
+import org.radishspur.node.entry.CrashDetector.LostRequest;
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.upstream.ResponseEnd;
 
@@ -399,19 +400,23 @@
     }
 
     /** Lets the upstream be checked after the connection to it was lost while it was running the request. */
-    void onConnectionLost(Upstream upstream) {
-        services.crashes().onConnectionLost(upstream, head.requestId(), fingerprint());
+    void onConnectionLost(Upstream upstream, boolean begun, long millis) {
+        services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false));
+    }
+
+    private LostRequest lostRequest(boolean begun, long millis, boolean answered) {
+        return new LostRequest(head.requestId(), fingerprint(), head.sharedParts(), begun, millis, answered);
     }
 
     /**
      * Records that an upstream has answered the request to the end, so that it doesn't end upstreams. Where only the
      * close of the connection shows the end, the upstream may have ended instead.
      */
-    void onResponseComplete(Upstream upstream, ResponseEnd end) {
+    void onResponseComplete(Upstream upstream, ResponseEnd end, long millis) {
         if (end == ResponseEnd.STATED) {
             services.crashes().onResponseComplete(this::fingerprint);
         } else {
-            services.crashes().onResponseClosed(upstream, head.requestId(), this::fingerprint);
+            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true));
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -316,7 +316,7 @@
             return;
         }
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        caller.onResponseComplete(upstream.upstream(), end);
+        caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - sentAt);
         endComplete(succeeded);
         caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis, end);
         if (isEventStream()) {
@@ -391,7 +391,7 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        caller.onConnectionLost(upstream.upstream());
+        caller.onConnectionLost(upstream.upstream(), firstByteReceived, EntryServices.now() - sentAt);
         if (isPathBroken()) {
             end(SlotOutcome.ABANDONED);
         } else {
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -65,8 +65,11 @@
             "expectedTokens",
             "rank",
             "returning"),
-    /** The connection of a request to its upstream was lost, and a check has shown whether the upstream still runs. */
-    CONNECTION_LOST(true, "upstream", "content", "check"),
+    /**
+     * The connection of a request to its upstream was lost, and a check has shown whether the upstream still runs. The
+     * parts are those of the prompt that other requests may have too; the bytes are whether a response had begun.
+     */
+    CONNECTION_LOST(true, "upstream", "content", "check", "parts", "begun", "millis"),
     /** A request is retried at another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /**
--- a/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.entry.CrashDetector.LostRequest;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.upstream.UpstreamProbe.Result;
 
@@ -38,13 +39,17 @@
         events.close();
     }
 
+    private static LostRequest lost(boolean answered) {
+        return new LostRequest("request", SUSPECTED, List.of("1a", "2b"), true, 20, answered);
+    }
+
     private static Upstream upstream(int number) {
         return new Upstream("u" + number, 1, "pool", "127.0.0.1:" + number, "a", "v1", 4, false, false);
     }
 
     private void crashAll() {
         for (int number = 1; number <= CRASHES; number++) {
-            detector.onConnectionLost(upstream(number), "request", SUSPECTED);
+            detector.onConnectionLost(upstream(number), lost(false));
         }
         assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
     }
@@ -52,7 +57,7 @@
     /** Guards against upstreams that are checked after each of their responses because they never state their end. */
     @Test
     void checksNothingWhereNoRequestIsSuspected() {
-        detector.onResponseClosed(upstream(1), "request", () -> SUSPECTED);
+        detector.onResponseClosed(upstream(1), () -> lost(true));
         assertThat(checked).isEmpty();
     }
 
@@ -60,7 +65,7 @@
     @Test
     void countsACrashWhereTheUpstreamHasEndedWithItsResponse() {
         crashAll();
-        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
         assertThat(checked).hasSize(CRASHES + 1);
         assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
     }
@@ -70,7 +75,7 @@
     void clearsARequestWhoseUpstreamStillRuns() {
         crashAll();
         result = Result.ACCEPTED;
-        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
         assertThat(detector.refusedForMillis(() -> SUSPECTED)).isZero();
     }
 
@@ -78,7 +83,7 @@
     void clearsNothingWhereTheCheckShowsNothing() {
         crashAll();
         result = Result.UNKNOWN;
-        detector.onResponseClosed(upstream(CRASHES + 1), "request", () -> SUSPECTED);
+        detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
         assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -312,7 +312,8 @@
         /** {@inheritDoc} */
         @Override
         public RequestHead decodeHead(HttpRequest request) {
-            return new RequestHead("request", "host", "/", Optional.empty(), DEADLINE_MILLIS, 100, 100, 100, -1, "", 0);
+            return new RequestHead(
+                    "request", "host", "/", Optional.empty(), DEADLINE_MILLIS, 100, 100, 100, -1, "", 0, List.of());
         }
 
         /** {@inheritDoc} */
