Count ends of upstreams by every shared part of a prompt, and refuse the part

Cause: the ledger of crashes counted ends under the content of a request, and what no two requests have in common is never counted twice. Class: evidence counted under a key that the cause doesn't have.

Change: a request has a signature for its content and for each shared part; each is noted at an end of its upstream. Why this works: - A signature that was never answered is a suspect from its third open end. One that was answered before needs five, which no suspect explains, and ten answers of others since: what everybody shares is in flight at every end, and has no answer while no upstream is left; it can't meet the second condition, as every answer clears it. - An end that a stronger suspect explains doesn't count against others. - A request that lost its upstream is sent on only after the check of the upstream, and not if one of its signatures has two ends. What is in flight under a new suspect and has no answer yet is withdrawn. - The way back is a trial of one request: once after a second or two, then from two to five minutes apart; each second or so while several suspects can't be told apart, and after four seconds while the pool answers nothing at all. Each process adds a delay of its own. Retry-After is the time until the next trial. - An upstream is checked up to four times until a check shows whether it runs. Notes go to all schedulers while an entry schedules by itself. A process that starts gets the strongest notes first; a full ledger forgets the weakest. Notes count for half an hour. - Only an answer below status 500 clears. Logs: CRASH_SUSPECT, SUSPECTED, and the end in CONNECTION_LOST.

The content alone follows the same rules, so that a frequent content isn't refused for ten minutes either.

--- a/decision/src/test/java/org/radishspur/decision/slot/CrashLedgerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashLedgerPropertyTest.java
@@ -1,4 +1,4 @@
-package org.radishspur.decision.slot;
+package org.radishspur.decision.crash;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -31,7 +31,7 @@
         long[][] positions = new long[processes][processes];
         for (int crash = 0; crash < crashes; crash++) {
             CrashLedger ledger = ledgers.get(random.nextInt(processes));
-            ledger.recordCrash(random.nextInt(4), random.nextInt(5), NOW + crash);
+            ledger.recordCrash(random.nextInt(4), random.nextInt(5), random.nextInt(9) == 0, 7, NOW + crash);
             if (random.nextInt(6) == 0) {
                 ledgers.get(random.nextInt(processes)).recordCompletion(random.nextInt(4));
             }
@@ -51,9 +51,15 @@
             }
         }
         for (long request = 0; request < 4; request++) {
-            long first = ledgers.get(0).refusedForMillis(request, NOW + crashes);
+            RequestSignatures signatures = new RequestSignatures(request, List.of());
+            boolean first = new CrashGuard(ledgers.get(0), 1)
+                    .admit(signatures, NOW + crashes)
+                    .isRefused();
             for (CrashLedger ledger : ledgers) {
-                assertThat(ledger.refusedForMillis(request, NOW + crashes) > 0).isEqualTo(first > 0);
+                assertThat(new CrashGuard(ledger, 1)
+                                .admit(signatures, NOW + crashes)
+                                .isRefused())
+                        .isEqualTo(first);
             }
         }
     }
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -1,15 +1,20 @@
 package org.radishspur.node.entry;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
-import org.radishspur.decision.slot.CrashLedger;
-import org.radishspur.decision.slot.CrashNote;
+import org.radishspur.decision.crash.Admission;
+import org.radishspur.decision.crash.CrashGuard;
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.crash.RequestSignatures;
+import org.radishspur.decision.crash.Suspect;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
@@ -18,32 +23,56 @@
 
 /**
  * Determines whether the upstream has ended where connections to it were lost, and notes the requests that were in
- * flight then, so that a request that ends each upstream is refused at all entries. The traffic thread owns it.
+ * flight then, so that requests with the signature that ends each upstream are refused at all entries. The traffic thread
+ * owns it.
  */
 final class CrashDetector {
+    /**
+     * How often an upstream is checked until a check shows whether it runs. An ended upstream whose host is slow to refuse
+     * connections would otherwise leave no evidence.
+     */
+    private static final int MAX_CHECKS = 4;
+
     private final UpstreamProbe probe;
     private final CrashLedger ledger;
+    private final CrashGuard guard;
     private final Consumer<List<CrashNote>> publisher;
+    private final Runnable suspectListener;
     private final EventLog events;
     private final Map<String, List<LostRequest>> pending = new HashMap<>();
+    private Map<Long, Suspect> suspects = Map.of();
     private long published;
+    private volatile int suspectCount;
 
     /**
      * Creates a detector.
      *
      * @param probe checks whether an upstream still runs.
      * @param ledger holds the notes on crashes.
+     * @param guard decides by these notes.
      * @param publisher sends new notes to the other hosts.
+     * @param suspectListener is notified when there is a new suspect.
      * @param events the event log.
      */
-    CrashDetector(UpstreamProbe probe, CrashLedger ledger, Consumer<List<CrashNote>> publisher, EventLog events) {
+    CrashDetector(
+            UpstreamProbe probe,
+            CrashLedger ledger,
+            CrashGuard guard,
+            Consumer<List<CrashNote>> publisher,
+            Runnable suspectListener,
+            EventLog events) {
         this.probe = probe;
         this.ledger = ledger;
+        this.guard = guard;
         this.publisher = publisher;
+        this.suspectListener = suspectListener;
         this.events = events;
     }
 
-    /** Checks an upstream after a request has lost its connection to it. Requests lost together share one check. */
+    /**
+     * Checks an upstream after a request has lost its connection to it. Requests lost together share one check. The
+     * listener of the request is notified after all of them have been noted.
+     */
     void onConnectionLost(Upstream upstream, LostRequest request) {
         check(upstream, request);
     }
@@ -53,7 +82,7 @@
      * Nothing is checked while no request is suspected, as such a response is the usual one of some upstreams.
      */
     void onResponseClosed(Upstream upstream, Supplier<LostRequest> request) {
-        if (!ledger.isEmpty()) {
+        if (!guard.isIdle()) {
             check(upstream, request.get());
         }
     }
@@ -62,40 +91,117 @@
         boolean checking = pending.containsKey(upstream.runId());
         pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).add(request);
         if (!checking) {
-            probe.check(upstream.address(), result -> onResult(upstream, result));
+            probe.check(upstream.address(), result -> onResult(upstream, result, 1));
         }
     }
 
-    private void onResult(Upstream upstream, Result result) {
-        for (LostRequest lost : pending.remove(upstream.runId())) {
+    private void onResult(Upstream upstream, Result result, int checks) {
+        List<LostRequest> checked = pending.remove(upstream.runId());
+        int end = upstream.runId().hashCode();
+        for (LostRequest lost : checked) {
             events.emitForRequest(
                     EventCode.CONNECTION_LOST,
                     lost.requestId(),
                     upstream.id(),
-                    Long.toHexString(lost.fingerprint()),
+                    Long.toHexString(lost.signatures().content()),
                     result.name(),
                     String.join(",", lost.parts()),
                     lost.begun(),
-                    lost.millis());
+                    lost.millis(),
+                    Integer.toHexString(end));
             if (result == Result.REFUSED) {
-                ledger.recordCrash(lost.fingerprint(), upstream.runId().hashCode(), EntryServices.now());
+                guard.recordCrash(lost.signatures(), upstream.pool(), end, EntryServices.now());
             } else if (result == Result.ACCEPTED && lost.answered()) {
-                ledger.recordCompletion(lost.fingerprint());
+                guard.clear(lost.signatures());
             }
         }
-        publish();
+        onChange();
+        checked.forEach(lost -> lost.listener().run());
+        if (result == Result.UNKNOWN && checks < MAX_CHECKS) {
+            List<LostRequest> unknown =
+                    checked.stream().map(LostRequest::withoutListener).toList();
+            pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).addAll(unknown);
+            probe.check(upstream.address(), next -> onResult(upstream, next, checks + 1));
+        }
     }
 
-    /** Clears a request that an upstream has answered to the end; its fingerprint is computed only if it may matter. */
-    void onResponseComplete(LongSupplier fingerprint) {
-        if (!ledger.isEmpty() && ledger.recordCompletion(fingerprint.getAsLong())) {
-            publish();
+    /** Clears a request that an upstream has answered to the end; its content is digested only if it may matter. */
+    void onResponseComplete(Upstream upstream, List<Long> parts, Supplier<RequestSignatures> signatures) {
+        guard.recordAnswer(parts, upstream.pool(), EntryServices.now());
+        if (!guard.isIdle() && guard.clear(signatures.get())) {
+            onChange();
         }
     }
 
-    /** Returns for how long a request is refused, in milliseconds; 0 if it may run. */
-    long refusedForMillis(LongSupplier fingerprint) {
-        return ledger.isEmpty() ? 0 : ledger.refusedForMillis(fingerprint.getAsLong(), EntryServices.now());
+    /** Applies notes that another process has sent. */
+    void onNotes(Collection<CrashNote> notes) {
+        if (notes.isEmpty()) {
+            return;
+        }
+        boolean allPublished = published == ledger.latestPosition();
+        boolean added = guard.merge(notes, EntryServices.now());
+        if (allPublished && !added) {
+            // What comes from another process isn't sent back to it.
+            published = ledger.latestPosition();
+        }
+        onChange();
+    }
+
+    /** Decides whether a request may run. */
+    Admission admit(Supplier<RequestSignatures> signatures) {
+        return suspects.isEmpty() ? Admission.ALLOWED : guard.admit(signatures.get(), EntryServices.now());
+    }
+
+    /** Returns whether a request may be sent to another upstream after one has ended under it. */
+    boolean mayRetry(Supplier<RequestSignatures> signatures) {
+        return guard.isIdle() || guard.mayRetry(signatures.get(), EntryServices.now());
+    }
+
+    /** Returns whether a request in flight should be withdrawn. */
+    boolean isToBeWithdrawn(RequestSignatures signatures) {
+        return guard.isToBeWithdrawn(signatures, EntryServices.now());
+    }
+
+    void beginTrial(RequestSignatures signatures) {
+        guard.beginTrial(signatures);
+    }
+
+    void endTrial(RequestSignatures signatures) {
+        guard.endTrial(signatures);
+    }
+
+    /** Returns the number of suspects; any thread may call this. */
+    int suspectCount() {
+        return suspectCount;
+    }
+
+    private void onChange() {
+        publish();
+        Map<Long, Suspect> previous = suspects;
+        suspects = guard.suspects(EntryServices.now()).stream()
+                .collect(Collectors.toMap(Suspect::signature, suspect -> suspect));
+        suspectCount = suspects.size();
+        previous.keySet().stream()
+                .filter(signature -> !suspects.containsKey(signature))
+                .forEach(signature -> emit("cleared", previous.get(signature)));
+        List<Suspect> added = suspects.values().stream()
+                .filter(suspect -> !previous.containsKey(suspect.signature()))
+                .toList();
+        added.forEach(suspect -> emit("suspected", suspect));
+        if (!added.isEmpty()) {
+            suspectListener.run();
+        }
+    }
+
+    private void emit(String state, Suspect suspect) {
+        events.emit(
+                EventCode.CRASH_SUSPECT,
+                state,
+                Long.toHexString(suspect.signature()),
+                suspect.ends(),
+                suspect.latestEndAt() - suspect.firstEndAt(),
+                suspect.sole(),
+                suspect.answeredBefore());
     }
 
     private void publish() {
@@ -110,12 +216,23 @@
      * Describes a request whose connection was lost.
      *
      * @param requestId the caller's identifier of the request.
-     * @param fingerprint identifies the request by its content.
+     * @param signatures the signatures of the request.
      * @param parts the identities of the shared parts of its prompt.
      * @param begun whether a part of its response had been received.
      * @param millis the time since it was sent, in milliseconds.
      * @param answered whether it has a response that is complete unless the upstream has ended.
+     * @param listener is notified after the check.
      */
     record LostRequest(
-            String requestId, long fingerprint, List<String> parts, boolean begun, long millis, boolean answered) {}
+            String requestId,
+            RequestSignatures signatures,
+            List<String> parts,
+            boolean begun,
+            long millis,
+            boolean answered,
+            Runnable listener) {
+        private LostRequest withoutListener() {
+            return new LostRequest(requestId, signatures, parts, begun, millis, answered, () -> {});
+        }
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.radishspur.decision.crash.Admission;
+import org.radishspur.decision.crash.RequestSignatures;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.slot.SlotOutcome;
@@ -103,6 +105,8 @@
     private long firstMillis;
     private EventSplitter splitter;
     private Optional<Long> fingerprint = Optional.empty();
+    private List<Long> partSignatures = List.of();
+    private boolean trial;
 
     EntryExchange(
             EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
@@ -330,6 +334,7 @@
             granted.end(SlotOutcome.UNUSED);
             return;
         }
+        beginTrialIfSuspected();
         services.metrics().recordSlotWait(EntryServices.now() - arrivedAt);
         viewAtGrant = services.view();
         attempt = new UpstreamAttempt(this, services, granted);
@@ -399,13 +404,25 @@
                 && deadlineAt - EntryServices.now() > MIN_RETRY_MILLIS;
     }
 
-    /** Lets the upstream be checked after the connection to it was lost while it was running the request. */
-    void onConnectionLost(Upstream upstream, boolean begun, long millis) {
-        services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false));
+    /**
+     * Lets the upstream be checked after the connection to it was lost while it was running the request. The request is
+     * sent to another upstream only after the check, as it may be what ended this one.
+     */
+    void onConnectionLost(Upstream upstream, boolean begun, long millis, String cause) {
+        if (isRetryAllowed()) {
+            services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, () -> {
+                if (!done) {
+                    onAttemptFailed(cause);
+                }
+            }));
+        } else {
+            services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, () -> {}));
+            onAttemptFailed(cause);
+        }
     }
 
-    private LostRequest lostRequest(boolean begun, long millis, boolean answered) {
-        return new LostRequest(head.requestId(), fingerprint(), head.sharedParts(), begun, millis, answered);
+    private LostRequest lostRequest(boolean begun, long millis, boolean answered, Runnable listener) {
+        return new LostRequest(head.requestId(), signatures(), head.sharedParts(), begun, millis, answered, listener);
     }
 
     /**
@@ -414,19 +431,70 @@
      */
     void onResponseComplete(Upstream upstream, ResponseEnd end, long millis) {
         if (end == ResponseEnd.STATED) {
-            services.crashes().onResponseComplete(this::fingerprint);
+            services.crashes().onResponseComplete(upstream, partSignatures(), this::signatures);
         } else {
-            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true));
+            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true, () -> {}));
         }
     }
 
-    /** Refuses the request if it has ended several upstreams, here or through other entries; returns whether it did. */
+    /**
+     * Refuses the request if it has a signature that has ended several upstreams, here or through other entries; returns
+     * whether it did.
+     */
     private boolean refuseIfItEndsUpstreams() {
-        long refusedForMillis = services.crashes().refusedForMillis(this::fingerprint);
-        if (refusedForMillis > 0) {
-            refuse(EndReason.CRASH_SUSPECT, refusedForMillis, false);
+        if (trial) {
+            return false;
+        }
+        Admission admission = services.crashes().admit(this::signatures);
+        if (admission.isRefused()) {
+            log.suspected(admission, suspectName(admission.suspect()));
+            refuse(EndReason.CRASH_SUSPECT, admission.retryAfterMillis(), false);
+        }
+        return admission.isRefused();
+    }
+
+    /** Lets the request run as a trial if it has a suspected signature. */
+    private void beginTrialIfSuspected() {
+        Admission admission = trial ? Admission.ALLOWED : services.crashes().admit(this::signatures);
+        if (admission.verdict() == Admission.Verdict.TRIAL) {
+            log.suspected(admission, suspectName(admission.suspect()));
+            trial = true;
+            services.crashes().beginTrial(signatures());
+        }
+    }
+
+    /** Withdraws the request from its upstream if it ends upstreams and its response hasn't begun. */
+    void withdrawIfItEndsUpstreams() {
+        if (done || trial || attempt == null || !attempt.isUnanswered()) {
+            return;
+        }
+        if (services.crashes().isToBeWithdrawn(signatures())) {
+            services.metrics().countWithdrawn();
+            attempt.abandon();
+            refuse(EndReason.CRASH_SUSPECT, maxRetryAfter(), false);
+        }
+    }
+
+    private RequestSignatures signatures() {
+        return new RequestSignatures(fingerprint(), partSignatures());
+    }
+
+    private List<Long> partSignatures() {
+        if (partSignatures.isEmpty() && !head.sharedParts().isEmpty()) {
+            partSignatures = head.sharedParts().stream()
+                    .map(RequestSignatures::ofPart)
+                    .distinct()
+                    .toList();
         }
-        return refusedForMillis > 0;
+        return partSignatures;
+    }
+
+    /** Returns the identity of the part with a signature, or a text that denotes the content. */
+    private String suspectName(long signature) {
+        return head.sharedParts().stream()
+                .filter(part -> RequestSignatures.ofPart(part) == signature)
+                .findFirst()
+                .orElse("content");
     }
 
     /**
@@ -472,7 +540,9 @@
 
     /** Retries or fails a request after a failure that leaves open whether its upstream has run it. */
     void onAttemptFailed(String reason) {
-        if (isRetryAllowed() && services.retryBudget(poolName).tryTake()) {
+        if (isRetryAllowed()
+                && services.crashes().mayRetry(this::signatures)
+                && services.retryBudget(poolName).tryTake()) {
             splitter.discardPartial();
             retry(reason);
         } else {
@@ -596,6 +666,9 @@
             attempt.abandon();
         }
         services.removeRunning(this);
+        if (trial) {
+            services.crashes().endTrial(signatures());
+        }
         body.release();
         if (counted) {
             services.requestEnded();
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -8,9 +8,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Gauge;
 import io.netty.channel.EventLoop;
+import org.radishspur.decision.crash.CrashGuard;
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
-import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.Upstream;
@@ -49,6 +52,7 @@
     private final EntryMetrics metrics;
     private final Transport transport;
     private final SlotClient slots;
+    private final CrashGuard crashGuard;
     private final CrashDetector crashes;
     private final PoolRetryBudgets retryBudgets;
     private final VersionCounters versionCounters;
@@ -75,8 +79,12 @@
         this.transport = transport;
         this.versionCounters = versionCounters;
         CrashLedger crashLedger = new CrashLedger();
-        slots = new SlotClient(settings, transport.schedulers(), events, crashLedger);
-        crashes = new CrashDetector(transport.probe(), crashLedger, slots::publishCrashes, events);
+        crashGuard =
+                new CrashGuard(crashLedger, settings.peerAddress().toString().hashCode());
+        slots = new SlotClient(settings, transport.schedulers(), events, crashLedger, this::onCrashNotes);
+        crashes = new CrashDetector(
+                transport.probe(), crashLedger, crashGuard, slots::publishCrashes, this::withdrawSuspects, events);
+        metrics.registry().register("crash-suspects", (Gauge<Integer>) crashes::suspectCount);
         retryBudgets = new PoolRetryBudgets(
                 settings.bounds().retryShare(), settings.bounds().retrySlack());
     }
@@ -102,6 +110,7 @@
         view = newer;
         if (!same) {
             retryBudgets.setEntryCount(newer.entryCount());
+            crashGuard.setProcesses(newer.entryCount());
             slots.onView(newer, now());
             links().onView(newer);
         }
@@ -138,6 +147,15 @@
         }
     }
 
+    private void onCrashNotes(List<CrashNote> notes) {
+        crashes.onNotes(notes);
+    }
+
+    /** Withdraws the requests in flight that have a new suspect, before they end their upstreams. */
+    private void withdrawSuspects() {
+        Set.copyOf(running).forEach(EntryExchange::withdrawIfItEndsUpstreams);
+    }
+
     /** Returns whether the view was confirmed recently enough to serve requests by it. */
     boolean isConfirmed() {
         return isConfirmedWithin(SERVING_CONFIRMATION_SHARE);
--- a/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
+++ b/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.entry;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.radishspur.decision.crash.Admission;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.upstream.ResponseEnd;
 
@@ -36,6 +37,19 @@
                         exchange.isCallerRetry());
     }
 
+    /** Writes which signature of the request is suspected, and what follows from that. */
+    void suspected(Admission admission, String suspect) {
+        services.events()
+                .emitForRequest(
+                        EventCode.SUSPECTED,
+                        requestId(),
+                        admission.verdict().name(),
+                        Long.toHexString(admission.suspect()),
+                        suspect,
+                        admission.ends(),
+                        admission.retryAfterMillis());
+    }
+
     void failed(EndReason reason, String upstream, String cause) {
         services.metrics().countFailed(reason.code());
         services.events()
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -1,15 +1,17 @@
 package org.radishspur.node.entry;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.slot.CrashLedger;
-import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.decision.slot.SchedulerChoice;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -61,18 +63,26 @@
     private final EventLog events;
     private final String entry;
     private final CrashLedger crashes;
+    private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
     private final SlotScheduler localScheduler;
     private final SchedulerChoice schedulerChoice;
     private final Map<Long, UpstreamSlot> pending = new HashMap<>();
+    private Collection<String> schedulerAddresses = List.of();
     private String attachedScheduler = LOCAL_ADDRESS;
     private int attachedConnection;
     private long nextId;
 
-    SlotClient(PlatformProcessSettings settings, FleetSender links, EventLog events, CrashLedger crashes) {
+    SlotClient(
+            PlatformProcessSettings settings,
+            FleetSender links,
+            EventLog events,
+            CrashLedger crashes,
+            Consumer<List<CrashNote>> crashListener) {
         this.links = links;
         this.events = events;
         this.crashes = crashes;
+        this.crashListener = crashListener;
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
@@ -84,8 +94,10 @@
     void onView(ConfirmedView view, long now) {
         pools.apply(view, Math.max(1, view.entryCount()), now);
         pools.setQuotaShare(1.0 / Math.max(1, view.entryCount()));
-        schedulerChoice.setSchedulers(view.controlHosts().stream()
-                .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one)));
+        Map<String, String> schedulers = view.controlHosts().stream()
+                .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one));
+        schedulerAddresses = schedulers.keySet();
+        schedulerChoice.setSchedulers(schedulers);
         localScheduler.advance(now);
     }
 
@@ -131,17 +143,22 @@
         }
     }
 
-    /** Sends new notes on crashes to the attached scheduler; one that is attached later gets all notes. */
+    /**
+     * Sends new notes on crashes to the attached scheduler, or to all others while the local one is in use; one that is
+     * attached later gets all notes.
+     */
     void publishCrashes(List<CrashNote> notes) {
-        if (!attachedScheduler.equals(LOCAL_ADDRESS)) {
-            SlotReport noReport = new SlotReport.Ended(SlotOutcome.UNUSED);
-            links.send(attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, noReport, notes));
-        }
+        SlotReport noReport = new SlotReport.Ended(SlotOutcome.UNUSED);
+        Collection<String> receivers =
+                attachedScheduler.equals(LOCAL_ADDRESS) ? schedulerAddresses : List.of(attachedScheduler);
+        receivers.stream()
+                .filter(address -> links.connectionCount(address) > 0)
+                .forEach(address -> links.send(address, new FleetMessage.ReportSlot(NO_SLOT, noReport, notes)));
     }
 
     /** Handles a scheduler's reply; a slot granted to a request that is no longer pending is released. */
     void onReply(String scheduler, FleetMessage.Reply reply, long now) {
-        crashes.merge(reply.crashes(), now);
+        crashListener.accept(reply.crashes());
         UpstreamSlot slot = pending.get(reply.id());
         if (slot == null) {
             if (reply.reply() instanceof SlotReply.Granted) {
@@ -233,7 +250,7 @@
         if (chosen.isPresent()) {
             links.send(
                     next,
-                    new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.latestNotes(now)));
+                    new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.strongestNotes(now)));
         }
         if (!previous.equals(LOCAL_ADDRESS)) {
             links.send(previous, new FleetMessage.Detach());
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -316,7 +316,9 @@
             return;
         }
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - sentAt);
+        if (succeeded) {
+            caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - sentAt);
+        }
         endComplete(succeeded);
         caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis, end);
         if (isEventStream()) {
@@ -391,7 +393,6 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        caller.onConnectionLost(upstream.upstream(), firstByteReceived, EntryServices.now() - sentAt);
         if (isPathBroken()) {
             end(SlotOutcome.ABANDONED);
         } else {
@@ -400,7 +401,13 @@
             }
             end(SlotOutcome.BROKEN);
         }
-        caller.onAttemptFailed("broken: " + cause.getMessage());
+        caller.onConnectionLost(
+                upstream.upstream(), firstByteReceived, EntryServices.now() - sentAt, "broken: " + cause.getMessage());
+    }
+
+    /** Returns whether no part of a response has been received, and one may still come. */
+    boolean isUnanswered() {
+        return phase == Phase.CONNECTING || phase == Phase.RUNNING && responseHead == null;
     }
 
     /** Returns whether the upstream seems to hang and has sent no part of this response for a while either. */
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.radishspur.decision.slot.CrashNote;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -67,9 +67,13 @@
             "returning"),
     /**
      * The connection of a request to its upstream was lost, and a check has shown whether the upstream still runs. The
-     * parts are those of the prompt that other requests may have too; the bytes are whether a response had begun.
+     * parts are those of the prompt that other requests may have too. All lines with one end are about the same upstream.
      */
-    CONNECTION_LOST(true, "upstream", "content", "check", "parts", "begun", "millis"),
+    CONNECTION_LOST(true, "upstream", "content", "check", "parts", "begun", "millis", "end"),
+    /** A part of prompts, or the content of a request, is suspected to end upstreams, or has been cleared by an answer. */
+    CRASH_SUSPECT(false, "state", "signature", "ends", "millis", "sole", "answeredBefore"),
+    /** A request has a suspect: a part of its prompt or its content. It is refused, withdrawn, or run as a trial. */
+    SUSPECTED(true, "verdict", "signature", "suspect", "ends", "retryAfterMillis"),
     /** A request is retried at another upstream. */
     RETRIED(true, "reason", "upstream", "attempt", "millis"),
     /**
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -8,11 +8,11 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.slot.CrashLedger;
-import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
@@ -125,7 +125,7 @@
         List<String> others = new ArrayList<>(publishRounds.peers());
         others.removeAll(reconnected);
         if (!reconnected.isEmpty()) {
-            links.send(reconnected, fullReport(current, crashes.latestNotes(now), now));
+            links.send(reconnected, fullReport(current, crashes.strongestNotes(now), now));
         }
         boolean full = publishRounds.beginFullReport();
         if (!others.isEmpty()) {
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -10,10 +10,10 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.slot.CrashLedger;
-import org.radishspur.decision.slot.CrashNote;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotScheduler;
 import org.radishspur.node.control.ControlLoop;
@@ -235,7 +235,10 @@
         if (!attachedEntries.containsKey(peer)) {
             return List.of();
         }
-        CrashLedger.Changes changes = crashes.changesSince(sentCrashes.getOrDefault(peer, 0L), now());
+        Long position = sentCrashes.get(peer);
+        CrashLedger.Changes changes = position == null
+                ? new CrashLedger.Changes(crashes.strongestNotes(now()), crashes.latestPosition())
+                : crashes.changesSince(position, now());
         sentCrashes.put(peer, changes.position());
         return changes.notes();
     }
--- a/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -7,7 +7,9 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.radishspur.decision.slot.CrashLedger;
+import org.radishspur.decision.crash.CrashGuard;
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.RequestSignatures;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.entry.CrashDetector.LostRequest;
 import org.radishspur.node.log.EventLog;
@@ -16,7 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class CrashDetectorTest {
-    private static final long SUSPECTED = 1;
+    private static final RequestSignatures SUSPECTED = new RequestSignatures(1, List.of());
 
     /** Crashes of this many upstreams let a request be refused. */
     private static final int CRASHES = 3;
@@ -25,13 +27,17 @@
     private final CrashLedger ledger = new CrashLedger();
     private final List<String> checked = new ArrayList<>();
     private Result result = Result.REFUSED;
+    private int notifications;
+    private int newSuspects;
     private final CrashDetector detector = new CrashDetector(
             (address, listener) -> {
                 checked.add(address);
                 listener.accept(result);
             },
             ledger,
+            new CrashGuard(ledger, 1),
             notes -> {},
+            () -> newSuspects++,
             events);
 
     @AfterEach
@@ -39,8 +45,12 @@
         events.close();
     }
 
-    private static LostRequest lost(boolean answered) {
-        return new LostRequest("request", SUSPECTED, List.of("1a", "2b"), true, 20, answered);
+    private LostRequest lost(boolean answered) {
+        return new LostRequest("request", SUSPECTED, List.of("1a", "2b"), true, 20, answered, () -> notifications++);
+    }
+
+    private boolean isRefused() {
+        return detector.admit(() -> SUSPECTED).isRefused();
     }
 
     private static Upstream upstream(int number) {
@@ -51,7 +61,7 @@
         for (int number = 1; number <= CRASHES; number++) {
             detector.onConnectionLost(upstream(number), lost(false));
         }
-        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+        assertThat(isRefused()).isTrue();
     }
 
     /** Guards against upstreams that are checked after each of their responses because they never state their end. */
@@ -67,7 +77,7 @@
         crashAll();
         detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
         assertThat(checked).hasSize(CRASHES + 1);
-        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+        assertThat(isRefused()).isTrue();
     }
 
     /** Guards against a sound request that stays refused because its upstreams never state the end of a response. */
@@ -76,7 +86,7 @@
         crashAll();
         result = Result.ACCEPTED;
         detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
-        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isZero();
+        assertThat(isRefused()).isFalse();
     }
 
     @Test
@@ -84,6 +94,34 @@
         crashAll();
         result = Result.UNKNOWN;
         detector.onResponseClosed(upstream(CRASHES + 1), () -> lost(true));
-        assertThat(detector.refusedForMillis(() -> SUSPECTED)).isPositive();
+        assertThat(isRefused()).isTrue();
+    }
+
+    /** Guards against a request that is sent to another upstream before it is noted that it may have ended the first. */
+    @Test
+    void notifiesRequestsAfterTheCheck() {
+        detector.onConnectionLost(upstream(1), lost(false));
+        assertThat(notifications).isEqualTo(1);
+        assertThat(detector.mayRetry(() -> SUSPECTED)).isTrue();
+        detector.onConnectionLost(upstream(2), lost(false));
+        assertThat(detector.mayRetry(() -> SUSPECTED)).isFalse();
+    }
+
+    /** Guards against requests in flight that stay at their upstreams until they end them. */
+    @Test
+    void reportsEachNewSuspectOnce() {
+        crashAll();
+        detector.onConnectionLost(upstream(CRASHES + 1), lost(false));
+        assertThat(newSuspects).isEqualTo(1);
+        assertThat(detector.isToBeWithdrawn(SUSPECTED)).isTrue();
+    }
+
+    /** Guards against an ended upstream that leaves no evidence because its host is slow to refuse a connection. */
+    @Test
+    void checksAgainWhereTheCheckShowsNothing() {
+        result = Result.UNKNOWN;
+        detector.onConnectionLost(upstream(1), lost(false));
+        assertThat(checked).hasSize(4);
+        assertThat(notifications).isEqualTo(1);
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.dispatch.QuotaLedger;
-import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -47,7 +47,7 @@
     private final FakeLinks links = new FakeLinks();
     private final RecordingListener listener = new RecordingListener();
     private final CrashLedger crashes = new CrashLedger();
-    private final SlotClient client = new SlotClient(settings(), links, events, crashes);
+    private final SlotClient client = new SlotClient(settings(), links, events, crashes, notes -> {});
 
     @BeforeEach
     void applyViewWithTwoSchedulers() {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
-import org.radishspur.decision.slot.CrashNote;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -22,7 +22,7 @@
  * by one. The records below are the messages as the earlier build declares them.
  */
 class EarlierBuildTest {
-    private static final List<CrashNote> NOTES = List.of(new CrashNote(Long.MIN_VALUE, -7, true, 12));
+    private static final List<CrashNote> NOTES = List.of(new CrashNote(Long.MIN_VALUE, -7, true, 12, true, 5));
     private static final HeldSlot HELD = new HeldSlot(3, "pool", "run", 5, 1);
     private static final SlotReport REPORT = new SlotReport.Ended(SlotOutcome.BROKEN);
 
@@ -43,6 +43,13 @@
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
+    @Test
+    void exchangesNotesOnCrashes() {
+        EarlierCrashNote earlier = new EarlierCrashNote(Long.MIN_VALUE, -7, true, 12);
+        assertThat(reread(NOTES.get(0), EarlierCrashNote.class)).isEqualTo(earlier);
+        assertThat(reread(earlier, CrashNote.class)).isEqualTo(new CrashNote(Long.MIN_VALUE, -7, true, 12, false, 0));
+    }
+
     @Test
     void readsReportsWithALimit() {
         SlotReport.FirstByte first = new SlotReport.FirstByte(5, Optional.of(RequestLimit.ofRate(2)));
@@ -90,6 +97,8 @@
 
     private record EarlierReply(long id, SlotReply reply) {}
 
+    private record EarlierCrashNote(long request, int upstream, boolean cleared, long ageMillis) {}
+
     private record EarlierFirstByte(long elapsedMillis) {}
 
     private record EarlierEnded(
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -13,9 +13,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.slot.CrashLedger;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.PoolRule;
@@ -112,7 +113,7 @@
         @Test
         void sendsEverythingAgainAfterAReconnection() {
             applyView(1);
-            crashes.recordCrash(1, 2, 0);
+            crashes.merge(List.of(new CrashNote(1, 2, false, 0, false, 0)), 0);
             engine().recordStatedLimit(RequestLimit.ofRate(2), 0, 0);
             exchange.publishIfDue(0);
             exchange.publishIfDue(TICK_MILLIS);
