Count the end of an upstream against its version only if no request explains it

A version under trial is taken back for three failures more than a share of the others', and each lost connection counted as one, also if requests that end every upstream were the cause. The failure is counted 1.5 s after an upstream has ended, unless a suspect was in flight at its end by then; a reset connection of an upstream that runs counts at once. UpstreamAttemptTest. EndedUpstream shows two ends that count and three that a request explains; without the condition three of three count (read, not run).

--- a/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
@@ -205,6 +205,19 @@
                 .anyMatch(suspect -> suspect.sole() && !suspect.answeredBefore());
     }
 
+    /**
+     * Returns whether a suspect explains the end of an upstream.
+     *
+     * @param upstream the hash code of the upstream's run.
+     * @param now the current time in milliseconds.
+     * @return whether a request with the suspect was in flight there.
+     */
+    public boolean isExplained(int upstream, long now) {
+        return attribution(now).suspects().keySet().stream()
+                .flatMap(signature -> ledger.history(signature).stream())
+                .anyMatch(history -> history.end(upstream) != null);
+    }
+
     /**
      * Returns the current suspects.
      *
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -116,7 +116,7 @@
             }
         }
         onChange();
-        checked.forEach(lost -> lost.listener().run());
+        checked.forEach(lost -> lost.listener().accept(result));
         if (result == Result.UNKNOWN && checks < MAX_CHECKS) {
             List<LostRequest> unknown =
                     checked.stream().map(LostRequest::withoutListener).toList();
@@ -162,6 +162,11 @@
         return guard.isToBeWithdrawn(signatures, EntryServices.now());
     }
 
+    /** Returns whether a suspect was in flight at the end of an upstream, so that the end shows nothing about it. */
+    boolean isExplained(Upstream upstream) {
+        return guard.isExplained(upstream.runId().hashCode(), EntryServices.now());
+    }
+
     void beginTrial(RequestSignatures signatures) {
         guard.beginTrial(signatures);
     }
@@ -221,7 +226,7 @@
      * @param begun whether a part of its response had been received.
      * @param millis the time since it was sent, in milliseconds.
      * @param answered whether it has a response that is complete unless the upstream has ended.
-     * @param listener is notified after the check.
+     * @param listener receives the result of the first check.
      */
     record LostRequest(
             String requestId,
@@ -230,9 +235,9 @@
             boolean begun,
             long millis,
             boolean answered,
-            Runnable listener) {
+            Consumer<Result> listener) {
         private LostRequest withoutListener() {
-            return new LostRequest(requestId, signatures, parts, begun, millis, answered, () -> {});
+            return new LostRequest(requestId, signatures, parts, begun, millis, answered, unused -> {});
         }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -32,6 +33,7 @@
 import org.radishspur.node.entry.CrashDetector.LostRequest;
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Processes one request from the arrival of its head to its only response: it reads the body, finds the route and the
@@ -408,20 +410,22 @@
      * Lets the upstream be checked after the connection to it was lost while it was running the request. The request is
      * sent to another upstream only after the check, as it may be what ended this one.
      */
-    void onConnectionLost(Upstream upstream, boolean begun, long millis, String cause) {
-        if (isRetryAllowed()) {
-            services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, () -> {
-                if (!done) {
-                    onAttemptFailed(cause);
-                }
-            }));
-        } else {
-            services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, () -> {}));
+    void onConnectionLost(
+            Upstream upstream, boolean begun, long millis, String cause, Consumer<UpstreamProbe.Result> listener) {
+        boolean retryAllowed = isRetryAllowed();
+        services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, result -> {
+            listener.accept(result);
+            if (retryAllowed && !done) {
+                onAttemptFailed(cause);
+            }
+        }));
+        if (!retryAllowed) {
             onAttemptFailed(cause);
         }
     }
 
-    private LostRequest lostRequest(boolean begun, long millis, boolean answered, Runnable listener) {
+    private LostRequest lostRequest(
+            boolean begun, long millis, boolean answered, Consumer<UpstreamProbe.Result> listener) {
         return new LostRequest(head.requestId(), signatures(), head.sharedParts(), begun, millis, answered, listener);
     }
 
@@ -433,7 +437,7 @@
         if (end == ResponseEnd.STATED) {
             services.crashes().onResponseComplete(upstream, partSignatures(), this::signatures);
         } else {
-            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true, () -> {}));
+            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true, result -> {}));
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -2,6 +2,7 @@
 
 import java.net.ProtocolException;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,6 +26,7 @@
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
+import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Sends a request to the upstream of one slot and passes its response to the caller. The slot is released at the end of
@@ -40,6 +42,9 @@
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
+    /** The time in which other ends of upstreams may show that a request is their cause, in milliseconds. */
+    private static final long EXPLANATION_MILLIS = 1_500;
+
     private final EntryExchange caller;
     private final EntryServices services;
     private final UpstreamSlot slot;
@@ -393,16 +398,33 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        if (isPathBroken()) {
-            end(SlotOutcome.ABANDONED);
-        } else {
-            if (upstream.isSeparateBreak(EntryServices.now())) {
+        boolean pathBroken = isPathBroken();
+        boolean countsForVersion = !pathBroken && upstream.isSeparateBreak(EntryServices.now());
+        end(pathBroken ? SlotOutcome.ABANDONED : SlotOutcome.BROKEN);
+        long millis = EntryServices.now() - sentAt;
+        caller.onConnectionLost(
+                upstream.upstream(), firstByteReceived, millis, "broken: " + cause.getMessage(), result -> {
+                    if (countsForVersion) {
+                        recordBreak(result);
+                    }
+                });
+    }
+
+    /**
+     * Counts a lost connection as a failure of the upstream's version. If the upstream has ended, that is decided some time
+     * later, when it may be known that a request is what ended it.
+     */
+    private void recordBreak(UpstreamProbe.Result result) {
+        if (result != UpstreamProbe.Result.REFUSED) {
+            recordResponse(false);
+            return;
+        }
+        Runnable recordUnexplained = () -> {
+            if (!services.crashes().isExplained(upstream.upstream())) {
                 recordResponse(false);
             }
-            end(SlotOutcome.BROKEN);
-        }
-        caller.onConnectionLost(
-                upstream.upstream(), firstByteReceived, EntryServices.now() - sentAt, "broken: " + cause.getMessage());
+        };
+        services.loop().schedule(recordUnexplained, EXPLANATION_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns whether no part of a response has been received, and one may still come. */
--- a/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -46,7 +46,7 @@
     }
 
     private LostRequest lost(boolean answered) {
-        return new LostRequest("request", SUSPECTED, List.of("1a", "2b"), true, 20, answered, () -> notifications++);
+        return new LostRequest("request", SUSPECTED, List.of("1a", "2b"), true, 20, answered, first -> notifications++);
     }
 
     private boolean isRefused() {
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
@@ -61,13 +62,14 @@
     private final List<FakeExchange> exchanges = new ArrayList<>();
     private final EntryServices services;
     private final Catalogue catalogue;
-    private final HostList hosts;
+    private HostList hosts;
     private final VersionCounters versionCounters = new VersionCounters();
     private long linkMillis;
     private UpstreamReach reach = UpstreamReach.REACHED;
     private final LinkMonitor linkMonitor = new LinkMonitor(events, changed -> reach = changed, () -> linkMillis);
     private boolean connectsAutomatically = true;
     private int checks;
+    private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
         PlatformProcessSettings.Bounds bounds =
@@ -194,6 +196,23 @@
         return new ReceivedResponse(status, text.toString(), complete);
     }
 
+    /** Ends the upstream of an exchange, which leaves the host list. */
+    void endUpstream(int exchange) {
+        checkResult = UpstreamProbe.Result.REFUSED;
+        exchange(exchange).loseConnection();
+        List<Upstream> remaining = hosts.upstreams().stream()
+                .filter(upstream -> !upstream.address().equals(exchange(exchange).address))
+                .toList();
+        hosts = new HostList(hosts.term(), hosts.reading() + 1, remaining);
+        applyView(Set.of(), Moment.now());
+    }
+
+    /** Lets time pass, as far as scheduled tasks notice. */
+    void elapse(long millis) {
+        caller.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        caller.runScheduledPendingTasks();
+    }
+
     /** Returns how often it was checked whether an upstream still runs. */
     int checks() {
         return checks;
@@ -201,11 +220,11 @@
 
     private void check(String address, Consumer<UpstreamProbe.Result> listener) {
         checks++;
-        listener.accept(UpstreamProbe.Result.ACCEPTED);
+        listener.accept(checkResult);
     }
 
     private UpstreamExchange open(String address, UpstreamListener listener) {
-        FakeExchange exchange = new FakeExchange(listener);
+        FakeExchange exchange = new FakeExchange(address, listener);
         exchanges.add(exchange);
         if (connectsAutomatically) {
             caller.eventLoop().execute(listener::onConnected);
@@ -232,11 +251,13 @@
 
     /** An exchange in which the test acts as the upstream. */
     static final class FakeExchange implements UpstreamExchange {
+        private final String address;
         private final UpstreamListener listener;
         private boolean aborted;
         private boolean requestSent;
 
-        FakeExchange(UpstreamListener listener) {
+        FakeExchange(String address, UpstreamListener listener) {
+            this.address = address;
             this.listener = listener;
         }
 
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -61,6 +61,43 @@
         }
     }
 
+    @Nested
+    class EndedUpstream {
+        private EntryFixture afterEnds(int ends) {
+            EntryFixture entry = new EntryFixture(RequestKind.STREAM, false, 4);
+            for (int end = 0; end < ends; end++) {
+                entry.request();
+                entry.endUpstream(end);
+                entry.received();
+            }
+            return entry;
+        }
+
+        /** Guards against a good version that is rolled back because requests end its upstreams. */
+        @Test
+        void countsAgainstItsVersionUnlessARequestExplainsIt() {
+            try (EntryFixture entry = afterEnds(2)) {
+                assertThat(entry.versionFailures()).isZero();
+                entry.elapse(2_000);
+                assertThat(entry.versionFailures()).isEqualTo(2);
+            }
+            try (EntryFixture entry = afterEnds(3)) {
+                entry.elapse(2_000);
+                assertThat(entry.versionFailures()).isZero();
+            }
+        }
+
+        /** Guards against requests that are sent to the next upstream after those like them have ended several. */
+        @Test
+        void letsNoOtherUpstreamRunTheSameRequest() {
+            try (EntryFixture entry = afterEnds(3)) {
+                entry.request();
+                assertThat(entry.received().status()).isEqualTo(503);
+                assertThat(entry.exchanges()).isEqualTo(3);
+            }
+        }
+    }
+
     @Nested
     class StreamWithoutFraming {
         private static final String EVENT_STREAM = "text/event-stream";
