Refuse requests on the path of permits that begin like others that crashed upstreams

The path of permits counted crashes by the digest of a whole request, as the other did. PoolSchedulerTest.requestsThatBeginLikeThreeThatCrashedUpstreamsAreRefused fails with the refusal taken out (a fourth upstream is granted) and passes with it. What the path can't see: a part that doesn't begin the prompt, as it has no names of parts. The owner of a pool keeps the counts in memory; its successor begins anew. A trial whose end nobody reports counts as ended after 30 s.

--- a/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
@@ -2,10 +2,8 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -19,9 +17,12 @@
     /** The number of unexplained open ends from which a request isn't sent to another upstream. */
     private static final int MAX_ENDS_TO_RETRY = 1;
 
+    /** The time after which a trial counts as ended even if nobody has reported its end, in milliseconds. */
+    private static final long MAX_TRIAL_MILLIS = 30_000;
+
     private final CrashLedger ledger;
     private final AnswerMemory answers = new AnswerMemory();
-    private final Set<Long> runningTrials = new HashSet<>();
+    private final Map<Long, Long> runningTrials = new HashMap<>();
     private final Map<Long, Long> knownSince = new HashMap<>();
     private final long owner;
     private int processes = 1;
@@ -136,7 +137,7 @@
         Admission admission = Admission.ALLOWED;
         for (Suspect suspect : present) {
             long waitMillis = dueAt(suspect, mixed) - now;
-            if (runningTrials.contains(suspect.signature())) {
+            if (now - runningTrials.getOrDefault(suspect.signature(), Long.MIN_VALUE / 2) < MAX_TRIAL_MILLIS) {
                 waitMillis = Math.max(waitMillis, TrialPolicy.EARLY_TRIAL_MILLIS);
             }
             Admission.Verdict verdict = waitMillis > 0 ? Admission.Verdict.REFUSED : Admission.Verdict.TRIAL;
@@ -232,9 +233,10 @@
      * Records that a request begins to run as a trial; no other one with its suspected signatures does until it has ended.
      *
      * @param request the signatures of the request.
+     * @param now the current time in milliseconds.
      */
-    public void beginTrial(RequestSignatures request) {
-        runningTrials.addAll(request.all());
+    public void beginTrial(RequestSignatures request, long now) {
+        request.all().forEach(signature -> runningTrials.put(signature, now));
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -61,6 +61,7 @@
 
     private final FinishedAttempts finishedAttempts = new FinishedAttempts(MAX_FINISHED_ATTEMPTS);
     private final CrashSuspects crashSuspects;
+    private final PrefixSuspects prefixSuspects;
     private final PoolSpeeds speeds = new PoolSpeeds();
     private final DeadlineEstimator deadlines;
     private final VersionRouting versionRouting = new VersionRouting();
@@ -88,6 +89,7 @@
     public PoolScheduler(PoolRow row, SchedulerOptions options, String owner) {
         this.options = options;
         this.crashSuspects = new CrashSuspects(owner);
+        this.prefixSuspects = new PrefixSuspects(owner);
         this.deadlines = new DeadlineEstimator(options, upstreams, queue, speeds);
         this.ejector = new Ejector(options, upstreams, actions);
         this.selector = new UpstreamSelector(crashSuspects, versionRouting, speeds);
@@ -102,6 +104,7 @@
      */
     public void configure(PoolRow changed) {
         row = changed;
+        prefixSuspects.setPool(changed.name());
         Map<String, UpstreamRow> rowsByName = new HashMap<>();
         for (UpstreamRow upstream : changed.upstreams()) {
             rowsByName.put(upstream.name(), upstream);
@@ -148,13 +151,7 @@
             return;
         }
         slotReserve.arrived(request.tier(), now);
-        if (crashSuspects.isRefused(request.fingerprint())) {
-            refuse(
-                    request.id(),
-                    Refusal.notRun(
-                            RefusalReason.CRASH_SUSPECT,
-                            "The request was in flight at repeated crashes.",
-                            MAX_RETRY_AFTER_MILLIS));
+        if (refuseIfSuspected(request, now)) {
             return;
         }
         RequestSize size = outputLengths.correct(request);
@@ -370,22 +367,38 @@
      * many crashes.
      *
      * @param crashCounts the number of crashes by fingerprint.
+     * @param now the current time in microseconds.
      */
-    public void replaceCrashCounts(Map<String, Integer> crashCounts) {
+    public void replaceCrashCounts(Map<String, Integer> crashCounts, long now) {
         crashSuspects.replaceAgreedCounts(crashCounts);
+        refuseWaitingSuspects(now);
+    }
+
+    private void refuseWaitingSuspects(long now) {
         for (WaitingRequest waiting : queue.all()) {
-            if (crashSuspects.isRefused(waiting.request.fingerprint())) {
+            if (refuseIfSuspected(waiting.request, now)) {
                 queue.remove(waiting.request.id());
-                refuse(
-                        waiting.request.id(),
-                        Refusal.notRun(
-                                RefusalReason.CRASH_SUSPECT,
-                                "The request was in flight at repeated crashes.",
-                                MAX_RETRY_AFTER_MILLIS));
             }
         }
     }
 
+    /** Refuses a request that was in flight at too many crashes, or whose beginning was; returns whether it did. */
+    private boolean refuseIfSuspected(PermitRequest request, long now) {
+        long prefixMillis = prefixSuspects.refusedForMillis(request, now);
+        if (crashSuspects.isRefused(request.fingerprint())) {
+            refuseSuspect(request.id(), "The request was in flight at repeated crashes.", MAX_RETRY_AFTER_MILLIS);
+            return true;
+        }
+        if (prefixMillis > 0) {
+            refuseSuspect(request.id(), "Requests that begin alike were in flight at repeated crashes.", prefixMillis);
+        }
+        return prefixMillis > 0;
+    }
+
+    private void refuseSuspect(PermitId id, String text, long retryAfterMillis) {
+        refuse(id, Refusal.notRun(RefusalReason.CRASH_SUSPECT, text, retryAfterMillis));
+    }
+
     /**
      * Replaces the splits of routes between versions.
      *
@@ -640,6 +653,7 @@
         if (exclusive) {
             crashSuspects.started(request.id());
         }
+        prefixSuspects.started(request, now);
         inFlight.put(request.id(), upstream.name());
         versionRouting.granted(request.route(), upstream.row().version());
         speeds.granted(upstream.cachedShare(request.size()));
@@ -652,10 +666,12 @@
             UpstreamState upstream, UpstreamState.InFlightRequest flight, PermitOutcome outcome, long now) {
         PermitRequest request = flight.request();
         crashSuspects.ended(request.id());
+        prefixSuspects.ended(request.id());
         switch (outcome.ending()) {
             case ANSWERED -> {
                 upstream.recordAnswer(
                         flight, outcome.firstTokenMicros(), outcome.totalMicros(), outcome.outputTokens(), now);
+                prefixSuspects.recordAnswer(request, now);
                 if (crashSuspects.clear(request.fingerprint())) {
                     actions.add(new PermitAction.SuspectCleared(request.fingerprint()));
                 }
@@ -665,6 +681,8 @@
                 String crashId = crashSuspects.crashIdFor(upstream.name(), now);
                 crashSuspects.recordCrash(request.fingerprint(), crashId);
                 actions.add(new PermitAction.CrashSuspected(request.fingerprint(), crashId));
+                prefixSuspects.recordCrash(request, crashId, now);
+                refuseWaitingSuspects(now);
             }
             default -> {}
         }
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
@@ -213,7 +213,7 @@
             answerOthers(3);
             awaitTrial(PART);
             RequestSignatures trial = request(PART);
-            guard.beginTrial(trial);
+            guard.beginTrial(trial, now);
             answer(trial);
             guard.endTrial(trial);
             assertThat(verdict(PART)).isEqualTo(Admission.Verdict.ALLOWED);
@@ -240,7 +240,7 @@
             answerOthers(3);
             awaitTrial(PART);
             RequestSignatures trial = request(PART);
-            guard.beginTrial(trial);
+            guard.beginTrial(trial, now);
             assertThat(isRefused(PART)).isTrue();
             guard.endTrial(trial);
             assertThat(isRefused(PART)).isFalse();
--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -1,6 +1,7 @@
 package org.radishspur.decision.permit;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -574,7 +575,7 @@
         void aSecondCrashCountsBeforeAllOwnersAgreeOnIt() {
             dispatch("poison");
             crash(1);
-            scheduler.replaceCrashCounts(Map.of("poison", 1));
+            scheduler.replaceCrashCounts(Map.of("poison", 1), now);
             dispatch("poison");
             crash(2);
             scheduler.submit(request(Tier.URGENT, "a", "poison"), now);
@@ -585,8 +586,8 @@
         void aSuspectThatLeavesTheAgreedCountsIsCleared() {
             dispatch("poison");
             crash(1);
-            scheduler.replaceCrashCounts(Map.of("poison", 1));
-            scheduler.replaceCrashCounts(Map.of());
+            scheduler.replaceCrashCounts(Map.of("poison", 1), now);
+            scheduler.replaceCrashCounts(Map.of(), now);
             dispatch("poison");
             crash(2);
             scheduler.submit(request(Tier.URGENT, "a", "poison"), now);
@@ -614,9 +615,52 @@
             assertThat(scheduler.decide(now)).contains(new PermitAction.SuspectCleared("neighbour"));
         }
 
+        private String dispatchUnlike(long... blocks) {
+            PermitRequest like = request(Tier.NORMAL, "a", "content-" + sequence);
+            List<Long> digests = Arrays.stream(blocks).boxed().toList();
+            PermitRequest request = new PermitRequest(
+                    like.id(),
+                    like.tier(),
+                    like.organisation(),
+                    like.route(),
+                    like.deadlineAt(),
+                    new RequestSize(100, 10, digests),
+                    like.fingerprint());
+            scheduler.submit(request, now);
+            List<PermitAction> decided = scheduler.decide(now);
+            return grants(decided).isEmpty()
+                    ? refusals(decided).toString()
+                    : grants(decided).get(0).upstream();
+        }
+
+        /** Guards against requests that begin alike and crash one upstream after the other, as no content comes twice. */
+        @Test
+        void requestsThatBeginLikeThreeThatCrashedUpstreamsAreRefused() {
+            dispatchUnlike(1);
+            scheduler.finish(new PermitId("entry", 1, sequence), answered(), now);
+            for (int crash = 0; crash < 3; crash++) {
+                dispatchUnlike(1, 2, 10 + crash);
+                crash(sequence);
+            }
+            assertThat(dispatchUnlike(1, 2, 20)).isEqualTo("[CRASH_SUSPECT]");
+            assertThat(dispatchUnlike(1, 3)).doesNotContain("SUSPECT");
+        }
+
+        /** Guards against a beginning that all requests share and that is refused because upstreams crash. */
+        @Test
+        void aBeginningThatIsAnsweredStaysServed() {
+            for (int crash = 0; crash < 6; crash++) {
+                assertThat(dispatchUnlike(1, 10 + crash)).doesNotContain("SUSPECT");
+                crash(sequence);
+                dispatchUnlike(1, 30 + crash);
+                scheduler.finish(new PermitId("entry", 1, sequence), answered(), now);
+            }
+            assertThat(dispatchUnlike(1, 50)).doesNotContain("SUSPECT");
+        }
+
         @Test
         void aRequestWithTwoAgreedCrashesIsRefused() {
-            scheduler.replaceCrashCounts(Map.of("poison", 2));
+            scheduler.replaceCrashCounts(Map.of("poison", 2), now);
             scheduler.submit(request(Tier.NORMAL, "a", "poison"), now);
             assertThat(refusals(scheduler.decide(now))).containsExactly(RefusalReason.CRASH_SUSPECT);
         }
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -92,7 +92,7 @@
         suspects.forEach((pool, crashCounts) -> {
             OwnedPool owned = ownedPools.get(pool);
             if (owned != null) {
-                owned.scheduler.replaceCrashCounts(crashCounts);
+                owned.scheduler.replaceCrashCounts(crashCounts, loop.nowMicros());
             }
         });
         requestDecision();
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -168,7 +168,7 @@
     }
 
     void beginTrial(RequestSignatures signatures) {
-        guard.beginTrial(signatures);
+        guard.beginTrial(signatures, EntryServices.now());
     }
 
     void endTrial(RequestSignatures signatures) {
