--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashFleetPropertyTest.java
@@ -0,0 +1,46 @@
+package org.radishspur.decision.crash;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashFleetPropertyTest {
+    private static final int MAX_ENDS = 8;
+    private static final int ENDS_BEFORE_WINDOW = 5;
+    private static final long WINDOW_MILLIS = 4_000;
+    private static final double MAX_REFUSED_SHARE = 0.05;
+
+    private static void assertHeld(CrashFleetSimulation fleet) {
+        List<Long> ends = fleet.crashingEnds();
+        assertThat(ends).hasSizeBetween(1, MAX_ENDS);
+        long from = ends.get(Math.min(ENDS_BEFORE_WINDOW, ends.size()) - 1) + WINDOW_MILLIS;
+        assertThat(fleet.crashingRuns()).filteredOn(time -> time > from).isEmpty();
+        assertThat(fleet.soundRefusedShare()).isLessThanOrEqualTo(MAX_REFUSED_SHARE);
+    }
+
+    /** Guards against a part that ends upstream after upstream, and against sound requests that are refused beside it. */
+    @Property(tries = 150, seed = "57")
+    void aPartEndsFewUpstreams(
+            @ForAll @IntRange(min = 1, max = 12) int entries,
+            @ForAll @IntRange(min = 75, max = 700) int crashingMillis,
+            @ForAll long seed) {
+        CrashFleetSimulation fleet = new CrashFleetSimulation(seed, entries, crashingMillis);
+        fleet.run(60, 3_000);
+        assertHeld(fleet);
+    }
+
+    /** Guards against parts that everybody shares and that stay refused when nothing is known of any part yet. */
+    @Property(tries = 150, seed = "58")
+    void aPartEndsFewUpstreamsFromTheStartOn(
+            @ForAll @IntRange(min = 1, max = 12) int entries,
+            @ForAll @IntRange(min = 75, max = 700) int crashingMillis,
+            @ForAll long seed) {
+        CrashFleetSimulation fleet = new CrashFleetSimulation(seed, entries, crashingMillis);
+        fleet.run(60, 0);
+        assertHeld(fleet);
+    }
+}
