Let upstreams that a part ends show nothing about the links of an entry

An upstream at whose end a suspected part was in flight counts neither for nor against a cut until it answers or leaves the list. A content isn't enough for that: one request that is sent on over broken links loses several upstreams, and a cut has to be found (CrashGuardTest.EndsOfParts). Until the third end an entry may still find itself cut off for a moment.

--- a/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 /**
  * Decides at an entry which requests are refused because a signature of theirs ends upstreams, and which one may run as
@@ -68,11 +70,29 @@
      */
     public void recordCrash(RequestSignatures request, String pool, int upstream, long now) {
         ledger.removeExpired(now);
-        for (long signature : request.all()) {
-            ledger.recordCrash(signature, upstream, answers.isAnswered(signature, now), pool.hashCode(), now);
+        ledger.recordCrash(request.content(), false, upstream, false, pool.hashCode(), now);
+        for (long part : request.parts()) {
+            ledger.recordCrash(part, true, upstream, answers.isAnswered(part, now), pool.hashCode(), now);
         }
     }
 
+    /**
+     * Returns the upstreams that have ended while requests with a suspected part were in flight. The part is likely to be
+     * the cause, rather than the links to these upstreams. A content isn't enough: one request that is sent on over broken
+     * links loses several upstreams.
+     *
+     * @param now the current time in milliseconds.
+     * @return the hash codes of the runs of the upstreams.
+     */
+    public Set<Integer> upstreamsEndedByParts(long now) {
+        return attribution(now).suspects().values().stream()
+                .filter(suspect -> !suspect.answeredBefore())
+                .flatMap(suspect -> ledger.history(suspect.signature()).stream())
+                .filter(CrashHistory::isPart)
+                .flatMap(history -> history.openUpstreams().stream())
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Records that a request was answered to the end.
      *
--- a/decision/src/main/java/org/radishspur/decision/crash/CrashHistory.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashHistory.java
@@ -58,6 +58,11 @@
         return ends.values().stream().anyMatch(end -> end.answeredBefore);
     }
 
+    /** Returns whether the signature is that of a part, which requests that aren't alike may share. */
+    boolean isPart() {
+        return ends.values().stream().anyMatch(end -> end.part);
+    }
+
     int openCount() {
         return (int) ends.values().stream().filter(End::isOpen).count();
     }
@@ -69,7 +74,8 @@
         return open;
     }
 
-    private Set<Integer> openUpstreams() {
+    /** Returns the upstreams of the open ends. */
+    Set<Integer> openUpstreams() {
         return ends.entrySet().stream()
                 .filter(entry -> entry.getValue().isOpen())
                 .map(Map.Entry::getKey)
@@ -88,6 +94,7 @@
     static final class End {
         private final long endedAt;
         private final int pool;
+        private final boolean part;
         private boolean cleared;
         private boolean answeredBefore;
         private long position;
@@ -95,6 +102,7 @@
         End(CrashNote note, long endedAt, long position) {
             this.endedAt = endedAt;
             this.pool = note.pool();
+            this.part = note.part();
             this.cleared = note.cleared();
             this.answeredBefore = note.answeredBefore();
             this.position = position;
@@ -127,7 +135,7 @@
         }
 
         CrashNote toNote(long signature, int upstream, long now) {
-            return new CrashNote(signature, upstream, cleared, now - endedAt, answeredBefore, pool);
+            return new CrashNote(signature, upstream, cleared, now - endedAt, answeredBefore, pool, part);
         }
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/crash/CrashLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashLedger.java
@@ -67,14 +67,14 @@
     }
 
     /** Records that a request with a signature was in flight when an upstream ended. */
-    void recordCrash(long signature, int upstream, boolean answeredBefore, int pool, long now) {
+    void recordCrash(long signature, boolean part, int upstream, boolean answeredBefore, int pool, long now) {
         CrashHistory known = histories.getOrDefault(signature, new CrashHistory(signature));
         int end = upstream;
         while (known.end(end) != null && now - known.end(end).endedAt() > SAME_END_MILLIS) {
             // It was started again, and the host list doesn't show it yet. All processes count on from the hash code.
             end++;
         }
-        merge(new CrashNote(signature, end, false, 0, answeredBefore, pool), now);
+        merge(new CrashNote(signature, end, false, 0, answeredBefore, pool, part), now);
         forgetWeakest();
     }
 
--- a/decision/src/main/java/org/radishspur/decision/crash/CrashNote.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashNote.java
@@ -13,6 +13,13 @@
  * @param answeredBefore whether a request with the signature was answered to the end some time before; false if an older
  *     build sent the note.
  * @param pool the hash code of the name of the upstream's pool, 0 if an older build sent the note.
+ * @param part whether the signature is that of a part; false if an older build sent the note.
  */
 public record CrashNote(
-        long signature, int upstream, boolean cleared, long ageMillis, boolean answeredBefore, int pool) {}
+        long signature,
+        int upstream,
+        boolean cleared,
+        long ageMillis,
+        boolean answeredBefore,
+        int pool,
+        boolean part) {}
--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -50,6 +50,7 @@
     private static final long BEFORE_ALL = Long.MIN_VALUE;
 
     private final Map<String, Path> paths = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
     private long latestFailureAt = NEVER;
     private String trialUpstream = "";
     private long lastTrialAt = NEVER;
@@ -79,6 +80,7 @@
             trialUpstream = "";
             lastTrialAnswered = true;
         }
+        ended.remove(upstream);
         Path path = pathTo(upstream);
         path.answeredAt = now;
         path.waitingSince = now;
@@ -111,8 +113,10 @@
      * @param now the current time in milliseconds.
      */
     public void recordLoss(String upstream, long now) {
-        pathTo(upstream).loss.record(now);
-        latestFailureAt = now;
+        if (!ended.contains(upstream)) {
+            pathTo(upstream).loss.record(now);
+            latestFailureAt = now;
+        }
         endFailedTrial(upstream, now);
     }
 
@@ -123,8 +127,10 @@
      * @param now the current time in milliseconds.
      */
     public void recordConnectFailure(String upstream, long now) {
-        pathTo(upstream).connectFailure.record(now);
-        latestFailureAt = now;
+        if (!ended.contains(upstream)) {
+            pathTo(upstream).connectFailure.record(now);
+            latestFailureAt = now;
+        }
         endFailedTrial(upstream, now);
     }
 
@@ -160,6 +166,17 @@
         paths.remove(upstream);
     }
 
+    /**
+     * Records that an upstream has ended by what it ran, so that its failures show nothing about the links of this host
+     * until it answers again or has left the host list.
+     *
+     * @param upstream the address of the upstream.
+     */
+    public void recordEnd(String upstream) {
+        paths.remove(upstream);
+        ended.add(upstream);
+    }
+
     /**
      * Forgets all upstreams but the given ones.
      *
@@ -167,6 +184,7 @@
      */
     public void retain(Collection<String> upstreams) {
         paths.keySet().retainAll(Set.copyOf(upstreams));
+        ended.retainAll(Set.copyOf(upstreams));
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
@@ -149,7 +149,7 @@
             answer(request(EVERYBODY));
             CrashLedger origin = new CrashLedger();
             for (int upstream = 0; upstream < 3; upstream++) {
-                origin.recordCrash(EVERYBODY, upstream, false, POOL.hashCode(), now);
+                origin.recordCrash(EVERYBODY, true, upstream, false, POOL.hashCode(), now);
             }
             assertThat(guard.merge(origin.strongestNotes(now), now)).isTrue();
             other.merge(origin.strongestNotes(now), now);
@@ -159,6 +159,31 @@
         }
     }
 
+    @Nested
+    class EndsOfParts {
+        @Test
+        void areThoseOfAPartThatWasNeverAnswered() {
+            answer(request(EVERYBODY));
+            RequestSignatures retried = request();
+            end(request(EVERYBODY, PART), retried);
+            end(request(EVERYBODY, PART), retried);
+            assertThat(guard.upstreamsEndedByParts(now)).isEmpty();
+            end(request(EVERYBODY, PART));
+            assertThat(guard.upstreamsEndedByParts(now)).containsExactlyInAnyOrder(1, 2, 3);
+        }
+
+        /** Guards against a lost link that is taken for the fault of the request that was sent on to two upstreams. */
+        @Test
+        void areNotThoseOfOneContentOrOfAnsweredParts() {
+            answer(request(EVERYBODY));
+            RequestSignatures retried = request(EVERYBODY);
+            end(retried, request(PART));
+            end(retried, request(OTHER_PART));
+            end(retried);
+            assertThat(guard.upstreamsEndedByParts(now)).isEmpty();
+        }
+    }
+
     @Nested
     class Retries {
         /** Guards against a second engine that ends under a request whose part has ended several already. */
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashLedgerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashLedgerPropertyTest.java
@@ -31,7 +31,7 @@
         long[][] positions = new long[processes][processes];
         for (int crash = 0; crash < crashes; crash++) {
             CrashLedger ledger = ledgers.get(random.nextInt(processes));
-            ledger.recordCrash(random.nextInt(4), random.nextInt(5), random.nextInt(9) == 0, 7, NOW + crash);
+            ledger.recordCrash(random.nextInt(4), true, random.nextInt(5), random.nextInt(9) == 0, 7, NOW + crash);
             if (random.nextInt(6) == 0) {
                 ledgers.get(random.nextInt(processes)).recordCompletion(random.nextInt(4));
             }
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashLedgerTest.java
@@ -22,7 +22,7 @@
     }
 
     private static void recordCrash(CrashLedger ledger, long signature, int upstream, long now) {
-        ledger.recordCrash(signature, upstream, false, POOL, now);
+        ledger.recordCrash(signature, true, upstream, false, POOL, now);
     }
 
     private static boolean isRefused(CrashLedger ledger, long now) {
@@ -42,7 +42,7 @@
         void countsEachEndedUpstreamOnce() {
             CrashLedger ledger = ledgerWithCrashes(2);
             recordCrash(ledger, REQUEST, 1, NOW + 3);
-            ledger.merge(List.of(new CrashNote(REQUEST, 1, false, 0, false, POOL)), NOW + 4);
+            ledger.merge(List.of(new CrashNote(REQUEST, 1, false, 0, false, POOL, true)), NOW + 4);
             assertThat(isRefused(ledger, NOW + 5)).isFalse();
         }
 
--- a/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
+++ b/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
@@ -40,6 +40,37 @@
         now += millis;
     }
 
+    @Nested
+    class EndedUpstream {
+        /** Guards against a host that finds itself cut off because requests end upstreams. */
+        @Test
+        void showsNothingAboutTheLinks() {
+            answerAll();
+            pass(100);
+            lose("a");
+            lose("b");
+            paths.recordEnd("a");
+            paths.recordEnd("b");
+            paths.recordConnectFailure("a", now);
+            paths.recordConnectFailure("b", now);
+            pass(DirectPaths.CONFIRMATION_MILLIS);
+            assertThat(paths.isCutOff(now)).isFalse();
+        }
+
+        /** Guards against a cut that is overlooked after upstreams have ended and are back. */
+        @Test
+        void countsAgainOnceItAnswers() {
+            answerAll();
+            paths.recordEnd("a");
+            answer("a");
+            pass(100);
+            lose("a");
+            lose("b");
+            pass(DirectPaths.CONFIRMATION_MILLIS);
+            assertThat(paths.isCutOff(now)).isTrue();
+        }
+    }
+
     @Nested
     class Cut {
         /** Guards against requests that are lost at each upstream in turn before the host finds its links broken. */
--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -33,13 +34,26 @@
      */
     private static final int MAX_CHECKS = 4;
 
+    /** The maximum number of ended upstreams whose cause may still be found. */
+    private static final int MAX_ENDED_ADDRESSES = 64;
+
     private final UpstreamProbe probe;
     private final CrashLedger ledger;
     private final CrashGuard guard;
     private final Consumer<List<CrashNote>> publisher;
     private final Runnable suspectListener;
+    private final Consumer<String> endListener;
     private final EventLog events;
     private final Map<String, List<LostRequest>> pending = new HashMap<>();
+    private final Map<Integer, String> endedAddresses = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, String> eldest) {
+            return size() > MAX_ENDED_ADDRESSES;
+        }
+    };
+
     private Map<Long, Suspect> suspects = Map.of();
     private long published;
     private volatile int suspectCount;
@@ -52,6 +66,7 @@
      * @param guard decides by these notes.
      * @param publisher sends new notes to the other hosts.
      * @param suspectListener is notified when there is a new suspect.
+     * @param endListener receives the address of an upstream that a part of prompts has probably ended.
      * @param events the event log.
      */
     CrashDetector(
@@ -60,12 +75,14 @@
             CrashGuard guard,
             Consumer<List<CrashNote>> publisher,
             Runnable suspectListener,
+            Consumer<String> endListener,
             EventLog events) {
         this.probe = probe;
         this.ledger = ledger;
         this.guard = guard;
         this.publisher = publisher;
         this.suspectListener = suspectListener;
+        this.endListener = endListener;
         this.events = events;
     }
 
@@ -98,6 +115,9 @@
     private void onResult(Upstream upstream, Result result, int checks) {
         List<LostRequest> checked = pending.remove(upstream.runId());
         int end = upstream.runId().hashCode();
+        if (result == Result.REFUSED) {
+            endedAddresses.put(end, upstream.address());
+        }
         for (LostRequest lost : checked) {
             events.emitForRequest(
                     EventCode.CONNECTION_LOST,
@@ -196,6 +216,18 @@
         if (!added.isEmpty()) {
             suspectListener.run();
         }
+        reportEndedUpstreams();
+    }
+
+    private void reportEndedUpstreams() {
+        if (!endedAddresses.isEmpty()) {
+            for (int end : guard.upstreamsEndedByParts(EntryServices.now())) {
+                String address = endedAddresses.remove(end);
+                if (address != null) {
+                    endListener.accept(address);
+                }
+            }
+        }
     }
 
     private void emit(String state, Suspect suspect) {
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -83,7 +83,13 @@
                 new CrashGuard(crashLedger, settings.peerAddress().toString().hashCode());
         slots = new SlotClient(settings, transport.schedulers(), events, crashLedger, this::onCrashNotes);
         crashes = new CrashDetector(
-                transport.probe(), crashLedger, crashGuard, slots::publishCrashes, this::withdrawSuspects, events);
+                transport.probe(),
+                crashLedger,
+                crashGuard,
+                slots::publishCrashes,
+                this::withdrawSuspects,
+                links()::onUpstreamEnded,
+                events);
         metrics.registry().register("crash-suspects", (Gauge<Integer>) crashes::suspectCount);
         retryBudgets = new PoolRetryBudgets(
                 settings.bounds().retryShare(), settings.bounds().retrySlack());
--- a/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkMonitor.java
@@ -49,6 +49,11 @@
         paths.setRelays(view.relays());
     }
 
+    /** Records that an upstream has ended by what it ran, which shows nothing about the links of this entry. */
+    void onUpstreamEnded(String address) {
+        directPaths.recordEnd(address);
+    }
+
     /** Looks for upstreams that have fallen silent, and reports whether this entry is cut off now. */
     void check(long now) {
         directPaths.findSilent(now);
--- a/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -26,6 +26,7 @@
     private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
     private final CrashLedger ledger = new CrashLedger();
     private final List<String> checked = new ArrayList<>();
+    private final List<String> ended = new ArrayList<>();
     private Result result = Result.REFUSED;
     private int notifications;
     private int newSuspects;
@@ -38,6 +39,7 @@
             new CrashGuard(ledger, 1),
             notes -> {},
             () -> newSuspects++,
+            ended::add,
             events);
 
     @AfterEach
@@ -124,4 +126,15 @@
         assertThat(checked).hasSize(4);
         assertThat(notifications).isEqualTo(1);
     }
+
+    /** Guards against an entry that finds itself cut off because requests like each other end its upstreams. */
+    @Test
+    void reportsUpstreamsThatAPartHasEnded() {
+        for (int number = 1; number <= 3; number++) {
+            RequestSignatures signatures = new RequestSignatures(number * 10L, List.of(7L));
+            LostRequest request = new LostRequest("request", signatures, List.of("7a"), true, 20, false, first -> {});
+            detector.onConnectionLost(upstream(number), request);
+        }
+        assertThat(ended).containsExactlyInAnyOrder("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
+    }
 }
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -22,7 +22,7 @@
  * by one. The records below are the messages as the earlier build declares them.
  */
 class EarlierBuildTest {
-    private static final List<CrashNote> NOTES = List.of(new CrashNote(Long.MIN_VALUE, -7, true, 12, true, 5));
+    private static final List<CrashNote> NOTES = List.of(new CrashNote(Long.MIN_VALUE, -7, true, 12, true, 5, true));
     private static final HeldSlot HELD = new HeldSlot(3, "pool", "run", 5, 1);
     private static final SlotReport REPORT = new SlotReport.Ended(SlotOutcome.BROKEN);
 
@@ -47,7 +47,8 @@
     void exchangesNotesOnCrashes() {
         EarlierCrashNote earlier = new EarlierCrashNote(Long.MIN_VALUE, -7, true, 12);
         assertThat(reread(NOTES.get(0), EarlierCrashNote.class)).isEqualTo(earlier);
-        assertThat(reread(earlier, CrashNote.class)).isEqualTo(new CrashNote(Long.MIN_VALUE, -7, true, 12, false, 0));
+        assertThat(reread(earlier, CrashNote.class))
+                .isEqualTo(new CrashNote(Long.MIN_VALUE, -7, true, 12, false, 0, false));
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -113,7 +113,7 @@
         @Test
         void sendsEverythingAgainAfterAReconnection() {
             applyView(1);
-            crashes.merge(List.of(new CrashNote(1, 2, false, 0, false, 0)), 0);
+            crashes.merge(List.of(new CrashNote(1, 2, false, 0, false, 0, false)), 0);
             engine().recordStatedLimit(RequestLimit.ofRate(2), 0, 0);
             exchange.publishIfDue(0);
             exchange.publishIfDue(TICK_MILLIS);
