--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.decision.crash.Admission;
-import org.radishspur.decision.crash.RequestSignatures;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.slot.SlotOutcome;
@@ -28,9 +27,7 @@
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.model.catalogue.Upstream;
-import org.radishspur.node.caller.BodyDigest;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
-import org.radishspur.node.entry.CrashDetector.LostRequest;
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamProbe;
@@ -77,14 +74,12 @@
     /** The minimum time until the deadline for another attempt, in milliseconds. */
     private static final long MIN_RETRY_MILLIS = 60;
 
-    /** The number of hexadecimal digits of a fingerprint that are used, as many as a long holds. */
-    private static final int FINGERPRINT_DIGITS = 16;
-
     private final EntryServices services;
     private final CallerResponse response;
     private final HttpRequest request;
     private final long arrivedAt;
     private final ExchangeLog log;
+    private final CrashCheck crashCheck;
     private final ByteBuf body = Unpooled.buffer(0);
 
     private RequestHead head;
@@ -106,9 +101,6 @@
     private boolean firstByteReceived;
     private long firstMillis;
     private EventSplitter splitter;
-    private Optional<Long> fingerprint = Optional.empty();
-    private List<Long> partSignatures = List.of();
-    private boolean trial;
 
     EntryExchange(
             EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
@@ -117,6 +109,7 @@
         this.request = request;
         this.arrivedAt = EntryServices.now();
         this.log = new ExchangeLog(services, this);
+        this.crashCheck = new CrashCheck(services, this, log);
     }
 
     void begin() {
@@ -336,7 +329,7 @@
             granted.end(SlotOutcome.UNUSED);
             return;
         }
-        beginTrialIfSuspected();
+        crashCheck.beginTrialIfSuspected();
         services.metrics().recordSlotWait(EntryServices.now() - arrivedAt);
         viewAtGrant = services.view();
         attempt = new UpstreamAttempt(this, services, granted);
@@ -413,111 +406,41 @@
     void onConnectionLost(
             Upstream upstream, boolean begun, long millis, String cause, Consumer<UpstreamProbe.Result> listener) {
         boolean retryAllowed = isRetryAllowed();
-        services.crashes().onConnectionLost(upstream, lostRequest(begun, millis, false, result -> {
+        crashCheck.onConnectionLost(upstream, begun, millis, result -> {
             listener.accept(result);
             if (retryAllowed && !done) {
                 onAttemptFailed(cause);
             }
-        }));
+        });
         if (!retryAllowed) {
             onAttemptFailed(cause);
         }
     }
 
-    private LostRequest lostRequest(
-            boolean begun, long millis, boolean answered, Consumer<UpstreamProbe.Result> listener) {
-        return new LostRequest(head.requestId(), signatures(), head.sharedParts(), begun, millis, answered, listener);
-    }
-
-    /**
-     * Records that an upstream has answered the request to the end, so that it doesn't end upstreams. Where only the
-     * close of the connection shows the end, the upstream may have ended instead.
-     */
+    /** Records that an upstream has answered the request to the end. */
     void onResponseComplete(Upstream upstream, ResponseEnd end, long millis) {
-        if (end == ResponseEnd.STATED) {
-            services.crashes().onResponseComplete(upstream, partSignatures(), this::signatures);
-        } else {
-            services.crashes().onResponseClosed(upstream, () -> lostRequest(true, millis, true, result -> {}));
-        }
+        crashCheck.onResponseComplete(upstream, end, millis);
     }
 
-    /**
-     * Refuses the request if it has a signature that has ended several upstreams, here or through other entries; returns
-     * whether it did.
-     */
+    /** Refuses the request if it ends upstreams; returns whether it did. */
     private boolean refuseIfItEndsUpstreams() {
-        if (trial) {
-            return false;
-        }
-        Admission admission = services.crashes().admit(this::signatures);
+        Admission admission = crashCheck.admit();
         if (admission.isRefused()) {
-            log.suspected(admission, suspectName(admission.suspect()));
+            log.suspected(admission, crashCheck.suspectName(admission));
             refuse(EndReason.CRASH_SUSPECT, admission.retryAfterMillis(), false);
         }
         return admission.isRefused();
     }
 
-    /** Lets the request run as a trial if it has a suspected signature. */
-    private void beginTrialIfSuspected() {
-        Admission admission = trial ? Admission.ALLOWED : services.crashes().admit(this::signatures);
-        if (admission.verdict() == Admission.Verdict.TRIAL) {
-            log.suspected(admission, suspectName(admission.suspect()));
-            trial = true;
-            services.crashes().beginTrial(signatures());
-        }
-    }
-
     /** Withdraws the request from its upstream if it ends upstreams and its response hasn't begun. */
     void withdrawIfItEndsUpstreams() {
-        if (done || trial || attempt == null || !attempt.isUnanswered()) {
-            return;
-        }
-        if (services.crashes().isToBeWithdrawn(signatures())) {
+        if (!done && attempt != null && attempt.isUnanswered() && crashCheck.isToBeWithdrawn()) {
             services.metrics().countWithdrawn();
             attempt.abandon();
             refuse(EndReason.CRASH_SUSPECT, maxRetryAfter(), false);
         }
     }
 
-    private RequestSignatures signatures() {
-        return new RequestSignatures(fingerprint(), partSignatures());
-    }
-
-    private List<Long> partSignatures() {
-        if (partSignatures.isEmpty() && !head.sharedParts().isEmpty()) {
-            partSignatures = head.sharedParts().stream()
-                    .map(RequestSignatures::ofPart)
-                    .distinct()
-                    .toList();
-        }
-        return partSignatures;
-    }
-
-    /** Returns the identity of the part with a signature, or a text that denotes the content. */
-    private String suspectName(long signature) {
-        return head.sharedParts().stream()
-                .filter(part -> RequestSignatures.ofPart(part) == signature)
-                .findFirst()
-                .orElse("content");
-    }
-
-    /**
-     * Returns the fingerprint of the request by what doesn't change when its caller sends it again: its route, its
-     * organisation, its method, its target and its body.
-     */
-    private long fingerprint() {
-        if (fingerprint.isEmpty()) {
-            String target = route.name()
-                    + '\n'
-                    + organisation.map(OrganisationRule::name).orElse("")
-                    + '\n'
-                    + request.uri();
-            String digits = BodyDigest.fingerprint(request.method().name(), target, body.readableBytes(), body);
-            fingerprint = Optional.of(Long.parseUnsignedLong(digits.substring(0, FINGERPRINT_DIGITS), 16));
-        }
-        return fingerprint.get();
-    }
-
     /** Counts the request as possibly run, since it is being sent. */
     void onSent() {
         possibleRuns++;
@@ -545,7 +468,7 @@
     /** Retries or fails a request after a failure that leaves open whether its upstream has run it. */
     void onAttemptFailed(String reason) {
         if (isRetryAllowed()
-                && services.crashes().mayRetry(this::signatures)
+                && crashCheck.mayRetry()
                 && services.retryBudget(poolName).tryTake()) {
             splitter.discardPartial();
             retry(reason);
@@ -670,9 +593,7 @@
             attempt.abandon();
         }
         services.removeRunning(this);
-        if (trial) {
-            services.crashes().endTrial(signatures());
-        }
+        crashCheck.endTrial();
         body.release();
         if (counted) {
             services.requestEnded();
@@ -683,6 +604,11 @@
         return request;
     }
 
+    /** Returns the body, which is complete once the request has been routed. */
+    ByteBuf body() {
+        return body;
+    }
+
     /** Returns the body with a reference count of its own, which the caller of this method releases. */
     ByteBuf retainedBody() {
         return body.retainedDuplicate();
