Check an upstream once at a time, also when a check is repeated

A request that lost the same upstream while a check was repeated could begin a second check, whose result found no request and would have failed the traffic thread (CrashDetectorTest.checksAnUpstreamOnceAtATime). A response that only its close ended, from an upstream that still runs, counts as an answer of its parts too.

--- a/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashDetector.java
@@ -105,10 +105,15 @@
     }
 
     private void check(Upstream upstream, LostRequest request) {
+        check(upstream, List.of(request), 1);
+    }
+
+    /** Checks an upstream, unless a check of it is in progress; its result is for the added requests too then. */
+    private void check(Upstream upstream, List<LostRequest> requests, int checks) {
         boolean checking = pending.containsKey(upstream.runId());
-        pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).add(request);
+        pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).addAll(requests);
         if (!checking) {
-            probe.check(upstream.address(), result -> onResult(upstream, result, 1));
+            probe.check(upstream.address(), result -> onResult(upstream, result, checks));
         }
     }
 
@@ -132,16 +137,14 @@
             if (result == Result.REFUSED) {
                 guard.recordCrash(lost.signatures(), upstream.pool(), end, EntryServices.now());
             } else if (result == Result.ACCEPTED && lost.answered()) {
+                guard.recordAnswer(lost.signatures().parts(), upstream.pool(), EntryServices.now());
                 guard.clear(lost.signatures());
             }
         }
         onChange();
         checked.forEach(lost -> lost.listener().accept(result));
         if (result == Result.UNKNOWN && checks < MAX_CHECKS) {
-            List<LostRequest> unknown =
-                    checked.stream().map(LostRequest::withoutListener).toList();
-            pending.computeIfAbsent(upstream.runId(), key -> new ArrayList<>()).addAll(unknown);
-            probe.check(upstream.address(), next -> onResult(upstream, next, checks + 1));
+            check(upstream, checked.stream().map(LostRequest::withoutListener).toList(), checks + 1);
         }
     }
 
--- a/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/CrashDetectorTest.java
@@ -137,4 +137,21 @@
         }
         assertThat(ended).containsExactlyInAnyOrder("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
     }
+
+    /** Guards against two checks of one upstream at once, of which the second finds no request. */
+    @Test
+    void checksAnUpstreamOnceAtATime() {
+        result = Result.UNKNOWN;
+        LostRequest lostAgain = new LostRequest(
+                "request",
+                SUSPECTED,
+                List.of(),
+                true,
+                20,
+                false,
+                first -> detector.onConnectionLost(upstream(1), lost(false)));
+        detector.onConnectionLost(upstream(1), lostAgain);
+        assertThat(notifications).isEqualTo(1);
+        assertThat(checked).hasSizeLessThanOrEqualTo(8);
+    }
 }
