Keep the retries of requests when many upstreams are lost at once

What callers would have seen: with five upstreams lost at once, as with a rack, requests that share an often answered part weren't sent on to another upstream until one of them was answered. Cause: a part that was answered before and has five open ends isn't refused until ten others were answered, but retries, and the count for versions, took it for a suspect at once. Both wait for that evidence now.

--- a/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
@@ -174,6 +174,11 @@
                 || answers.hasAnsweredSince(suspect.pool(), AnswerMemory.ANSWERS_PER_POOL, suspect.firstEndAt());
     }
 
+    private boolean isConfirmed(CrashAttribution current, long signature) {
+        Suspect suspect = current.suspects().get(signature);
+        return suspect != null && isConfirmed(suspect);
+    }
+
     private boolean hasOtherOpenEnds(RequestSignatures request, Suspect suspect) {
         return request.all().stream()
                 .filter(signature -> signature != suspect.signature())
@@ -203,7 +208,7 @@
     public boolean mayRetry(RequestSignatures request, long now) {
         CrashAttribution current = attribution(now);
         return request.all().stream()
-                .noneMatch(signature -> current.suspects().containsKey(signature)
+                .noneMatch(signature -> isConfirmed(current, signature)
                         || ledger.history(signature)
                                 .filter(history -> !history.isAnsweredBefore())
                                 .filter(history -> current.unexplainedEnds(history) > MAX_ENDS_TO_RETRY)
@@ -234,7 +239,9 @@
      * @return whether a request with the suspect was in flight there.
      */
     public boolean isExplained(int upstream, long now) {
-        return attribution(now).suspects().keySet().stream()
+        CrashAttribution current = attribution(now);
+        return current.suspects().keySet().stream()
+                .filter(signature -> isConfirmed(current, signature))
                 .flatMap(signature -> ledger.history(signature).stream())
                 .anyMatch(history -> history.end(upstream) != null);
     }
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
@@ -196,6 +196,17 @@
             assertThat(guard.mayRetry(request(PART), now)).isFalse();
         }
 
+        /** Guards against requests that aren't sent on when a rack of upstreams is lost with what everybody shares. */
+        @Test
+        void areAllowedWhenManyUpstreamsAreLostAtOnce() {
+            answer(request(EVERYBODY));
+            for (int end = 0; end < 8; end++) {
+                end(request(EVERYBODY), request(EVERYBODY));
+            }
+            assertThat(guard.mayRetry(request(EVERYBODY), now)).isTrue();
+            assertThat(guard.isExplained(lastUpstream, now)).isFalse();
+        }
+
         /** Guards against sound requests that lose their retries because they were in flight beside a suspect. */
         @Test
         void areAllowedForWhatASuspectExplains() {
