--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -286,10 +286,9 @@
      * @return whether to try.
      */
     public boolean takeTrial(String upstream, boolean repeatable, long now) {
-        long waitingSince = Math.max(lastTrialAt, cutOffSince(now, Path::failedSince));
         boolean due = repeatable
                 ? lastTrialAnswered || now - lastTrialAt >= TRIAL_INTERVAL_MILLIS
-                : now - waitingSince >= MAX_TRIAL_DELAY_MILLIS;
+                : now - Math.max(lastTrialAt, cutOffSince(now, Path::failedSince)) >= MAX_TRIAL_DELAY_MILLIS;
         if (due) {
             trialUpstream = upstream;
             lastTrialAt = now;
