Count the responses of each rollout from its own start, at the entries

Callers of a bad version went on to get it, and good versions were taken back, as soon as two rollouts ran at the same time. Cause: the leader held one baseline for all rollouts and began it anew whenever the evaluated rollout changed, so with two at each evaluation; counts never grew. Class: evidence kept under a key that its subject doesn't have. An entry started anew, and a new leader, lost evidence in the same way, as first counts became the baseline. Change: entries count from a rollout's start and name it; the leader adds up what belongs to the rollout, keeps no baseline, and waits a second after its election before it takes missing reports for missing answers.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
@@ -88,7 +88,17 @@
      * @param trial the outcomes of the version under trial.
      * @param others the outcomes of the other versions.
      */
-    public record RouteOutcomes(OutcomeCounts trial, OutcomeCounts others) {}
+    public record RouteOutcomes(OutcomeCounts trial, OutcomeCounts others) {
+        /**
+         * Returns the sum of these outcomes and others.
+         *
+         * @param added the outcomes to add.
+         * @return the sum.
+         */
+        public RouteOutcomes plus(RouteOutcomes added) {
+            return new RouteOutcomes(trial.plus(added.trial), others.plus(added.others));
+        }
+    }
 
     /**
      * Counts answers and their times.
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -120,6 +120,7 @@
             retryBudgets.setEntryCount(newer.entryCount());
             crashGuard.setProcesses(newer.entryCount());
             slots.onView(newer, now());
+            versionCounters.setRollouts(newer.rollouts());
             links().onView(newer);
         }
         resumeAwaiting();
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -56,7 +56,7 @@
      * @param revision the revision of the sender's catalogue, 0 if it has none.
      * @param listTerm the term of the sender's host list.
      * @param listReading the reading of the sender's host list within that term.
-     * @param versionCounts the responses that the entry has counted since it started, by version.
+     * @param versionCounts the responses that the entry has counted during the current rollouts, by version.
      * @param reach whether the sender reaches upstreams, so that it could relay for others.
      */
     record ViewRequest(
@@ -154,7 +154,8 @@
     }
 
     /**
-     * Counts the responses of one version of a pool on one route that an entry has received since it started.
+     * Counts the responses of one version of a pool on one route that an entry has received during a rollout. They are
+     * counted from the rollout's start, so that a new leader has all of them at once, and no rollout has those of another.
      *
      * @param pool the pool.
      * @param version the version.
@@ -163,6 +164,8 @@
      * @param failures the number of failed responses.
      * @param firstMillis the sum of the times to the first byte, in milliseconds.
      * @param eventMillis the sum of the times per event of a stream or per complete plain response, in milliseconds.
+     * @param rolloutStartedAtMillis the start of the rollout, which identifies it among those of its pool, in
+     *     milliseconds since the epoch; 0 if an older build sent the counts.
      */
     record VersionCounts(
             String pool,
@@ -171,7 +174,8 @@
             long answers,
             long failures,
             double firstMillis,
-            double eventMillis) {}
+            double eventMillis,
+            long rolloutStartedAtMillis) {}
 
     /**
      * Attaches an entry to a scheduler, which from then on grants the slots of the entry.
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -1,6 +1,5 @@
 package org.radishspur.node.group;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,13 +34,15 @@
      */
     private static final long MOVE_MILLIS = 600;
 
+    /** The time after which a new leader has the reports of the entries, in milliseconds. */
+    private static final long REPORT_MILLIS = 1_000;
+
     private final ControlLoop loop;
     private final ReplicaRunner replica;
     private final EventLog events;
     private final Map<String, List<VersionCounts>> countsByEntry = new HashMap<>();
-    private final Map<String, List<VersionCounts>> baselinesByEntry = new HashMap<>();
     private final Map<String, Long> movingSince = new HashMap<>();
-    private String evaluatedRollout = "";
+    private long leaderSince;
 
     RolloutDriver(ControlLoop loop, ReplicaRunner replica, EventLog events) {
         this.loop = loop;
@@ -51,33 +52,34 @@
     }
 
     void recordCounts(String entryRun, List<VersionCounts> counts) {
-        countsByEntry.put(entryRun, counts);
-        baselinesByEntry.putIfAbsent(entryRun, counts);
+        if (!counts.isEmpty()) {
+            countsByEntry.put(entryRun, counts);
+        }
     }
 
     private void evaluate() {
         if (!replica.isLeader()) {
             movingSince.clear();
+            countsByEntry.clear();
+            leaderSince = loop.nowMillis();
             return;
         }
-        for (Rollout rollout : replica.state().catalogue().rollouts()) {
-            if (!rollout.stage().isFinal()) {
-                evaluate(rollout);
-            }
+        List<Rollout> unfinished = replica.state().catalogue().rollouts().stream()
+                .filter(rollout -> !rollout.stage().isFinal())
+                .toList();
+        unfinished.forEach(this::evaluate);
+        if (unfinished.isEmpty()) {
+            countsByEntry.clear();
         }
     }
 
     private void evaluate(Rollout rollout) {
         String name = rollout.pool() + '/' + rollout.target();
-        if (!evaluatedRollout.equals(name)) {
-            // Responses that were counted before the rollout started are no evidence for the trial.
-            evaluatedRollout = name;
-            baselinesByEntry.clear();
-            baselinesByEntry.putAll(countsByEntry);
-        }
         Map<String, RouteOutcomes> outcomesByRoute = outcomesByRoute(rollout);
         long elapsed = System.currentTimeMillis() - rollout.startedAtMillis();
-        double share = (double) elapsed / Math.max(1, rollout.periodMillis());
+        // A new leader must not take the time without reports for a trial without answers.
+        boolean hasReports = loop.nowMillis() - leaderSince >= REPORT_MILLIS;
+        double share = hasReports ? (double) elapsed / Math.max(1, rollout.periodMillis()) : 0;
         Verdict verdict = RolloutEvaluator.INSTANCE.evaluate(outcomesByRoute.values(), share);
         if (verdict == Verdict.BAD) {
             advance(rollout, RolloutStage.ROLLED_BACK, outcomesByRoute, "evidence against the version");
@@ -105,32 +107,21 @@
 
     private Map<String, RouteOutcomes> outcomesByRoute(Rollout rollout) {
         Map<String, RouteOutcomes> outcomesByRoute = new HashMap<>();
-        for (Map.Entry<String, List<VersionCounts>> entry : countsByEntry.entrySet()) {
-            addCounts(rollout, entry.getValue(), 1, outcomesByRoute);
-            addCounts(rollout, baselinesByEntry.getOrDefault(entry.getKey(), new ArrayList<>()), -1, outcomesByRoute);
+        for (List<VersionCounts> counts : countsByEntry.values()) {
+            counts.stream()
+                    .filter(count -> count.pool().equals(rollout.pool())
+                            && count.rolloutStartedAtMillis() == rollout.startedAtMillis())
+                    .forEach(count ->
+                            outcomesByRoute.merge(count.route(), outcomes(rollout, count), RouteOutcomes::plus));
         }
         return outcomesByRoute;
     }
 
-    private static void addCounts(
-            Rollout rollout, List<VersionCounts> counts, int sign, Map<String, RouteOutcomes> outcomesByRoute) {
-        for (VersionCounts count : counts) {
-            if (!count.pool().equals(rollout.pool())) {
-                continue;
-            }
-            OutcomeCounts added = new OutcomeCounts(
-                    sign * count.answers(),
-                    sign * count.failures(),
-                    sign * (count.firstMillis() + count.eventMillis()));
-            RouteOutcomes previous = outcomesByRoute.getOrDefault(
-                    count.route(), new RouteOutcomes(OutcomeCounts.NONE, OutcomeCounts.NONE));
-            boolean isTrial = count.version().equals(rollout.target());
-            outcomesByRoute.put(
-                    count.route(),
-                    isTrial
-                            ? new RouteOutcomes(previous.trial().plus(added), previous.others())
-                            : new RouteOutcomes(
-                                    previous.trial(), previous.others().plus(added)));
-        }
+    private static RouteOutcomes outcomes(Rollout rollout, VersionCounts count) {
+        OutcomeCounts counted =
+                new OutcomeCounts(count.answers(), count.failures(), count.firstMillis() + count.eventMillis());
+        return count.version().equals(rollout.target())
+                ? new RouteOutcomes(counted, OutcomeCounts.NONE)
+                : new RouteOutcomes(OutcomeCounts.NONE, counted);
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -47,6 +47,8 @@
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
 import org.radishspur.node.upstream.UpstreamProbe;
+import org.radishspur.replication.state.CatalogueState.Rollout;
+import org.radishspur.replication.state.CatalogueState.RolloutStage;
 
 /**
  * Runs one entry without a network: a test sends requests as its caller and controls the responses of its upstreams.
@@ -64,6 +66,7 @@
     private final EntryServices services;
     private final Catalogue catalogue;
     private HostList hosts;
+    private final List<Rollout> rollouts;
     private final VersionCounters versionCounters = new VersionCounters();
     private long linkMillis;
     private UpstreamReach reach = UpstreamReach.REACHED;
@@ -100,6 +103,7 @@
             listed.add(new Upstream("u" + number, 1, "pool", "127.0.0.1:" + (number + 1), "a", "v1", 4, false, false));
         }
         hosts = new HostList(1, 1, listed);
+        rollouts = List.of(new Rollout("pool", "v2", 1_000, 1, RolloutStage.RUNNING));
         applyView(Set.of(), Moment.now());
         connect(caller);
     }
@@ -112,7 +116,7 @@
     /** Applies a view with the given evacuated failure domains and time of confirmation. */
     void applyView(Set<String> evacuated, Moment confirmedAt) {
         services.onView(new ConfirmedView(
-                Optional.of(catalogue), hosts, List.of(), 1, List.of(), evacuated, List.of("relay"), confirmedAt));
+                Optional.of(catalogue), hosts, rollouts, 1, List.of(), evacuated, List.of("relay"), confirmedAt));
     }
 
     /** Leaves connections to upstreams pending until {@link FakeExchange#connect()}. */
