Count requests that a version leaves unanswered against it

A version that never answered 0.4 of its requests was completed. Cause: an attempt that ends by its deadline, by its caller or by a second attempt recorded nothing, so what never answers never counted. Class: only answers are evidence.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
@@ -19,6 +19,12 @@
      */
     private static final double FAILURE_SHARE_MARGIN = 0.08;
 
+    /** Number of unanswered requests of the trial version from which their share counts; one silence makes a few. */
+    private static final long MIN_UNANSWERED = 5;
+
+    /** Ratio of the trial version's share of unanswered requests to that of the others that is accepted. */
+    private static final double UNANSWERED_FACTOR = 2;
+
     /** Number of answers that both the trial version and the others need before their times are compared. */
     private static final long MIN_TIMED_ANSWERS = 8;
 
@@ -45,7 +51,7 @@
         long answers = 0;
         for (RouteOutcomes outcomes : routes) {
             answers += outcomes.trial().answers();
-            if (isFailing(outcomes) || isSlow(outcomes)) {
+            if (isFailing(outcomes) || isUnanswering(outcomes) || isSlow(outcomes)) {
                 return Verdict.BAD;
             }
         }
@@ -61,6 +67,17 @@
                 && trial.failureShare() > outcomes.others().failureShare() + FAILURE_SHARE_MARGIN;
     }
 
+    /**
+     * Returns whether the trial version leaves requests unanswered. Sound upstreams may be silent for a second and are
+     * then given up as well, those of all versions alike.
+     */
+    private static boolean isUnanswering(RouteOutcomes outcomes) {
+        OutcomeCounts trial = outcomes.trial();
+        return trial.unanswered() >= MIN_UNANSWERED
+                && trial.unansweredShare()
+                        > UNANSWERED_FACTOR * outcomes.others().unansweredShare() + FAILURE_SHARE_MARGIN;
+    }
+
     private static boolean isSlow(RouteOutcomes outcomes) {
         OutcomeCounts trial = outcomes.trial();
         OutcomeCounts others = outcomes.others();
@@ -106,10 +123,11 @@
      * @param answers the number of answers, including failures.
      * @param failures the number of failures.
      * @param millis the sum of the times of the answers, in milliseconds.
+     * @param unanswered the number of requests that were given up without an answer.
      */
-    public record OutcomeCounts(long answers, long failures, double millis) {
+    public record OutcomeCounts(long answers, long failures, double millis, long unanswered) {
         /** Has no answers. */
-        public static final OutcomeCounts NONE = new OutcomeCounts(0, 0, 0);
+        public static final OutcomeCounts NONE = new OutcomeCounts(0, 0, 0, 0);
 
         /**
          * Returns the sum of these counts and others.
@@ -118,7 +136,15 @@
          * @return the sum.
          */
         public OutcomeCounts plus(OutcomeCounts added) {
-            return new OutcomeCounts(answers + added.answers, failures + added.failures, millis + added.millis);
+            return new OutcomeCounts(
+                    answers + added.answers,
+                    failures + added.failures,
+                    millis + added.millis,
+                    unanswered + added.unanswered);
+        }
+
+        double unansweredShare() {
+            return unanswered == 0 ? 0 : (double) unanswered / (answers + unanswered);
         }
 
         double failureShare() {
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -225,9 +225,9 @@
         running.remove(exchange);
     }
 
-    /** Counts a response for the rollout of its version, with the time until its last byte in milliseconds. */
-    void recordResponse(Upstream upstream, String route, boolean succeeded, double responseMillis) {
-        versionCounters.add(upstream.pool(), upstream.version(), route, succeeded, responseMillis, 0);
+    /** Counts what an upstream gave to a request, for the rollout of its version. */
+    void recordOutcome(Upstream upstream, String route, VersionCounters.Outcome outcome) {
+        versionCounters.add(upstream.pool(), upstream.version(), route, outcome);
     }
 
     /** Returns the monotonic clock in milliseconds. */
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -430,10 +430,13 @@
         end(succeeded ? SlotOutcome.SUCCESS : SlotOutcome.FAILURE);
     }
 
-    /** Counts the response for the version of the upstream, with the time until the last byte so far. */
+    /** Counts a response for the version of the upstream. */
     private void recordResponse(boolean succeeded) {
-        long responseMillis = firstByteReceived ? lastByteAt - sentAt : EntryServices.now() - sentAt;
-        services.recordResponse(upstream.upstream(), caller.route().name(), succeeded, responseMillis);
+        recordOutcome(succeeded ? VersionCounters.Outcome.SUCCESS : VersionCounters.Outcome.FAILURE);
+    }
+
+    private void recordOutcome(VersionCounters.Outcome outcome) {
+        services.recordOutcome(upstream.upstream(), caller.route().name(), outcome);
     }
 
     /** {@inheritDoc} */
@@ -491,8 +494,12 @@
 
     /** Returns whether the upstream seems to hang and has sent no part of this response for a while either. */
     boolean isSilent(long now) {
-        boolean upstreamSilent = phase == Phase.RUNNING && upstream.isSilent(now);
-        return upstreamSilent && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
+        return isStalled(now) && upstream.isSilent(now);
+    }
+
+    /** Returns whether the request was sent and no part of its response has come for a while. */
+    private boolean isStalled(long now) {
+        return phase == Phase.RUNNING && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
     }
 
     /** Returns whether this entry has lost its direct path to the upstream, so that the upstream is not at fault. */
@@ -504,8 +511,7 @@
 
     /** Returns whether no part of the response has come for a while and the path to the upstream is broken. */
     boolean isStalledOnBrokenPath(long now) {
-        boolean stalled = now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
-        return phase == Phase.RUNNING && stalled && isPathBroken();
+        return isStalled(now) && isPathBroken();
     }
 
     /** Notes that the upstream is silent, and returns whether that wasn't noted since the last byte. */
@@ -531,6 +537,10 @@
             return;
         }
         boolean draining = phase == Phase.DRAINING;
+        if (isStalled(EntryServices.now()) && !isPathBroken()) {
+            // Otherwise a version that never answers would have no failures.
+            recordOutcome(VersionCounters.Outcome.NONE);
+        }
         end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
         if (!draining && exchange != null) {
             exchange.abort();
--- a/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.entry;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,41 +32,58 @@
         }
     }
 
-    /** Adds one response, with its times to the first byte and for one event in milliseconds. */
-    synchronized void add(
-            String pool, String version, String route, boolean succeeded, double firstMillis, double eventMillis) {
+    /** Counts what a version gave to one request. */
+    synchronized void add(String pool, String version, String route, Outcome outcome) {
         Trial trial = trials.get(pool);
-        if (trial == null) {
-            return;
+        if (trial != null) {
+            trial.counts
+                    .computeIfAbsent(new Key(version, route), key -> new EnumMap<>(Outcome.class))
+                    .merge(outcome, 1L, Long::sum);
         }
-        String key = version + '\n' + route;
-        VersionCounts before = trial.counts.getOrDefault(
-                key, new VersionCounts(pool, version, route, 0, 0, 0, 0, trial.startedAtMillis));
-        trial.counts.put(
-                key,
-                new VersionCounts(
-                        pool,
-                        version,
-                        route,
-                        before.answers() + 1,
-                        before.failures() + (succeeded ? 0 : 1),
-                        before.firstMillis() + firstMillis,
-                        before.eventMillis() + eventMillis,
-                        trial.startedAtMillis));
     }
 
     /** {@inheritDoc} */
     @Override
     public synchronized List<VersionCounts> versionCounts() {
         List<VersionCounts> all = new ArrayList<>();
-        trials.values().forEach(trial -> all.addAll(trial.counts.values()));
+        trials.forEach((pool, trial) -> trial.counts.forEach((key, counts) -> {
+            long failures = counts.getOrDefault(Outcome.FAILURE, 0L);
+            all.add(new VersionCounts(
+                    pool,
+                    key.version(),
+                    key.route(),
+                    counts.getOrDefault(Outcome.SUCCESS, 0L) + failures,
+                    failures,
+                    0,
+                    0,
+                    trial.startedAtMillis,
+                    counts.getOrDefault(Outcome.NONE, 0L)));
+        }));
         return all;
     }
 
+    /** What a version gave to a request. */
+    enum Outcome {
+        /** A whole response that is no failure. */
+        SUCCESS,
+        /** A failure, or a response that broke off. */
+        FAILURE,
+        /** Nothing for a while, until the request was given up. */
+        NONE
+    }
+
+    /**
+     * Identifies what is counted together.
+     *
+     * @param version the version.
+     * @param route the route.
+     */
+    private record Key(String version, String route) {}
+
     /** Holds the counts of one rollout. */
     private static final class Trial {
         private final long startedAtMillis;
-        private final Map<String, VersionCounts> counts = new HashMap<>();
+        private final Map<Key, Map<Outcome, Long>> counts = new HashMap<>();
 
         private Trial(long startedAtMillis) {
             this.startedAtMillis = startedAtMillis;
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -166,6 +166,7 @@
      * @param eventMillis the sum of the times per event of a stream or per complete plain response, in milliseconds.
      * @param rolloutStartedAtMillis the start of the rollout, which identifies it among those of its pool, in
      *     milliseconds since the epoch; 0 if an older build sent the counts.
+     * @param unanswered the number of requests that were given up after the version had sent nothing for a while.
      */
     record VersionCounts(
             String pool,
@@ -175,7 +176,8 @@
             long failures,
             double firstMillis,
             double eventMillis,
-            long rolloutStartedAtMillis) {}
+            long rolloutStartedAtMillis,
+            long unanswered) {}
 
     /**
      * Attaches an entry to a scheduler, which from then on grants the slots of the entry.
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -118,8 +118,8 @@
     }
 
     private static RouteOutcomes outcomes(Rollout rollout, VersionCounts count) {
-        OutcomeCounts counted =
-                new OutcomeCounts(count.answers(), count.failures(), count.firstMillis() + count.eventMillis());
+        OutcomeCounts counted = new OutcomeCounts(
+                count.answers(), count.failures(), count.firstMillis() + count.eventMillis(), count.unanswered());
         return count.version().equals(rollout.target())
                 ? new RouteOutcomes(counted, OutcomeCounts.NONE)
                 : new RouteOutcomes(OutcomeCounts.NONE, counted);
