Compare the times of a version upstream by upstream

Cause: the limit was five times the mean over the version, since upstreams of a pool differ by 4.5 times; means of whole streams vary as much. Class: a comparison over things that differ more by themselves than by what is looked for. What may be slower prolongs the trial to 0.9 of the period and is then taken back. The event ROLLOUT names the finding and the unanswered requests.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
@@ -25,18 +25,12 @@
     /** Ratio of the trial version's share of unanswered requests to that of the others that is accepted. */
     private static final double UNANSWERED_FACTOR = 2;
 
-    /** Number of answers that both the trial version and the others need before their times are compared. */
-    private static final long MIN_TIMED_ANSWERS = 8;
-
-    /**
-     * Ratio of the trial version's mean time to that of the others that is accepted. Healthy upstreams of one pool
-     * differ by up to 4.5 times, and the few upstreams of a version may all be of the slowest kind.
-     */
-    private static final double SLOW_FACTOR = 5;
-
     /** Share of the period after which the trial ends; the rest is for moving the requests. */
     private static final double TRIAL_SHARE = 0.8;
 
+    /** Share of the period until which the trial goes on while the version may be slower. */
+    private static final double PROLONGED_TRIAL_SHARE = 0.9;
+
     /** Number of answers that the trial version needs before requests move to it. */
     private static final long MIN_ANSWERS = 10;
 
@@ -44,21 +38,34 @@
      * Decides whether the trial version is good or bad, or whether it is too early to decide.
      *
      * @param routes the outcomes on each route.
+     * @param slowness the evidence that its upstreams are slower than those of the other versions.
      * @param elapsed the share of the period that has passed, from 0 to 1.
-     * @return the verdict.
+     * @return the finding.
      */
-    public Verdict evaluate(Collection<RouteOutcomes> routes, double elapsed) {
+    public Finding evaluate(Collection<RouteOutcomes> routes, UpstreamTimes.Evidence slowness, double elapsed) {
         long answers = 0;
         for (RouteOutcomes outcomes : routes) {
             answers += outcomes.trial().answers();
-            if (isFailing(outcomes) || isUnanswering(outcomes) || isSlow(outcomes)) {
-                return Verdict.BAD;
+            if (isFailing(outcomes)) {
+                return Finding.FAILING;
+            }
+            if (isUnanswering(outcomes)) {
+                return Finding.UNANSWERING;
             }
         }
+        if (slowness == UpstreamTimes.Evidence.PROVEN) {
+            return Finding.SLOW;
+        }
         if (elapsed < TRIAL_SHARE) {
-            return Verdict.UNDECIDED;
+            return Finding.UNDECIDED;
+        }
+        if (answers < MIN_ANSWERS) {
+            return Finding.TOO_FEW_ANSWERS;
+        }
+        if (slowness == UpstreamTimes.Evidence.SUSPECTED) {
+            return elapsed < PROLONGED_TRIAL_SHARE ? Finding.UNDECIDED : Finding.PROBABLY_SLOW;
         }
-        return answers >= MIN_ANSWERS ? Verdict.GOOD : Verdict.BAD;
+        return Finding.GOOD;
     }
 
     private static boolean isFailing(RouteOutcomes outcomes) {
@@ -78,25 +85,39 @@
                         > UNANSWERED_FACTOR * outcomes.others().unansweredShare() + FAILURE_SHARE_MARGIN;
     }
 
-    private static boolean isSlow(RouteOutcomes outcomes) {
-        OutcomeCounts trial = outcomes.trial();
-        OutcomeCounts others = outcomes.others();
-        if (trial.answers() < MIN_TIMED_ANSWERS || others.answers() < MIN_TIMED_ANSWERS) {
-            return false;
-        }
-        return trial.meanMillis() > SLOW_FACTOR * Math.max(1, others.meanMillis());
-    }
-
     /**
      * States the result of a trial so far.
      */
-    public enum Verdict {
+    public enum Finding {
         /** There is not enough evidence yet. */
-        UNDECIDED,
+        UNDECIDED(false),
         /** Requests may move to the version. */
-        GOOD,
-        /** The version must get no more requests. */
-        BAD
+        GOOD(false),
+        /** The version fails more often than the others. */
+        FAILING(true),
+        /** The version leaves more requests unanswered than the others. */
+        UNANSWERING(true),
+        /** The version is slower than the others. */
+        SLOW(true),
+        /** The version may be slower than the others, and there is no time for more evidence. */
+        PROBABLY_SLOW(true),
+        /** The version has hardly answered. */
+        TOO_FEW_ANSWERS(true);
+
+        private final boolean bad;
+
+        Finding(boolean bad) {
+            this.bad = bad;
+        }
+
+        /**
+         * Returns whether the version must get no more requests.
+         *
+         * @return whether it is to be rolled back.
+         */
+        public boolean isBad() {
+            return bad;
+        }
     }
 
     /**
@@ -118,16 +139,15 @@
     }
 
     /**
-     * Counts answers and their times.
+     * Counts answers and requests without one.
      *
      * @param answers the number of answers, including failures.
      * @param failures the number of failures.
-     * @param millis the sum of the times of the answers, in milliseconds.
      * @param unanswered the number of requests that were given up without an answer.
      */
-    public record OutcomeCounts(long answers, long failures, double millis, long unanswered) {
+    public record OutcomeCounts(long answers, long failures, long unanswered) {
         /** Has no answers. */
-        public static final OutcomeCounts NONE = new OutcomeCounts(0, 0, 0, 0);
+        public static final OutcomeCounts NONE = new OutcomeCounts(0, 0, 0);
 
         /**
          * Returns the sum of these counts and others.
@@ -136,11 +156,7 @@
          * @return the sum.
          */
         public OutcomeCounts plus(OutcomeCounts added) {
-            return new OutcomeCounts(
-                    answers + added.answers,
-                    failures + added.failures,
-                    millis + added.millis,
-                    unanswered + added.unanswered);
+            return new OutcomeCounts(answers + added.answers, failures + added.failures, unanswered + added.unanswered);
         }
 
         double unansweredShare() {
@@ -150,9 +166,5 @@
         double failureShare() {
             return answers == 0 ? 0 : (double) failures / answers;
         }
-
-        double meanMillis() {
-            return answers == 0 ? 0 : millis / answers;
-        }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -14,6 +14,7 @@
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
+import org.radishspur.decision.dispatch.UpstreamTimes;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.Upstream;
@@ -230,6 +231,13 @@
         versionCounters.add(upstream.pool(), upstream.version(), route, outcome);
     }
 
+    /** Adds a response time of an upstream, for the rollout of its version. */
+    void recordTime(Upstream upstream, UpstreamTimes.Measure measure, double millis) {
+        if (!upstream.cold()) {
+            versionCounters.addTime(upstream, measure, millis);
+        }
+    }
+
     /** Returns the monotonic clock in milliseconds. */
     static long now() {
         return Moment.monotonicNow();
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.UpstreamTimes;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReport;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -43,6 +44,9 @@
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
+    /** The number of events of a stream from which the time between them is compared with that of other versions. */
+    private static final long MIN_TIMED_EVENTS = 3;
+
     /** The time in which other ends of upstreams may show that a request is their cause, in milliseconds. */
     private static final long EXPLANATION_MILLIS = 1_500;
 
@@ -416,6 +420,9 @@
         long events = isEventStream() ? splitter.eventCount() : 0;
         double eventMillis = isEventStream() ? (double) (now - firstByteAt) / Math.max(1, events - 1) : now - sentAt;
         recordResponse(true);
+        services.recordTime(
+                upstream.upstream(), UpstreamTimes.Measure.FIRST_BYTE, (isEventStream() ? firstByteAt : now) - sentAt);
+        recordEventTime();
         end(new SlotReport.Ended(
                 SlotOutcome.SUCCESS,
                 now - sentAt,
@@ -424,6 +431,14 @@
                 caller.routed().expectedTokens()));
     }
 
+    /** Adds the time between events so far for the version of the upstream. */
+    private void recordEventTime() {
+        if (isEventStream() && splitter.eventCount() >= MIN_TIMED_EVENTS) {
+            double millis = (double) (lastByteAt - firstByteAt) / (splitter.eventCount() - 1);
+            services.recordTime(upstream.upstream(), UpstreamTimes.Measure.EVENT, millis);
+        }
+    }
+
     /** Ends the attempt with a success or failure of the upstream, and reports no measured times. */
     private void endAnswered(boolean succeeded) {
         recordResponse(succeeded);
@@ -541,6 +556,10 @@
             // Otherwise a version that never answers would have no failures.
             recordOutcome(VersionCounters.Outcome.NONE);
         }
+        if (phase == Phase.RUNNING) {
+            // A slow stream that its caller doesn't wait for would otherwise show nothing.
+            recordEventTime();
+        }
         end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
         if (!draining && exchange != null) {
             exchange.abort();
--- a/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 
+import org.radishspur.decision.dispatch.UpstreamTimes;
+import org.radishspur.model.catalogue.Upstream;
+import org.radishspur.node.fleet.FleetMessage.RolloutTimes;
 import org.radishspur.node.fleet.FleetMessage.VersionCounts;
 import org.radishspur.node.schedule.ViewPoller;
 import org.radishspur.replication.state.CatalogueState.Rollout;
@@ -15,6 +18,11 @@
  * rollouts to the control leader. It may be called from any thread.
  */
 final class VersionCounters implements ViewPoller.CountSource {
+    /** The number of times of other versions that are added in any case, and for each time of the target version. */
+    private static final int MIN_TIMES_OF_OTHERS = 32;
+
+    private static final int TIMES_OF_OTHERS_FACTOR = 3;
+
     private final Map<String, Trial> trials = new HashMap<>();
 
     /** Starts counting for rollouts that have begun, and forgets those that have ended. */
@@ -27,7 +35,7 @@
             Trial known = trials.get(rollout.pool());
             boolean isNew = known == null || known.startedAtMillis != rollout.startedAtMillis();
             if (!rollout.stage().isFinal() && isNew) {
-                trials.put(rollout.pool(), new Trial(rollout.startedAtMillis()));
+                trials.put(rollout.pool(), new Trial(rollout.target(), rollout.startedAtMillis()));
             }
         }
     }
@@ -42,6 +50,26 @@
         }
     }
 
+    /**
+     * Adds a response time of an upstream. Of the many responses of the versions that aren't under trial only as many are
+     * added as the comparison needs, since all are sent with each report.
+     */
+    synchronized void addTime(Upstream upstream, UpstreamTimes.Measure measure, double millis) {
+        Trial trial = trials.get(upstream.pool());
+        if (trial == null) {
+            return;
+        }
+        boolean isTarget = upstream.version().equals(trial.target);
+        if (isTarget) {
+            trial.timesOfTarget++;
+        } else if (trial.timesOfOthers > MIN_TIMES_OF_OTHERS + TIMES_OF_OTHERS_FACTOR * trial.timesOfTarget) {
+            return;
+        } else {
+            trial.timesOfOthers++;
+        }
+        trial.times.add(upstream.runId().hashCode(), isTarget, measure, millis);
+    }
+
     /** {@inheritDoc} */
     @Override
     public synchronized List<VersionCounts> versionCounts() {
@@ -62,6 +90,14 @@
         return all;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public synchronized List<RolloutTimes> rolloutTimes() {
+        List<RolloutTimes> all = new ArrayList<>();
+        trials.forEach((pool, trial) -> all.add(new RolloutTimes(pool, trial.startedAtMillis, trial.times.toArray())));
+        return all;
+    }
+
     /** What a version gave to a request. */
     enum Outcome {
         /** A whole response that is no failure. */
@@ -82,10 +118,15 @@
 
     /** Holds the counts of one rollout. */
     private static final class Trial {
+        private final String target;
         private final long startedAtMillis;
+        private final UpstreamTimes times = new UpstreamTimes();
+        private int timesOfTarget;
+        private int timesOfOthers;
         private final Map<Key, Map<Outcome, Long>> counts = new HashMap<>();
 
-        private Trial(long startedAtMillis) {
+        private Trial(String target, long startedAtMillis) {
+            this.target = target;
             this.startedAtMillis = startedAtMillis;
         }
     }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -58,6 +58,7 @@
      * @param listReading the reading of the sender's host list within that term.
      * @param versionCounts the responses that the entry has counted during the current rollouts, by version.
      * @param reach whether the sender reaches upstreams, so that it could relay for others.
+     * @param rolloutTimes the response times that the entry has measured during the current rollouts.
      */
     record ViewRequest(
             long nonce,
@@ -67,11 +68,13 @@
             long listTerm,
             long listReading,
             List<VersionCounts> versionCounts,
-            UpstreamReach reach)
+            UpstreamReach reach,
+            List<RolloutTimes> rolloutTimes)
             implements FleetMessage {
         /** Replaces what an older build doesn't send. */
         public ViewRequest {
             reach = reach == null ? UpstreamReach.NO_RELAY : reach;
+            rolloutTimes = rolloutTimes == null ? List.of() : rolloutTimes;
         }
     }
 
@@ -162,8 +165,8 @@
      * @param route the route.
      * @param answers the number of responses, failed ones included.
      * @param failures the number of failed responses.
-     * @param firstMillis the sum of the times to the first byte, in milliseconds.
-     * @param eventMillis the sum of the times per event of a stream or per complete plain response, in milliseconds.
+     * @param firstMillis a sum of times that only older builds send and use, in milliseconds.
+     * @param eventMillis another one.
      * @param rolloutStartedAtMillis the start of the rollout, which identifies it among those of its pool, in
      *     milliseconds since the epoch; 0 if an older build sent the counts.
      * @param unanswered the number of requests that were given up after the version had sent nothing for a while.
@@ -179,6 +182,15 @@
             long rolloutStartedAtMillis,
             long unanswered) {}
 
+    /**
+     * Carries the response times of upstreams that an entry has measured during a rollout.
+     *
+     * @param pool the pool.
+     * @param rolloutStartedAtMillis the start of the rollout, in milliseconds since the epoch.
+     * @param times the times, as {@link org.radishspur.decision.dispatch.UpstreamTimes#toArray()} returns them.
+     */
+    record RolloutTimes(String pool, long rolloutStartedAtMillis, int[] times) {}
+
     /**
      * Attaches an entry to a scheduler, which from then on grants the slots of the entry.
      *
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -5,11 +5,14 @@
 import java.util.Map;
 
 import org.radishspur.decision.dispatch.RolloutEvaluator;
+import org.radishspur.decision.dispatch.RolloutEvaluator.Finding;
 import org.radishspur.decision.dispatch.RolloutEvaluator.OutcomeCounts;
 import org.radishspur.decision.dispatch.RolloutEvaluator.RouteOutcomes;
-import org.radishspur.decision.dispatch.RolloutEvaluator.Verdict;
+import org.radishspur.decision.dispatch.UpstreamTimes;
+import org.radishspur.decision.dispatch.UpstreamTimes.Evidence;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaRunner;
+import org.radishspur.node.fleet.FleetMessage.RolloutTimes;
 import org.radishspur.node.fleet.FleetMessage.VersionCounts;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
@@ -40,7 +43,7 @@
     private final ControlLoop loop;
     private final ReplicaRunner replica;
     private final EventLog events;
-    private final Map<String, List<VersionCounts>> countsByEntry = new HashMap<>();
+    private final Map<String, Report> reportsByEntry = new HashMap<>();
     private final Map<String, Long> movingSince = new HashMap<>();
     private long leaderSince;
 
@@ -51,16 +54,17 @@
         loop.repeat(this::evaluate, EVALUATION_INTERVAL_MILLIS);
     }
 
-    void recordCounts(String entryRun, List<VersionCounts> counts) {
+    /** Records what an entry has counted and measured since the rollouts began. */
+    void record(String entryRun, List<VersionCounts> counts, List<RolloutTimes> times) {
         if (!counts.isEmpty()) {
-            countsByEntry.put(entryRun, counts);
+            reportsByEntry.put(entryRun, new Report(counts, times));
         }
     }
 
     private void evaluate() {
         if (!replica.isLeader()) {
             movingSince.clear();
-            countsByEntry.clear();
+            reportsByEntry.clear();
             leaderSince = loop.nowMillis();
             return;
         }
@@ -69,7 +73,7 @@
                 .toList();
         unfinished.forEach(this::evaluate);
         if (unfinished.isEmpty()) {
-            countsByEntry.clear();
+            reportsByEntry.clear();
         }
     }
 
@@ -80,18 +84,31 @@
         // A new leader must not take the time without reports for a trial without answers.
         boolean hasReports = loop.nowMillis() - leaderSince >= REPORT_MILLIS;
         double share = hasReports ? (double) elapsed / Math.max(1, rollout.periodMillis()) : 0;
-        Verdict verdict = RolloutEvaluator.INSTANCE.evaluate(outcomesByRoute.values(), share);
-        if (verdict == Verdict.BAD) {
-            advance(rollout, RolloutStage.ROLLED_BACK, outcomesByRoute, "evidence against the version");
-        } else if (verdict == Verdict.GOOD && rollout.stage() == RolloutStage.RUNNING) {
+        // While all requests move to the version, its upstreams are busier than the others.
+        Evidence slowness = rollout.stage() == RolloutStage.RUNNING ? slowness(rollout) : Evidence.NONE;
+        Finding finding = RolloutEvaluator.INSTANCE.evaluate(outcomesByRoute.values(), slowness, share);
+        if (finding.isBad()) {
+            advance(rollout, RolloutStage.ROLLED_BACK, outcomesByRoute, finding.name());
+        } else if (finding == Finding.GOOD && rollout.stage() == RolloutStage.RUNNING) {
             movingSince.put(name, loop.nowMillis());
-            advance(rollout, RolloutStage.MOVING, outcomesByRoute, "no evidence against the version");
+            advance(rollout, RolloutStage.MOVING, outcomesByRoute, finding.name());
         } else if (rollout.stage() == RolloutStage.MOVING
                 && loop.nowMillis() - movingSince.computeIfAbsent(name, key -> loop.nowMillis()) > MOVE_MILLIS) {
-            advance(rollout, RolloutStage.COMPLETED, outcomesByRoute, "the requests have moved");
+            advance(rollout, RolloutStage.COMPLETED, outcomesByRoute, "MOVED");
         }
     }
 
+    private Evidence slowness(Rollout rollout) {
+        UpstreamTimes times = new UpstreamTimes();
+        for (Report report : reportsByEntry.values()) {
+            report.times().stream()
+                    .filter(each -> each.pool().equals(rollout.pool())
+                            && each.rolloutStartedAtMillis() == rollout.startedAtMillis())
+                    .forEach(each -> times.addAll(each.times()));
+        }
+        return times.slowness();
+    }
+
     private void advance(
             Rollout rollout, RolloutStage stage, Map<String, RouteOutcomes> outcomesByRoute, String cause) {
         OutcomeCounts trial = OutcomeCounts.NONE;
@@ -99,7 +116,14 @@
             trial = trial.plus(route.trial());
         }
         events.emit(
-                EventCode.ROLLOUT, rollout.pool(), rollout.target(), stage, trial.answers(), trial.failures(), cause);
+                EventCode.ROLLOUT,
+                rollout.pool(),
+                rollout.target(),
+                stage,
+                trial.answers(),
+                trial.failures(),
+                trial.unanswered(),
+                cause);
         replica.propose(
                 new ControlCommand.AdvanceRollout(rollout.pool(), rollout.target(), stage, System.currentTimeMillis()),
                 outcome -> {});
@@ -107,8 +131,8 @@
 
     private Map<String, RouteOutcomes> outcomesByRoute(Rollout rollout) {
         Map<String, RouteOutcomes> outcomesByRoute = new HashMap<>();
-        for (List<VersionCounts> counts : countsByEntry.values()) {
-            counts.stream()
+        for (Report report : reportsByEntry.values()) {
+            report.counts().stream()
                     .filter(count -> count.pool().equals(rollout.pool())
                             && count.rolloutStartedAtMillis() == rollout.startedAtMillis())
                     .forEach(count ->
@@ -118,10 +142,17 @@
     }
 
     private static RouteOutcomes outcomes(Rollout rollout, VersionCounts count) {
-        OutcomeCounts counted = new OutcomeCounts(
-                count.answers(), count.failures(), count.firstMillis() + count.eventMillis(), count.unanswered());
+        OutcomeCounts counted = new OutcomeCounts(count.answers(), count.failures(), count.unanswered());
         return count.version().equals(rollout.target())
                 ? new RouteOutcomes(counted, OutcomeCounts.NONE)
                 : new RouteOutcomes(OutcomeCounts.NONE, counted);
     }
+
+    /**
+     * Holds the latest report of one run of an entry.
+     *
+     * @param counts the responses that it has counted.
+     * @param times the times that it has measured.
+     */
+    private record Report(List<VersionCounts> counts, List<RolloutTimes> times) {}
 }
--- a/node/src/main/java/org/radishspur/node/group/ViewService.java
+++ b/node/src/main/java/org/radishspur/node/group/ViewService.java
@@ -88,7 +88,8 @@
             return;
         }
         if (!request.entry().isEmpty()) {
-            rolloutDriver.recordCounts(request.entry() + '/' + request.incarnation(), request.versionCounts());
+            rolloutDriver.record(
+                    request.entry() + '/' + request.incarnation(), request.versionCounts(), request.rolloutTimes());
         }
         pendingReads.addLast(new PendingRead(receivedAt, new ReadListener() {
             @Override
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -33,7 +33,7 @@
     /** The platform's host list could not be read. */
     LIST_FAILED(false, "cause"),
     /** A rollout moves on to another stage. */
-    ROLLOUT(false, "pool", "target", "stage", "answers", "failures", "cause"),
+    ROLLOUT(false, "pool", "target", "stage", "answers", "failures", "unanswered", "cause"),
     /** A scheduler has stopped sending requests to a failure domain, or sends them again. */
     EVACUATION(false, "failureDomain", "state", "inProgress"),
     /** An operator's call was answered. */
--- a/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
@@ -225,6 +225,7 @@
             receivers.addAll(searchOrder.next(wantedAddresses()));
         }
         List<FleetMessage.VersionCounts> counts = versionCounts.versionCounts();
+        List<FleetMessage.RolloutTimes> times = versionCounts.rolloutTimes();
         for (String address : receivers) {
             long nonce = ++nextNonce;
             requestsSentAt.put(nonce, now);
@@ -238,7 +239,8 @@
                             view.hosts().term(),
                             view.hosts().reading(),
                             counts,
-                            reach));
+                            reach,
+                            times));
         }
     }
 
@@ -282,5 +284,14 @@
          * @return the counts, one for each pool, version and route.
          */
         List<FleetMessage.VersionCounts> versionCounts();
+
+        /**
+         * Returns the response times; none by default.
+         *
+         * @return the times of each pool with a rollout.
+         */
+        default List<FleetMessage.RolloutTimes> rolloutTimes() {
+            return List.of();
+        }
     }
 }
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -77,8 +77,8 @@
 
     @Test
     void readsViewsWithAndWithoutRelays() {
-        FleetMessage.ViewRequest request =
-                new FleetMessage.ViewRequest(1, "entry", 2, 3, 4, 5, List.of(), FleetMessage.UpstreamReach.REACHED);
+        FleetMessage.ViewRequest request = new FleetMessage.ViewRequest(
+                1, "entry", 2, 3, 4, 5, List.of(), FleetMessage.UpstreamReach.REACHED, List.of());
         EarlierViewRequest earlierRequest = new EarlierViewRequest(1, "entry", 2, 3, 4, 5, List.of());
         assertThat(reread(request, EarlierViewRequest.class)).isEqualTo(earlierRequest);
         assertThat(reread(earlierRequest, FleetMessage.ViewRequest.class).reach())
--- a/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
+++ b/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
@@ -14,7 +14,8 @@
     private void defer(String entry, long nonce, long now) {
         deferredRequests.defer(new DeferredRequests.DeferredRequest(
                 new RecordingSender(entry),
-                new FleetMessage.ViewRequest(nonce, entry, 1, 0, 0, 0, List.of(), FleetMessage.UpstreamReach.NO_RELAY),
+                new FleetMessage.ViewRequest(
+                        nonce, entry, 1, 0, 0, 0, List.of(), FleetMessage.UpstreamReach.NO_RELAY, List.of()),
                 now));
     }
 
