Refuse connections while the link is full, so that callers go to other entries

An entry that got most new connections took them all and served hardly anyone: bodies filled its link of 7 Mbit/s, replies of schedulers, confirmations and connections to upstreams timed out behind them, and callers gave up while they sent. Class: work is accepted by what processes can do, not by what carries it; the rest then fails at what it needs itself. Change: LinkLoad counts the bytes from and to callers; from 0.65 of the link (setting limits.linkMbps) on the entry closes its listening socket until less than half of it is used. A connection that is refused costs the link nothing, where one that is accepted and closed has carried its request already.

--- a/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
@@ -51,6 +51,11 @@
         registry.counter("requests.withdrawn").inc();
     }
 
+    /** Counts a time in which connections are refused because the link is full. */
+    void countRefusing() {
+        registry.counter("connections.refusing").inc();
+    }
+
     void recordSlotWait(long millis) {
         slotWait.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -61,6 +61,7 @@
     private final Map<EntryExchange, Runnable> awaitingConfirmation = new LinkedHashMap<>();
     private final Set<EntryExchange> running = new HashSet<>();
     private final Map<String, Long> maxDeadlineMillis = new HashMap<>();
+    private final LinkLoad linkLoad;
     private final PauseDetector pauses = new PauseDetector(CHECK_INTERVAL_MILLIS);
     private volatile ConfirmedView view = ConfirmedView.EMPTY;
     private volatile boolean confirmationAwaited;
@@ -81,6 +82,7 @@
         this.metrics = metrics;
         this.transport = transport;
         this.versionCounters = versionCounters;
+        linkLoad = new LinkLoad(settings.bounds().linkBytesPerSecond());
         CrashLedger crashLedger = new CrashLedger();
         crashGuard =
                 new CrashGuard(crashLedger, settings.peerAddress().toString().hashCode());
@@ -180,7 +182,17 @@
 
     /** Returns whether the load balancer may route callers to this entry. */
     boolean isReady() {
-        return !stopping && isConfirmedWithin(READY_CONFIRMATION_SHARE);
+        return !stopping && !isLinkFull() && isConfirmedWithin(READY_CONFIRMATION_SHARE);
+    }
+
+    /** Counts bytes from or to a caller. */
+    void recordBytes(long count) {
+        linkLoad.add(count, now());
+    }
+
+    /** Returns whether this host's link carries about as much as it can, so that callers should go to other entries. */
+    boolean isLinkFull() {
+        return linkLoad.isFull(now());
     }
 
     private boolean isConfirmedWithin(double share) {
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -4,16 +4,22 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
 import org.radishspur.node.transport.ServerSocketBinder;
 
 /**
- * Accepts the connections of callers and closes those that stay idle for too long.
+ * Accepts the connections of callers while the link has room for them, and closes those that stay idle for too long.
  */
 final class FrontServer implements Child {
     /** The maximum size of the request line, and also of all headers, in bytes; the catalogue states a lower limit. */
@@ -25,6 +31,9 @@
     /** How often idle connections are checked, in milliseconds. */
     private static final long IDLE_CHECK_MILLIS = 1_000;
 
+    /** How often it is checked whether the link has room again, in milliseconds. */
+    private static final long ROOM_CHECK_MILLIS = 50;
+
     /** How many reads a connection gets before the event loop serves others; Netty's default for connections. */
     private static final int MAX_READS_PER_TURN = 16;
 
@@ -33,6 +42,8 @@
     private final EntryServices services;
     private final Map<Channel, FrontConnection> connections = new HashMap<>();
     private Channel channel;
+    private boolean refusing;
+    private volatile boolean stopped;
 
     FrontServer(HostPort address, EventLoop loop, EntryServices services) {
         this.address = address;
@@ -43,20 +54,64 @@
     /** {@inheritDoc} */
     @Override
     public void start(FailureListener listener) {
-        channel = ServerSocketBinder.INSTANCE.bind(address, loop, accepted -> {
-            // Reads until the socket is empty, so that a close by the caller is received together with its last
-            // request.
-            accepted.config()
-                    .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator()
-                            .respectMaybeMoreData(false)
-                            .maxMessagesPerRead(MAX_READS_PER_TURN));
-            accepted.pipeline()
-                    .addLast(new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                    .addLast(new FrontConnection(services, FrontServer.this));
-        });
+        stopped = false;
+        channel = ServerSocketBinder.INSTANCE.bind(address, loop, this::initialize);
         loop.scheduleAtFixedRate(this::closeIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void initialize(SocketChannel accepted) {
+        // Reads until the socket is empty, so that a close by the caller is received together with its last request.
+        accepted.config()
+                .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator()
+                        .respectMaybeMoreData(false)
+                        .maxMessagesPerRead(MAX_READS_PER_TURN));
+        accepted.pipeline()
+                .addLast(new ByteCounter())
+                .addLast(new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                .addLast(new FrontConnection(services, FrontServer.this));
+    }
+
+    /**
+     * Refuses connections until the link has room again. A connection that is refused costs its caller only a moment, and
+     * the link nothing, as the caller sends its request to another entry.
+     */
+    private void refuseWhileLinkIsFull() {
+        if (refusing || stopped || !services.isLinkFull()) {
+            return;
+        }
+        refusing = true;
+        services.metrics().countRefusing();
+        channel.close();
+        loop.schedule(this::acceptAgain, ROOM_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void acceptAgain() {
+        if (stopped) {
+            return;
+        }
+        if (services.isLinkFull()) {
+            loop.schedule(this::acceptAgain, ROOM_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        ServerSocketBinder.INSTANCE
+                .startBinding(address, loop, this::initialize)
+                .addListener((ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        channel = bound.channel();
+                        refusing = false;
+                        closeIfStopped();
+                    } else {
+                        loop.schedule(this::acceptAgain, ROOM_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                    }
+                });
+    }
+
+    private void closeIfStopped() {
+        if (stopped) {
+            channel.close();
+        }
+    }
+
     void add(Channel accepted, FrontConnection connection) {
         connections.put(accepted, connection);
     }
@@ -72,6 +127,7 @@
     /** {@inheritDoc} */
     @Override
     public void close() {
+        stopped = true;
         if (channel != null) {
             channel.close();
         }
@@ -81,6 +137,7 @@
      * Stops accepting connections and closes those without a request in progress, in the last phase of a planned stop.
      */
     void stopAccepting() {
+        stopped = true;
         channel.close();
         connections.entrySet().stream()
                 .filter(entry -> entry.getValue().isIdle())
@@ -99,4 +156,24 @@
                 .toList()
                 .forEach(Channel::close);
     }
+
+    /** Counts the bytes of one connection, before they are decoded and after they are encoded. */
+    private final class ByteCounter extends ChannelDuplexHandler {
+        /** {@inheritDoc} */
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            services.recordBytes(((ByteBuf) message).readableBytes());
+            context.fireChannelRead(message);
+            refuseWhileLinkIsFull();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            if (message instanceof ByteBuf bytes) {
+                services.recordBytes(bytes.readableBytes());
+            }
+            context.write(message, promise);
+        }
+    }
 }
--- a/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
+++ b/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
@@ -78,6 +78,7 @@
      * @param quotaTolerance the tolerance by which quotas may be exceeded.
      * @param toleratedHostLosses the number of control hosts that may be lost at the same time, together with their
      *     disks.
+     * @param linkBytesPerSecond what the link of this host carries in each direction, in bytes per second.
      */
     public record Bounds(
             long revocationLimitMillis,
@@ -86,7 +87,8 @@
             int retrySlack,
             double maxTrialShare,
             QuotaLedger.Tolerance quotaTolerance,
-            int toleratedHostLosses) {
+            int toleratedHostLosses,
+            double linkBytesPerSecond) {
 
         /**
          * Returns the number of voters in the control group, of which a majority remains after the tolerated losses.
--- a/node/src/main/java/org/radishspur/node/transport/ServerSocketBinder.java
+++ b/node/src/main/java/org/radishspur/node/transport/ServerSocketBinder.java
@@ -4,6 +4,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -34,6 +35,18 @@
      * @return the listening channel, which stops listening when it is closed.
      */
     public Channel bind(HostPort address, EventLoopGroup group, Consumer<SocketChannel> initializer) {
+        return startBinding(address, group, initializer).syncUninterruptibly().channel();
+    }
+
+    /**
+     * Starts to bind an address.
+     *
+     * @param address the address to listen on.
+     * @param group the threads that serve the connections.
+     * @param initializer adds the handlers to an accepted connection.
+     * @return the future of the listening channel.
+     */
+    public ChannelFuture startBinding(HostPort address, EventLoopGroup group, Consumer<SocketChannel> initializer) {
         return new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -46,8 +59,6 @@
                         initializer.accept(accepted);
                     }
                 })
-                .bind(address.toSocketAddress())
-                .syncUninterruptibly()
-                .channel();
+                .bind(address.toSocketAddress());
     }
 }
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/entry/LinkLoadTest.java
@@ -0,0 +1,48 @@
+package org.radishspur.node.entry;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LinkLoadTest {
+    private static final double BYTES_PER_SECOND = 1_000_000;
+    private static final long START_MILLIS = 1_000_000_007;
+
+    private final LinkLoad load = new LinkLoad(BYTES_PER_SECOND);
+
+    @Test
+    void isNotFullWithoutTraffic() {
+        assertThat(load.isFull(START_MILLIS)).isFalse();
+    }
+
+    /** Guards against a link that counts as full for ever after one burst. */
+    @Test
+    void hasRoomAgainHalfASecondAfterABurst() {
+        load.add(400_000, START_MILLIS);
+        assertThat(load.isFull(START_MILLIS)).isTrue();
+        assertThat(load.isFull(START_MILLIS + 400)).isTrue();
+        assertThat(load.isFull(START_MILLIS + 501)).isFalse();
+    }
+
+    /** Guards against an entry that refuses callers although its link carries half of what it can, or takes all of it. */
+    @Property
+    void isFullFromABoundOn(@ForAll @IntRange(min = 1, max = 45) int intervalMillis) {
+        assertThat(isFullAt(0.5, intervalMillis)).isFalse();
+        assertThat(isFullAt(0.8, intervalMillis)).isTrue();
+    }
+
+    /** Returns whether a link is full that carries a share of what it can for some seconds. */
+    private static boolean isFullAt(double share, int intervalMillis) {
+        LinkLoad link = new LinkLoad(BYTES_PER_SECOND);
+        long now = START_MILLIS;
+        boolean full = false;
+        for (; now < START_MILLIS + 3_000; now += intervalMillis) {
+            link.add((long) (share * BYTES_PER_SECOND * intervalMillis / 1_000), now);
+            full = link.isFull(now);
+        }
+        return full;
+    }
+}
--- a/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
+++ b/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
@@ -19,8 +19,8 @@
      * @return the settings.
      */
     public static PlatformProcessSettings of(String node, HostPort address) {
-        PlatformProcessSettings.Bounds bounds =
-                new PlatformProcessSettings.Bounds(5_000, 8_000, 0.2, 54, 0.1, QuotaLedger.Tolerance.NONE, 1);
+        PlatformProcessSettings.Bounds bounds = new PlatformProcessSettings.Bounds(
+                5_000, 8_000, 0.2, 54, 0.1, QuotaLedger.Tolerance.NONE, 1, 125_000_000);
         return new PlatformProcessSettings(
                 node,
                 "a",
