--- a/node/src/main/java/org/radishspur/node/entry/CallerResponse.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerResponse.java
@@ -126,6 +126,6 @@
     }
 
     private boolean isKeepAlive() {
-        return HttpUtil.isKeepAlive(request) && !services.isStopping() && !services.isLinkFull();
+        return HttpUtil.isKeepAlive(request) && !services.isStopping();
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -190,6 +190,16 @@
         linkLoad.add(count, now());
     }
 
+    /** Expects a request on a connection that has just been accepted. */
+    LinkLoad.Expected expectRequest() {
+        return linkLoad.expectRequest(now());
+    }
+
+    /** Records the size of the body of a request that was received, in bytes. */
+    void recordBody(long count) {
+        linkLoad.recordRequest(count);
+    }
+
     /** Returns whether this host's link carries about as much as it can, so that callers should go to other entries. */
     boolean isLinkFull() {
         return linkLoad.isFull(now());
--- a/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.radishspur.node.log.ComponentLog;
 
@@ -24,6 +25,7 @@
     private final FrontServer server;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
     private EntryExchange exchange;
+    private final LinkLoad.Expected firstRequest;
     private long idleSince;
     private boolean closing;
 
@@ -31,6 +33,7 @@
         this.services = services;
         this.server = server;
         this.idleSince = EntryServices.now();
+        this.firstRequest = services.expectRequest();
     }
 
     /** {@inheritDoc} */
@@ -75,6 +78,9 @@
             } else {
                 exchange.onBody(content);
             }
+            if (content instanceof LastHttpContent) {
+                firstRequest.end();
+            }
         }
     }
 
@@ -113,6 +119,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.remove(context.channel());
+        firstRequest.end();
         queuedParts.forEach(ReferenceCountUtil::release);
         queuedParts.clear();
         if (exchange != null) {
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -114,6 +114,7 @@
 
     void add(Channel accepted, FrontConnection connection) {
         connections.put(accepted, connection);
+        refuseWhileLinkIsFull();
     }
 
     void remove(Channel accepted) {
