Leave upstreams alone that ask for rest, and space requests to those that turn them away

Cause: a refusal told the scheduler nothing and freed the slot at once, and nobody read Retry-After. Class: a quick refusal counts as free capacity. Change: the adapter decodes the rest; the entry keeps it (UpstreamRests), names it in each request for a slot, so that any scheduler leaves that upstream out for this entry, and declines or doesn't send what was granted before. Where all upstreams turn a request away, its wait, and its caller's Retry-After, is the time until the first takes work again.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -73,7 +73,7 @@
         if (free.isPresent()) {
             return grant(queued, free.get(), now);
         }
-        long wait = queue.expectedWaitMillis(queued, now);
+        long wait = expectedWaitMillis(queued, now);
         if (now + wait > queued.queueingDeadline()) {
             return new Decision.Refused(
                     queued, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now));
@@ -91,7 +91,7 @@
     public List<Decision> dispatchQueued(long now) {
         List<Decision> decisions = new ArrayList<>();
         for (QueuedRequest expired : queue.removeExpired(now)) {
-            long wait = queue.expectedWaitMillis(expired, now);
+            long wait = expectedWaitMillis(expired, now);
             decisions.add(new Decision.Refused(
                     expired, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now)));
         }
@@ -141,6 +141,10 @@
         return queue.remove(queued);
     }
 
+    private long expectedWaitMillis(QueuedRequest queued, long now) {
+        return Math.max(queue.expectedWaitMillis(queued, now), upstreams.takenFrom(queued, now) - now);
+    }
+
     private Optional<UpstreamLoad> findSlot(QueuedRequest queued, long now) {
         // Late requests leave slots free as well. Otherwise a burst would go on through retries: an answer on time is
         // worth several late ones, and each slot that a late request takes makes another one late.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -1,6 +1,8 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -14,6 +16,7 @@
     private final VersionRule versions;
     private final Requirements requirements;
     private final Set<String> avoidedRuns = new HashSet<>();
+    private final Map<Integer, Long> restsUntil = new HashMap<>();
     private String entryDomain = "";
     private long sequence;
     private double slotValue;
@@ -53,6 +56,21 @@
         avoidedRuns.add(run);
     }
 
+    /**
+     * Excludes an upstream for a time, for which it has asked the entry of this request to send it nothing.
+     *
+     * @param upstream the hash code of the run of the upstream.
+     * @param until the end of that time, in milliseconds of the scheduler's clock.
+     */
+    public void excludeUntil(int upstream, long until) {
+        restsUntil.merge(upstream, until, Math::max);
+    }
+
+    /** Returns until when an upstream is excluded, a time that has passed for most. */
+    long excludedUntil(String run) {
+        return restsUntil.isEmpty() ? Long.MIN_VALUE : restsUntil.getOrDefault(run.hashCode(), Long.MIN_VALUE);
+    }
+
     /**
      * Sets the failure domain of the entry node that proxies the request. Upstreams there are preferred, because
      * traffic between failure domains is charged for.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -67,6 +67,7 @@
     private boolean usesPoolTimes;
     private ColdStartLimit coldLimit = new ColdStartLimit(ColdStart.NONE);
     private final RequestLimiter limiter = new RequestLimiter();
+    private final RefusalBackoff refusals = new RefusalBackoff();
     private final MovingAverage eventMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
     private final MovingAverage failures = new MovingAverage(FAILURE_AVERAGE_WEIGHT);
     private double peerEventMillis;
@@ -344,6 +345,25 @@
         return coldLimit.allows(now);
     }
 
+    /**
+     * Records that the upstream turned a request away.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void recordRefusal(long now) {
+        refusals.recordRefusal(now);
+    }
+
+    /** Returns whether the upstream has turned so many requests away that it gets one only, as a test. */
+    boolean isTestedAfterRefusals() {
+        return refusals.isTesting();
+    }
+
+    /** Returns until when the upstream gets no request, as it turns requests away. */
+    long refusesUntil() {
+        return refusals.until();
+    }
+
     boolean isReplaced() {
         return replaced;
     }
@@ -357,6 +377,7 @@
      * @param now the current time in milliseconds.
      */
     public void recordOutcome(boolean success, double poolFailures, long now) {
+        refusals.recordRun();
         failures.add(success ? 0 : 1);
         if (success) {
             if (unreachable) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -389,10 +389,32 @@
             }
         }
         boolean appliesEjections = ejected <= inService * MAX_EJECTED_SHARE;
-        candidates.removeIf(load -> load.isSilent(now) || appliesEjections && load.isEjected(now));
+        candidates.removeIf(load ->
+                load.isSilent(now) || appliesEjections && load.isEjected(now) || turnsAwayUntil(load, queued) > now);
         return candidates;
     }
 
+    /** Returns until when an upstream turns a request away, as far as it has shown or said so. */
+    private static long turnsAwayUntil(UpstreamLoad load, QueuedRequest queued) {
+        return Math.max(load.refusesUntil(), queued.excludedUntil(load.run()));
+    }
+
+    /**
+     * Returns from when on some upstream doesn't turn a request away.
+     *
+     * @param queued the request.
+     * @param now the current time in milliseconds.
+     * @return the current time, or a later one if all upstreams that could serve the request turn it away.
+     */
+    long takenFrom(QueuedRequest queued, long now) {
+        return loads.values().stream()
+                .filter(load -> isInService(load, now)
+                        && queued.versions().allows(load.upstream().version()))
+                .mapToLong(load -> Math.max(now, turnsAwayUntil(load, queued)))
+                .min()
+                .orElse(now);
+    }
+
     /**
      * Removes the fast upstreams, or the slow ones, where too few of their slots are free to leave some for more urgent
      * requests. Fast and slow slots are counted separately: an urgent request doesn't go to a slow engine, so that a
@@ -413,12 +435,19 @@
         for (UpstreamLoad load : loads.values()) {
             if (isSlow(load, slowAboveMillis) == slow && isInService(load, now)) {
                 slots += countedSlots(load);
-                free += load.isLimited() ? (load.allowsLimitedRequest(now) ? 1 : 0) : freeSlots(load);
+                free += freeSlotsForReserve(load, now);
             }
         }
         return slots == 0 ? 0 : (double) free / slots;
     }
 
+    private int freeSlotsForReserve(UpstreamLoad load, long now) {
+        if (load.refusesUntil() > now) {
+            return 0;
+        }
+        return load.isLimited() ? (load.allowsLimitedRequest(now) ? 1 : 0) : freeSlots(load);
+    }
+
     private static boolean isSlow(UpstreamLoad load, double slowAboveMillis) {
         return load.isEventTimeKnown() && load.eventMillis() > slowAboveMillis;
     }
@@ -488,7 +517,7 @@
         if (load.isCold(now) && !load.allowsColdRequest(now)) {
             return false;
         }
-        if (load.isOnProbation()) {
+        if (load.isOnProbation() || load.isTestedAfterRefusals()) {
             return load.inProgress() < 1;
         }
         if (schedulerCount > 1 && !isOwnDomain(load) && now - load.lastSentAt() < staleness.spacingMillis()) {
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotOutcome.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotOutcome.java
@@ -28,7 +28,12 @@
     /** The entry abandoned the attempt, or the caller disconnected. */
     ABANDONED(true),
     /** The upstream reported that it has not run the request. */
-    NOT_RUN(false),
+    NOT_RUN(false) {
+        @Override
+        void notifyObserver(OutcomeObserver observer) {
+            observer.recordRefusal();
+        }
+    },
     /** Another instance answered at the upstream's address. */
     REPLACED(false) {
         @Override
@@ -74,6 +79,9 @@
         /** Records that the connection was lost. */
         void recordBrokenConnection();
 
+        /** Records that the upstream turned the request away. */
+        void recordRefusal();
+
         /** Records that another instance runs at the upstream's address. */
         void recordReplacement();
 
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
@@ -44,6 +44,7 @@
      * @param expectedTokens the number of output tokens that the caller had expected.
      * @param limit what the answer stated about the upstream's limit; empty if there was no answer or if a
      *     {@link FirstByte} has reported it.
+     * @param restMillis how long the upstream asks this entry to send it nothing, in milliseconds; 0 if it doesn't.
      */
     record Ended(
             SlotOutcome outcome,
@@ -51,7 +52,8 @@
             double eventMillis,
             long events,
             long expectedTokens,
-            Optional<RequestLimit> limit)
+            Optional<RequestLimit> limit,
+            long restMillis)
             implements SlotReport {
         /**
          * Creates a report without measurements.
@@ -72,7 +74,7 @@
          * @param expectedTokens the number of output tokens that the caller had expected.
          */
         public Ended(SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens) {
-            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty());
+            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty(), 0);
         }
 
         /**
@@ -82,7 +84,17 @@
          * @return the changed report.
          */
         public Ended withLimit(RequestLimit stated) {
-            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated));
+            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated), restMillis);
+        }
+
+        /**
+         * Returns this report with the rest for which the upstream asks.
+         *
+         * @param millis the time in milliseconds, 0 for none.
+         * @return the changed report.
+         */
+        public Ended withRest(long millis) {
+            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, limit, millis);
         }
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -23,6 +23,7 @@
  * @param expectedLoad the expected load on the upstream.
  * @param avoidedRuns the runs of upstreams that are used only if no other upstream can serve the request; see
  *     {@link org.radishspur.model.catalogue.Upstream#runId()}.
+ * @param rests the upstreams that must not get a request of this entry for some time.
  */
 public record SlotRequest(
         String pool,
@@ -36,11 +37,81 @@
         long firstByteTargetMillis,
         long deadlineMillis,
         ExpectedLoad expectedLoad,
-        List<String> avoidedRuns) {
+        List<String> avoidedRuns,
+        List<UpstreamRest> rests) {
 
-    /** Copies the list of avoided upstreams. */
+    /** Copies the lists, and replaces what an older build doesn't send. */
     public SlotRequest {
         avoidedRuns = List.copyOf(avoidedRuns);
+        rests = rests == null ? List.of() : List.copyOf(rests);
+    }
+
+    /**
+     * Creates a request of an entry that no upstream has asked for rest.
+     *
+     * @param pool the name of the pool.
+     * @param failureDomain the failure domain of the entry.
+     * @param organisation the organisation whose quota is charged, or empty if there is none.
+     * @param quotaCost the cost that is charged to the quota.
+     * @param organisationRank the rank of the organisation.
+     * @param retry whether the caller retries after an earlier rejection.
+     * @param allowTrialVersion whether a version that a rollout is still trying may serve the request.
+     * @param maxWaitMillis the maximum wait for a slot, in milliseconds.
+     * @param firstByteTargetMillis the time left until the target for the first byte, in milliseconds.
+     * @param deadlineMillis the time left until the deadline of the complete answer, in milliseconds.
+     * @param expectedLoad the expected load on the upstream.
+     * @param avoidedRuns the runs of upstreams that are used only if no other upstream can serve the request.
+     */
+    public SlotRequest(
+            String pool,
+            String failureDomain,
+            String organisation,
+            double quotaCost,
+            int organisationRank,
+            boolean retry,
+            boolean allowTrialVersion,
+            long maxWaitMillis,
+            long firstByteTargetMillis,
+            long deadlineMillis,
+            ExpectedLoad expectedLoad,
+            List<String> avoidedRuns) {
+        this(
+                pool,
+                failureDomain,
+                organisation,
+                quotaCost,
+                organisationRank,
+                retry,
+                allowTrialVersion,
+                maxWaitMillis,
+                firstByteTargetMillis,
+                deadlineMillis,
+                expectedLoad,
+                avoidedRuns,
+                List.of());
+    }
+
+    /**
+     * Returns this request with other rests.
+     *
+     * @param current the upstreams that must get no request of this entry now.
+     * @return the changed request.
+     */
+    public SlotRequest withRests(List<UpstreamRest> current) {
+        return new SlotRequest(
+                pool,
+                failureDomain,
+                organisation,
+                quotaCost,
+                organisationRank,
+                retry,
+                allowTrialVersion,
+                maxWaitMillis,
+                firstByteTargetMillis,
+                deadlineMillis,
+                expectedLoad,
+                avoidedRuns,
+                current);
     }
 
     /**
@@ -62,7 +133,8 @@
                 Math.max(0, firstByteTargetMillis - millis),
                 Math.max(0, deadlineMillis - millis),
                 expectedLoad,
-                avoidedRuns);
+                avoidedRuns,
+                rests);
     }
 
     /**
@@ -86,7 +158,8 @@
                 firstByteTargetMillis,
                 deadlineMillis,
                 expectedLoad,
-                longer);
+                longer,
+                rests);
     }
 
     QueuedRequest toQueuedRequest(VersionRule versions, long now) {
@@ -98,6 +171,7 @@
                 versions,
                 expectedLoad.toRequirements(now + firstByteTargetMillis, now + deadlineMillis));
         avoidedRuns.forEach(queued::avoidUpstream);
+        rests.forEach(rest -> queued.excludeUntil(rest.upstream(), now + rest.millis()));
         queued.setEntryDomain(failureDomain);
         return queued;
     }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -248,6 +248,9 @@
     private void endRequest(TrackedRequest tracked, SlotReport.Ended ended, long now) {
         if (tracked.upstream != null) {
             ended.limit().ifPresent(limit -> recordLimit(tracked.upstream, limit, now));
+            if (ended.restMillis() > 0) {
+                excludeForEntry(tracked, now + ended.restMillis());
+            }
             ended.outcome().notifyObserver(new OutcomeRecorder(tracked, now));
             if (ended.eventMillis() > 0) {
                 tracked.upstream.recordEventTime(ended.eventMillis(), 1);
@@ -263,6 +266,12 @@
         advance(tracked.pool, now);
     }
 
+    /** Keeps the requests of an entry that are queued from an upstream that asks this entry for rest. */
+    private void excludeForEntry(TrackedRequest refused, long until) {
+        int upstream = refused.upstream.run().hashCode();
+        requestsOf(refused.entry).values().forEach(each -> each.queued.excludeUntil(upstream, until));
+    }
+
     private void release(TrackedRequest tracked, SlotOutcome outcome, long now) {
         if (tracked.upstream == null) {
             queuedRequests.remove(tracked.queued);
@@ -420,6 +429,12 @@
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void recordRefusal() {
+            upstream.recordRefusal(now);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void recordReplacement() {
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -45,6 +45,14 @@
      */
     RequestLimit decodeLimit(HttpResponse response);
 
+    /**
+     * Decodes how long an upstream that turns a request away asks this host to send it nothing.
+     *
+     * @param response the head of the response.
+     * @return the time in milliseconds; 0 if the response turns nothing away or asks for no rest.
+     */
+    long decodeRestMillis(HttpResponse response);
+
     /**
      * Holds the decoded head of a caller's request.
      *
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -331,9 +331,11 @@
 
     /** Returns whether the current view still allows the request to be sent to the granted upstream. */
     private boolean isStillUsable(UpstreamLoad upstream, ConfirmedView viewAtGrant) {
+        long now = EntryServices.now();
         boolean unchanged = services.view().hasSameContent(viewAtGrant);
         return services.isConfirmed()
-                && (unchanged || isStillAllowed() && services.slots().isUsable(upstream));
+                && !services.slots().isResting(upstream, now)
+                && (unchanged || isStillAllowed() && services.slots().isUsable(upstream, now));
     }
 
     /** Returns whether a connected attempt has to wait before it is sent. */
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -68,6 +68,7 @@
     private final SlotScheduler localScheduler;
     private final SchedulerChoice schedulerChoice;
     private final Map<Long, UpstreamSlot> pending = new HashMap<>();
+    private final UpstreamRests rests = new UpstreamRests();
     private Collection<String> schedulerAddresses = List.of();
     private String attachedScheduler = LOCAL_ADDRESS;
     private int attachedConnection;
@@ -112,10 +113,11 @@
         long id = ++nextId;
         slot.markSent(scheduler.orElse(LOCAL_ADDRESS), id, now);
         pending.put(id, slot);
+        SlotRequest request = slot.request(now).withRests(rests.current(now));
         if (scheduler.isPresent()) {
-            links.send(scheduler.get(), new FleetMessage.RequestSlot(id, slot.request(now)));
+            links.send(scheduler.get(), new FleetMessage.RequestSlot(id, request));
         } else {
-            localScheduler.request(LOCAL_ENTRY, id, slot.request(now), now);
+            localScheduler.request(LOCAL_ENTRY, id, request, now);
         }
     }
 
@@ -124,9 +126,19 @@
         return pools.dispatcher(pool).upstreams().unreachableRuns(now);
     }
 
-    /** Returns whether the current view allows requests to be sent to an upstream. */
-    boolean isUsable(UpstreamLoad upstream) {
-        return pools.isUsable(upstream);
+    /** Returns whether the current view, and the upstream itself, allow requests to be sent to it. */
+    boolean isUsable(UpstreamLoad upstream, long now) {
+        return pools.isUsable(upstream) && !isResting(upstream, now);
+    }
+
+    /** Returns whether an upstream has asked this entry to send it nothing at present. */
+    boolean isResting(UpstreamLoad upstream, long now) {
+        return rests.isResting(upstream.run(), now);
+    }
+
+    /** Records that an upstream asks this entry to send it nothing for some time, in milliseconds. */
+    void recordRest(UpstreamLoad upstream, long millis, long now) {
+        rests.record(upstream.run(), millis, now);
     }
 
     /** Cancels a request for a slot at its scheduler. */
@@ -180,7 +192,7 @@
     private void onGranted(UpstreamSlot slot, SlotReply.Granted granted, long now) {
         Optional<UpstreamLoad> upstream =
                 localScheduler.recordGrant(LOCAL_ENTRY, slot.toHeldSlot(granted.upstream()), now);
-        if (upstream.isPresent() && pools.isUsable(upstream.get())) {
+        if (upstream.isPresent() && isUsable(upstream.get(), now)) {
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
         }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -63,6 +63,7 @@
     private ResponseKind kind;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private Optional<RequestLimit> unreportedLimit = Optional.empty();
+    private long restMillis;
     private boolean firstByteReceived;
     private boolean eventTimeReported;
     private boolean silenceNoted;
@@ -198,6 +199,8 @@
         responseHead = response;
         if (kind != ResponseKind.WRONG_INSTANCE) {
             unreportedLimit = Optional.of(services.dialect().decodeLimit(response));
+            restMillis = services.dialect().decodeRestMillis(response);
+            services.slots().recordRest(upstream, restMillis, now);
         }
         switch (kind) {
             case SUCCESS -> onSuccess();
@@ -572,7 +575,7 @@
 
     private void end(SlotReport.Ended ended) {
         phase = Phase.ENDED;
-        slot.end(unreportedLimit.map(ended::withLimit).orElse(ended));
+        slot.end(unreportedLimit.map(ended::withLimit).orElse(ended).withRest(restMillis));
     }
 
     /** The phases of an attempt. */
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -381,6 +381,12 @@
             return RequestLimit.NONE;
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public long decodeRestMillis(HttpResponse response) {
+            return response.headers().getInt("rest", 0);
+        }
+
         /** {@inheritDoc} */
         @Override
         public ResponseKind classify(HttpResponse response, String request) {
