Send nothing to an upstream that says in its answers that it leaves

Change: the adapter decodes the header, the entry marks the run at once and reports it with the first byte or the end, and schedulers leave it out while another upstream serves. The last ones of a pool serve for a second more. A new run at the address isn't leaving.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -54,6 +54,14 @@
     /** Connections that break within this time of each other count as one failure, in milliseconds. */
     private static final long SAME_CAUSE_MILLIS = 50;
 
+    /**
+     * The time for which an upstream that has said that it leaves may still serve where no other one can, in milliseconds;
+     * it goes on serving for some seconds.
+     */
+    private static final long LEAVING_USE_MILLIS = 1_000;
+
+    private static final long NOT_LEAVING = Long.MAX_VALUE;
+
     private Upstream upstream;
     private final String run;
     private final double preference;
@@ -76,6 +84,7 @@
     private long ejectedUntil;
     private boolean onProbation;
     private boolean replaced;
+    private long leavingSince = NOT_LEAVING;
     private boolean unreachable;
     private final UnansweredRequests unanswered = new UnansweredRequests();
     private final PeerTotal peerPendingTokens = new PeerTotal();
@@ -234,6 +243,25 @@
         replaced = true;
     }
 
+    /**
+     * Records that the upstream says that it leaves, which its run doesn't take back.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void markLeaving(long now) {
+        leavingSince = Math.min(leavingSince, now);
+    }
+
+    /** Returns whether the upstream has said that it leaves. */
+    boolean isLeaving() {
+        return leavingSince != NOT_LEAVING;
+    }
+
+    /** Returns whether the upstream has said so long ago that it must get no more requests. */
+    boolean hasLeft(long now) {
+        return isLeaving() && now - leavingSince >= LEAVING_USE_MILLIS;
+    }
+
     /** Sets whether the times of the whole pool are used until this upstream has answered often enough here. */
     void setUsesPoolTimes(boolean uses) {
         usesPoolTimes = uses;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -388,6 +388,9 @@
                 ejected += load.isEjected(now) ? 1 : 0;
             }
         }
+        if (candidates.stream().anyMatch(load -> !load.isLeaving())) {
+            candidates.removeIf(UpstreamLoad::isLeaving);
+        }
         boolean appliesEjections = ejected <= inService * MAX_EJECTED_SHARE;
         candidates.removeIf(load ->
                 load.isSilent(now) || appliesEjections && load.isEjected(now) || turnsAwayUntil(load, queued) > now);
@@ -549,13 +552,27 @@
 
     /** Returns whether this scheduler may use the upstream, whether or not a slot is free. */
     private boolean isInService(UpstreamLoad load, long now) {
-        return acceptsRequests(load) && !load.isUnreachable(now) && (!load.isCold(now) || mayUseCold.test(load.run()));
+        return acceptsRequests(load)
+                && !load.hasLeft(now)
+                && !load.isUnreachable(now)
+                && (!load.isCold(now) || mayUseCold.test(load.run()));
     }
 
     private boolean isOwnDomain(UpstreamLoad load) {
         return load.upstream().failureDomain().equals(ownDomain);
     }
 
+    /**
+     * Returns whether an upstream may get a request at a time.
+     *
+     * @param load the upstream.
+     * @param now the time in milliseconds.
+     * @return whether it accepts new requests, and hasn't said some time ago that it leaves.
+     */
+    public boolean acceptsRequests(UpstreamLoad load, long now) {
+        return acceptsRequests(load) && !load.hasLeft(now);
+    }
+
     /**
      * Returns whether an upstream accepts new requests.
      *
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
@@ -13,15 +13,16 @@
      *
      * @param elapsedMillis the time since the request was sent, in milliseconds.
      * @param limit what the answer stated about the upstream's limit; empty if an older build sent the report.
+     * @param leaving whether the answer said that the upstream leaves.
      */
-    record FirstByte(long elapsedMillis, Optional<RequestLimit> limit) implements SlotReport {
+    record FirstByte(long elapsedMillis, Optional<RequestLimit> limit, boolean leaving) implements SlotReport {
         /**
          * Creates a report that states nothing about a limit.
          *
          * @param elapsedMillis the time since the request was sent, in milliseconds.
          */
         public FirstByte(long elapsedMillis) {
-            this(elapsedMillis, Optional.empty());
+            this(elapsedMillis, Optional.empty(), false);
         }
     }
 
@@ -45,6 +46,7 @@
      * @param limit what the answer stated about the upstream's limit; empty if there was no answer or if a
      *     {@link FirstByte} has reported it.
      * @param restMillis how long the upstream asks this entry to send it nothing, in milliseconds; 0 if it doesn't.
+     * @param leaving whether the answer said that the upstream leaves.
      */
     record Ended(
             SlotOutcome outcome,
@@ -53,7 +55,8 @@
             long events,
             long expectedTokens,
             Optional<RequestLimit> limit,
-            long restMillis)
+            long restMillis,
+            boolean leaving)
             implements SlotReport {
         /**
          * Creates a report without measurements.
@@ -74,7 +77,7 @@
          * @param expectedTokens the number of output tokens that the caller had expected.
          */
         public Ended(SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens) {
-            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty(), 0);
+            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty(), 0, false);
         }
 
         /**
@@ -84,17 +87,19 @@
          * @return the changed report.
          */
         public Ended withLimit(RequestLimit stated) {
-            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated), restMillis);
+            return new Ended(
+                    outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated), restMillis, leaving);
         }
 
         /**
-         * Returns this report with the rest for which the upstream asks.
+         * Returns this report with what the upstream asks of this entry.
          *
-         * @param millis the time in milliseconds, 0 for none.
+         * @param millis for how long it wants nothing, in milliseconds; 0 if it doesn't ask for that.
+         * @param leaves whether it says that it leaves.
          * @return the changed report.
          */
-        public Ended withRest(long millis) {
-            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, limit, millis);
+        public Ended withRequests(long millis, boolean leaves) {
+            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, limit, millis, leaves);
         }
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -239,6 +239,7 @@
         UpstreamLoad upstream = tracked.upstream;
         if (report instanceof SlotReport.FirstByte first) {
             first.limit().ifPresent(limit -> recordLimit(upstream, limit, now));
+            markLeaving(upstream, first.leaving(), now);
             upstream.recordFirstByte(tracked.queued, tracked.queued.uncachedTokens(), first.elapsedMillis(), now);
         } else if (report instanceof SlotReport.FirstEventTime measured && upstream.ownEventMillis() == 0) {
             upstream.recordEventTime(measured.eventMillis(), 1);
@@ -248,6 +249,7 @@
     private void endRequest(TrackedRequest tracked, SlotReport.Ended ended, long now) {
         if (tracked.upstream != null) {
             ended.limit().ifPresent(limit -> recordLimit(tracked.upstream, limit, now));
+            markLeaving(tracked.upstream, ended.leaving(), now);
             if (ended.restMillis() > 0) {
                 excludeForEntry(tracked, now + ended.restMillis());
             }
@@ -266,6 +268,12 @@
         advance(tracked.pool, now);
     }
 
+    private static void markLeaving(UpstreamLoad upstream, boolean leaving, long now) {
+        if (leaving) {
+            upstream.markLeaving(now);
+        }
+    }
+
     /** Keeps the requests of an entry that are queued from an upstream that asks this entry for rest. */
     private void excludeForEntry(TrackedRequest refused, long until) {
         int upstream = refused.upstream.run().hashCode();
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -53,6 +53,14 @@
      */
     long decodeRestMillis(HttpResponse response);
 
+    /**
+     * Returns whether an upstream says in a response that it leaves.
+     *
+     * @param response the head of the response.
+     * @return whether it must soon get no more requests.
+     */
+    boolean isLeaving(HttpResponse response);
+
     /**
      * Holds the decoded head of a caller's request.
      *
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -333,9 +333,7 @@
     private boolean isStillUsable(UpstreamLoad upstream, ConfirmedView viewAtGrant) {
         long now = EntryServices.now();
         boolean unchanged = services.view().hasSameContent(viewAtGrant);
-        return services.isConfirmed()
-                && !services.slots().isResting(upstream, now)
-                && (unchanged || isStillAllowed() && services.slots().isUsable(upstream, now));
+        return services.isConfirmed() && services.slots().isUsable(upstream, now) && (unchanged || isStillAllowed());
     }
 
     /** Returns whether a connected attempt has to wait before it is sent. */
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -128,7 +128,7 @@
 
     /** Returns whether the current view, and the upstream itself, allow requests to be sent to it. */
     boolean isUsable(UpstreamLoad upstream, long now) {
-        return pools.isUsable(upstream) && !isResting(upstream, now);
+        return pools.isUsable(upstream, now) && !isResting(upstream, now);
     }
 
     /** Returns whether an upstream has asked this entry to send it nothing at present. */
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -64,6 +64,7 @@
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private Optional<RequestLimit> unreportedLimit = Optional.empty();
     private long restMillis;
+    private boolean upstreamLeaves;
     private boolean firstByteReceived;
     private boolean eventTimeReported;
     private boolean silenceNoted;
@@ -201,6 +202,10 @@
             unreportedLimit = Optional.of(services.dialect().decodeLimit(response));
             restMillis = services.dialect().decodeRestMillis(response);
             services.slots().recordRest(upstream, restMillis, now);
+            upstreamLeaves = services.dialect().isLeaving(response);
+            if (upstreamLeaves) {
+                upstream.markLeaving(now);
+            }
         }
         switch (kind) {
             case SUCCESS -> onSuccess();
@@ -331,7 +336,7 @@
         if (!firstByteReceived) {
             firstByteReceived = true;
             firstByteAt = now;
-            slot.report(new SlotReport.FirstByte(now - sentAt, unreportedLimit));
+            slot.report(new SlotReport.FirstByte(now - sentAt, unreportedLimit, upstreamLeaves));
             unreportedLimit = Optional.empty();
             caller.recordFirstByte(now - sentAt);
         }
@@ -575,7 +580,7 @@
 
     private void end(SlotReport.Ended ended) {
         phase = Phase.ENDED;
-        slot.end(unreportedLimit.map(ended::withLimit).orElse(ended).withRest(restMillis));
+        slot.end(unreportedLimit.map(ended::withLimit).orElse(ended).withRequests(restMillis, upstreamLeaves));
     }
 
     /** The phases of an attempt. */
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -202,14 +202,15 @@
      * granted the slot.
      *
      * @param upstream the upstream.
+     * @param now the monotonic clock in milliseconds.
      * @return whether its version is not rolled back and the upstream accepts requests.
      */
-    public boolean isUsable(UpstreamLoad upstream) {
+    public boolean isUsable(UpstreamLoad upstream, long now) {
         Rollout rollout = rollouts.get(upstream.upstream().pool());
         boolean rolledBack = rollout != null
                 && rollout.stage() == RolloutStage.ROLLED_BACK
                 && rollout.target().equals(upstream.upstream().version());
-        return !rolledBack && dispatcher(upstream.upstream().pool()).upstreams().acceptsRequests(upstream);
+        return !rolledBack && dispatcher(upstream.upstream().pool()).upstreams().acceptsRequests(upstream, now);
     }
 
     /** Returns the usual share of failed responses in the pool of an upstream, or 0 if the pool is unknown. */
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -387,6 +387,12 @@
             return response.headers().getInt("rest", 0);
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public boolean isLeaving(HttpResponse response) {
+            return response.headers().contains("leaving");
+        }
+
         /** {@inheritDoc} */
         @Override
         public ResponseKind classify(HttpResponse response, String request) {
