--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -239,6 +239,7 @@
         UpstreamLoad upstream = tracked.upstream;
         if (report instanceof SlotReport.FirstByte first) {
             first.limit().ifPresent(limit -> recordLimit(upstream, limit, now));
+            markLeaving(upstream, first.leaving(), now);
             upstream.recordFirstByte(tracked.queued, tracked.queued.uncachedTokens(), first.elapsedMillis(), now);
         } else if (report instanceof SlotReport.FirstEventTime measured && upstream.ownEventMillis() == 0) {
             upstream.recordEventTime(measured.eventMillis(), 1);
@@ -248,6 +249,10 @@
     private void endRequest(TrackedRequest tracked, SlotReport.Ended ended, long now) {
         if (tracked.upstream != null) {
             ended.limit().ifPresent(limit -> recordLimit(tracked.upstream, limit, now));
+            markLeaving(tracked.upstream, ended.leaving(), now);
+            if (ended.restMillis() > 0) {
+                excludeForEntry(tracked, now + ended.restMillis());
+            }
             ended.outcome().notifyObserver(new OutcomeRecorder(tracked, now));
             if (ended.eventMillis() > 0) {
                 tracked.upstream.recordEventTime(ended.eventMillis(), 1);
@@ -263,6 +268,18 @@
         advance(tracked.pool, now);
     }
 
+    private static void markLeaving(UpstreamLoad upstream, boolean leaving, long now) {
+        if (leaving) {
+            upstream.markLeaving(now);
+        }
+    }
+
+    /** Keeps the requests of an entry that are queued from an upstream that asks this entry for rest. */
+    private void excludeForEntry(TrackedRequest refused, long until) {
+        int upstream = refused.upstream.run().hashCode();
+        requestsOf(refused.entry).values().forEach(each -> each.queued.excludeUntil(upstream, until));
+    }
+
     private void release(TrackedRequest tracked, SlotOutcome outcome, long now) {
         if (tracked.upstream == null) {
             queuedRequests.remove(tracked.queued);
@@ -420,6 +437,12 @@
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void recordRefusal() {
+            upstream.recordRefusal(now);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void recordReplacement() {
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -332,9 +332,9 @@
 
     /** Returns whether the current view still allows the request to be sent to the granted upstream. */
     private boolean isStillUsable(UpstreamLoad upstream, ConfirmedView viewAtGrant) {
+        long now = EntryServices.now();
         boolean unchanged = services.view().hasSameContent(viewAtGrant);
-        return services.isConfirmed()
-                && (unchanged || isStillAllowed() && services.slots().isUsable(upstream));
+        return services.isConfirmed() && services.slots().isUsable(upstream, now) && (unchanged || isStillAllowed());
     }
 
     /** Returns whether a connected attempt has to wait before it is sent. */
