Count bytes that are no answer, and plain answers without end, against their upstream

Class: a failure of the upstream taken for one of the connection. Change: malformed bytes end an attempt as a failure of the upstream on a path that works; so does the deadline, for a plain response that has begun. Ejection then spaces its requests.

--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -570,6 +570,9 @@
             return;
         }
         if (attempt != null || runs.arePossible()) {
+            if (attempt != null) {
+                attempt.endAtDeadline();
+            }
             fail(EndReason.TIMEOUT, "timeout");
         } else {
             refuse(EndReason.EXPIRED, 0, false);
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -488,6 +488,18 @@
         });
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onMalformedResponse(Throwable cause) {
+        if (phase != Phase.RUNNING) {
+            onConnectionLost(cause);
+            return;
+        }
+        // Counted as a lost connection, several at a time would count once, and the path would be suspected.
+        endAnswered(false);
+        caller.onAttemptFailed(this, "malformed response");
+    }
+
     /**
      * Counts a lost connection as a failure of the upstream's version. If the upstream has ended, that is decided some time
      * later, when it may be known that a request is what ended it.
@@ -554,6 +566,14 @@
         slot.end(SlotOutcome.ABANDONED);
     }
 
+    /** Ends the attempt at the deadline of the request; a plain response that has begun and doesn't end is a failure. */
+    void endAtDeadline() {
+        if (phase == Phase.RUNNING && firstByteReceived && !isEventStream()) {
+            endAnswered(false);
+            exchange.abort();
+        }
+    }
+
     /** Ends the attempt early: cancels the request at the upstream and releases the slot. */
     void abandon() {
         if (phase == Phase.ENDED) {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.upstream;
 
+import java.net.ProtocolException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -132,7 +133,7 @@
         }
         if (listener == null || part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
-            fail(new java.net.ProtocolException("unexpected bytes from the upstream"));
+            failMalformed();
             context.close();
             return;
         }
@@ -192,6 +193,16 @@
         unanswered = false;
     }
 
+    /** Ends the exchange after bytes that are no response; they show that the path to the upstream works. */
+    private void failMalformed() {
+        UpstreamListener receiver = listener;
+        listener = null;
+        recordEnded();
+        if (receiver != null) {
+            receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
+        }
+    }
+
     private void fail(Throwable cause) {
         UpstreamListener receiver = listener;
         listener = null;
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
@@ -43,4 +43,13 @@
      * @param cause the failure.
      */
     void onConnectionLost(Throwable cause);
+
+    /**
+     * Invoked when the upstream has sent bytes that are no response, after which the connection is closed; nothing follows.
+     *
+     * @param cause describes the bytes.
+     */
+    default void onMalformedResponse(Throwable cause) {
+        onConnectionLost(cause);
+    }
 }
