--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -218,6 +218,7 @@
                         Math.max(0, remainingTargetMillis),
                         remainingMillis,
                         new SlotRequest.ExpectedLoad(request.tokens, request.expectedTokens, 0, request.tier, "", 0),
+                        List.of(),
                         List.of()),
                 now);
     }
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
@@ -179,6 +179,7 @@
                             400,
                             8_000,
                             new SlotRequest.ExpectedLoad(100, 20, 0, request.tier, "", 0),
+                            List.of(),
                             List.of()),
                     now);
         }
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
@@ -48,6 +48,7 @@
                 400,
                 8_000,
                 new SlotRequest.ExpectedLoad(100, 20, 0, tier, "", 0),
+                List.of(),
                 List.of());
     }
 
@@ -164,6 +165,7 @@
                     usual.firstByteTargetMillis(),
                     usual.deadlineMillis(),
                     usual.expectedLoad(),
+                    List.of(),
                     List.of());
             scheduler.request("one", 1, fromOtherDomain, 0);
             assertThat(replies.lastReplyTo("one", 1))
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -270,7 +270,8 @@
                 Math.max(0, targetMillis),
                 deadlineAt - now,
                 routed.expectedLoad(),
-                avoided);
+                avoided,
+                List.of());
     }
 
     /** {@inheritDoc} */
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -84,6 +84,7 @@
                 400,
                 8_000,
                 new SlotRequest.ExpectedLoad(100, 20, 0, 0, "", 0),
+                List.of(),
                 List.of());
         UpstreamSlot slot = client.request(request, listener, now);
         client.send(slot, now);
