Count only what callers send against the link, as responses leave others their share

Cause: LinkLoad counted responses like requests. A response flows as fast as its caller reads; only requests are pushed at an entry whatever it does.

--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -185,7 +185,7 @@
         return !stopping && !isLinkFull() && isConfirmedWithin(READY_CONFIRMATION_SHARE);
     }
 
-    /** Counts bytes from or to a caller. */
+    /** Counts bytes from a caller. */
     void recordBytes(long count) {
         linkLoad.add(count, now());
     }
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -7,10 +7,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPromise;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -158,8 +157,8 @@
                 .forEach(Channel::close);
     }
 
-    /** Counts the bytes of one connection, before they are decoded and after they are encoded. */
-    private final class ByteCounter extends ChannelDuplexHandler {
+    /** Counts the bytes that one connection brings. */
+    private final class ByteCounter extends ChannelInboundHandlerAdapter {
         /** {@inheritDoc} */
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
@@ -167,14 +166,5 @@
             context.fireChannelRead(message);
             refuseWhileLinkIsFull();
         }
-
-        /** {@inheritDoc} */
-        @Override
-        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-            if (message instanceof ByteBuf bytes) {
-                services.recordBytes(bytes.readableBytes());
-            }
-            context.write(message, promise);
-        }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
@@ -4,10 +4,10 @@
 import java.util.Deque;
 
 /**
- * Measures how much of this host's link the requests and responses of callers use.
+ * Measures how much of this host's link the requests of callers use.
  *
- * <p>Each byte from or to a caller also goes to or comes from an upstream, so that each direction of the link carries the
- * sum of both. If an entry takes more than its link carries, everything waits, also what it hears from schedulers and the
+ * <p>Each byte from a caller also goes to an upstream, so that both directions of the link carry it. Responses don't count:
+ * they flow as fast as their callers read, and a large one leaves the others their share. If an entry takes more than its link carries, everything waits, also what it hears from schedulers and the
  * control leader, and none of its callers is served.
  */
 final class LinkLoad {
@@ -60,7 +60,7 @@
         bytesPerWindow = bytesPerSecond * WINDOW_MILLIS / MILLIS_PER_SECOND;
     }
 
-    /** Counts bytes from or to a caller. */
+    /** Counts bytes from a caller. */
     void add(long count, long now) {
         advance(now);
         bytes[(int) (latestPart % PARTS)] += count;
