Fix the seed of a property, and use the field's words in comments

LinkLoadTest.isFullFromABoundOn had no seed, so that two runs could differ; its 45 values and its checks are as before. Comments said 'told', 'takes work' and 'their share'. No behaviour changes; not measured.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
@@ -54,7 +54,7 @@
     /** The largest difference of one response from the usual time that counts in the variance, in octaves. */
     private static final double MAX_DEVIATION_OCTAVES = 2;
 
-    /** The number of responses of an upstream from which its slow ones are told from its usual ones. */
+    /** The number of responses of an upstream from which slow ones are distinguished from usual ones. */
     private static final int MIN_RESPONSES_FOR_SHARE = 4;
 
     /** The number of such responses of a version from which the shares of slow ones are compared. */
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsThatDeclineTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsThatDeclineTest.java
@@ -86,7 +86,7 @@
             assertThat(chosen(12, NOW + 2_000)).filteredOn("one"::equals).hasSize(4);
         }
 
-        /** Guards against a caller that is told to come back before any upstream takes work. */
+        /** Guards against a Retry-After that ends before any upstream accepts requests. */
         @Test
         void poolTakesRequestsFromTheFirstEndOfABackoffOn() {
             refuse("one", 2);
--- a/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
@@ -7,8 +7,8 @@
  * Measures how much of this host's link the requests of callers use.
  *
  * <p>Each byte from a caller also goes to an upstream, so that both directions of the link carry it. Responses don't count:
- * they flow as fast as their callers read, and a large one leaves the others their share. If an entry takes more than its link carries, everything waits, also what it hears from schedulers and the
- * control leader, and none of its callers is served.
+ * TCP sends them as fast as their callers read, and shares the link between them. If requests exceed the link, replies of
+ * schedulers and confirmations of the control leader time out behind them, and no caller is served.
  */
 final class LinkLoad {
     /** The time over which bytes are counted, in milliseconds, and the parts in which they are forgotten. */
--- a/node/src/test/java/org/radishspur/node/entry/LinkLoadTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/LinkLoadTest.java
@@ -28,7 +28,7 @@
     }
 
     /** Guards against an entry that refuses callers although its link has room, or takes more than it carries. */
-    @Property
+    @Property(seed = "66")
     void isFullFromABoundOn(@ForAll @IntRange(min = 1, max = 45) int intervalMillis) {
         assertThat(isFullAt(0.8, intervalMillis)).isFalse();
         assertThat(isFullAt(1.1, intervalMillis)).isTrue();
