Give the evidence on versions and the load of the link a place of their own each

UpstreamAttempt kept four methods and two constants about versions, EntryServices six methods that only passed on to the counters and the link, and SlotRequest listed its thirteen components in three copies. VersionEvidence records what an attempt shows about a version, LinkLoad has its clock and is used directly, and one copy method serves the changed requests.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
@@ -170,16 +170,20 @@
         for (double shift = MIN_SHIFT_OCTAVES; shift <= MAX_SHIFT_OCTAVES; shift += SHIFT_STEP_OCTAVES) {
             double logRatio = 0;
             for (double[] octaves : trial) {
-                double variance = USUAL_DEVIATION_OCTAVES * USUAL_DEVIATION_OCTAVES
-                        + MEDIAN_VARIANCE_FACTOR * varianceWithin / octaves.length;
-                double median = median(octaves);
-                logRatio += Math.log(density(median - shift, usual, variance) / density(median, usual, variance));
+                logRatio += logRatio(octaves, shift, usual, varianceWithin);
             }
             largest = Math.max(largest, logRatio);
         }
         return largest;
     }
 
+    private static double logRatio(double[] octaves, double shift, double[] usual, double varianceWithin) {
+        double variance = USUAL_DEVIATION_OCTAVES * USUAL_DEVIATION_OCTAVES
+                + MEDIAN_VARIANCE_FACTOR * varianceWithin / octaves.length;
+        double median = median(octaves);
+        return Math.log(density(median - shift, usual, variance) / density(median, usual, variance));
+    }
+
     /** Returns the probability density of a usual time, given those that are known. */
     private static double density(double octaves, double[] usual, double variance) {
         double sum = 0;
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -53,20 +53,7 @@
      * @return the changed request.
      */
     public SlotRequest withRests(List<UpstreamRest> current) {
-        return new SlotRequest(
-                pool,
-                failureDomain,
-                organisation,
-                quotaCost,
-                organisationRank,
-                retry,
-                allowTrialVersion,
-                maxWaitMillis,
-                firstByteTargetMillis,
-                deadlineMillis,
-                expectedLoad,
-                avoidedRuns,
-                current);
+        return copy(allowTrialVersion, 0, avoidedRuns, current);
     }
 
     /**
@@ -76,20 +63,7 @@
      * @return the request; none of its remaining times is negative.
      */
     public SlotRequest withElapsed(long millis) {
-        return new SlotRequest(
-                pool,
-                failureDomain,
-                organisation,
-                quotaCost,
-                organisationRank,
-                retry,
-                allowTrialVersion,
-                Math.max(0, maxWaitMillis - millis),
-                Math.max(0, firstByteTargetMillis - millis),
-                Math.max(0, deadlineMillis - millis),
-                expectedLoad,
-                avoidedRuns,
-                rests);
+        return copy(allowTrialVersion, millis, avoidedRuns, rests);
     }
 
     /**
@@ -101,6 +75,11 @@
     public SlotRequest avoidingUpstream(String run) {
         List<String> longer = new ArrayList<>(avoidedRuns);
         longer.add(run);
+        return copy(false, 0, longer, rests);
+    }
+
+    private SlotRequest copy(
+            boolean trialAllowed, long elapsedMillis, List<String> newAvoidedRuns, List<UpstreamRest> newRests) {
         return new SlotRequest(
                 pool,
                 failureDomain,
@@ -108,13 +87,13 @@
                 quotaCost,
                 organisationRank,
                 retry,
-                false,
-                maxWaitMillis,
-                firstByteTargetMillis,
-                deadlineMillis,
+                trialAllowed,
+                Math.max(0, maxWaitMillis - elapsedMillis),
+                Math.max(0, firstByteTargetMillis - elapsedMillis),
+                Math.max(0, deadlineMillis - elapsedMillis),
                 expectedLoad,
-                longer,
-                rests);
+                newAvoidedRuns,
+                newRests);
     }
 
     QueuedRequest toQueuedRequest(VersionRule versions, long now) {
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -140,7 +140,7 @@
             body.writeBytes(content.content());
             if (content instanceof LastHttpContent) {
                 bodyComplete = true;
-                services.recordBody(body.readableBytes());
+                services.linkLoad().recordRequest(body.readableBytes());
                 // Avoids work for disconnected callers: after a pause of the process, a request and the close that
                 // follows it are read together. As the server reads until the socket is empty, the close is handled
                 // before this task runs.
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -14,10 +14,8 @@
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
-import org.radishspur.decision.dispatch.UpstreamTimes;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
-import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.caller.RetryBudget;
 import org.radishspur.node.dialect.CallerDialect;
 import org.radishspur.node.fleet.FleetMessage;
@@ -82,7 +80,7 @@
         this.metrics = metrics;
         this.transport = transport;
         this.versionCounters = versionCounters;
-        linkLoad = new LinkLoad(settings.bounds().linkBytesPerSecond());
+        linkLoad = new LinkLoad(settings.bounds().linkBytesPerSecond(), EntryServices::now);
         CrashLedger crashLedger = new CrashLedger();
         crashGuard =
                 new CrashGuard(crashLedger, settings.peerAddress().toString().hashCode());
@@ -182,27 +180,11 @@
 
     /** Returns whether the load balancer may route callers to this entry. */
     boolean isReady() {
-        return !stopping && !isLinkFull() && isConfirmedWithin(READY_CONFIRMATION_SHARE);
+        return !stopping && !linkLoad.isFull() && isConfirmedWithin(READY_CONFIRMATION_SHARE);
     }
 
-    /** Counts bytes from a caller. */
-    void recordBytes(long count) {
-        linkLoad.add(count, now());
-    }
-
-    /** Expects a request on a connection that has just been accepted. */
-    LinkLoad.Expected expectRequest() {
-        return linkLoad.expectRequest(now());
-    }
-
-    /** Records the size of the body of a request that was received, in bytes. */
-    void recordBody(long count) {
-        linkLoad.recordRequest(count);
-    }
-
-    /** Returns whether this host's link carries about as much as it can, so that callers should go to other entries. */
-    boolean isLinkFull() {
-        return linkLoad.isFull(now());
+    LinkLoad linkLoad() {
+        return linkLoad;
     }
 
     private boolean isConfirmedWithin(double share) {
@@ -248,16 +230,8 @@
         running.remove(exchange);
     }
 
-    /** Counts what an upstream gave to a request, for the rollout of its version. */
-    void recordOutcome(Upstream upstream, String route, VersionCounters.Outcome outcome) {
-        versionCounters.add(upstream.pool(), upstream.version(), route, outcome);
-    }
-
-    /** Adds a response time of an upstream, for the rollout of its version. */
-    void recordTime(Upstream upstream, UpstreamTimes.Measure measure, double millis) {
-        if (!upstream.cold()) {
-            versionCounters.addTime(upstream, measure, millis);
-        }
+    VersionCounters versionCounters() {
+        return versionCounters;
     }
 
     /** Returns the monotonic clock in milliseconds. */
--- a/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
@@ -33,7 +33,7 @@
         this.services = services;
         this.server = server;
         this.idleSince = EntryServices.now();
-        this.firstRequest = services.expectRequest();
+        this.firstRequest = services.linkLoad().expectRequest();
     }
 
     /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -75,7 +75,7 @@
      * the link nothing, as the caller sends its request to another entry.
      */
     private void refuseWhileLinkIsFull() {
-        if (refusing || stopped || !services.isLinkFull()) {
+        if (refusing || stopped || !services.linkLoad().isFull()) {
             return;
         }
         refusing = true;
@@ -88,7 +88,7 @@
         if (stopped) {
             return;
         }
-        if (services.isLinkFull()) {
+        if (services.linkLoad().isFull()) {
             loop.schedule(this::acceptAgain, ROOM_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
@@ -162,7 +162,7 @@
         /** {@inheritDoc} */
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            services.recordBytes(((ByteBuf) message).readableBytes());
+            services.linkLoad().add(((ByteBuf) message).readableBytes());
             context.fireChannelRead(message);
             refuseWhileLinkIsFull();
         }
--- a/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongSupplier;
 
 /**
  * Measures how much of this host's link the requests of callers use.
@@ -43,6 +44,7 @@
 
     private final double bytesPerSecond;
     private final double bytesPerWindow;
+    private final LongSupplier clock;
     private final Deque<Expected> expected = new ArrayDeque<>();
     private double requestBytes = INITIAL_REQUEST_BYTES;
     private int expectedCount;
@@ -54,27 +56,29 @@
      * Creates the load of an idle link.
      *
      * @param bytesPerSecond what the link carries in each direction, in bytes per second.
+     * @param clock the monotonic clock in milliseconds.
      */
-    LinkLoad(double bytesPerSecond) {
+    LinkLoad(double bytesPerSecond, LongSupplier clock) {
+        this.clock = clock;
         this.bytesPerSecond = bytesPerSecond;
         bytesPerWindow = bytesPerSecond * WINDOW_MILLIS / MILLIS_PER_SECOND;
     }
 
     /** Counts bytes from a caller. */
-    void add(long count, long now) {
-        advance(now);
+    void add(long count) {
+        advance(clock.getAsLong());
         bytes[(int) (latestPart % PARTS)] += count;
     }
 
     /** Expects a request on a connection that has just been accepted. */
-    Expected expectRequest(long now) {
-        Expected request = new Expected(now);
+    Expected expectRequest() {
+        Expected request = new Expected(clock.getAsLong());
         expected.addLast(request);
         expectedCount++;
         return request;
     }
 
-    /** Records the size of a request that was received. */
+    /** Records the size of the body of a request that was received, in bytes. */
     void recordRequest(long count) {
         requestBytes += SIZE_WEIGHT * (count - requestBytes);
     }
@@ -87,7 +91,8 @@
     }
 
     /** Returns whether the link carries about as much as it can, and hasn't had room since. */
-    boolean isFull(long now) {
+    boolean isFull() {
+        long now = clock.getAsLong();
         advance(now);
         long sum = 0;
         for (long part : bytes) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -2,7 +2,6 @@
 
 import java.net.ProtocolException;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -14,7 +13,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.dispatch.UpstreamTimes;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReport;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -28,7 +26,6 @@
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
-import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
  * Sends a request to the upstream of one slot and passes its response to the caller. The slot is released at the end of
@@ -44,16 +41,11 @@
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
-    /** The number of events of a stream from which the time between them is compared with that of other versions. */
-    private static final long MIN_TIMED_EVENTS = 3;
-
-    /** The time in which other ends of upstreams may show that a request is their cause, in milliseconds. */
-    private static final long EXPLANATION_MILLIS = 1_500;
-
     private final EntryExchange caller;
     private final EntryServices services;
     private final UpstreamSlot slot;
     private final UpstreamLoad upstream;
+    private final VersionEvidence evidence;
     private final ConfirmedView viewAtGrant;
     private UpstreamExchange exchange;
     private Phase phase = Phase.CONNECTING;
@@ -79,6 +71,8 @@
         this.services = services;
         this.slot = slot;
         this.upstream = slot.upstream();
+        this.evidence = new VersionEvidence(
+                services, upstream.upstream(), caller.route().name());
         this.viewAtGrant = services.view();
     }
 
@@ -427,10 +421,9 @@
         long now = EntryServices.now();
         long events = isEventStream() ? splitter.eventCount() : 0;
         double eventMillis = isEventStream() ? (double) (now - firstByteAt) / Math.max(1, events - 1) : now - sentAt;
-        recordResponse(true);
-        services.recordTime(
-                upstream.upstream(), UpstreamTimes.Measure.FIRST_BYTE, (isEventStream() ? firstByteAt : now) - sentAt);
-        recordEventTime();
+        evidence.recordResponse(true);
+        evidence.recordFirstByteTime((isEventStream() ? firstByteAt : now) - sentAt);
+        recordEventTimes();
         end(new SlotReport.Ended(
                 SlotOutcome.SUCCESS,
                 now - sentAt,
@@ -439,29 +432,19 @@
                 caller.routed().expectedTokens()));
     }
 
-    /** Adds the time between events so far for the version of the upstream. */
-    private void recordEventTime() {
-        if (isEventStream() && splitter.eventCount() >= MIN_TIMED_EVENTS) {
-            double millis = (double) (lastByteAt - firstByteAt) / (splitter.eventCount() - 1);
-            services.recordTime(upstream.upstream(), UpstreamTimes.Measure.EVENT, millis);
+    /** Records the time between events so far. */
+    private void recordEventTimes() {
+        if (isEventStream()) {
+            evidence.recordEventTimes(lastByteAt - firstByteAt, splitter.eventCount());
         }
     }
 
     /** Ends the attempt with a success or failure of the upstream, and reports no measured times. */
     private void endAnswered(boolean succeeded) {
-        recordResponse(succeeded);
+        evidence.recordResponse(succeeded);
         end(succeeded ? SlotOutcome.SUCCESS : SlotOutcome.FAILURE);
     }
 
-    /** Counts a response for the version of the upstream. */
-    private void recordResponse(boolean succeeded) {
-        recordOutcome(succeeded ? VersionCounters.Outcome.SUCCESS : VersionCounters.Outcome.FAILURE);
-    }
-
-    private void recordOutcome(VersionCounters.Outcome outcome) {
-        services.recordOutcome(upstream.upstream(), caller.route().name(), outcome);
-    }
-
     /** {@inheritDoc} */
     @Override
     public void onConnectionLost(Throwable cause) {
@@ -483,7 +466,7 @@
         long millis = EntryServices.now() - sentAt;
         caller.onConnectionLost(this, firstByteReceived, millis, "broken: " + cause.getMessage(), result -> {
             if (countsForVersion) {
-                recordBreak(result);
+                evidence.recordBreak(result);
             }
         });
     }
@@ -500,23 +483,6 @@
         caller.onAttemptFailed(this, "malformed response");
     }
 
-    /**
-     * Counts a lost connection as a failure of the upstream's version. If the upstream has ended, that is decided some time
-     * later, when it may be known that a request is what ended it.
-     */
-    private void recordBreak(UpstreamProbe.Result result) {
-        if (result != UpstreamProbe.Result.REFUSED) {
-            recordResponse(false);
-            return;
-        }
-        Runnable recordUnexplained = () -> {
-            if (!services.crashes().isExplained(upstream.upstream())) {
-                recordResponse(false);
-            }
-        };
-        services.loop().schedule(recordUnexplained, EXPLANATION_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     /** Returns whether the request was sent and a response to it may still be passed on. */
     boolean isRunning() {
         return phase == Phase.RUNNING;
@@ -582,11 +548,11 @@
         boolean draining = phase == Phase.DRAINING;
         if (isStalled(EntryServices.now()) && !isPathBroken()) {
             // Otherwise a version that never answers would have no failures.
-            recordOutcome(VersionCounters.Outcome.NONE);
+            evidence.recordUnanswered();
         }
         if (phase == Phase.RUNNING) {
             // A slow stream that its caller doesn't wait for would otherwise show nothing.
-            recordEventTime();
+            recordEventTimes();
         }
         end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
         if (!draining && exchange != null) {
