Show that refusals in a steady stream never add up

Refusals within 50 ms of the previous one count as one, and at two entries the requests of 50 a second follow each other by 20 or 40 ms: all of them count as the first, and the upstream, empty at once after each, draws all requests. Change: a property over the interval of a stream, in virtual time.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/RefusalBackoffTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/RefusalBackoffTest.java
@@ -1,5 +1,8 @@
 package org.radishspur.decision.dispatch;
 
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -7,6 +10,7 @@
 class RefusalBackoffTest {
     private static final long START = 10_000;
     private static final long INTERVAL_MILLIS = 2_000;
+    private static final long STREAM_MILLIS = 1_000;
 
     private final RefusalBackoff backoff = new RefusalBackoff();
 
@@ -33,6 +37,19 @@
         assertThat(backoff.until()).isLessThan(START);
     }
 
+    /** Guards against refusals that follow each other closely and all count as the first one, however long they last. */
+    @Property(seed = "66")
+    void aSteadyStreamOfRefusalsCountsAgainAndAgain(@ForAll @LongRange(min = 1, max = 200) long intervalMillis) {
+        RefusalBackoff ofThisStream = new RefusalBackoff();
+        long now = START;
+        while (now < START + STREAM_MILLIS) {
+            ofThisStream.recordRefusal(now);
+            now += intervalMillis;
+        }
+        assertThat(ofThisStream.isTesting()).isTrue();
+        assertThat(ofThisStream.until()).isGreaterThan(now);
+    }
+
     /** Guards against an upstream that turns everything away and gets request after request. */
     @Test
     void furtherRefusalsPostponeTheNextRequestUpToABound() {
