Count refusals that go on again and again, not as one

Cause: a group of refusals with one cause lasted until 50 ms passed without a refusal. In a steady stream it never ended, so the backoff of an upstream that turns everything away never began. Change: EventGroup ends 50 ms after its first event, whatever follows. Measured: the property of RefusalBackoffTest passes; with SlotScheduler's and UpstreamPool's tests, none failed.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RefusalBackoff.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RefusalBackoff.java
@@ -5,9 +5,6 @@
  * upstream would look like the one with most room and draw the requests that others would serve.
  */
 final class RefusalBackoff {
-    /** Refusals within this time of each other count as one, in milliseconds: their requests were on their way together. */
-    private static final long SAME_CAUSE_MILLIS = 50;
-
     /** The backoff after the second refusal in a row, in milliseconds; it doubles with each further one. */
     private static final long MIN_BACKOFF_MILLIS = 50;
 
@@ -19,15 +16,16 @@
     /** The number of refusals in a row from which one request at a time tests whether the upstream takes any. */
     private static final int REFUSALS_BEFORE_TESTS = 3;
 
+    /** Refusals of requests that were on their way together count as one. */
+    private final EventGroup group = new EventGroup();
+
     private int refusals;
-    private long lastRefusalAt = Long.MIN_VALUE / 2;
     private long until = Long.MIN_VALUE / 2;
 
     void recordRefusal(long now) {
-        if (now - lastRefusalAt > SAME_CAUSE_MILLIS) {
+        if (group.add(now)) {
             refusals++;
         }
-        lastRefusalAt = now;
         if (refusals > 1) {
             until = now + Math.min(MAX_BACKOFF_MILLIS, MIN_BACKOFF_MILLIS << Math.min(MAX_DOUBLINGS, refusals - 2));
         }
