Show that connections that break in a steady stream never add up

Cause: connections that break within 50 ms of the previous break count as one failure, as refusals did. An upstream that resets each request at once is the emptiest one, gets the next request within 50 ms, and is never ejected.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -118,6 +118,18 @@
             assertThat(chosen(12)).contains("one");
         }
 
+        /** Guards against an upstream that breaks each request at once, where all breaks count as the first. */
+        @Test
+        void ejectsAnUpstreamWhoseConnectionsBreakInASteadyStream() {
+            for (int connection = 0; connection < 20; connection++) {
+                long now = NOW + connection * 20L;
+                if (load("one").recordConnectionBreak(now)) {
+                    load("one").recordOutcome(false, 0, now);
+                }
+            }
+            assertThat(chosen(8)).doesNotContain("one");
+        }
+
         @Test
         void ejectsAnUpstreamWhoseConnectionsBreakRepeatedly() {
             for (int connection = 0; connection < 3; connection++) {
