Count connections that break again and again as further failures

Cause: a group of breaks with one cause lasted until 50 ms passed without a break. Change: UpstreamLoad groups them by EventGroup, as refusals are, which ends 50 ms after its first event; what a version learns from a break uses the same.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -51,9 +51,6 @@
     /** Spreads hash codes that differ in their last bits only; the constant of Knuth's multiplicative hashing. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
-    /** Connections that break within this time of each other count as one failure, in milliseconds. */
-    private static final long SAME_CAUSE_MILLIS = 50;
-
     /**
      * The time for which an upstream that has said that it leaves may still serve where no other one can, in milliseconds;
      * it goes on serving for some seconds.
@@ -89,7 +86,7 @@
     private final UnansweredRequests unanswered = new UnansweredRequests();
     private final PeerTotal peerPendingTokens = new PeerTotal();
     private long lastByteAt;
-    private long lastBreakAt = Long.MIN_VALUE / 2;
+    private final EventGroup breaks = new EventGroup();
 
     /**
      * Creates the load of an upstream without requests.
@@ -436,9 +433,7 @@
      * @return whether it counts, rather than being part of the previous break.
      */
     public boolean recordConnectionBreak(long now) {
-        boolean isSeparate = isSeparateBreak(now);
-        lastBreakAt = now;
-        return isSeparate;
+        return breaks.add(now);
     }
 
     /**
@@ -448,7 +443,7 @@
      * @return whether no other connection broke just before.
      */
     public boolean isSeparateBreak(long now) {
-        return now - lastBreakAt > SAME_CAUSE_MILLIS;
+        return breaks.hasEnded(now);
     }
 
     /**
