--- a/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/permit/PoolSchedulerTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -120,6 +121,66 @@
         }
     }
 
+    @Nested
+    class Admission {
+        private static final int REQUESTS = 200;
+        private static final long INTERVAL_MICROS = 20_000;
+        private static final long ANSWER_MICROS = 60_000;
+
+        /** The maximum number of requests for each second that an upstream gets which admits none. */
+        private static final long MAX_REQUESTS_PER_SECOND = 5;
+
+        /** Guards against an upstream that admits nothing, is the emptiest for it and gets request after request. */
+        @Test
+        void anUpstreamThatAdmitsNothingGetsFewRequests() {
+            PoolScheduler scheduler = scheduler(2, 100, 4);
+            measureSpeeds(scheduler, 8);
+            long start = now;
+            int notAdmitted = 0;
+            Map<PermitId, Long> ends = new LinkedHashMap<>();
+            for (int number = 0; number < REQUESTS; number++) {
+                scheduler.submit(request(Tier.NORMAL, "a", "x" + number), now);
+                for (PermitAction.Grant grant : grants(scheduler.decide(now))) {
+                    if (grant.upstream().equals("u0")) {
+                        notAdmitted++;
+                        scheduler.finish(grant.id(), PermitOutcome.of(Ending.NOT_ADMITTED), now);
+                    } else {
+                        ends.put(grant.id(), now + ANSWER_MICROS);
+                    }
+                }
+                now += INTERVAL_MICROS;
+                ends.forEach((id, end) -> {
+                    if (end <= now) {
+                        scheduler.finish(id, answered(), now);
+                    }
+                });
+                ends.values().removeIf(end -> end <= now);
+            }
+            assertThat(notAdmitted * MICROS_PER_SECOND / (now - start)).isLessThanOrEqualTo(MAX_REQUESTS_PER_SECOND);
+        }
+
+        /** Guards against an upstream that was full for a moment and stays without requests. */
+        @Test
+        void anUpstreamThatAdmitsAgainIsUsedAgain() {
+            PoolScheduler scheduler = scheduler(1, 100, 4);
+            measureSpeeds(scheduler, 8);
+            for (int number = 0; number < REQUESTS; number++) {
+                scheduler.submit(request(Tier.NORMAL, "a", "x" + number), now);
+                grants(scheduler.decide(now))
+                        .forEach(grant -> scheduler.finish(grant.id(), PermitOutcome.of(Ending.NOT_ADMITTED), now));
+                now += INTERVAL_MICROS;
+            }
+            now += 2 * MICROS_PER_SECOND;
+            for (int number = 0; number < 4; number++) {
+                scheduler.submit(request(Tier.NORMAL, "a", "later" + number), now);
+            }
+            List<PermitAction.Grant> tests = grants(scheduler.decide(now));
+            assertThat(tests).hasSize(1);
+            scheduler.finish(tests.get(0).id(), answered(), now);
+            assertThat(grants(scheduler.decide(now))).hasSizeGreaterThan(1);
+        }
+    }
+
     @Nested
     class UnderOverload {
         @Test
