Let the path of permits leave upstreams alone that admit nothing

Cause: UpstreamState didn't learn from NOT_ADMITTED; a permit that comes back at once looked like room. Change: UpstreamState counts refusals with the RefusalBackoff that the path of slots has, which moves to the package of the upstream's state with EventGroup. A complete answer or a new incarnation ends it.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -1,5 +1,7 @@
 package org.radishspur.decision.dispatch;
 
+import org.radishspur.decision.upstream.EventGroup;
+import org.radishspur.decision.upstream.RefusalBackoff;
 import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.Upstream;
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -724,6 +724,7 @@
                 }
             }
             case DRAINING -> markLeaving(upstream.name());
+            case NOT_ADMITTED -> upstream.recordRefusal(now);
             case CONNECTION_LOST -> {
                 String crashId = crashSuspects.crashIdFor(upstream.name(), now);
                 crashSuspects.recordCrash(request.fingerprint(), crashId);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/EventGroup.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/EventGroup.java
@@ -1,10 +1,10 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.upstream;
 
 /**
  * Groups events that are so close to each other that they may have one cause, such as the connections that one reset
  * breaks. A group ends some time after its first event, so that events that go on are counted again and again.
  */
-final class EventGroup {
+public final class EventGroup {
     private static final long LENGTH_MILLIS = 50;
 
     private long beganAt = Long.MIN_VALUE / 2;
@@ -15,7 +15,7 @@
      * @param now the current time in milliseconds.
      * @return whether the event is the first of its group.
      */
-    boolean add(long now) {
+    public boolean add(long now) {
         boolean isFirst = hasEnded(now);
         if (isFirst) {
             beganAt = now;
@@ -23,8 +23,13 @@
         return isFirst;
     }
 
-    /** Returns whether an event at this time would be the first of a group. */
-    boolean hasEnded(long now) {
+    /**
+     * Returns whether an event at this time would be the first of a group.
+     *
+     * @param now the current time in milliseconds.
+     * @return whether the last group has ended.
+     */
+    public boolean hasEnded(long now) {
         return now - beganAt > LENGTH_MILLIS;
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/RefusalBackoff.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/RefusalBackoff.java
@@ -1,10 +1,10 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.upstream;
 
 /**
  * Spaces the requests to an upstream that turns them away. A refusal frees its slot within a millisecond, so that such an
  * upstream would look like the one with most room and draw the requests that others would serve.
  */
-final class RefusalBackoff {
+public final class RefusalBackoff {
     /** The backoff after the second refusal in a row, in milliseconds; it doubles with each further one. */
     private static final long MIN_BACKOFF_MILLIS = 50;
 
@@ -22,7 +22,12 @@
     private int refusals;
     private long until = Long.MIN_VALUE / 2;
 
-    void recordRefusal(long now) {
+    /**
+     * Records that the upstream turned a request away.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void recordRefusal(long now) {
         if (group.add(now)) {
             refusals++;
         }
@@ -32,17 +37,25 @@
     }
 
     /** Records that the upstream has run a request. */
-    void recordRun() {
+    public void recordRun() {
         refusals = 0;
     }
 
-    /** Returns until when the upstream gets no request. */
-    long until() {
+    /**
+     * Returns until when the upstream gets no request.
+     *
+     * @return the time in milliseconds, which is in the past where it may get one now.
+     */
+    public long until() {
         return until;
     }
 
-    /** Returns whether the upstream may get one request only, to test whether it takes any. */
-    boolean isTesting() {
+    /**
+     * Returns whether the upstream may get one request only, to test whether it takes any.
+     *
+     * @return whether it has turned away several requests in a row.
+     */
+    public boolean isTesting() {
         return refusals >= REFUSALS_BEFORE_TESTS;
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.radishspur.decision.permit.PermitRequest;
 import org.radishspur.decision.permit.RequestSize;
@@ -55,6 +56,7 @@
     private int externalLoad;
     private int pendingPrefillTokens;
     private boolean runsExclusive;
+    private RefusalBackoff refusals = new RefusalBackoff();
     private int silentCount;
     private long lastMeasuredAt;
     private long lastReportAt;
@@ -145,15 +147,22 @@
      * @return the number of free slots.
      */
     public int freeSlots(long now) {
-        if (!isUsable(now) || runsExclusive) {
+        if (!isUsable(now) || runsExclusive || millis(now) < refusals.until()) {
             return 0;
         }
+        if (refusals.isTesting()) {
+            return runningCount() == 0 ? 1 : 0;
+        }
         int free = limit.value() - runningCount() - externalLoad;
         // An idle upstream gets a request whatever it last reported: reports arrive only with answers, so a false one
         // would keep the upstream idle for ever.
         return Math.max(runningCount() == 0 ? 1 : 0, free);
     }
 
+    private static long millis(long micros) {
+        return TimeUnit.MICROSECONDS.toMillis(micros);
+    }
+
     /**
      * Returns the number of requests that the upstream may run at once.
      *
@@ -444,6 +453,7 @@
             speed.addOutputTime(outputMicros, outputTokens, flight.startedAt, now);
             adjustLimit(flight, runningCount() + 1, now);
         }
+        refusals.recordRun();
         consecutiveFailures = 0;
         answerCount++;
         answersSinceEjection++;
@@ -462,6 +472,15 @@
         return answerCount;
     }
 
+    /**
+     * Records that the upstream did not admit a request.
+     *
+     * @param now the current time in microseconds.
+     */
+    public void recordRefusal(long now) {
+        refusals.recordRefusal(millis(now));
+    }
+
     /**
      * Records a failure.
      *
@@ -544,6 +563,7 @@
         if (seen > incarnation) {
             incarnation = seen;
             leaving = false;
+            refusals = new RefusalBackoff();
             ejectedUntil = 0;
             consecutiveFailures = 0;
             answerCount = 0;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/RefusalBackoffTest.java
+++ b/decision/src/test/java/org/radishspur/decision/upstream/RefusalBackoffTest.java
@@ -1,4 +1,4 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.upstream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
