Show that failing upstreams draw requests where most of a pool fails

Cause: once over half of a pool is ejected, no ejection holds, as requests that fail everywhere must not empty the pool. The upstreams that fail at once are the emptiest then and get nearly all requests, though the sound ones have free slots.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -151,6 +151,18 @@
             assertThat(chosen(3)).isNotEmpty();
         }
 
+        /** Guards against upstreams that fail at once and draw all requests where more than half of the pool fails. */
+        @Test
+        void prefersASoundUpstreamWhereMostFail() {
+            for (String id : List.of("one", "two")) {
+                for (int count = 0; count < 3; count++) {
+                    load(id).recordOutcome(false, 0, NOW);
+                }
+            }
+            assertThat(chosen(4)).containsOnly("three");
+            assertThat(chosen(1)).doesNotContain("three").isNotEmpty();
+        }
+
         @Test
         void probesAnEjectedUpstreamWithOneRequest() {
             for (int count = 0; count < 3; count++) {
