Prefer sound upstreams to ejected ones where ejections no longer hold

Cause: with over half of a pool ejected, ejected upstreams were chosen like all others, and one that fails at once always has most free slots. Change: while an upstream that isn't ejected has a free slot, ejected ones get nothing. Where all fail or are full, they are used as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -470,8 +470,12 @@
             double events,
             long now) {
         double fastestEventMillis = shortestEventMillis(usable);
-        List<Candidate> candidates = usable.stream()
-                .filter(load -> hasFreeSlot(load, now))
+        List<UpstreamLoad> free =
+                usable.stream().filter(load -> hasFreeSlot(load, now)).toList();
+        boolean someAreSound = free.stream().anyMatch(load -> !load.isEjected(now));
+        List<Candidate> candidates = free.stream()
+                // One that fails at once always has most free slots.
+                .filter(load -> !someAreSound || !load.isEjected(now))
                 .map(load -> new Candidate(
                         load,
                         timeliness(load, queued, affinityTargets, events, now),
