--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -96,8 +96,8 @@
      */
     public void recordEnded(String upstream, long now) {
         Path path = pathTo(upstream);
-        // An attempt that was given up for its silence is evidence for some time after its end, as other failures are: a
-        // host with one request at a time has no two upstreams that are silent at the same moment.
+        // An attempt that was given up for its silence is evidence for some time after its end, as other failures are:
+        // a host with one request at a time has no two upstreams that are silent at the same moment.
         if (path.isWaiting(SILENCE_MILLIS, now)) {
             path.silentMillis = now - path.waitingSince;
             path.silentUntil = now + FAILURE_MILLIS;
