Take out twins and double work on the way of a request

Cause: reading the change showed one idiom three times (removal of upstreams that are a last resort), a condition twice in the evaluation of rollouts, two readings of the clock and two sums for each read of a caller's bytes, a copy of each request for a slot for rests that are mostly none, and a purge of rests at each response. Change: removeUnlessAll, isOf; LinkLoad.add says whether the link is full; requests are copied only if rests change; rests are purged when they are read.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -227,11 +227,8 @@
                 queued.requirements().outputTokens(),
                 early ? EARLY_LENGTH_FACTOR : LATER_LENGTH_FACTOR,
                 queued.requirements().outputLimit());
-        boolean anyUntried = usable.stream().anyMatch(load -> !queued.avoids(load.run()));
-        if (anyUntried) {
-            // Where every remaining upstream was tried before, one of them is better than none.
-            usable.removeIf(load -> queued.avoids(load.run()));
-        }
+        // Where every remaining upstream was tried before, one of them is better than none.
+        removeUnlessAll(usable, load -> queued.avoids(load.run()));
         Set<UpstreamLoad> affinityTargets = affinityTargets(queued, now);
         Timeliness bestTimeliness = usable.stream()
                 .map(load -> timeliness(load, queued, affinityTargets, events, now))
@@ -388,15 +385,20 @@
                 ejected += load.isEjected(now) ? 1 : 0;
             }
         }
-        if (candidates.stream().anyMatch(load -> !load.isLeaving())) {
-            candidates.removeIf(UpstreamLoad::isLeaving);
-        }
+        removeUnlessAll(candidates, UpstreamLoad::isLeaving);
         boolean appliesEjections = ejected <= inService * MAX_EJECTED_SHARE;
         candidates.removeIf(load ->
                 load.isSilent(now) || appliesEjections && load.isEjected(now) || turnsAwayUntil(load, queued) > now);
         return candidates;
     }
 
+    /** Removes the upstreams that are to be used only where there is no other. */
+    private static void removeUnlessAll(List<UpstreamLoad> upstreams, Predicate<UpstreamLoad> lastResort) {
+        if (!upstreams.stream().allMatch(lastResort)) {
+            upstreams.removeIf(lastResort);
+        }
+    }
+
     /** Returns until when an upstream turns a request away, as far as it has shown or said so. */
     private static long turnsAwayUntil(UpstreamLoad load, QueuedRequest queued) {
         return Math.max(load.refusesUntil(), queued.excludedUntil(load.run()));
@@ -470,12 +472,11 @@
             double events,
             long now) {
         double fastestEventMillis = shortestEventMillis(usable);
-        List<UpstreamLoad> free =
-                usable.stream().filter(load -> hasFreeSlot(load, now)).toList();
-        boolean someAreSound = free.stream().anyMatch(load -> !load.isEjected(now));
+        List<UpstreamLoad> free = new ArrayList<>(usable);
+        free.removeIf(load -> !hasFreeSlot(load, now));
+        // One that fails at once always has most free slots.
+        removeUnlessAll(free, load -> load.isEjected(now));
         List<Candidate> candidates = free.stream()
-                // One that fails at once always has most free slots.
-                .filter(load -> !someAreSound || !load.isEjected(now))
                 .map(load -> new Candidate(
                         load,
                         timeliness(load, queued, affinityTargets, events, now),
@@ -556,8 +557,7 @@
 
     /** Returns whether this scheduler may use the upstream, whether or not a slot is free. */
     private boolean isInService(UpstreamLoad load, long now) {
-        return acceptsRequests(load)
-                && !load.hasLeft(now)
+        return acceptsRequests(load, now)
                 && !load.isUnreachable(now)
                 && (!load.isCold(now) || mayUseCold.test(load.run()));
     }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -53,7 +53,7 @@
      * @return the changed request.
      */
     public SlotRequest withRests(List<UpstreamRest> current) {
-        return copy(allowTrialVersion, 0, avoidedRuns, current);
+        return current.equals(rests) ? this : copy(allowTrialVersion, 0, avoidedRuns, current);
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -74,8 +74,8 @@
      * Refuses connections until the link has room again. A connection that is refused costs its caller only a moment, and
      * the link nothing, as the caller sends its request to another entry.
      */
-    private void refuseWhileLinkIsFull() {
-        if (refusing || stopped || !services.linkLoad().isFull()) {
+    private void refuseUntilLinkHasRoom() {
+        if (refusing || stopped) {
             return;
         }
         refusing = true;
@@ -113,7 +113,9 @@
 
     void add(Channel accepted, FrontConnection connection) {
         connections.put(accepted, connection);
-        refuseWhileLinkIsFull();
+        if (services.linkLoad().isFull()) {
+            refuseUntilLinkHasRoom();
+        }
     }
 
     void remove(Channel accepted) {
@@ -162,9 +164,11 @@
         /** {@inheritDoc} */
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            services.linkLoad().add(((ByteBuf) message).readableBytes());
+            int bytes = ((ByteBuf) message).readableBytes();
             context.fireChannelRead(message);
-            refuseWhileLinkIsFull();
+            if (services.linkLoad().add(bytes)) {
+                refuseUntilLinkHasRoom();
+            }
         }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
+++ b/node/src/main/java/org/radishspur/node/entry/LinkLoad.java
@@ -64,10 +64,12 @@
         bytesPerWindow = bytesPerSecond * WINDOW_MILLIS / MILLIS_PER_SECOND;
     }
 
-    /** Counts bytes from a caller. */
-    void add(long count) {
-        advance(clock.getAsLong());
+    /** Counts bytes from a caller, and returns whether the link is full. */
+    boolean add(long count) {
+        long now = clock.getAsLong();
+        advance(now);
         bytes[(int) (latestPart % PARTS)] += count;
+        return updateFull(now);
     }
 
     /** Expects a request on a connection that has just been accepted. */
@@ -94,6 +96,10 @@
     boolean isFull() {
         long now = clock.getAsLong();
         advance(now);
+        return updateFull(now);
+    }
+
+    private boolean updateFull(long now) {
         long sum = 0;
         for (long part : bytes) {
             sum += part;
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamRests.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamRests.java
@@ -15,7 +15,6 @@
 
     /** Records that an upstream asks for a rest from now on; an earlier one that ends later holds on. */
     void record(String run, long millis, long now) {
-        untilByRun.values().removeIf(until -> until <= now);
         if (millis > 0) {
             untilByRun.merge(run, now + millis, Math::max);
         }
@@ -27,8 +26,11 @@
 
     /** Returns the rests that haven't ended, with the time that is left of each. */
     List<UpstreamRest> current(long now) {
+        if (untilByRun.isEmpty()) {
+            return List.of();
+        }
+        untilByRun.values().removeIf(until -> until <= now);
         return untilByRun.entrySet().stream()
-                .filter(each -> each.getValue() > now)
                 .map(each -> new UpstreamRest(each.getKey().hashCode(), each.getValue() - now))
                 .toList();
     }
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -102,13 +102,17 @@
         UpstreamTimes times = new UpstreamTimes();
         for (Report report : reportsByEntry.values()) {
             report.times().stream()
-                    .filter(each -> each.pool().equals(rollout.pool())
-                            && each.rolloutStartedAtMillis() == rollout.startedAtMillis())
+                    .filter(each -> isOf(rollout, each.pool(), each.rolloutStartedAtMillis()))
                     .forEach(each -> times.addAll(each.times()));
         }
         return times.slowness();
     }
 
+    /** Returns whether a report belongs to a rollout, and not to an earlier one of the same pool. */
+    private static boolean isOf(Rollout rollout, String pool, long startedAtMillis) {
+        return pool.equals(rollout.pool()) && startedAtMillis == rollout.startedAtMillis();
+    }
+
     private void advance(
             Rollout rollout, RolloutStage stage, Map<String, RouteOutcomes> outcomesByRoute, String cause) {
         OutcomeCounts trial = OutcomeCounts.NONE;
@@ -133,8 +137,7 @@
         Map<String, RouteOutcomes> outcomesByRoute = new HashMap<>();
         for (Report report : reportsByEntry.values()) {
             report.counts().stream()
-                    .filter(count -> count.pool().equals(rollout.pool())
-                            && count.rolloutStartedAtMillis() == rollout.startedAtMillis())
+                    .filter(count -> isOf(rollout, count.pool(), count.rolloutStartedAtMillis()))
                     .forEach(count ->
                             outcomesByRoute.merge(count.route(), outcomes(rollout, count), RouteOutcomes::plus));
         }
