Carry the terms of a request, the longest pause of a stream, and what schedulers report of waiting requests

Cause: the parts for hard load need to know at the scheduler what a route states about pauses and regions, which organisation asks, which pauses streams had, what of an organisation's usage lay within its limit and who waits elsewhere. Change: the components stand at the end of the messages, as one that an older build doesn't send becomes empty, zero or nothing. Nothing uses them yet, so that every decision stays as it was. Measured: EarlierBuildTest, LoadReportExchangeTest, SlotClientTest and SlotSchedulerTest pass.

--- a/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotReport.java
@@ -47,6 +47,8 @@
      *     {@link FirstByte} has reported it.
      * @param restMillis how long the upstream asks this entry to send it nothing, in milliseconds; 0 if it doesn't.
      * @param leaving whether the answer said that the upstream leaves.
+     * @param longestPauseMillis the longest pause between two events of a complete stream, in milliseconds; 0 if it
+     *     wasn't measured.
      */
     record Ended(
             SlotOutcome outcome,
@@ -56,7 +58,8 @@
             long expectedTokens,
             Optional<RequestLimit> limit,
             long restMillis,
-            boolean leaving)
+            boolean leaving,
+            long longestPauseMillis)
             implements SlotReport {
         /**
          * Creates a report without measurements.
@@ -77,7 +80,7 @@
          * @param expectedTokens the number of output tokens that the caller had expected.
          */
         public Ended(SlotOutcome outcome, long heldMillis, double eventMillis, long events, long expectedTokens) {
-            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty(), 0, false);
+            this(outcome, heldMillis, eventMillis, events, expectedTokens, Optional.empty(), 0, false, 0);
         }
 
         /**
@@ -87,8 +90,17 @@
          * @return the changed report.
          */
         public Ended withLimit(RequestLimit stated) {
-            return new Ended(
-                    outcome, heldMillis, eventMillis, events, expectedTokens, Optional.of(stated), restMillis, leaving);
+            return copy(Optional.of(stated), restMillis, leaving, longestPauseMillis);
+        }
+
+        /**
+         * Returns this report with the longest pause of a stream.
+         *
+         * @param millis the longest pause between two events, in milliseconds.
+         * @return the changed report.
+         */
+        public Ended withLongestPause(long millis) {
+            return copy(limit, restMillis, leaving, millis);
         }
 
         /**
@@ -99,7 +111,21 @@
          * @return the changed report.
          */
         public Ended withRequests(long millis, boolean leaves) {
-            return new Ended(outcome, heldMillis, eventMillis, events, expectedTokens, limit, millis, leaves);
+            return copy(limit, millis, leaves, longestPauseMillis);
+        }
+
+        private Ended copy(
+                Optional<RequestLimit> newLimit, long newRestMillis, boolean newLeaving, long newPauseMillis) {
+            return new Ended(
+                    outcome,
+                    heldMillis,
+                    eventMillis,
+                    events,
+                    expectedTokens,
+                    newLimit,
+                    newRestMillis,
+                    newLeaving,
+                    newPauseMillis);
         }
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.radishspur.decision.dispatch.QueuedRequest;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.VersionRule;
 
 /**
@@ -24,6 +25,7 @@
  * @param avoidedRuns the runs of upstreams that are used only if no other upstream can serve the request; see
  *     {@link org.radishspur.model.catalogue.Upstream#runId()}.
  * @param rests the upstreams that must not get a request of this entry for some time.
+ * @param terms what the route and the organisation state about how the request has to be served.
  */
 public record SlotRequest(
         String pool,
@@ -38,12 +40,72 @@
         long deadlineMillis,
         ExpectedLoad expectedLoad,
         List<String> avoidedRuns,
-        List<UpstreamRest> rests) {
+        List<UpstreamRest> rests,
+        RequestTerms terms) {
 
     /** Copies the lists, and replaces what an older build doesn't send. */
     public SlotRequest {
         avoidedRuns = List.copyOf(avoidedRuns);
         rests = rests == null ? List.of() : List.copyOf(rests);
+        terms = terms == null ? RequestTerms.NONE : terms;
+    }
+
+    /**
+     * Creates a request without terms.
+     *
+     * @param pool the name of the pool.
+     * @param failureDomain the failure domain of the entry.
+     * @param organisation the organisation whose quota is charged, or empty if there is none.
+     * @param quotaCost the cost that is charged to the quota.
+     * @param organisationRank the rank of the organisation.
+     * @param retry whether the caller retries after an earlier rejection.
+     * @param allowTrialVersion whether a version that a rollout is still trying may serve the request.
+     * @param maxWaitMillis the maximum wait for a slot, in milliseconds.
+     * @param firstByteTargetMillis the time left until the target for the first byte, in milliseconds.
+     * @param deadlineMillis the time left until the deadline of the complete answer, in milliseconds.
+     * @param expectedLoad the expected load on the upstream.
+     * @param avoidedRuns the runs of upstreams that are used only if no other upstream can serve the request.
+     * @param rests the upstreams that must not get a request of this entry for some time.
+     */
+    public SlotRequest(
+            String pool,
+            String failureDomain,
+            String organisation,
+            double quotaCost,
+            int organisationRank,
+            boolean retry,
+            boolean allowTrialVersion,
+            long maxWaitMillis,
+            long firstByteTargetMillis,
+            long deadlineMillis,
+            ExpectedLoad expectedLoad,
+            List<String> avoidedRuns,
+            List<UpstreamRest> rests) {
+        this(
+                pool,
+                failureDomain,
+                organisation,
+                quotaCost,
+                organisationRank,
+                retry,
+                allowTrialVersion,
+                maxWaitMillis,
+                firstByteTargetMillis,
+                deadlineMillis,
+                expectedLoad,
+                avoidedRuns,
+                rests,
+                RequestTerms.NONE);
+    }
+
+    /**
+     * Returns this request with other terms.
+     *
+     * @param stated what the route and the organisation state about how the request has to be served.
+     * @return the changed request.
+     */
+    public SlotRequest withTerms(RequestTerms stated) {
+        return copy(allowTrialVersion, 0, avoidedRuns, rests, stated);
     }
 
     /**
@@ -53,7 +115,7 @@
      * @return the changed request.
      */
     public SlotRequest withRests(List<UpstreamRest> current) {
-        return current.equals(rests) ? this : copy(allowTrialVersion, 0, avoidedRuns, current);
+        return current.equals(rests) ? this : copy(allowTrialVersion, 0, avoidedRuns, current, terms);
     }
 
     /**
@@ -63,7 +125,7 @@
      * @return the request; none of its remaining times is negative.
      */
     public SlotRequest withElapsed(long millis) {
-        return copy(allowTrialVersion, millis, avoidedRuns, rests);
+        return copy(allowTrialVersion, millis, avoidedRuns, rests, terms);
     }
 
     /**
@@ -75,11 +137,15 @@
     public SlotRequest avoidingUpstream(String run) {
         List<String> longer = new ArrayList<>(avoidedRuns);
         longer.add(run);
-        return copy(false, 0, longer, rests);
+        return copy(false, 0, longer, rests, terms);
     }
 
     private SlotRequest copy(
-            boolean trialAllowed, long elapsedMillis, List<String> newAvoidedRuns, List<UpstreamRest> newRests) {
+            boolean trialAllowed,
+            long elapsedMillis,
+            List<String> newAvoidedRuns,
+            List<UpstreamRest> newRests,
+            RequestTerms newTerms) {
         return new SlotRequest(
                 pool,
                 failureDomain,
@@ -93,7 +159,8 @@
                 Math.max(0, deadlineMillis - elapsedMillis),
                 expectedLoad,
                 newAvoidedRuns,
-                newRests);
+                newRests,
+                newTerms);
     }
 
     QueuedRequest toQueuedRequest(VersionRule versions, long now) {
@@ -107,6 +174,7 @@
         avoidedRuns.forEach(queued::avoidUpstream);
         rests.forEach(rest -> queued.excludeUntil(rest.upstream(), now + rest.millis()));
         queued.setEntryDomain(failureDomain);
+        queued.setTerms(terms);
         return queued;
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -271,7 +271,8 @@
                 deadlineAt - now,
                 routed.expectedLoad(),
                 avoided,
-                List.of());
+                List.of(),
+                routed.terms());
     }
 
     /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/entry/RoutedRequest.java
+++ b/node/src/main/java/org/radishspur/node/entry/RoutedRequest.java
@@ -1,7 +1,9 @@
 package org.radishspur.node.entry;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.slot.SlotRequest;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -66,6 +68,11 @@
                 head.prefixTokens());
     }
 
+    /** Returns what the route and the organisation state about how the request has to be served. */
+    RequestTerms terms() {
+        return new RequestTerms(route.kind() == RequestKind.STREAM ? route.maxEventGapMillis() : 0, List.of());
+    }
+
     /** Returns how many tokens the caller expects, at most its own output limit, which its estimate may exceed. */
     long expectedTokens() {
         return head.maxOutputTokens() > 0
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -425,11 +425,12 @@
         evidence.recordFirstByteTime((isEventStream() ? firstByteAt : now) - sentAt);
         recordEventTimes();
         end(new SlotReport.Ended(
-                SlotOutcome.SUCCESS,
-                now - sentAt,
-                isEventStream() && events <= 1 ? 0 : eventMillis,
-                resumed ? 0 : events,
-                caller.routed().expectedTokens()));
+                        SlotOutcome.SUCCESS,
+                        now - sentAt,
+                        isEventStream() && events <= 1 ? 0 : eventMillis,
+                        resumed ? 0 : events,
+                        caller.routed().expectedTokens())
+                .withLongestPause(isEventStream() ? longestPauseMillis : 0));
     }
 
     /** Records the time between events so far. */
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -139,6 +139,10 @@
      * @param limits four numbers for each upstream that states a limit or has stated one, one upstream after the other:
      *     the hash code of its run, the requests per minute or 0, the age of that statement in milliseconds, and the
      *     requests that the scheduler has sent to it since it started.
+     * @param usageWithinLimits the part of the usage of each organisation that was within its limit, as
+     *     {@code organisations}.
+     * @param waiting three numbers for each pool and tier with waiting requests: the hash code of the pool's name, the
+     *     tier, and the number of requests that wait for a slot.
      */
     record LoadReport(
             String scheduler,
@@ -147,12 +151,16 @@
             int[] counts,
             Map<String, Long> organisations,
             List<CrashNote> crashes,
-            int[] limits)
+            int[] limits,
+            Map<String, Long> usageWithinLimits,
+            int[] waiting)
             implements FleetMessage {
-        /** Replaces notes and limits that an older build doesn't send. */
+        /** Replaces notes, limits, usage and waiting requests that an older build doesn't send. */
         public LoadReport {
             crashes = crashes == null ? List.of() : crashes;
             limits = limits == null ? new int[0] : limits;
+            usageWithinLimits = usageWithinLimits == null ? Map.of() : usageWithinLimits;
+            waiting = waiting == null ? new int[0] : waiting;
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -320,7 +320,8 @@
             digests[index] = changed.get(index);
             System.arraycopy(current.get(digests[index]), 0, counts, index * COUNTS_PER_UPSTREAM, COUNTS_PER_UPSTREAM);
         }
-        return new FleetMessage.LoadReport(self, full, digests, counts, new HashMap<>(usage), notes, statedLimits);
+        return new FleetMessage.LoadReport(
+                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, Map.of(), new int[0]);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -38,8 +38,8 @@
                 .isEqualTo(new EarlierReportSlot(4, REPORT));
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
-        FleetMessage.LoadReport report =
-                new FleetMessage.LoadReport("s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4]);
+        FleetMessage.LoadReport report = new FleetMessage.LoadReport(
+                "s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4], Map.of("o", 1L), new int[3]);
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
@@ -73,6 +73,9 @@
         EarlierLoadReport report = new EarlierLoadReport("s", true, new int[] {1}, new int[5], Map.of());
         assertThat(reread(report, FleetMessage.LoadReport.class).crashes()).isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).limits()).isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).usageWithinLimits())
+                .isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).waiting()).isEmpty();
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -74,6 +74,8 @@
                 new int[] {inProgress, 0, 0, 0, 0},
                 Map.of(),
                 List.of(),
+                new int[0],
+                Map.of(),
                 new int[0]);
     }
 
@@ -178,7 +180,15 @@
             publishFor(520);
             exchange.onReport(
                     new FleetMessage.LoadReport(
-                            "other-0/1", false, new int[0], new int[0], Map.of(), List.of(), new int[0]),
+                            "other-0/1",
+                            false,
+                            new int[0],
+                            new int[0],
+                            Map.of(),
+                            List.of(),
+                            new int[0],
+                            Map.of(),
+                            new int[0]),
                     Map.of(),
                     530);
             assertThat(engine().inProgress()).isEqualTo(4);
