Limit requests to the regions of their route and organisation

Cause: rule of stated regions was never served. Change: tables state allowedRegions on routes and organisations, settings the regions of failure domains; the entry sends the allowed failure domains with each request for a slot, schedulers choose among these only, the entry checks grants and sends once more and doesn't relay such bodies through hosts that may lie elsewhere.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -1,7 +1,9 @@
 package org.radishspur.decision.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -16,8 +18,8 @@
     private static final long MIN_RETRY_AFTER_MILLIS = 150;
 
     /**
-     * Number of queued requests that may fail to get a slot before the scan of the queue stops; those behind them would
-     * fail too.
+     * Number of queued requests that may fail to get a slot before those behind them are passed over, which would fail
+     * too. It is counted for each list of allowed failure domains, as slots may be free outside of some.
      */
     private static final int MAX_FAILED_GRANTS = 3;
 
@@ -95,13 +97,17 @@
             decisions.add(new Decision.Refused(
                     expired, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now)));
         }
-        int failed = 0;
+        Map<List<String>, Integer> failures = new HashMap<>();
         for (QueuedRequest queued : queue.inOrder()) {
+            List<String> domains = queued.terms().allowedDomains();
+            if (failures.getOrDefault(domains, 0) == MAX_FAILED_GRANTS) {
+                continue;
+            }
             Optional<UpstreamLoad> free = findSlot(queued, now);
             if (free.isPresent()) {
                 queue.remove(queued);
                 decisions.add(grant(queued, free.get(), now));
-            } else if (++failed == MAX_FAILED_GRANTS) {
+            } else if (failures.merge(domains, 1, Integer::sum) == MAX_FAILED_GRANTS && domains.isEmpty()) {
                 break;
             }
         }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.radishspur.model.catalogue.Upstream;
+
 /**
  * Represents one request for a slot at an upstream, at a scheduler.
  */
@@ -186,6 +188,11 @@
         return arrivedAt + (queueingDeadline - arrivedAt) / 2;
     }
 
+    /** Returns whether an upstream may run the request, by its version and its failure domain. */
+    boolean allows(Upstream upstream) {
+        return versions.allows(upstream.version()) && terms.allowsDomain(upstream.failureDomain());
+    }
+
     VersionRule versions() {
         return versions;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -283,6 +283,7 @@
         double slowAboveMillis = shortestEventMillis(loads.values()) * SLOW_FACTOR;
         List<UpstreamLoad> candidates = loads.values().stream()
                 .filter(load -> isInService(load, now) && !isSlow(load, slowAboveMillis))
+                .filter(load -> queued.terms().allowsDomain(load.upstream().failureDomain()))
                 .toList();
         return Set.copyOf(
                 PrefixAffinity.INSTANCE.affinityTargets(queued.requirements().prefix(), candidates));
@@ -362,15 +363,17 @@
     }
 
     /**
-     * Returns whether a version has an upstream that accepts new requests.
+     * Returns whether a version has an upstream that accepts new requests and may run a request.
      *
      * @param version the version.
+     * @param terms what is stated about the request.
      * @return whether there is one.
      */
-    public boolean hasVersion(String version) {
+    public boolean hasVersion(String version, RequestTerms terms) {
         return loads.values().stream()
-                .anyMatch(load ->
-                        acceptsRequests(load) && load.upstream().version().equals(version));
+                .anyMatch(load -> acceptsRequests(load)
+                        && load.upstream().version().equals(version)
+                        && terms.allowsDomain(load.upstream().failureDomain()));
     }
 
     private List<UpstreamLoad> usable(QueuedRequest queued, long now) {
@@ -378,8 +381,7 @@
         int inService = 0;
         int ejected = 0;
         for (UpstreamLoad load : loads.values()) {
-            if (isInService(load, now)
-                    && queued.versions().allows(load.upstream().version())) {
+            if (isInService(load, now) && queued.allows(load.upstream())) {
                 candidates.add(load);
                 inService++;
                 ejected += load.isEjected(now) ? 1 : 0;
@@ -413,8 +415,7 @@
      */
     long takenFrom(QueuedRequest queued, long now) {
         return loads.values().stream()
-                .filter(load -> isInService(load, now)
-                        && queued.versions().allows(load.upstream().version()))
+                .filter(load -> isInService(load, now) && queued.allows(load.upstream()))
                 .mapToLong(load -> Math.max(now, turnsAwayUntil(load, queued)))
                 .min()
                 .orElse(now);
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -11,6 +11,7 @@
 import org.radishspur.decision.dispatch.PoolDispatcher.Decision;
 import org.radishspur.decision.dispatch.QueuedRequest;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.VersionRule;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -102,8 +103,8 @@
             return;
         }
         PoolDispatcher pool = pools.dispatcher(request.pool());
-        QueuedRequest queued =
-                request.toQueuedRequest(pools.versionRule(request.pool(), request.allowTrialVersion()), now);
+        QueuedRequest queued = request.toQueuedRequest(
+                pools.versionRule(request.pool(), request.allowTrialVersion(), request.terms()), now);
         TrackedRequest tracked = new TrackedRequest(entry, requestId, pool, queued, organisation, request.quotaCost());
         requestsOf(entry).put(requestId, tracked);
         queuedRequests.put(queued, tracked);
@@ -321,6 +322,18 @@
          */
         VersionRule versionRule(String pool, boolean allowTrialVersion);
 
+        /**
+         * Returns which versions may serve a request, considering where it may run.
+         *
+         * @param pool the name of the pool.
+         * @param allowTrialVersion whether a version that a rollout is still trying may serve it.
+         * @param terms what is stated about the request.
+         * @return the rule; by default the one of all requests.
+         */
+        default VersionRule versionRule(String pool, boolean allowTrialVersion, RequestTerms terms) {
+            return versionRule(pool, allowTrialVersion);
+        }
+
         /**
          * Returns the rule of an organisation, which sets its quota.
          *
--- a/model/src/main/java/org/radishspur/model/catalogue/RouteRule.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/RouteRule.java
@@ -1,6 +1,7 @@
 package org.radishspur.model.catalogue;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Describes one route of a catalogue: the requests that it matches, the pools that serve them and their limits.
@@ -18,6 +19,7 @@
  * @param maxUpstreams the maximum number of upstreams on which one request may run.
  * @param allowsAnonymous whether requests without an API key are accepted.
  * @param resumable whether another upstream may resume a broken stream.
+ * @param allowedRegions the regions in which requests may be served; empty for all.
  */
 public record RouteRule(
         String name,
@@ -31,11 +33,36 @@
         List<PoolShare> shares,
         int maxUpstreams,
         boolean allowsAnonymous,
-        boolean resumable) {
+        boolean resumable,
+        Set<String> allowedRegions) {
 
-    /** Copies the shares. */
+    /** Copies the shares and the regions. */
     public RouteRule {
         shares = List.copyOf(shares);
+        allowedRegions = Set.copyOf(allowedRegions);
+    }
+
+    /**
+     * Returns a copy of this rule with other regions.
+     *
+     * @param regions the regions in which requests may be served; empty for all.
+     * @return the changed rule.
+     */
+    public RouteRule withAllowedRegions(Set<String> regions) {
+        return new RouteRule(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMillis,
+                targetLatencyMillis,
+                maxEventGapMillis,
+                priority,
+                shares,
+                maxUpstreams,
+                allowsAnonymous,
+                resumable,
+                regions);
     }
 
     /**
--- a/model/src/test/java/org/radishspur/model/catalogue/CatalogueTest.java
+++ b/model/src/test/java/org/radishspur/model/catalogue/CatalogueTest.java
@@ -24,7 +24,8 @@
                 List.of(shares),
                 1,
                 false,
-                true);
+                true,
+                Set.of());
     }
 
     private static Catalogue catalogue(List<RouteRule> routes, OrganisationRule... organisations) {
--- a/node/src/main/java/org/radishspur/node/entry/EndReason.java
+++ b/node/src/main/java/org/radishspur/node/entry/EndReason.java
@@ -19,6 +19,8 @@
     QUOTA(429, true),
     /** The view of the entry was not confirmed recently enough, or no longer allows the request. */
     UNCONFIRMED(503, true),
+    /** No failure domain lies in a region that the route and the organisation allow. */
+    REGION_UNAVAILABLE(503, true),
     /** No slot becomes free in time. */
     OVERLOAD(503, true),
     /** Several upstreams have ended while they ran this request, and none has answered it since. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -202,6 +202,10 @@
             return;
         }
         deadlineAt = Math.min(deadlineAt, arrivedAt + route.timeoutMillis());
+        if (!routed.hasAllowedDomain(services.regions())) {
+            refuse(EndReason.REGION_UNAVAILABLE, maxRetryAfter(), false);
+            return;
+        }
         callerRetry = services.isCallerRetry(route.name(), statedMillis);
         if (refuseIfItEndsUpstreams()) {
             return;
@@ -272,7 +276,7 @@
                 routed.expectedLoad(),
                 avoided,
                 List.of(),
-                routed.terms());
+                routed.terms(services.regions()));
     }
 
     /** {@inheritDoc} */
@@ -336,7 +340,22 @@
     private boolean isStillUsable(UpstreamLoad upstream, ConfirmedView viewAtGrant) {
         long now = EntryServices.now();
         boolean unchanged = services.view().hasSameContent(viewAtGrant);
-        return services.isConfirmed() && services.slots().isUsable(upstream, now) && (unchanged || isStillAllowed());
+        return services.isConfirmed()
+                && services.slots().isUsable(upstream, now)
+                && (unchanged || isStillAllowed())
+                && isInAllowedRegion(upstream);
+    }
+
+    /** Returns whether an upstream lies in a region that the request may reach, by the settings of now. */
+    private boolean isInAllowedRegion(UpstreamLoad upstream) {
+        return routed.hasAllowedDomain(services.regions())
+                && routed.terms(services.regions())
+                        .allowsDomain(upstream.upstream().failureDomain());
+    }
+
+    /** Returns whether the body of the request may pass through another host of this system. */
+    boolean mayBeRelayed() {
+        return services.regions().allowsAnyHost(routed.allowedRegions());
     }
 
     /** Returns whether a connected attempt has to wait before it is sent. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -163,11 +163,12 @@
     /**
      * Applies settings that have changed while the process runs.
      *
-     * @param changed the new settings, of which only the seeds are used.
+     * @param changed the new settings, of which only the seeds and the regions are used.
      */
     public void reload(PlatformProcessSettings changed) {
         events.emit(EventCode.RELOADED, changed.seeds());
         control.execute(() -> viewPoller.setSeeds(addresses(changed.seeds())));
+        traffic.execute(() -> services.setRegions(changed.regions()));
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -14,6 +14,7 @@
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
+import org.radishspur.decision.region.RegionMap;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.node.caller.RetryBudget;
@@ -64,6 +65,7 @@
     private volatile ConfirmedView view = ConfirmedView.EMPTY;
     private volatile boolean confirmationAwaited;
     private volatile boolean stopping;
+    private RegionMap regions;
     private volatile int inProgress;
     private boolean checkScheduled;
 
@@ -75,6 +77,7 @@
             Transport transport,
             VersionCounters versionCounters) {
         this.settings = settings;
+        regions = settings.regions();
         this.dialect = dialect;
         this.events = events;
         this.metrics = metrics;
@@ -243,6 +246,16 @@
         return view;
     }
 
+    /** Returns the regions of the failure domains. */
+    RegionMap regions() {
+        return regions;
+    }
+
+    /** Applies the regions of changed settings. */
+    void setRegions(RegionMap changed) {
+        regions = changed;
+    }
+
     String failureDomain() {
         return settings.failureDomain();
     }
--- a/node/src/main/java/org/radishspur/node/entry/RoutedRequest.java
+++ b/node/src/main/java/org/radishspur/node/entry/RoutedRequest.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspur.decision.dispatch.RequestTerms;
+import org.radishspur.decision.region.AllowedRegions;
+import org.radishspur.decision.region.RegionMap;
 import org.radishspur.decision.slot.SlotRequest;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -20,18 +23,24 @@
  * @param pool the pool of the route that serves the request.
  */
 record RoutedRequest(RequestHead head, RouteRule route, Optional<OrganisationRule> organisation, String pool) {
-    /** Returns whether a catalogue still routes the request to its pool and still assigns its key to its organisation. */
+    /**
+     * Returns whether a catalogue still routes the request to its pool, still assigns its key to its organisation, and
+     * allows the same regions for both.
+     */
     boolean isAllowedBy(Catalogue catalogue) {
         boolean routed = catalogue
                 .match(head.host(), head.path())
                 .filter(found ->
                         found.shares().stream().anyMatch(share -> share.pool().equals(pool)))
+                .filter(found -> found.allowedRegions().equals(route.allowedRegions()))
                 .isPresent();
         boolean keyValid = organisation.isEmpty()
                 || head.apiKey()
                         .flatMap(catalogue::organisationByKey)
                         .filter(holder ->
                                 holder.name().equals(organisation.get().name()))
+                        .filter(holder -> holder.allowedRegions()
+                                .equals(organisation.get().allowedRegions()))
                         .isPresent();
         return routed && keyValid;
     }
@@ -68,9 +77,28 @@
                 head.prefixTokens());
     }
 
-    /** Returns what the route and the organisation state about how the request has to be served. */
-    RequestTerms terms() {
-        return new RequestTerms(route.kind() == RequestKind.STREAM ? route.maxEventGapMillis() : 0, List.of());
+    /** Returns the regions that the route and the organisation allow. */
+    AllowedRegions allowedRegions() {
+        return AllowedRegions.of(
+                route.allowedRegions(),
+                organisation.map(OrganisationRule::allowedRegions).orElse(Set.of()));
+    }
+
+    /** Returns whether an upstream in some failure domain may run the request. */
+    boolean hasAllowedDomain(RegionMap regions) {
+        return !allowedRegions().limited()
+                || !regions.domainsIn(allowedRegions()).isEmpty();
+    }
+
+    /**
+     * Returns what the route and the organisation state about how the request has to be served. Where
+     * {@link #hasAllowedDomain} denies, no request may be made with these terms, as no failure domain stands for all.
+     */
+    RequestTerms terms(RegionMap regions) {
+        AllowedRegions allowed = allowedRegions();
+        return new RequestTerms(
+                route.kind() == RequestKind.STREAM ? route.maxEventGapMillis() : 0,
+                allowed.limited() ? regions.domainsIn(allowed) : List.of());
     }
 
     /** Returns how many tokens the caller expects, at most its own output limit, which its estimate may exceed. */
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -192,11 +192,14 @@
     private void onGranted(UpstreamSlot slot, SlotReply.Granted granted, long now) {
         Optional<UpstreamLoad> upstream =
                 localScheduler.recordGrant(LOCAL_ENTRY, slot.toHeldSlot(granted.upstream()), now);
-        if (upstream.isPresent() && isUsable(upstream.get(), now)) {
+        if (upstream.isPresent()
+                && isUsable(upstream.get(), now)
+                && slot.allows(upstream.get().upstream())) {
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
         }
-        // The scheduler's view is older or newer than this entry's, and the entry decides where it sends requests.
+        // The scheduler's view is older or newer than this entry's, or its build knows no terms of requests; the entry
+        // decides where it sends requests.
         localScheduler.report(LOCAL_ENTRY, slot.id(), new SlotReport.Ended(SlotOutcome.UNUSED), now);
         release(slot.scheduler(), slot.id());
         if (slot.decline(granted.upstream()) < MAX_DECLINED_GRANTS) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -82,7 +82,7 @@
      * @param trialAllowed whether the request may try a broken path again.
      */
     void start(boolean trialAllowed) {
-        exchange = services.exchanges().open(upstream.upstream().address(), this, trialAllowed);
+        exchange = services.exchanges().open(upstream.upstream().address(), this, trialAllowed, caller.mayBeRelayed());
     }
 
     UpstreamLoad upstream() {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
@@ -110,6 +110,11 @@
         return now - requestedAt > request.maxWaitMillis() + millis;
     }
 
+    /** Returns whether the terms of the request allow an upstream to run it. */
+    boolean allows(Upstream granted) {
+        return request.terms().allowsDomain(granted.failureDomain());
+    }
+
     /** Describes this slot for schedulers that have not granted it. */
     HeldSlot toHeldSlot(Upstream granted) {
         return new HeldSlot(
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.UpstreamPool;
 import org.radishspur.decision.dispatch.VersionRule;
@@ -154,12 +155,18 @@
     /** {@inheritDoc} */
     @Override
     public VersionRule versionRule(String pool, boolean trialAllowed) {
+        return versionRule(pool, trialAllowed, RequestTerms.NONE);
+    }
+
+    /** {@inheritDoc} A version without an upstream that may run the request counts as not listed. */
+    @Override
+    public VersionRule versionRule(String pool, boolean trialAllowed, RequestTerms terms) {
         Rollout rollout = rollouts.get(pool);
         if (rollout == null) {
             return VersionRule.Any.INSTANCE;
         }
         boolean targetListed = dispatchers.containsKey(pool)
-                && dispatchers.get(pool).upstreams().hasVersion(rollout.target());
+                && dispatchers.get(pool).upstreams().hasVersion(rollout.target(), terms);
         VersionRule otherVersions = new VersionRule.Except(rollout.target());
         if (rollout.stage() == RolloutStage.ROLLED_BACK) {
             return otherVersions;
--- a/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
+++ b/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.region.RegionMap;
 
 /**
  * Holds the settings of one process of the platform's programs entry and control. The process discovers the other
@@ -23,6 +24,7 @@
  * @param hostListAddress the address at which the platform serves its host list.
  * @param metricsAddress the address at which metrics are served, if they are.
  * @param bounds the bounds that the platform's users rely on, over all processes together.
+ * @param regions the regions of the failure domains.
  */
 public record PlatformProcessSettings(
         String node,
@@ -37,7 +39,8 @@
         Optional<Path> dataFolder,
         HostPort hostListAddress,
         Optional<HostPort> metricsAddress,
-        Bounds bounds) {
+        Bounds bounds,
+        RegionMap regions) {
 
     /** Creates the settings with a copy of the seeds. */
     public PlatformProcessSettings {
@@ -64,7 +67,8 @@
                 dataFolder,
                 hostListAddress,
                 metricsAddress,
-                bounds);
+                bounds,
+                regions);
     }
 
     /**
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -67,6 +67,12 @@
     /** {@inheritDoc} */
     @Override
     public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
+        return open(address, listener, repeatable, true);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
         Target direct = new Target(address, false);
         if (paths.isBroken(address)) {
             closeIdle(direct);
@@ -74,7 +80,7 @@
         Optional<Idle> kept = takeIdle(direct);
         boolean directAllowed =
                 kept.isPresent() || !paths.isBrokenForNew(address) || paths.takeTrial(address, repeatable);
-        if (kept.isEmpty() && !directAllowed) {
+        if (kept.isEmpty() && !directAllowed && relayable) {
             kept = takeIdle(new Target(address, true));
         }
         if (kept.isPresent()) {
@@ -83,9 +89,11 @@
             loop.execute(listener::onConnected);
             return connection;
         }
-        UpstreamConnection connection = new UpstreamConnection(this, new Target(address, !directAllowed));
+        UpstreamConnection connection = new UpstreamConnection(this, new Target(address, !directAllowed && relayable));
         if (directAllowed) {
-            connectDirectly(connection, listener);
+            connectDirectly(connection, listener, relayable);
+        } else if (!relayable) {
+            loop.execute(listener::onConnectFailed);
         } else {
             connectThroughRelay(connection, listener, paths.relays());
         }
@@ -141,7 +149,7 @@
         return paths;
     }
 
-    private void connectDirectly(UpstreamConnection connection, UpstreamListener listener) {
+    private void connectDirectly(UpstreamConnection connection, UpstreamListener listener, boolean relayable) {
         String address = connection.target().address();
         ClientSocket.INSTANCE
                 .connect(
@@ -159,7 +167,7 @@
                         return;
                     }
                     paths.recordConnectFailure(address);
-                    if (paths.isBrokenForNew(address)) {
+                    if (relayable && paths.isBrokenForNew(address)) {
                         connection.setTarget(new Target(address, true));
                         connectThroughRelay(connection, listener, paths.relays());
                     } else {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -64,5 +64,19 @@
         default UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
             return open(address, listener);
         }
+
+        /**
+         * Starts an exchange, which may try a path that was broken or avoid it.
+         *
+         * @param address the host and port of the upstream.
+         * @param listener the listener of the exchange.
+         * @param repeatable whether the request may run more than once, so that a failed trial does no harm.
+         * @param relayable whether the request may pass through another host; a factory that never does so ignores it.
+         * @return the exchange, as above.
+         */
+        default UpstreamExchange open(
+                String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
+            return open(address, listener, repeatable);
+        }
     }
 }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.radishspur.decision.region.RegionMap;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.PoolRule;
@@ -64,7 +65,7 @@
     private final FleetLinks links = new FleetLinks(caller.eventLoop(), (sender, message) -> {});
     private final List<FakeExchange> exchanges = new ArrayList<>();
     private final EntryServices services;
-    private final Catalogue catalogue;
+    private Catalogue catalogue;
     private HostList hosts;
     private final List<Rollout> rollouts;
     private final VersionCounters versionCounters = new VersionCounters();
@@ -76,12 +77,16 @@
     private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
+        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE);
+    }
+
+    EntryFixture(RequestKind kind, boolean resumable, int upstreams, Set<String> allowedRegions, RegionMap regions) {
         services = new EntryServices(
-                ProcessSettingsFixture.of("entry", UNUSED_ADDRESS),
+                ProcessSettingsFixture.of("entry", UNUSED_ADDRESS, regions),
                 new FakeDialect(),
                 events,
                 new EntryMetrics(),
-                new EntryServices.Transport(caller.eventLoop(), this::open, this::check, linkMonitor, links),
+                new EntryServices.Transport(caller.eventLoop(), new FakeFactory(), this::check, linkMonitor, links),
                 versionCounters);
         RouteRule route = new RouteRule(
                 "route",
@@ -95,7 +100,8 @@
                 List.of(new PoolShare("pool", 1)),
                 upstreams,
                 true,
-                resumable);
+                resumable,
+                allowedRegions);
         catalogue = new Catalogue(
                 1, List.of(route), List.of(new PoolRule("pool", 10, 4, true)), List.of(), CallerLimits.DEFAULTS);
         List<Upstream> listed = new ArrayList<>();
@@ -245,8 +251,21 @@
         listener.accept(checkResult);
     }
 
-    private UpstreamExchange open(String address, UpstreamListener listener) {
-        FakeExchange exchange = new FakeExchange(address, listener);
+    /** Applies a view in which the route allows other regions. */
+    void allowRegions(Set<String> regions) {
+        catalogue = new Catalogue(
+                2,
+                catalogue.routes().stream()
+                        .map(route -> route.withAllowedRegions(regions))
+                        .toList(),
+                List.of(new PoolRule("pool", 10, 4, true)),
+                List.of(),
+                CallerLimits.DEFAULTS);
+        applyView(Set.of(), Moment.now());
+    }
+
+    private UpstreamExchange open(String address, UpstreamListener listener, boolean relayable) {
+        FakeExchange exchange = new FakeExchange(address, listener, relayable);
         exchanges.add(exchange);
         if (connectsAutomatically) {
             caller.eventLoop().execute(listener::onConnected);
@@ -272,17 +291,39 @@
      */
     record ReceivedResponse(int status, String body, boolean complete) {}
 
+    /** Starts exchanges in which the test acts as the upstream. */
+    private final class FakeFactory implements UpstreamExchange.Factory {
+        /** {@inheritDoc} */
+        @Override
+        public UpstreamExchange open(String address, UpstreamListener listener) {
+            return EntryFixture.this.open(address, listener, true);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
+            return EntryFixture.this.open(address, listener, relayable);
+        }
+    }
+
     /** An exchange in which the test acts as the upstream. */
     static final class FakeExchange implements UpstreamExchange {
         private final String address;
         private final UpstreamListener listener;
+        private final boolean relayable;
         private boolean aborted;
         private boolean requestSent;
         private long resumeAfter;
 
-        FakeExchange(String address, UpstreamListener listener) {
+        FakeExchange(String address, UpstreamListener listener, boolean relayable) {
             this.address = address;
             this.listener = listener;
+            this.relayable = relayable;
+        }
+
+        /** Returns whether the request may pass through another host. */
+        boolean isRelayable() {
+            return relayable;
         }
 
         void failToConnect() {
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.crash.CrashLedger;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -72,7 +73,13 @@
     }
 
     private UpstreamSlot requestSlot(long now) {
-        SlotRequest request = new SlotRequest(
+        UpstreamSlot slot = client.request(buildRequest(), listener, now);
+        client.send(slot, now);
+        return slot;
+    }
+
+    private static SlotRequest buildRequest() {
+        return new SlotRequest(
                 "pool",
                 "",
                 "",
@@ -86,9 +93,6 @@
                 new SlotRequest.ExpectedLoad(100, 20, 0, 0, "", 0),
                 List.of(),
                 List.of());
-        UpstreamSlot slot = client.request(request, listener, now);
-        client.send(slot, now);
-        return slot;
     }
 
     private void reply(String scheduler, UpstreamSlot slot, SlotReply reply, long now) {
@@ -141,6 +145,19 @@
             assertThat(links.lastRequest(NEAR).request().avoidedRuns()).containsExactly(UNLISTED.runId());
         }
 
+        /** Guards against a request that leaves its regions because a scheduler of an older build ignores them. */
+        @Test
+        void declinesAnUpstreamInAFailureDomainThatIsNotAllowed() {
+            UpstreamSlot slot =
+                    client.request(buildRequest().withTerms(new RequestTerms(0, List.of("b"))), listener, 0);
+            client.send(slot, 0);
+            reply(NEAR, slot, granted(ENGINE), 1);
+            assertThat(listener.granted).isEmpty();
+            assertThat(links.outcomes(NEAR)).containsExactly(SlotOutcome.UNUSED);
+            assertThat(links.lastRequest(NEAR).request().terms().allowedDomains())
+                    .containsExactly("b");
+        }
+
         @Test
         void keepsWaitingForARequestReportedAsQueued() {
             UpstreamSlot slot = requestSlot(0);
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -7,10 +7,13 @@
 
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
+import org.radishspur.decision.slot.SlotRequest;
+import org.radishspur.decision.slot.UpstreamRest;
 import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.replication.codec.MessagePack;
 import org.radishspur.replication.state.CatalogueState;
@@ -95,6 +98,34 @@
                 .isEmpty();
     }
 
+    @Test
+    void readsRequestsWithAndWithoutTerms() {
+        SlotRequest.ExpectedLoad load = new SlotRequest.ExpectedLoad(1, 2, 3, 0, "", 0);
+        SlotRequest request = new SlotRequest(
+                        "pool", "a", "o", 1, 0, false, true, 2, 3, 4, load, List.of("run"), List.of())
+                .withTerms(new RequestTerms(200, List.of("a")));
+        EarlierSlotRequest earlier =
+                new EarlierSlotRequest("pool", "a", "o", 1, 0, false, true, 2, 3, 4, load, List.of("run"), List.of());
+        assertThat(reread(request, EarlierSlotRequest.class)).isEqualTo(earlier);
+        assertThat(reread(request, SlotRequest.class)).isEqualTo(request);
+        assertThat(reread(earlier, SlotRequest.class).terms()).isEqualTo(RequestTerms.NONE);
+    }
+
+    private record EarlierSlotRequest(
+            String pool,
+            String failureDomain,
+            String organisation,
+            double quotaCost,
+            int organisationRank,
+            boolean retry,
+            boolean allowTrialVersion,
+            long maxWaitMillis,
+            long firstByteTargetMillis,
+            long deadlineMillis,
+            SlotRequest.ExpectedLoad expectedLoad,
+            List<String> avoidedRuns,
+            List<UpstreamRest> rests) {}
+
     private record EarlierAttach(String entry, List<HeldSlot> held) {}
 
     private record EarlierReportSlot(long id, SlotReport report) {}
--- a/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
@@ -10,6 +10,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.dispatch.QueuedRequest;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.VersionRule;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
@@ -136,6 +137,18 @@
         assertThat(pools.versionRule("pool", false).allows("v2")).isFalse();
     }
 
+    /** Guards against requests that wait for a version which runs in no failure domain that they may reach. */
+    @Test
+    void triesAVersionOnlyWhereItsRequestsMayRun() {
+        applyView(RolloutStage.RUNNING, "v1", "v2");
+        RequestTerms elsewhere = new RequestTerms(0, List.of("b"));
+        for (int count = 0; count < 100; count++) {
+            assertThat(pools.versionRule("pool", true, elsewhere).allows("v1")).isTrue();
+        }
+        applyView(RolloutStage.ROLLED_BACK, "v1", "v2");
+        assertThat(pools.versionRule("pool", true, elsewhere).allows("v2")).isFalse();
+    }
+
     @Test
     void sendsNothingToAVersionThatWasRolledBack() {
         applyView(RolloutStage.ROLLED_BACK, "v1", "v2");
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -52,6 +53,41 @@
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
+    @Nested
+    class BrokenPath {
+        private static final String UPSTREAM = "127.0.0.1:1";
+
+        /** A path that is broken, while a host relays; a test fails if that host's address is used. */
+        private final class Broken implements UpstreamPaths {
+            /** {@inheritDoc} */
+            @Override
+            public boolean isBroken(String upstream) {
+                return true;
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public boolean isBrokenForNew(String upstream) {
+                return true;
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public List<String> relays() {
+                throw new AssertionError("a host was asked to relay");
+            }
+        }
+
+        /** Guards against a body that is sent through a host in a region that the request must not reach. */
+        @Test
+        void isNotPassedByARequestThatMustNotBeRelayed() {
+            UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
+            connections.open(UPSTREAM, listener, false, false);
+            channel.runPendingTasks();
+            assertThat(listener.connectFailures).isEqualTo(1);
+        }
+    }
+
     @Nested
     class EndOfResponse {
         @ParameterizedTest
@@ -139,12 +175,15 @@
         private final StringBuilder body = new StringBuilder();
         private ResponseEnd end;
         private boolean lost;
+        private int connectFailures;
 
         @Override
         public void onConnected() {}
 
         @Override
-        public void onConnectFailed() {}
+        public void onConnectFailed() {
+            connectFailures++;
+        }
 
         @Override
         public void onResponseHead(HttpResponse response) {}
