Keep long prompts away from streams that they would hold up

Cause: an engine reads prompts in chunks between the steps of the streams beside it. On a slow engine a prompt of three chunks makes them pause for longer than their routes allow, and no choice of an upstream considered it. Most such streams are of the last tier, which leaves fast slots free, so that only slow engines remain for its long prompts. Change: StreamPauses learns, for the whole pool, the longest pause as a multiple of the time per event and the reading time of a token. An upstream whose streams would pause for too long is rated HOLDING_UP, which a request avoids for its selective time. Where no route limits pauses, or nothing is learnt yet, decisions are as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/FirstByteModel.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/FirstByteModel.java
@@ -16,18 +16,32 @@
     /** Total weight of answers from which the estimate also applies to upstreams without answers of their own. */
     private static final double MIN_POOL_WEIGHT = 20;
 
+    private final double decay;
     private double weight;
     private double sumTokens;
     private double sumMillis;
     private double sumTokensSquared;
     private double sumProducts;
 
+    FirstByteModel() {
+        this(DECAY_PER_ANSWER);
+    }
+
+    /**
+     * Creates a model without answers.
+     *
+     * @param decay the factor by which the weight of earlier answers shrinks with each new one, between 0 and 1.
+     */
+    FirstByteModel(double decay) {
+        this.decay = decay;
+    }
+
     void add(double tokens, double millis) {
-        weight = weight * DECAY_PER_ANSWER + 1;
-        sumTokens = sumTokens * DECAY_PER_ANSWER + tokens;
-        sumMillis = sumMillis * DECAY_PER_ANSWER + millis;
-        sumTokensSquared = sumTokensSquared * DECAY_PER_ANSWER + tokens * tokens;
-        sumProducts = sumProducts * DECAY_PER_ANSWER + tokens * millis;
+        weight = weight * decay + 1;
+        sumTokens = sumTokens * decay + tokens;
+        sumMillis = sumMillis * decay + millis;
+        sumTokensSquared = sumTokensSquared * decay + tokens * tokens;
+        sumProducts = sumProducts * decay + tokens * millis;
     }
 
     /** Returns whether there are enough answers to apply the estimate to upstreams without answers of their own. */
@@ -41,12 +55,12 @@
 
     /** Returns the expected time to first byte in milliseconds. */
     double millis(double tokens) {
+        return Math.max(0, sumMillis / weight + millisPerToken() * (tokens - sumTokens / weight));
+    }
+
+    /** Returns the expected time for each further token in milliseconds; 0 where all prompts had the same length. */
+    double millisPerToken() {
         double spread = weight * sumTokensSquared - sumTokens * sumTokens;
-        double mean = sumMillis / weight;
-        if (spread <= 1) {
-            return mean;
-        }
-        double slope = Math.max(0, (weight * sumProducts - sumTokens * sumMillis) / spread);
-        return Math.max(0, mean + slope * (tokens - sumTokens / weight));
+        return spread <= 1 ? 0 : Math.max(0, (weight * sumProducts - sumTokens * sumMillis) / spread);
     }
 }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -23,6 +23,12 @@
      */
     private static final int MAX_FAILED_GRANTS = 3;
 
+    /**
+     * Number of queued requests that may wait for the sake of running streams without stopping the scan of the queue;
+     * shorter prompts behind them may take the slots that they leave.
+     */
+    private static final int MAX_HELD_BACK = 3;
+
     /**
      * Share of the slots that a request leaves free for requests whose slot value is one tier higher. Queue order alone
      * doesn't separate tiers, because several schedulers take slots at the same time; a few free slots do, because one
@@ -98,6 +104,7 @@
                     expired, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now)));
         }
         Map<List<String>, Integer> failures = new HashMap<>();
+        int heldBack = 0;
         for (QueuedRequest queued : queue.inOrder()) {
             List<String> domains = queued.terms().allowedDomains();
             if (failures.getOrDefault(domains, 0) == MAX_FAILED_GRANTS) {
@@ -107,6 +114,8 @@
             if (free.isPresent()) {
                 queue.remove(queued);
                 decisions.add(grant(queued, free.get(), now));
+            } else if (queued.isHeldBack() && ++heldBack <= MAX_HELD_BACK) {
+                continue;
             } else if (failures.merge(domains, 1, Integer::sum) == MAX_FAILED_GRANTS && domains.isEmpty()) {
                 break;
             }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -26,6 +26,8 @@
     private long sequence;
     private double slotValue;
     private long cachedTokens;
+    private boolean heldBack;
+    private boolean everHeldBack;
 
     /**
      * Creates a request.
@@ -165,6 +167,23 @@
         cachedTokens = tokens;
     }
 
+    /** Returns whether the request got no slot lately because it would have held up streams. */
+    boolean isHeldBack() {
+        return heldBack;
+    }
+
+    /**
+     * Sets whether the request gets no slot because it would hold up streams.
+     *
+     * @return whether that is so for the first time.
+     */
+    boolean setHeldBack(boolean value) {
+        heldBack = value;
+        boolean isFirst = value && !everHeldBack;
+        everHeldBack |= value;
+        return isFirst;
+    }
+
     long queueingDeadline() {
         return queueingDeadline;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -71,6 +71,7 @@
     private final MovingAverage firstByteMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
     private final FirstByteModel firstByte = new FirstByteModel();
     private final FirstByteModel poolFirstByte;
+    private final StreamPauses pauses;
     private boolean usesPoolTimes;
     private ColdStartLimit coldLimit = new ColdStartLimit(ColdStart.NONE);
     private final RequestLimiter limiter = new RequestLimiter();
@@ -95,11 +96,13 @@
      *
      * @param upstream the upstream.
      * @param poolFirstByte the times to first byte in the whole pool, as multiples of each upstream's time per event.
+     * @param pauses learns in the whole pool how long prompts are read.
      * @param scheduler the name of the scheduler, from which its slight preference among upstreams is derived.
      */
-    UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte, String scheduler) {
+    UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte, StreamPauses pauses, String scheduler) {
         this.upstream = upstream;
         this.poolFirstByte = poolFirstByte;
+        this.pauses = pauses;
         run = upstream.runId();
         int hash = (scheduler + run).hashCode() * GOLDEN_RATIO;
         preference = (hash >>> 1) / (double) Integer.MAX_VALUE;
@@ -187,6 +190,7 @@
         firstByte.add(promptTokens + tokensAhead, millis);
         if (isEventTimeKnown()) {
             poolFirstByte.add(promptTokens + tokensAhead, millis / eventMillis());
+            pauses.recordFirstByte(promptTokens, tokensAhead, millis / eventMillis());
         }
     }
 
@@ -492,7 +496,7 @@
     }
 
     /** Returns how many prompt tokens the upstream has still to process for all schedulers, as far as reported. */
-    private long pendingTokens() {
+    long pendingTokens() {
         return unanswered.pendingTokens() + peerPendingTokens.total();
     }
 
@@ -612,6 +616,8 @@
     enum Timeliness {
         /** The first byte is on time. */
         ON_TIME,
+        /** The first byte is on time, but streams at the upstream are likely to pause for too long. */
+        HOLDING_UP,
         /** The first byte is late, but the answer is complete before its deadline. */
         LATE,
         /** The answer isn't complete before its deadline. */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -76,6 +76,7 @@
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
     private final OutputLengthEstimate outputLengths = new OutputLengthEstimate();
     private final FirstByteModel firstByte = new FirstByteModel();
+    private final StreamPauses pauses = new StreamPauses();
     private final Random random;
     private int schedulerCount = 1;
     private final ReportStaleness staleness = new ReportStaleness();
@@ -179,7 +180,7 @@
             runs.add(run);
             UpstreamLoad known = loads.get(run);
             if (known == null) {
-                UpstreamLoad load = new UpstreamLoad(upstream, firstByte, self);
+                UpstreamLoad load = new UpstreamLoad(upstream, firstByte, pauses, self);
                 load.setColdStart(coldStartRule);
                 updateLimitTurns(load);
                 loads.put(run, load);
@@ -213,6 +214,7 @@
      * @return the upstream, or empty where no suitable slot is free.
      */
     public Optional<UpstreamLoad> choose(QueuedRequest queued, double reserved, long now) {
+        pauses.recordRequest(queued, now);
         List<UpstreamLoad> usable = usable(queued, now);
         // No request waits for a fast upstream whose limit is used up, as it would for one whose slots are taken.
         usable.removeIf(load -> !load.allowsLimitedRequest(now));
@@ -230,20 +232,28 @@
         // Where every remaining upstream was tried before, one of them is better than none.
         removeUnlessAll(usable, load -> queued.avoids(load.run()));
         Set<UpstreamLoad> affinityTargets = affinityTargets(queued, now);
-        Timeliness bestTimeliness = usable.stream()
-                .map(load -> timeliness(load, queued, affinityTargets, events, now))
-                .min(Comparator.naturalOrder())
-                .orElse(Timeliness.TOO_LATE);
+        Map<UpstreamLoad, Timeliness> ratings = rate(usable, queued, affinityTargets, events, now);
+        Timeliness bestTimeliness =
+                ratings.values().stream().min(Comparator.naturalOrder()).orElse(Timeliness.TOO_LATE);
         boolean selective = bestTimeliness != Timeliness.LATE && early;
+        // Upstreams that are left for more urgent requests may be suitable soon.
+        boolean waits = early
+                && bestTimeliness == Timeliness.HOLDING_UP
+                && rate(usable(queued, now), queued, affinityTargets, events, now)
+                        .containsValue(Timeliness.ON_TIME);
         Timeliness worstAccepted = bestTimeliness == Timeliness.TOO_LATE
                 ? Timeliness.TOO_LATE
-                : selective ? bestTimeliness : Timeliness.LATE;
-        usable.removeIf(
-                load -> timeliness(load, queued, affinityTargets, events, now).compareTo(worstAccepted) > 0);
+                : waits ? Timeliness.ON_TIME : selective ? bestTimeliness : Timeliness.LATE;
+        usable.removeIf(load -> ratings.get(load).compareTo(worstAccepted) > 0);
         if (bestTimeliness == Timeliness.TOO_LATE) {
             removeSlower(usable, queued, affinityTargets, events);
         }
-        Optional<UpstreamLoad> chosen = best(usable, queued, affinityTargets, events, now);
+        Optional<UpstreamLoad> chosen = best(usable, queued, affinityTargets, ratings, now);
+        pauses.recordChoice(
+                queued,
+                chosen.map(ratings::get),
+                () -> ratings.keySet().stream()
+                        .anyMatch(load -> ratings.get(load) == Timeliness.HOLDING_UP && hasFreeSlot(load, now)));
         chosen.ifPresent(load -> queued.setCachedTokens(cachedTokens(load, queued, affinityTargets)));
         return chosen;
     }
@@ -289,10 +299,22 @@
                 PrefixAffinity.INSTANCE.affinityTargets(queued.requirements().prefix(), candidates));
     }
 
-    private static Timeliness timeliness(
+    private Map<UpstreamLoad, Timeliness> rate(
+            List<UpstreamLoad> usable,
+            QueuedRequest queued,
+            Set<UpstreamLoad> affinityTargets,
+            double events,
+            long now) {
+        Map<UpstreamLoad, Timeliness> ratings = new HashMap<>();
+        usable.forEach(load -> ratings.put(load, timeliness(load, queued, affinityTargets, events, now)));
+        return ratings;
+    }
+
+    private Timeliness timeliness(
             UpstreamLoad load, QueuedRequest queued, Set<UpstreamLoad> affinityTargets, double events, long now) {
         long uncachedTokens = queued.requirements().promptTokens() - cachedTokens(load, queued, affinityTargets);
-        return load.timeliness(queued.requirements(), uncachedTokens, events, now);
+        Timeliness alone = load.timeliness(queued.requirements(), uncachedTokens, events, now);
+        return pauses.rate(alone, load, queued, uncachedTokens);
     }
 
     /**
@@ -304,6 +326,15 @@
         return outputLengths;
     }
 
+    /**
+     * Returns the predictions of pauses inside streams.
+     *
+     * @return the predictions, to which complete streams are added.
+     */
+    public StreamPauses pauses() {
+        return pauses;
+    }
+
     /**
      * Finds an upstream by its run.
      *
@@ -470,7 +501,7 @@
             List<UpstreamLoad> usable,
             QueuedRequest queued,
             Set<UpstreamLoad> affinityTargets,
-            double events,
+            Map<UpstreamLoad, Timeliness> ratings,
             long now) {
         double fastestEventMillis = shortestEventMillis(usable);
         List<UpstreamLoad> free = new ArrayList<>(usable);
@@ -480,7 +511,7 @@
         List<Candidate> candidates = free.stream()
                 .map(load -> new Candidate(
                         load,
-                        timeliness(load, queued, affinityTargets, events, now),
+                        ratings.get(load),
                         cost(load, queued, fastestEventMillis)
                                 * prefixCostFactor(load, queued.requirements(), affinityTargets)))
                 .sorted(Comparator.comparing(Candidate::timeliness).thenComparingDouble(Candidate::cost))
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -255,6 +255,7 @@
                 excludeForEntry(tracked, now + ended.restMillis());
             }
             ended.outcome().notifyObserver(new OutcomeRecorder(tracked, now));
+            tracked.pool.upstreams().pauses().recordStream(tracked.upstream, ended.longestPauseMillis());
             if (ended.eventMillis() > 0) {
                 tracked.upstream.recordEventTime(ended.eventMillis(), 1);
             }
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.Upstream;
@@ -50,10 +51,15 @@
             new PriorityQueue<>((one, other) -> Long.compare(one.dueAt, other.dueAt));
     private final int[] arrivalsByTier;
     private final int[] onTimeByTier;
+    private final int[] streamsByTier;
+    private final int[] smoothByTier;
+    private final int[] goodByTier;
     private final int[] arrivalsByDomain;
     private final int[] onTimeByDomain;
     private final long[] lastGrantAt;
     private final long[] longestGrantGap;
+    private long countedFrom;
+    private boolean limitsStated = true;
     private int rejectedRequests;
     private int rejectedRetries;
     private int longestEngineQueue;
@@ -66,6 +72,9 @@
         nodes = new SchedulerNode[workload.schedulers()];
         arrivalsByTier = new int[workload.tiers().size()];
         onTimeByTier = new int[workload.tiers().size()];
+        streamsByTier = new int[workload.tiers().size()];
+        smoothByTier = new int[workload.tiers().size()];
+        goodByTier = new int[workload.tiers().size()];
         arrivalsByDomain = new int[workload.domains()];
         onTimeByDomain = new int[workload.domains()];
         lastGrantAt = new long[workload.schedulers()];
@@ -74,9 +83,12 @@
         for (int number = 0; number < workload.upstreams(); number++) {
             Upstream upstream = SinglePool.engine(number, domainName(number), workload.slots());
             listed.add(upstream);
+            double eventMillis = number % 3 == 2 ? workload.slowEventMillis() : workload.fastEventMillis();
             engines.put(
                     upstream.runId(),
-                    new Engine(number % 3 == 2 ? workload.slowEventMillis() : workload.fastEventMillis()));
+                    workload.readsInChunks()
+                            ? new InterleavingEngine(eventMillis, new Random(seed + number))
+                            : new SerialEngine(eventMillis));
         }
         for (int number = 0; number < nodes.length; number++) {
             nodes[number] = new SchedulerNode(number);
@@ -106,6 +118,7 @@
                     addArrival();
                 }
             }
+            engines.values().forEach(Engine::advance);
             if (now % REPORT_INTERVAL_MILLIS == 0) {
                 exchangeReports();
             }
@@ -154,6 +167,49 @@
         return (double) onTimeByTier[tier] / arrivalsByTier[tier];
     }
 
+    /** Forgets the results so far, such as those of the time in which schedulers know nothing yet. */
+    void resetResults() {
+        for (int[] counts : List.of(arrivalsByTier, onTimeByTier, streamsByTier, smoothByTier, goodByTier)) {
+            Arrays.fill(counts, 0);
+        }
+        rejectedRequests = 0;
+        rejectedRetries = 0;
+        countedFrom = now;
+    }
+
+    /** Lets requests state no limit of pauses; they are measured all the same. */
+    void hideLimits() {
+        limitsStated = false;
+    }
+
+    /** Returns the share of a tier's complete streams without a longer pause than their callers accept. */
+    double smoothShare(int tier) {
+        return (double) smoothByTier[tier] / streamsByTier[tier];
+    }
+
+    /** Returns the share of a tier's requests that were on time and had no longer pause than their callers accept. */
+    double goodShare(int tier) {
+        return (double) goodByTier[tier] / arrivalsByTier[tier];
+    }
+
+    /** Returns the share of all requests that were on time and had no longer pause than their callers accept. */
+    double goodShare() {
+        return (double) Arrays.stream(goodByTier).sum()
+                / Arrays.stream(arrivalsByTier).sum();
+    }
+
+    /** Returns the share of all complete streams without a longer pause than their callers accept. */
+    double smoothShare() {
+        return (double) Arrays.stream(smoothByTier).sum()
+                / Arrays.stream(streamsByTier).sum();
+    }
+
+    /** Returns the share of all requests that met their target for the first byte and their deadline. */
+    double onTimeShare() {
+        return (double) Arrays.stream(onTimeByTier).sum()
+                / Arrays.stream(arrivalsByTier).sum();
+    }
+
     /** Returns the share of requests on time among those that arrived at entries of a failure domain. */
     double onTimeShareInDomain(int number) {
         return (double) onTimeByDomain[number] / arrivalsByDomain[number];
@@ -219,10 +275,15 @@
                         remainingMillis,
                         new SlotRequest.ExpectedLoad(request.tokens, request.expectedTokens, 0, request.tier, "", 0),
                         List.of(),
-                        List.of()),
+                        List.of(),
+                        new RequestTerms(maxPauseOf(request), List.of())),
                 now);
     }
 
+    private long maxPauseOf(Request request) {
+        return limitsStated ? workload.tiers().get(request.tier).maxPauseMillis() : 0;
+    }
+
     private long targetOf(Request request) {
         return request.arrivedAt + workload.tiers().get(request.tier).targetMillis();
     }
@@ -284,6 +345,7 @@
         private final long arrivedAt;
         private long attemptStartedAt;
         private boolean retry;
+        private boolean firstOnTime;
         private long id;
         private SchedulerNode node;
 
@@ -338,21 +400,91 @@
         public void onEjected(UpstreamLoad upstream, String cause) {}
     }
 
+    /** Runs requests and reports their answers. */
+    private interface Engine {
+        void accept(Request request);
+
+        default void advance() {}
+    }
+
+    private void report(Request request, SlotReport report) {
+        nodeOf(request.entry).scheduler.report(entryName(request.entry), request.id, report, now);
+    }
+
+    /** Simulates an engine that reads prompts in chunks between the steps of streams. */
+    private final class InterleavingEngine implements Engine, ChunkedEngine.Listener<Request> {
+        private final ChunkedEngine<Request> engine;
+
+        InterleavingEngine(double eventMillis, Random random) {
+            engine = new ChunkedEngine<>(workload.slots(), eventMillis, random, this);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void accept(Request request) {
+            int queued = engine.accept(request, request.tokens, (int) request.events, now);
+            longestEngineQueue = Math.max(longestEngineQueue, queued);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void advance() {
+            engine.advance(now);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onFirstEvent(Request request, long elapsedMillis) {
+            request.firstOnTime = now <= targetOf(request);
+            report(request, new SlotReport.FirstByte(elapsedMillis));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onEnd(Request request, ChunkedEngine.Timing timing) {
+            report(
+                    request,
+                    new SlotReport.Ended(
+                                    SlotOutcome.SUCCESS,
+                                    timing.heldMillis(),
+                                    timing.eventMillis(),
+                                    (long) request.events,
+                                    request.expectedTokens)
+                            .withLongestPause(timing.longestPauseMillis()));
+            if (request.arrivedAt >= countedFrom) {
+                count(request, timing);
+            }
+        }
+
+        private void count(Request request, ChunkedEngine.Timing timing) {
+            boolean onTime = request.firstOnTime && now <= deadlineOf(request);
+            boolean smooth = timing.longestPauseMillis()
+                    <= workload.tiers().get(request.tier).maxPauseMillis();
+            streamsByTier[request.tier]++;
+            smoothByTier[request.tier] += smooth ? 1 : 0;
+            onTimeByTier[request.tier] += onTime ? 1 : 0;
+            goodByTier[request.tier] += onTime && smooth ? 1 : 0;
+            onTimeByDomain[request.entry % workload.domains()] += onTime ? 1 : 0;
+        }
+    }
+
     /**
      * Simulates an engine that runs as many requests as it has slots in order of arrival, and processes prompts one by
      * one.
      */
-    private final class Engine {
+    private final class SerialEngine implements Engine {
         private final double eventMillis;
         private final Deque<Request> queue = new ArrayDeque<>();
         private int running;
         private long promptsProcessedUntil;
 
-        Engine(double eventMillis) {
+        SerialEngine(double eventMillis) {
             this.eventMillis = eventMillis;
         }
 
-        void accept(Request request) {
+        /** {@inheritDoc} */
+        @Override
+        public void accept(Request request) {
             if (running < workload.slots()) {
                 start(request, now);
             } else {
@@ -395,10 +527,6 @@
                 start(queue.poll(), now);
             }
         }
-
-        private void report(Request request, SlotReport report) {
-            nodeOf(request.entry).scheduler.report(entryName(request.entry), request.id, report, now);
-        }
     }
 
     private record ScheduledAction(long dueAt, Runnable action) {}
--- a/decision/src/test/java/org/radishspur/decision/slot/Workload.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/Workload.java
@@ -46,6 +46,28 @@
     static final Workload PLAIN_CALLS = new Workload(
             3, 2, 61, 5, 6, 61, 61, List.of(new Tier(0.8, 0, 0, 315, 3_000), new Tier(0.2, 0, 0, 314, 3_000)));
 
+    /**
+     * Long prompts beside streams, at engines that read prompts in chunks between the steps of the streams; a long prompt
+     * makes the streams at a slow engine pause for longer than their callers accept.
+     */
+    static final Workload LONG_PROMPTS = new Workload(
+            3,
+            2,
+            91,
+            98,
+            4,
+            12.5,
+            55.2,
+            List.of(
+                    new Tier(0.35, 30, 3_720, 1_027, 12_000, 300),
+                    new Tier(0.27, 13, 2_890, 1_519, 6_000, 300),
+                    new Tier(0.38, 43, 1_110, 1_511, 12_000, 300)));
+
+    /** Returns whether engines read prompts in chunks; otherwise a prompt doesn't delay the streams beside it. */
+    boolean readsInChunks() {
+        return tiers.stream().anyMatch(tier -> tier.maxPauseMillis() > 0);
+    }
+
     int schedulers() {
         return domains * schedulersPerDomain;
     }
@@ -67,8 +89,14 @@
      * @param tokens the approximate mean number of prompt tokens.
      * @param targetMillis the target for the first byte, in milliseconds after arrival.
      * @param deadlineMillis the deadline of the complete answer, in milliseconds after arrival.
+     * @param maxPauseMillis the longest pause between two events that callers accept, in milliseconds; 0 for no limit.
      */
-    record Tier(double share, double events, double tokens, long targetMillis, long deadlineMillis) {
+    record Tier(
+            double share, double events, double tokens, long targetMillis, long deadlineMillis, long maxPauseMillis) {
+        Tier(double share, double events, double tokens, long targetMillis, long deadlineMillis) {
+            this(share, events, tokens, targetMillis, deadlineMillis, 0);
+        }
+
         double drawEvents(Random random) {
             return events == 0 ? 0 : Math.max(1, events * Math.exp(random.nextGaussian() * 0.9 - 0.4));
         }
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
@@ -99,6 +100,11 @@
         }
     }
 
+    /** Passes the name and the upstreams of each pool to a receiver. */
+    void forEachPool(BiConsumer<String, UpstreamPool> receiver) {
+        dispatchers.forEach((name, dispatcher) -> receiver.accept(name, dispatcher.upstreams()));
+    }
+
     /**
      * Finds the position of this process among the schedulers of each upstream, and the upstreams that it may use while
      * they are cold: those for which it is the preferred scheduler. An entry has no position, as its scheduler doesn't
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -76,6 +76,7 @@
     private final Map<String, Long> sentCrashes = new HashMap<>();
 
     private final EvacuationLog evacuationLog;
+    private final StreamPauseMetrics pauseMetrics;
     private ConfirmedView view = ConfirmedView.EMPTY;
 
     /**
@@ -108,6 +109,7 @@
         pools = new PoolSet(self, settings.failureDomain(), settings.bounds().maxTrialShare());
         quotas = new QuotaLedger(settings.bounds().quotaTolerance());
         slotScheduler = new SlotScheduler(pools, quotas, new SchedulerListener());
+        pauseMetrics = new StreamPauseMetrics(metrics);
         evacuationLog = new EvacuationLog(pools, events);
         loadReports = new LoadReportExchange(links, pools, quotas, crashes, self + '/' + System.currentTimeMillis());
         viewPoller = new ViewPoller(
@@ -214,6 +216,7 @@
                     .filter(address -> !address.equals(self))
                     .toList();
             pools.apply(newer, others.size() + 1, now());
+            pools.forEachPool((name, upstreams) -> pauseMetrics.add(name, upstreams.pauses()));
             loadReports.refresh(others);
             evacuationLog.onView(newer.evacuated());
             slotScheduler.advance(now());
