--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -95,11 +95,11 @@
     /**
      * Sets the organisation of the request.
      *
-     * @param name the name of the organisation; empty where there is none.
+     * @param organisationName the name of the organisation; empty where there is none.
      * @param weight the weight of the organisation's share of scarce slots, above 0.
      */
-    public void setOrganisation(String name, double weight) {
-        organisation = name;
+    public void setOrganisation(String organisationName, double weight) {
+        organisation = organisationName;
         organisationWeight = weight;
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -4,75 +4,54 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.radishspur.decision.dispatch.UsageLimit.PeerUse;
 import org.radishspur.model.catalogue.OrganisationRule;
 
 /**
  * Enforces the quotas of organisations over all schedulers together.
  *
- * <p>Each scheduler has the same token bucket for an organisation. It charges to it the requests that it admits itself
- * and, a moment later, those that its peers report. What several schedulers admit at the same moment can bring the
- * bucket below zero; it must be refilled before anything more is admitted, so that the excess doesn't grow with time.
+ * <p>Each scheduler counts the requests that it admits itself and, a moment later, those that its peers report. How they
+ * count depends on the tolerance: by a window where one is stated, else by a token bucket.
  */
 public final class QuotaLedger {
+    /** The time without a report after which a peer counts as silent, in milliseconds. */
+    static final long PEER_SILENCE_MILLIS = 900;
+
     /**
      * How long after its own first event a scheduler treats the first report of a peer as use from before its start, in
      * milliseconds; connections to all peers are made well within it.
      */
     private static final long STARTUP_MILLIS = 2_000;
 
-    /**
-     * Share of a bucket that late requests leave to those that can still be on time. Without it, during a shortage,
-     * retries of refused callers would take what new requests need, and these would be refused and be late in turn.
-     */
-    private static final double ON_TIME_RESERVE_SHARE = 0.25;
-
-    /**
-     * Share of a limit that all schedulers together reserve for small requests. Without it, the short calls of an
-     * organisation would be refused when its own long prompts have used up the limit, though all short calls together
-     * need a small share of it.
-     */
-    private static final double SMALL_REQUEST_SHARE = 0.2;
-
-    /**
-     * Maximum reserve for small requests at one scheduler, in milliseconds of the reserved rate; each scheduler can
-     * exceed the limit by so much once.
-     */
-    private static final long SMALL_RESERVE_MILLIS = 50;
-
-    /** A request counts as small below this ratio of its cost to the organisation's average cost. */
-    private static final double SMALL_COST_RATIO = 0.25;
-
-    /** Weight of the newest cost in the average; about a hundred requests outweigh the older ones. */
-    private static final double COST_AVERAGE_WEIGHT = 0.01;
-
-    /**
-     * A report of a peer after a longer gap than this is treated as at startup, in milliseconds; peers report several
-     * times a second.
-     */
-    private static final long PEER_SILENCE_MILLIS = 900;
-
-    /**
-     * Maximum debt that a report leaves at startup or after a gap, in milliseconds of the rate: half a report interval.
-     */
-    private static final long STARTUP_DEBT_MILLIS = 20;
-
     private static final long NOT_STARTED = Long.MIN_VALUE;
 
     private final Tolerance tolerance;
+    private final QuotaCounts counts = new QuotaCounts();
     private long startedAt = NOT_STARTED;
-    private final Map<String, Bucket> buckets = new HashMap<>();
+    private long observesFrom = NOT_STARTED;
+    private final Map<String, UsageLimit> limits = new HashMap<>();
     private final Map<String, Long> ownUse = new HashMap<>();
     private final Map<String, Map<String, PeerUse>> peerUse = new HashMap<>();
 
     /**
-     * Creates a ledger in which nothing is used.
+     * Creates a ledger that has seen no use.
      *
-     * @param tolerance by how much the limits may be exceeded.
+     * @param tolerance how the limits are measured, and by how much they may be exceeded.
      */
     public QuotaLedger(Tolerance tolerance) {
         this.tolerance = tolerance;
     }
 
+    /**
+     * Sets from when on this scheduler would have received the reports of its peers; without it, that is its first event.
+     * A limit over a window counts the time before as used, which would refuse requests that come long after the start.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void observeFrom(long now) {
+        observesFrom = now;
+    }
+
     /**
      * Charges the cost of a request to the limit of its organisation, if the limit allows it.
      *
@@ -87,31 +66,56 @@
             return Optional.empty();
         }
         recordStart(now);
-        Bucket bucket = bucketOf(organisation, now);
-        double minLevel = late ? capacity(organisation) * ON_TIME_RESERVE_SHARE : 0;
-        boolean small = bucket.isSmall(cost);
-        bucket.costs.add(cost);
-        if (bucket.level <= minLevel && !(small && bucket.takeFromSmallReserve(cost))) {
-            double rate = organisation.ratePerSecond() / 1_000;
-            return Optional.of((long) Math.ceil((minLevel + cost - bucket.level) / rate));
+        Optional<Long> wait = limitOf(organisation, now).tryCharge(cost, late, now);
+        if (wait.isEmpty()) {
+            ownUse.merge(organisation.name(), (long) cost, Long::sum);
         }
-        bucket.level -= cost;
-        ownUse.merge(organisation.name(), (long) cost, Long::sum);
-        return Optional.empty();
+        return wait;
+    }
+
+    /**
+     * Records that a request whose cost was charged has received a slot.
+     *
+     * @param organisation the organisation.
+     * @param cost the cost that was charged.
+     * @param now the current time in milliseconds.
+     */
+    public void recordGrant(OrganisationRule organisation, double cost, long now) {
+        chargedLimit(organisation).ifPresent(limit -> limit.recordStart(cost, now));
     }
 
     /**
-     * Refunds the cost of a request that did not run.
+     * Refunds the cost of a request that did not receive a slot.
      *
      * @param organisation the organisation.
      * @param cost the cost that was charged.
      */
     public void refund(OrganisationRule organisation, double cost) {
-        Bucket bucket = buckets.get(organisation.name());
-        if (bucket != null && organisation.ratePerSecond() > 0) {
-            bucket.level += cost;
+        chargedLimit(organisation).ifPresent(limit -> {
+            limit.refundWaiting(cost);
             ownUse.merge(organisation.name(), -(long) cost, Long::sum);
-        }
+        });
+    }
+
+    /**
+     * Refunds the cost of a request that received a slot but did not run.
+     *
+     * @param organisation the organisation.
+     * @param cost the cost that was charged.
+     * @param grantedAt when it received the slot, in milliseconds.
+     */
+    public void refundGranted(OrganisationRule organisation, double cost, long grantedAt) {
+        chargedLimit(organisation).ifPresent(limit -> {
+            limit.refundStarted(cost, grantedAt);
+            ownUse.merge(organisation.name(), -(long) cost, Long::sum);
+        });
+    }
+
+    /** Returns the limit to which the cost of a request was charged, given the rule by which it was admitted. */
+    private Optional<UsageLimit> chargedLimit(OrganisationRule organisation) {
+        return organisation.ratePerSecond() > 0
+                ? Optional.ofNullable(limits.get(organisation.name()))
+                : Optional.empty();
     }
 
     /**
@@ -124,7 +128,32 @@
     }
 
     /**
-     * Records the use that a peer has admitted since it started.
+     * Returns the part of the own use whose requests wait for a slot.
+     *
+     * @return the use by organisation, in the unit of its limit; organisations without such use are left out.
+     */
+    public Map<String, Long> ownWaitingUse() {
+        Map<String, Long> waiting = new HashMap<>();
+        limits.forEach((name, limit) -> {
+            long cost = (long) limit.ownWaiting();
+            if (cost > 0) {
+                waiting.put(name, cost);
+            }
+        });
+        return waiting;
+    }
+
+    /**
+     * Returns what an operator may want to know of refusals and excess.
+     *
+     * @return the counts, which are updated as the ledger decides.
+     */
+    public QuotaCounts counts() {
+        return counts;
+    }
+
+    /**
+     * Records the use that a peer has admitted since it started, none of which waits.
      *
      * @param peer the run of the peer.
      * @param organisation the organisation.
@@ -132,32 +161,26 @@
      * @param now the current time in milliseconds.
      */
     public void recordPeerUse(String peer, OrganisationRule organisation, long total, long now) {
-        Map<String, PeerUse> peerUses = peerUse.computeIfAbsent(peer, key -> new HashMap<>());
-        PeerUse previous = peerUses.put(organisation.name(), new PeerUse(total, now));
-        if (organisation.ratePerSecond() <= 0) {
-            return;
-        }
-        Bucket bucket = bucketOf(organisation, now);
-        if (previous != null && now - previous.reportedAt() <= PEER_SILENCE_MILLIS) {
-            bucket.level -= total - previous.total();
-            return;
-        }
-        // A first report is the total since the peer started; at most one full bucket of it has not been refilled yet.
-        double unseenUse = Math.min(total - (previous == null ? 0 : previous.total()), capacity(organisation));
-        boolean mayBeOld = previous != null || isStartingUp(now);
-        bucket.level -= mayBeOld ? Math.min(unseenUse, maxCatchUpCost(organisation, bucket)) : unseenUse;
+        recordPeerUse(peer, organisation, total, 0, now);
     }
 
     /**
-     * Returns the maximum that is charged for use that was probably refilled long ago.
+     * Records the use that a peer has admitted since it started.
      *
-     * <p>A scheduler that has just started or was disconnected receives the total use of each peer in one step.
-     * Charging all of it would leave a debt of seconds, and requests within the limit would be refused; the bucket is
-     * only emptied instead.
+     * @param peer the run of the peer.
+     * @param organisation the organisation.
+     * @param total the total use that the peer reports, in the unit of the limit.
+     * @param waiting the part of it whose requests wait for a slot.
+     * @param now the current time in milliseconds.
      */
-    private static double maxCatchUpCost(OrganisationRule organisation, Bucket bucket) {
-        double debt = organisation.ratePerSecond() * STARTUP_DEBT_MILLIS / 1_000;
-        return Math.max(0, bucket.level + debt);
+    public void recordPeerUse(String peer, OrganisationRule organisation, long total, long waiting, long now) {
+        Map<String, PeerUse> peerUses = peerUse.computeIfAbsent(peer, key -> new HashMap<>());
+        PeerUse latest = new PeerUse(total, waiting, now);
+        PeerUse previous = peerUses.put(organisation.name(), latest);
+        if (organisation.ratePerSecond() > 0) {
+            boolean startingUp = previous == null && isStartingUp(now);
+            limitOf(organisation, now).recordPeerUse(Optional.ofNullable(previous), latest, startingUp);
+        }
     }
 
     private void recordStart(long now) {
@@ -171,16 +194,19 @@
         return now - startedAt < STARTUP_MILLIS;
     }
 
-    private Bucket bucketOf(OrganisationRule organisation, long now) {
-        double rate = organisation.ratePerSecond() * (1 + tolerance.rateShare());
-        double capacity = capacity(organisation);
-        Bucket bucket = buckets.get(organisation.name());
-        if (bucket == null) {
-            bucket = new Bucket(capacity, now);
-            buckets.put(organisation.name(), bucket);
+    private UsageLimit limitOf(OrganisationRule organisation, long now) {
+        UsageLimit limit = limits.computeIfAbsent(organisation.name(), key -> createLimit(organisation, now));
+        limit.refresh(organisation, countSchedulers(organisation, now), now);
+        return limit;
+    }
+
+    private UsageLimit createLimit(OrganisationRule organisation, long now) {
+        if (tolerance.windowMillis() > 0) {
+            recordStart(now);
+            long since = observesFrom == NOT_STARTED ? startedAt : observesFrom;
+            return new WindowLimit(organisation, tolerance, counts, since, now);
         }
-        bucket.refill(rate, capacity, SMALL_REQUEST_SHARE / countSchedulers(organisation, now), now);
-        return bucket;
+        return new TokenBucketLimit(organisation, tolerance, now);
     }
 
     /** Counts the schedulers that admit requests of an organisation: this one, and the peers that report use of it. */
@@ -195,59 +221,17 @@
         return count;
     }
 
-    private double capacity(OrganisationRule organisation) {
-        return organisation.burst() + tolerance.burstAmount();
-    }
-
     /**
-     * Defines by how much a limit may be exceeded, so that requests within it are never refused because schedulers have
-     * different views.
+     * Defines how limits are measured and by how much a limit may be exceeded, so that requests within it are never
+     * refused because schedulers have different views.
      *
      * @param rateShare the share by which the rate may be exceeded.
      * @param burstAmount the amount by which the burst may be exceeded, in the unit of the limit.
+     * @param windowMillis the window in which an organisation may use its rate and its burst, in milliseconds; 0 where
+     *     the rate has to be used as it comes and only the burst can be saved up.
      */
-    public record Tolerance(double rateShare, double burstAmount) {
-        /** Allows no excess. */
-        public static final Tolerance NONE = new Tolerance(0, 0);
-    }
-
-    /**
-     * Holds the last report of a peer.
-     *
-     * @param total the use that it has admitted since it started.
-     * @param reportedAt when the report was received, in milliseconds.
-     */
-    private record PeerUse(long total, long reportedAt) {}
-
-    /** Holds the token bucket of one organisation. */
-    private static final class Bucket {
-        private final MovingAverage costs = new MovingAverage(COST_AVERAGE_WEIGHT);
-        private double level;
-        private double smallReserve;
-        private long refilledAt;
-
-        Bucket(double level, long now) {
-            this.level = level;
-            this.refilledAt = now;
-        }
-
-        void refill(double rate, double capacity, double smallShare, long now) {
-            double refilled = rate * Math.max(0, now - refilledAt) / 1_000;
-            level = Math.min(capacity, level + refilled);
-            double maxSmallReserve = rate * SMALL_REQUEST_SHARE * SMALL_RESERVE_MILLIS / 1_000;
-            smallReserve = Math.min(maxSmallReserve, smallReserve + refilled * smallShare);
-            refilledAt = now;
-        }
-
-        boolean isSmall(double cost) {
-            return costs.isKnown() && cost < costs.value() * SMALL_COST_RATIO;
-        }
-
-        /** Takes a cost from the reserve for small requests, and returns whether the reserve covered it. */
-        boolean takeFromSmallReserve(double cost) {
-            boolean enough = smallReserve >= cost;
-            smallReserve -= enough ? cost : 0;
-            return enough;
-        }
+    public record Tolerance(double rateShare, double burstAmount, long windowMillis) {
+        /** Allows no excess, and measures over no window. */
+        public static final Tolerance NONE = new Tolerance(0, 0, 0);
     }
 }
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -0,0 +1,80 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Optional;
+
+import org.radishspur.model.catalogue.OrganisationRule;
+
+/**
+ * Counts the use of one organisation over all schedulers and decides whether its limit allows more.
+ *
+ * <p>A cost is charged when a request is admitted, and counts as waiting until the request starts or is refunded.
+ */
+interface UsageLimit {
+    /**
+     * Applies the organisation's current limit and the time that has passed; called before each decision and report.
+     *
+     * @param organisation the organisation with its limit.
+     * @param schedulers the number of schedulers that admit its requests.
+     * @param now the current time in milliseconds.
+     */
+    void refresh(OrganisationRule organisation, int schedulers, long now);
+
+    /**
+     * Charges a cost if the limit allows it.
+     *
+     * @param cost the cost in the unit of the limit.
+     * @param late whether the request can no longer be answered on time.
+     * @param now the current time in milliseconds.
+     * @return empty where the request is admitted, else after how many milliseconds the limit allows it.
+     */
+    Optional<Long> tryCharge(double cost, boolean late, long now);
+
+    /**
+     * Records that a waiting request starts.
+     *
+     * @param cost the cost that was charged.
+     * @param now the current time in milliseconds.
+     */
+    void recordStart(double cost, long now);
+
+    /**
+     * Refunds the cost of a waiting request.
+     *
+     * @param cost the cost that was charged.
+     */
+    void refundWaiting(double cost);
+
+    /**
+     * Refunds the cost of a request that was started but did not run.
+     *
+     * @param cost the cost that was charged.
+     * @param startedAt when the request was started, in milliseconds.
+     */
+    void refundStarted(double cost, long startedAt);
+
+    /**
+     * Counts the use that a peer reports.
+     *
+     * @param previous the last report of the same run of the peer, or empty for its first one.
+     * @param latest the new report.
+     * @param startingUp whether it is the first report of the peer and this scheduler has just started, so that the use
+     *     may be from before its start.
+     */
+    void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, boolean startingUp);
+
+    /**
+     * Returns the cost of the requests that this scheduler has admitted and that wait.
+     *
+     * @return the cost in the unit of the limit; 0 where the limit makes no difference between waiting and started ones.
+     */
+    double ownWaiting();
+
+    /**
+     * Holds a report of a peer.
+     *
+     * @param total the use that it has admitted since it started.
+     * @param waiting the part of it whose requests wait.
+     * @param reportedAt when the report was received, in milliseconds.
+     */
+    record PeerUse(long total, long waiting, long reportedAt) {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
@@ -0,0 +1,126 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Arrays;
+
+/**
+ * Sums up use over the last seconds. It counts by slices of time, so that its size doesn't depend on the number of
+ * requests; use expires up to a slice late, never early.
+ */
+final class UsageWindow {
+    /** The maximum number of slices in a window. */
+    private static final int MAX_SLICES = 400;
+
+    private final long sliceMillis;
+
+    /** The use by slice; one more than a window has, as the newest is being filled while the oldest expires. */
+    private final double[] slices;
+
+    private long newest;
+    private double total;
+
+    /**
+     * Creates a window without use.
+     *
+     * @param windowMillis the length of the window in milliseconds.
+     * @param now the current time in milliseconds.
+     */
+    UsageWindow(long windowMillis, long now) {
+        sliceMillis = Math.max(1, divideUp(windowMillis, MAX_SLICES));
+        slices = new double[(int) divideUp(windowMillis, sliceMillis) + 1];
+        newest = sliceAt(now);
+    }
+
+    /** Returns the use that has not expired. */
+    double total() {
+        return total;
+    }
+
+    /** Removes the use that has expired. */
+    void advance(long now) {
+        long current = sliceAt(now);
+        if (current - newest >= slices.length) {
+            Arrays.fill(slices, 0);
+            total = 0;
+            newest = current;
+        }
+        while (newest < current) {
+            newest++;
+            total -= slices[indexOf(newest)];
+            slices[indexOf(newest)] = 0;
+        }
+    }
+
+    /** Adds use of one moment, which may be past. */
+    void add(double amount, long at) {
+        addTo(sliceAt(at), amount);
+    }
+
+    /** Adds use that is spread evenly over a span of time; what has expired of it is not counted. */
+    void addEvenly(double amount, long from, long to) {
+        if (to <= from) {
+            add(amount, to);
+            return;
+        }
+        long last = sliceAt(to);
+        for (long slice = Math.max(sliceAt(from), oldest()); slice <= last; slice++) {
+            long start = Math.max(from, slice * sliceMillis);
+            long end = Math.min(to, (slice + 1) * sliceMillis);
+            addTo(slice, amount * (end - start) / (to - from));
+        }
+    }
+
+    /** Removes use that was added for a moment; where less is left of that moment, use of the time before it. */
+    void remove(double amount, long at) {
+        double remaining = amount;
+        for (long slice = Math.min(newest, sliceAt(at)); slice >= oldest() && remaining > 0; slice--) {
+            double removed = Math.min(remaining, slices[indexOf(slice)]);
+            addTo(slice, -removed);
+            remaining -= removed;
+        }
+    }
+
+    /** Multiplies all use by a factor. */
+    void scale(double factor) {
+        for (int index = 0; index < slices.length; index++) {
+            slices[index] *= factor;
+        }
+        total *= factor;
+    }
+
+    /** Returns after how many milliseconds an amount of the use has expired, or all of it if there is less. */
+    long millisUntilExpired(double amount, long now) {
+        double expired = 0;
+        long slice = oldest();
+        while (slice < newest) {
+            expired += slices[indexOf(slice)];
+            if (expired >= amount) {
+                break;
+            }
+            slice++;
+        }
+        return Math.max(1, (slice + slices.length) * sliceMillis - now);
+    }
+
+    private void addTo(long slice, double amount) {
+        if (slice >= oldest()) {
+            slices[indexOf(Math.min(newest, slice))] += amount;
+            total += amount;
+        }
+    }
+
+    private long oldest() {
+        return newest - slices.length + 1;
+    }
+
+    private static long divideUp(long dividend, long divisor) {
+        return (dividend + divisor - 1) / divisor;
+    }
+
+    private long sliceAt(long at) {
+        return Math.floorDiv(at, sliceMillis);
+    }
+
+    private int indexOf(long slice) {
+        return Math.floorMod(slice, slices.length);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -0,0 +1,163 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Optional;
+
+import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
+import org.radishspur.model.catalogue.OrganisationRule;
+
+/**
+ * Limits what an organisation uses in any window of time to its rate over the window plus its burst. In contrast to a
+ * token bucket, rate that was left unused can be used as long as the window reaches back to it.
+ *
+ * <p>A waiting request counts as use of the present until it starts, because upstreams receive it no sooner; otherwise
+ * its cost could expire while it still counts at the upstreams.
+ */
+final class WindowLimit implements UsageLimit {
+    /** Share of the burst that late requests leave to those that can still be on time. */
+    private static final double ON_TIME_RESERVE_SHARE = 0.25;
+
+    /**
+     * Share of the tolerated excess that is left to small requests. Without it, short calls would be refused until the
+     * long prompts that have used up the limit leave the window.
+     */
+    private static final double SMALL_REQUEST_SHARE = 0.5;
+
+    /**
+     * Share of the burst that counts as just used when a scheduler starts. It keeps the use in one window bounded when
+     * all schedulers restart during a burst, and leaves room for callers who have waited for the restart.
+     */
+    private static final double STARTUP_BURST_SHARE = 0.5;
+
+    /** What rounding can leave of use that has expired, in the unit of the limit. */
+    private static final double ROUNDING = 0.001;
+
+    private final Tolerance tolerance;
+    private final QuotaCounts counts;
+    private final UsageWindow window;
+    private final long observedFrom;
+    private final RequestSizes sizes = new RequestSizes();
+    private double ownWaiting;
+    private double limit;
+    private double toleratedExcess;
+    private double onTimeReserve;
+
+    /**
+     * Creates a limit in which the time before this scheduler started counts as used at the rate of the limit and with
+     * a part of the burst, because all schedulers may have restarted at once.
+     *
+     * @param organisation the organisation with its limit.
+     * @param tolerance the length of the window, and by how much the limit may be exceeded.
+     * @param counts counts what is refused and what exceeds the limit.
+     * @param startedAt when this scheduler started, in milliseconds.
+     * @param now the current time in milliseconds.
+     */
+    WindowLimit(OrganisationRule organisation, Tolerance tolerance, QuotaCounts counts, long startedAt, long now) {
+        this.tolerance = tolerance;
+        this.counts = counts;
+        observedFrom = startedAt + tolerance.windowMillis();
+        window = new UsageWindow(tolerance.windowMillis(), now);
+        window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
+        window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void refresh(OrganisationRule organisation, int schedulers, long now) {
+        window.advance(now);
+        double newLimit = rateOverWindow(organisation) + organisation.burst();
+        if (newLimit < limit) {
+            // The use before was allowed by the higher limit, so it must not block requests within the lower one.
+            window.scale(newLimit / limit);
+        }
+        limit = newLimit;
+        toleratedExcess = rateOverWindow(organisation) * tolerance.rateShare() + tolerance.burstAmount();
+        onTimeReserve = (organisation.burst() + tolerance.burstAmount()) * ON_TIME_RESERVE_SHARE;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Optional<Long> tryCharge(double cost, boolean late, long now) {
+        boolean small = sizes.isSmall(cost);
+        sizes.add(cost);
+        // A request that costs more than the limit is admitted when nothing else is in use, or it would never run.
+        double counted = Math.min(cost, limit);
+        double excess = use() + counted - limit;
+        double missing = excess - maxExcess(late, small, now);
+        if (missing > ROUNDING) {
+            counts.recordRefusal(excess <= 0);
+            return Optional.of(window.millisUntilExpired(missing, now));
+        }
+        counts.recordExcess(Math.min(cost, excess));
+        ownWaiting += cost;
+        return Optional.empty();
+    }
+
+    /** Returns by how much a request may exceed the limit; late requests may have to stay below it. */
+    private double maxExcess(boolean late, boolean small, long now) {
+        if (late) {
+            return Math.min(0, toleratedExcess - onTimeReserve);
+        }
+        double smallExcess = toleratedExcess * SMALL_REQUEST_SHARE;
+        // Before a whole window has been observed, more than the assumed use may be in it.
+        double usualExcess = now < observedFrom ? 0 : toleratedExcess - smallExcess;
+        return small ? usualExcess + smallExcess : usualExcess;
+    }
+
+    private double use() {
+        return window.total() + ownWaiting;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void recordStart(double cost, long now) {
+        ownWaiting -= cost;
+        window.advance(now);
+        window.add(cost, now);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void refundWaiting(double cost) {
+        ownWaiting -= cost;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void refundStarted(double cost, long startedAt) {
+        window.remove(cost, startedAt);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, boolean startingUp) {
+        if (previous.isPresent()) {
+            addPeerUse(previous.get(), latest);
+        } else {
+            // How much of the total since the peer's start is in the window is unknown; it can at most fill the limit.
+            double unseen = Math.min(latest.total(), limit - use());
+            window.add(Math.max(unseen, latest.waiting()), latest.reportedAt());
+        }
+    }
+
+    /** Spreads what a peer has started over the time since its last report, and counts what still waits as of now. */
+    private void addPeerUse(PeerUse previous, PeerUse latest) {
+        window.remove(previous.waiting(), previous.reportedAt());
+        window.add(latest.waiting(), latest.reportedAt());
+        long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
+        if (started > 0) {
+            window.addEvenly(started, previous.reportedAt(), latest.reportedAt());
+        } else {
+            window.remove(-started, latest.reportedAt());
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public double ownWaiting() {
+        return ownWaiting;
+    }
+
+    private double rateOverWindow(OrganisationRule organisation) {
+        return organisation.ratePerSecond() * tolerance.windowMillis() / 1_000;
+    }
+}
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotRequest.java
@@ -50,54 +50,6 @@
         terms = terms == null ? RequestTerms.NONE : terms;
     }
 
-    /**
-     * Creates a request without terms.
-     *
-     * @param pool the name of the pool.
-     * @param failureDomain the failure domain of the entry.
-     * @param organisation the organisation whose quota is charged, or empty if there is none.
-     * @param quotaCost the cost that is charged to the quota.
-     * @param organisationRank the rank of the organisation.
-     * @param retry whether the caller retries after an earlier rejection.
-     * @param allowTrialVersion whether a version that a rollout is still trying may serve the request.
-     * @param maxWaitMillis the maximum wait for a slot, in milliseconds.
-     * @param firstByteTargetMillis the time left until the target for the first byte, in milliseconds.
-     * @param deadlineMillis the time left until the deadline of the complete answer, in milliseconds.
-     * @param expectedLoad the expected load on the upstream.
-     * @param avoidedRuns the runs of upstreams that are used only if no other upstream can serve the request.
-     * @param rests the upstreams that must not get a request of this entry for some time.
-     */
-    public SlotRequest(
-            String pool,
-            String failureDomain,
-            String organisation,
-            double quotaCost,
-            int organisationRank,
-            boolean retry,
-            boolean allowTrialVersion,
-            long maxWaitMillis,
-            long firstByteTargetMillis,
-            long deadlineMillis,
-            ExpectedLoad expectedLoad,
-            List<String> avoidedRuns,
-            List<UpstreamRest> rests) {
-        this(
-                pool,
-                failureDomain,
-                organisation,
-                quotaCost,
-                organisationRank,
-                retry,
-                allowTrialVersion,
-                maxWaitMillis,
-                firstByteTargetMillis,
-                deadlineMillis,
-                expectedLoad,
-                avoidedRuns,
-                rests,
-                RequestTerms.NONE);
-    }
-
     /**
      * Returns this request with other terms.
      *
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -108,7 +108,7 @@
         TrackedRequest tracked = new TrackedRequest(entry, requestId, pool, queued, organisation, request.quotaCost());
         requestsOf(entry).put(requestId, tracked);
         queuedRequests.put(queued, tracked);
-        applyDecision(pool.offer(queued, now));
+        applyDecision(pool.offer(queued, now), now);
     }
 
     /**
@@ -195,11 +195,11 @@
 
     private void advance(PoolDispatcher pool, long now) {
         if (pool.queueLength() > 0) {
-            pool.dispatchQueued(now).forEach(this::applyDecision);
+            pool.dispatchQueued(now).forEach(decision -> applyDecision(decision, now));
         }
     }
 
-    private void applyDecision(Decision decision) {
+    private void applyDecision(Decision decision, long now) {
         TrackedRequest tracked = queuedRequests.get(decision.queued());
         if (tracked == null) {
             return;
@@ -211,6 +211,7 @@
         queuedRequests.remove(decision.queued());
         if (decision instanceof Decision.Granted granted) {
             tracked.upstream = granted.upstream();
+            tracked.recordGrant(quotas, now);
             listener.onReply(
                     tracked.entry,
                     tracked.requestId,
@@ -390,6 +391,7 @@
         private final Optional<OrganisationRule> organisation;
         private final double quotaCost;
         private UpstreamLoad upstream;
+        private long grantedAt;
 
         TrackedRequest(
                 String entry,
@@ -406,8 +408,17 @@
             this.quotaCost = quotaCost;
         }
 
+        void recordGrant(QuotaLedger quotas, long now) {
+            grantedAt = now;
+            organisation.ifPresent(rule -> quotas.recordGrant(rule, quotaCost, now));
+        }
+
         void refundQuota(QuotaLedger quotas) {
-            organisation.ifPresent(rule -> quotas.refund(rule, quotaCost));
+            if (upstream == null) {
+                organisation.ifPresent(rule -> quotas.refund(rule, quotaCost));
+            } else {
+                organisation.ifPresent(rule -> quotas.refundGranted(rule, quotaCost, grantedAt));
+            }
         }
 
         HeldSlot toHeldSlot() {
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -0,0 +1,154 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.radishspur.model.catalogue.OrganisationRule;
+
+/**
+ * Plays several ledgers that share the limit of one organisation, in virtual time. They report to each other every
+ * 40 ms; a report arrives late and may be lost. An admitted request waits, then arrives at an upstream.
+ */
+final class QuotaFleet {
+    static final long REPORT_MILLIS = 40;
+
+    private final OrganisationRule rule;
+    private final QuotaLedger.Tolerance tolerance;
+    private final Random random;
+    private final long reportDelayMillis;
+    private final double lostReportShare;
+    private final QuotaLedger[] ledgers;
+    private int incarnation;
+
+    private final PriorityQueue<Waiting> waiting =
+            new PriorityQueue<>((left, right) -> Long.compare(left.at, right.at));
+    private final Deque<Report> reports = new ArrayDeque<>();
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private final Deque<Arrival> lastWindow = new ArrayDeque<>();
+    private double windowUse;
+    private double waitingUse;
+
+    QuotaFleet(
+            OrganisationRule rule,
+            QuotaLedger.Tolerance tolerance,
+            int schedulers,
+            long reportDelayMillis,
+            double lostReportShare,
+            Random random) {
+        this.rule = rule;
+        this.tolerance = tolerance;
+        this.reportDelayMillis = reportDelayMillis;
+        this.lostReportShare = lostReportShare;
+        this.random = random;
+        ledgers = new QuotaLedger[schedulers];
+        restart();
+    }
+
+    /** Restarts all schedulers at once; waiting requests never arrive. */
+    void restart() {
+        for (int index = 0; index < ledgers.length; index++) {
+            ledgers[index] = new QuotaLedger(tolerance);
+        }
+        incarnation++;
+        waiting.clear();
+        waitingUse = 0;
+        reports.clear();
+    }
+
+    /** Advances by a millisecond. */
+    void advance(long now) {
+        while (!waiting.isEmpty() && waiting.peek().at <= now) {
+            start(waiting.remove(), now);
+        }
+        while (!lastWindow.isEmpty() && lastWindow.peek().at <= now - tolerance.windowMillis()) {
+            windowUse -= lastWindow.remove().cost;
+        }
+        if (now % REPORT_MILLIS == 0) {
+            sendReports(now);
+        }
+        while (!reports.isEmpty() && reports.peek().at <= now) {
+            deliver(reports.remove(), now);
+        }
+    }
+
+    private void start(Waiting request, long now) {
+        ledgers[request.scheduler].recordGrant(rule, request.cost, now);
+        waitingUse -= request.cost;
+        windowUse += request.cost;
+        Arrival arrival = new Arrival(now, request.cost);
+        arrivals.add(arrival);
+        lastWindow.add(arrival);
+    }
+
+    private void sendReports(long now) {
+        for (int from = 0; from < ledgers.length; from++) {
+            Map<String, Long> use = new HashMap<>(ledgers[from].ownUse());
+            Map<String, Long> waitingPart = ledgers[from].ownWaitingUse();
+            for (int to = 0; to < ledgers.length; to++) {
+                if (from != to && random.nextDouble() >= lostReportShare) {
+                    reports.add(new Report(now + reportDelayMillis, from, to, use, waitingPart));
+                }
+            }
+        }
+    }
+
+    private void deliver(Report report, long now) {
+        String peer = report.from + "/" + incarnation;
+        report.use.forEach((name, total) ->
+                ledgers[report.to].recordPeerUse(peer, rule, total, report.waiting.getOrDefault(name, 0L), now));
+    }
+
+    /** Offers a request to a random scheduler. */
+    Optional<Long> offer(double cost, long waitMillis, long now) {
+        int scheduler = random.nextInt(ledgers.length);
+        Optional<Long> refused = ledgers[scheduler].tryCharge(rule, cost, false, now);
+        if (refused.isEmpty()) {
+            waitingUse += cost;
+            waiting.add(new Waiting(now + waitMillis, scheduler, cost));
+        }
+        return refused;
+    }
+
+    /** Returns what all schedulers together have admitted and what has not left the window, or has just left it. */
+    double trueUse(long sinceLeftMillis, long now) {
+        double justLeft = 0;
+        for (int index = arrivals.size() - lastWindow.size() - 1; index >= 0; index--) {
+            if (arrivals.get(index).at <= now - tolerance.windowMillis() - sinceLeftMillis) {
+                break;
+            }
+            justLeft += arrivals.get(index).cost;
+        }
+        return windowUse + waitingUse + justLeft;
+    }
+
+    /** Returns the most that arrived at upstreams in any window. */
+    double mostInAWindow() {
+        double most = 0;
+        double sum = 0;
+        int oldest = 0;
+        for (Arrival arrival : arrivals) {
+            sum += arrival.cost;
+            while (arrivals.get(oldest).at <= arrival.at - tolerance.windowMillis()) {
+                sum -= arrivals.get(oldest++).cost;
+            }
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    /** Holds an admitted request that waits for a slot until a moment. */
+    private record Waiting(long at, int scheduler, double cost) {}
+
+    /** Holds the cost of a request that arrived at an upstream. */
+    private record Arrival(long at, double cost) {}
+
+    /** Holds a report on its way. */
+    private record Report(long at, int from, int to, Map<String, Long> use, Map<String, Long> waiting) {}
+}
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -0,0 +1,138 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.LongRange;
+import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
+import org.radishspur.model.catalogue.OrganisationRule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WindowLimitPropertyTest {
+    private static final long WINDOW_MILLIS = 8_000;
+    private static final double OVERAGE = 0.1;
+    private static final double SLACK = 190_000;
+    private static final double RATE = 114_000;
+    private static final double BURST = 2.5 * RATE;
+    private static final double LIMIT = RATE * WINDOW_MILLIS / 1_000 + BURST;
+    private static final double HARD_LIMIT = LIMIT * (1 + OVERAGE) + SLACK;
+    private static final Tolerance TOLERANCE = new Tolerance(OVERAGE * 0.5, SLACK * 0.4, WINDOW_MILLIS);
+    private static final OrganisationRule RULE = new OrganisationRule("fleet", Set.of("key"), 0, RATE, BURST, true, 10);
+    private static final int SCHEDULERS = 6;
+    private static final long MAX_WAIT_MILLIS = 1_200;
+    /** Each scheduler starts with its first request or report, and has then observed a whole window. */
+    private static final long OBSERVED_FROM_MILLIS = WINDOW_MILLIS + 1_000;
+
+    /** How long use may count after it has left the window: the interval and the delay of reports, and a slice. */
+    private static final long STALE_MILLIS = 2 * QuotaFleet.REPORT_MILLIS + 20;
+
+    /** The same where five reports in a row are lost. */
+    private static final long STALE_AFTER_LOSS_MILLIS = STALE_MILLIS + 5 * QuotaFleet.REPORT_MILLIS;
+
+    private static final double FLOOD_FACTOR = 6;
+
+    /** Demand at a usual share of the rate, with floods, and phases in which admitted requests wait. */
+    private static final class Demand {
+        private final Random random;
+        private final double perMilli;
+        private long phaseEndsAt;
+        private boolean flood;
+        private long maxWaitMillis;
+        private long floodsFrom = Long.MAX_VALUE;
+
+        Demand(Random random, double usualShare) {
+            this.random = random;
+            perMilli = RATE * usualShare / 1_000 / 5_300;
+        }
+
+        /** Lets a flood begin that does not end. */
+        void floodFrom(long time) {
+            floodsFrom = time;
+        }
+
+        int count(long now) {
+            if (now >= phaseEndsAt) {
+                phaseEndsAt = now + 500 + random.nextInt(3_500);
+                flood = random.nextInt(3) == 0;
+                maxWaitMillis = random.nextInt(2) * MAX_WAIT_MILLIS;
+            }
+            double mean = perMilli * (flood || now >= floodsFrom ? FLOOD_FACTOR : 1);
+            int whole = (int) mean;
+            return whole + (random.nextDouble() < mean - whole ? 1 : 0);
+        }
+
+        /** Three in ten are short calls, one in fifty is a very long prompt; the mean is some 5,300. */
+        double cost() {
+            double kind = random.nextDouble();
+            if (kind < 0.3) {
+                return 50 + random.nextInt(300);
+            }
+            return kind < 0.98 ? 1_000 + random.nextInt(10_000) : 20_000 + random.nextInt(30_000);
+        }
+
+        long waitMillis() {
+            return maxWaitMillis == 0 ? 0 : random.nextLong(maxWaitMillis);
+        }
+    }
+
+    /**
+     * Guards against more than the hard limit at upstreams in some window, and against refusals of requests that all
+     * use of the window leaves room for, while an organisation floods all schedulers at once and reports are late.
+     */
+    @Property(tries = 100, seed = "4721")
+    void keepsTheHardLimitAndRefusesNothingWithinTheLimit(
+            @ForAll @DoubleRange(min = 0.3, max = 1) double usualShare,
+            @ForAll @DoubleRange(max = 0.2) double lostReportShare,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet =
+                new QuotaFleet(RULE, TOLERANCE, SCHEDULERS, QuotaFleet.REPORT_MILLIS, lostReportShare, random);
+        Demand demand = new Demand(random, usualShare);
+        long staleMillis = lostReportShare > 0 ? STALE_AFTER_LOSS_MILLIS : STALE_MILLIS;
+        int refusedWithin = 0;
+        for (long now = 0; now < 40_000; now++) {
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                double cost = demand.cost();
+                boolean within = fleet.trueUse(staleMillis, now) + cost <= LIMIT;
+                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
+                refusedWithin += within && refused && now > OBSERVED_FROM_MILLIS ? 1 : 0;
+            }
+        }
+        assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
+        assertThat(refusedWithin).isZero();
+    }
+
+    /**
+     * Guards against more than the hard limit across a restart of all schedulers at once, which lose all that they know,
+     * while a flood goes on that has begun before.
+     */
+    @Property(tries = 200, seed = "4722")
+    void keepsTheHardLimitAcrossARestartOfAllSchedulers(
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @LongRange(min = 10_000, max = 20_000) long stoppedAt,
+            @ForAll @LongRange(min = 500, max = 8_000) long floodMillis,
+            @ForAll @LongRange(min = 1_500, max = 3_000) long stopMillis,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet = new QuotaFleet(RULE, TOLERANCE, SCHEDULERS, QuotaFleet.REPORT_MILLIS, 0.1, random);
+        Demand demand = new Demand(random, usualShare);
+        demand.floodFrom(stoppedAt - floodMillis);
+        for (long now = 0; now < 35_000; now++) {
+            if (now == stoppedAt) {
+                fleet.restart();
+            }
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                if (now < stoppedAt || now >= stoppedAt + stopMillis) {
+                    fleet.offer(demand.cost(), demand.waitMillis(), now);
+                }
+            }
+        }
+        assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -0,0 +1,282 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
+import org.radishspur.model.catalogue.OrganisationRule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WindowLimitTest {
+    private static final long WINDOW_MILLIS = 8_000;
+    private static final Tolerance EXACT = new Tolerance(0, 0, WINDOW_MILLIS);
+
+    /** When a scheduler that was started at 0 has observed a whole window. */
+    private static final long OBSERVED = WINDOW_MILLIS + 100;
+
+    /** Allows 10,000 in a window. */
+    private static final OrganisationRule RULE = rule(1_000, 2_000);
+
+    private final QuotaLedger ledger = new QuotaLedger(EXACT);
+
+    private static OrganisationRule rule(double rate, double burst) {
+        return new OrganisationRule("fleet", Set.of("key"), 0, rate, burst, true, 10);
+    }
+
+    @BeforeEach
+    void start() {
+        ledger.recordPeerUse("peer/1", RULE, 0, 0);
+    }
+
+    private static boolean admit(QuotaLedger ledger, OrganisationRule rule, double cost, long now) {
+        boolean admitted = ledger.tryCharge(rule, cost, false, now).isEmpty();
+        if (admitted) {
+            ledger.recordGrant(rule, cost, now);
+        }
+        return admitted;
+    }
+
+    private boolean admit(double cost, long now) {
+        return admit(ledger, RULE, cost, now);
+    }
+
+    @Nested
+    class OverAWindow {
+        /** Guards against refusals within the limit of an organisation whose demand swings and bursts for seconds. */
+        @Test
+        void servesASwingWithABurstBelowTheLimitOfTheWindow() {
+            QuotaLedger bucket = new QuotaLedger(Tolerance.NONE);
+            int refused = 0;
+            int refusedByBucket = 0;
+            for (long now = 0; now < 24_000; now += 10) {
+                double swing = 1 + 0.55 * Math.sin(2 * Math.PI * now / 8_000.0);
+                boolean burst = now % 8_000 >= 1_000 && now % 8_000 < 3_500;
+                double cost = 8 * swing * (burst ? 1.6 : 1);
+                refused += now > OBSERVED && !admit(cost, now) ? 1 : 0;
+                refusedByBucket += admit(bucket, RULE, cost, now) ? 0 : 1;
+            }
+            assertThat(refused).isZero();
+            assertThat(refusedByBucket).isPositive();
+        }
+
+        @Test
+        void returnsWhenEnoughUseLeavesTheWindow() {
+            admit(6_000, OBSERVED);
+            admit(4_000, OBSERVED + 1_000);
+            long wait = ledger.tryCharge(RULE, 6_000, false, OBSERVED + 2_000).orElseThrow();
+            assertThat(wait).isBetween(6_000L, 6_020L);
+            assertThat(admit(6_000, OBSERVED + 2_000 + wait)).isTrue();
+        }
+
+        /** Guards against a request that can never run because it alone exceeds the limit. */
+        @Test
+        void admitsARequestThatExceedsTheLimitOnceNothingElseIsInUse() {
+            assertThat(admit(10, OBSERVED)).isTrue();
+            assertThat(admit(10_001, OBSERVED)).isFalse();
+            assertThat(admit(10_001, OBSERVED + WINDOW_MILLIS + 20)).isTrue();
+        }
+
+        /** Guards against a charge that expires before its request reaches an upstream. */
+        @Test
+        void countsARequestThatWaitsFromItsGrant() {
+            ledger.tryCharge(RULE, 10_000, false, OBSERVED);
+            ledger.recordGrant(RULE, 10_000, OBSERVED + 1_200);
+            assertThat(admit(100, OBSERVED + 1_200 + WINDOW_MILLIS)).isFalse();
+            assertThat(admit(100, OBSERVED + 1_200 + WINDOW_MILLIS + 20)).isTrue();
+        }
+
+        @Test
+        void refundsRequestsThatDidNotRun() {
+            ledger.tryCharge(RULE, 10_000, false, OBSERVED);
+            ledger.refund(RULE, 10_000);
+            admit(10_000, OBSERVED);
+            ledger.refundGranted(RULE, 10_000, OBSERVED);
+            assertThat(admit(10_000, OBSERVED + 1_000)).isTrue();
+            assertThat(ledger.ownUse()).containsEntry("fleet", 10_000L);
+        }
+    }
+
+    @Nested
+    class BeyondTheLimit {
+        private final QuotaLedger tolerant = new QuotaLedger(new Tolerance(0.1, 1_200, WINDOW_MILLIS));
+
+        @BeforeEach
+        void useUpTheLimit() {
+            tolerant.recordPeerUse("peer/1", RULE, 0, 0);
+            for (int count = 0; count < 100; count++) {
+                admit(tolerant, RULE, 100, OBSERVED);
+            }
+        }
+
+        @Test
+        void refusesRetriesAndAdmitsWhatCanBeOnTime() {
+            assertThat(tolerant.tryCharge(RULE, 100, true, OBSERVED)).isPresent();
+            assertThat(admit(tolerant, RULE, 100, OBSERVED)).isTrue();
+        }
+
+        /** Guards against short requests that are refused because long prompts have used up the limit. */
+        @Test
+        void leavesAPartOfTheToleranceToSmallRequests() {
+            int large = 0;
+            while (admit(tolerant, RULE, 100, OBSERVED)) {
+                large++;
+            }
+            assertThat(large).isEqualTo(10);
+            assertThat(admit(tolerant, RULE, 20, OBSERVED)).isTrue();
+        }
+
+        @Test
+        void countsExcessAndRefusals() {
+            admit(tolerant, RULE, 300, OBSERVED);
+            admit(tolerant, RULE, 3_000, OBSERVED);
+            assertThat(tolerant.counts().excessUse()).isEqualTo(300);
+            assertThat(tolerant.counts().refusedBeyondLimit()).isEqualTo(1);
+            assertThat(tolerant.counts().refusedWithinLimit()).isZero();
+        }
+    }
+
+    @Nested
+    class AfterAStart {
+        /** Guards against twice the limit in a window when all schedulers restart and have no record of its use. */
+        @Test
+        void allowsHalfTheBurstAndThenTheRate() {
+            assertThat(admit(1_001, 0)).isFalse();
+            assertThat(admit(1_000, 0)).isTrue();
+            assertThat(admit(1_000, 900)).isFalse();
+            assertThat(admit(1_000, 1_100)).isTrue();
+        }
+
+        /** Guards against a refusal of everything for a window because peers report all use since they started. */
+        @Test
+        void allowsTheRateAfterTheTotalsOfPeersThatRunForLong() {
+            for (int peer = 2; peer < 7; peer++) {
+                ledger.recordPeerUse("peer/" + peer, RULE, 500_000, 40);
+            }
+            assertThat(admit(100, 40)).isFalse();
+            assertThat(admit(100, 200)).isTrue();
+        }
+
+        @Test
+        void assumesNoUseOfAnOrganisationThatIsSeenLater() {
+            OrganisationRule other = new OrganisationRule("other", Set.of("key"), 0, 1_000, 2_000, true, 10);
+            assertThat(admit(ledger, other, 10_000, OBSERVED)).isTrue();
+        }
+    }
+
+    /** Guards against refusals at the begin of traffic, when a scheduler has run for a whole window without any. */
+    @Test
+    void countsNoUseBeforeItsFirstEventIfItHasRunForAWindow() {
+        QuotaLedger longRunning = new QuotaLedger(EXACT);
+        longRunning.observeFrom(0);
+        assertThat(admit(longRunning, RULE, 9_000, OBSERVED)).isTrue();
+        QuotaLedger justStarted = new QuotaLedger(EXACT);
+        justStarted.observeFrom(OBSERVED);
+        assertThat(admit(justStarted, RULE, 9_000, OBSERVED)).isFalse();
+    }
+
+    @Nested
+    class WithPeers {
+        private void useOfPeerBefore(long silentFrom) {
+            ledger.recordPeerUse("peer/1", RULE, 0, silentFrom);
+        }
+
+        /** Guards against refusals for a window when use from a long silence is charged to the moment of its report. */
+        @Test
+        void spreadsTheUseOfASilentPeerOverItsSilence() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 12_000, OBSERVED + 16_000);
+            assertThat(admit(3_900, OBSERVED + 16_000)).isTrue();
+            assertThat(admit(200, OBSERVED + 16_000)).isFalse();
+            assertThat(admit(200, OBSERVED + 16_400)).isTrue();
+        }
+
+        /** Guards against use that is forgotten, or subtracted, when a peer restarts and counts from 0 again. */
+        @Test
+        void addsTheUseOfAnotherIncarnation() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 6_000, OBSERVED + 40);
+            ledger.recordPeerUse("peer/2", RULE, 3_000, OBSERVED + 2_000);
+            assertThat(admit(1_001, OBSERVED + 2_000)).isFalse();
+            assertThat(admit(1_000, OBSERVED + 2_000)).isTrue();
+        }
+
+        /** Guards against use of a peer that expires while its requests still wait at the peer. */
+        @Test
+        void countsWaitingUseAsOfTheLastReport() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 10_000, 10_000, OBSERVED + 40);
+            ledger.recordPeerUse("peer/1", RULE, 10_000, 10_000, OBSERVED + 1_000);
+            ledger.recordPeerUse("peer/1", RULE, 10_000, 0, OBSERVED + 1_040);
+            assertThat(admit(100, OBSERVED + 960 + WINDOW_MILLIS)).isFalse();
+            assertThat(admit(10_000, OBSERVED + 1_060 + WINDOW_MILLIS)).isTrue();
+        }
+
+        /** Guards against use that is lost in reports of an older build, which don't state what waits. */
+        @Test
+        void countsReportsWithoutWaitingUse() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 10_000, OBSERVED + 40);
+            assertThat(admit(100, OBSERVED + 40)).isFalse();
+            assertThat(admit(100, OBSERVED + 60 + WINDOW_MILLIS)).isTrue();
+        }
+
+        @Test
+        void takesBackWhatAPeerRefunds() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 10_000, OBSERVED + 40);
+            ledger.recordPeerUse("peer/1", RULE, 4_000, OBSERVED + 80);
+            assertThat(admit(6_000, OBSERVED + 80)).isTrue();
+        }
+
+        /** Guards against a half that uses more than the limit because the other one is out of reach. */
+        @Test
+        void allowsEachHalfOfSeparatedSchedulersTheLimitOnce() {
+            useOfPeerBefore(OBSERVED);
+            int admitted = 0;
+            for (long now = OBSERVED; now < OBSERVED + WINDOW_MILLIS; now += 10) {
+                admitted += admit(100, now) ? 100 : 0;
+            }
+            assertThat(admitted).isEqualTo(10_000);
+        }
+    }
+
+    @Nested
+    class WithAnotherLimit {
+        /** Guards against refusals for a window after a limit was lowered, of requests within the lower limit. */
+        @Test
+        void countsTheUseBeforeInProportionToALoweredLimit() {
+            admit(6_000, OBSERVED);
+            OrganisationRule lower = rule(100, 200);
+            assertThat(admit(ledger, lower, 400, OBSERVED + 1)).isTrue();
+            assertThat(admit(ledger, lower, 1, OBSERVED + 1)).isFalse();
+        }
+
+        /** Guards against a lower limit that doesn't bind one window after. */
+        @Test
+        void enforcesALoweredLimitOverTheNextWindow() {
+            OrganisationRule lower = rule(100, 200);
+            int admitted = 0;
+            admit(ledger, lower, 10, OBSERVED);
+            for (long now = OBSERVED; now < OBSERVED + WINDOW_MILLIS; now += 10) {
+                admitted += admit(ledger, lower, 10, now) ? 10 : 0;
+            }
+            assertThat(admitted).isLessThanOrEqualTo(1_000);
+        }
+
+        @Test
+        void allowsMoreAtOnceWhenALimitIsRaised() {
+            admit(10_000, OBSERVED);
+            assertThat(admit(ledger, rule(2_000, 4_000), 10_000, OBSERVED)).isTrue();
+        }
+
+        @Test
+        void chargesNothingWhileThereIsNoLimit() {
+            admit(10_000, OBSERVED);
+            assertThat(admit(ledger, rule(0, 0), 50_000, OBSERVED)).isTrue();
+            assertThat(admit(100, OBSERVED)).isFalse();
+        }
+    }
+}
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerPropertyTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.Upstream;
@@ -180,7 +181,8 @@
                             8_000,
                             new SlotRequest.ExpectedLoad(100, 20, 0, request.tier, "", 0),
                             List.of(),
-                            List.of()),
+                            List.of(),
+                            RequestTerms.NONE),
                     now);
         }
 
--- a/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SlotSchedulerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.OrganisationRule;
 
@@ -49,7 +50,8 @@
                 8_000,
                 new SlotRequest.ExpectedLoad(100, 20, 0, tier, "", 0),
                 List.of(),
-                List.of());
+                List.of(),
+                RequestTerms.NONE);
     }
 
     private UpstreamLoad engine() {
@@ -146,6 +148,47 @@
         }
     }
 
+    @Nested
+    class QuotasOverAWindow {
+        private static final double LIMIT = 1_000;
+
+        private final QuotaLedger window = new QuotaLedger(new QuotaLedger.Tolerance(0, 0, 1_000));
+        private final SlotScheduler windowScheduler = new SlotScheduler(pools, window, replies);
+
+        @BeforeEach
+        void fillTheEngine() {
+            pools.setOrganisation(new OrganisationRule("organisation", Set.of("key"), 0, LIMIT, 0, true, 1));
+            windowScheduler.attach("one", List.of(), 0);
+            window.recordPeerUse("peer", pools.organisationRule("organisation").orElseThrow(), 0, -2_000);
+            for (int id = 0; id < SLOTS; id++) {
+                windowScheduler.request("one", id, request(0), 0);
+            }
+            windowScheduler.request("one", 5, request(0, LIMIT), 0);
+        }
+
+        /** Guards against a charge that expires while its request waits for a slot. */
+        @Test
+        void chargesAQueuedRequestUntilAWindowAfterItsGrant() {
+            assertThat(window.ownWaitingUse()).containsEntry("organisation", (long) LIMIT);
+            windowScheduler.report("one", 0, new SlotReport.Ended(SlotOutcome.SUCCESS), 500);
+            assertThat(window.ownWaitingUse()).isEmpty();
+            windowScheduler.request("one", 6, request(0, 1), 1_200);
+            assertThat(replies.lastReplyTo("one", 6)).isInstanceOf(SlotReply.Rejected.class);
+            windowScheduler.request("one", 7, request(0, 1), 1_510);
+            assertThat(replies.lastReplyTo("one", 7)).isNotInstanceOf(SlotReply.Rejected.class);
+        }
+
+        @Test
+        void refundsAQueuedRequestAndOneThatHasNotRun() {
+            windowScheduler.report("one", 5, new SlotReport.Ended(SlotOutcome.UNUSED), 1);
+            windowScheduler.request("one", 6, request(0, LIMIT), 2);
+            windowScheduler.report("one", 0, new SlotReport.Ended(SlotOutcome.SUCCESS), 3);
+            windowScheduler.report("one", 6, new SlotReport.Ended(SlotOutcome.NOT_RUN), 4);
+            windowScheduler.request("one", 7, request(0, LIMIT), 5);
+            assertThat(replies.lastReplyTo("one", 7)).isNotInstanceOf(SlotReply.Rejected.class);
+        }
+    }
+
     @Nested
     class FailureDomains {
         /** Guards against needless traffic between failure domains when an entry uses a scheduler in another one. */
@@ -166,7 +209,8 @@
                     usual.deadlineMillis(),
                     usual.expectedLoad(),
                     List.of(),
-                    List.of());
+                    List.of(),
+                    RequestTerms.NONE);
             scheduler.request("one", 1, fromOtherDomain, 0);
             assertThat(replies.lastReplyTo("one", 1))
                     .isInstanceOfSatisfying(
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -143,6 +143,8 @@
      *     {@code organisations}.
      * @param waiting three numbers for each pool and tier with waiting requests: the hash code of the pool's name, the
      *     tier, and the number of requests that wait for a slot.
+     * @param waitingUsage the part of the usage of each organisation whose requests wait for a slot; none of an
+     *     organisation that isn't listed.
      */
     record LoadReport(
             String scheduler,
@@ -153,7 +155,8 @@
             List<CrashNote> crashes,
             int[] limits,
             Map<String, Long> usageWithinLimits,
-            int[] waiting)
+            int[] waiting,
+            Map<String, Long> waitingUsage)
             implements FleetMessage {
         /** Replaces notes, limits, usage and waiting requests that an older build doesn't send. */
         public LoadReport {
@@ -161,6 +164,7 @@
             limits = limits == null ? new int[0] : limits;
             usageWithinLimits = usageWithinLimits == null ? Map.of() : usageWithinLimits;
             waiting = waiting == null ? new int[0] : waiting;
+            waitingUsage = waitingUsage == null ? Map.of() : waitingUsage;
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -146,7 +146,7 @@
                 links.send(others, report);
             }
         }
-        publishRounds.recordPublished(current, quotas.ownUse());
+        publishRounds.recordPublished(current, quotas.ownUse(), quotas.ownWaitingUse());
         limits.recordPublished();
     }
 
@@ -168,7 +168,7 @@
     }
 
     private FleetMessage.LoadReport changeReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
-        Map<String, Long> changedUsage = publishRounds.changedUsage(quotas.ownUse());
+        Map<String, Long> changedUsage = publishRounds.changedUsage(quotas.ownUse(), quotas.ownWaitingUse());
         return report(current, publishRounds.publishedUpstreams(), changedUsage, false, notes, limits.changes(now));
     }
 
@@ -218,7 +218,8 @@
         report.organisations().forEach((name, total) -> {
             OrganisationRule organisation = organisations.get(name);
             if (organisation != null) {
-                quotas.recordPeerUse(report.scheduler(), organisation, total, now);
+                long waiting = report.waitingUsage().getOrDefault(name, 0L);
+                quotas.recordPeerUse(report.scheduler(), organisation, total, waiting, now);
             }
         });
         return slotFreed;
@@ -320,8 +321,19 @@
             digests[index] = changed.get(index);
             System.arraycopy(current.get(digests[index]), 0, counts, index * COUNTS_PER_UPSTREAM, COUNTS_PER_UPSTREAM);
         }
+        Map<String, Long> waitingUsage = quotas.ownWaitingUse();
+        waitingUsage.keySet().retainAll(usage.keySet());
         return new FleetMessage.LoadReport(
-                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, Map.of(), new int[0]);
+                self,
+                full,
+                digests,
+                counts,
+                new HashMap<>(usage),
+                notes,
+                statedLimits,
+                Map.of(),
+                new int[0],
+                waitingUsage);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
--- a/node/src/main/java/org/radishspur/node/schedule/PublishRounds.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PublishRounds.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Decides when the next report to the peers is due and whether it is a full one, and keeps the values that were last
@@ -22,6 +23,7 @@
     private final int messagesPerSecond;
     private final Map<Integer, int[]> publishedUpstreams = new HashMap<>();
     private final Map<String, Long> publishedUsage = new HashMap<>();
+    private final Map<String, Long> publishedWaitingUsage = new HashMap<>();
     private List<String> peers = List.of();
     private long nextRoundAt;
     private int roundsSinceFullReport;
@@ -85,21 +87,27 @@
         return publishedUpstreams;
     }
 
-    /** Returns the usage of those organisations for which it differs from the last published value. */
-    Map<String, Long> changedUsage(Map<String, Long> usage) {
+    /**
+     * Returns the usage of those organisations for which it, or the waiting part of it, differs from the last published
+     * value.
+     */
+    Map<String, Long> changedUsage(Map<String, Long> usage, Map<String, Long> waiting) {
         Map<String, Long> changed = new HashMap<>();
         usage.forEach((name, total) -> {
-            if (!total.equals(publishedUsage.get(name))) {
+            if (!total.equals(publishedUsage.get(name))
+                    || !Objects.equals(waiting.get(name), publishedWaitingUsage.get(name))) {
                 changed.put(name, total);
             }
         });
         return changed;
     }
 
-    void recordPublished(Map<Integer, int[]> counts, Map<String, Long> usage) {
+    void recordPublished(Map<Integer, int[]> counts, Map<String, Long> usage, Map<String, Long> waiting) {
         publishedUpstreams.clear();
         publishedUpstreams.putAll(counts);
         publishedUsage.clear();
         publishedUsage.putAll(usage);
+        publishedWaitingUsage.clear();
+        publishedWaitingUsage.putAll(waiting);
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.dispatch.QuotaCounts;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.slot.SlotReply;
@@ -108,6 +109,7 @@
         links = new FleetLinks(traffic, this);
         pools = new PoolSet(self, settings.failureDomain(), settings.bounds().maxTrialShare());
         quotas = new QuotaLedger(settings.bounds().quotaTolerance());
+        quotas.observeFrom(now());
         slotScheduler = new SlotScheduler(pools, quotas, new SchedulerListener());
         pauseMetrics = new StreamPauseMetrics(metrics);
         evacuationLog = new EvacuationLog(pools, events);
@@ -116,6 +118,7 @@
                 pollerLoop, links, dialect, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
         metrics.register("scheduler.entries", (Gauge<Integer>) slotScheduler::entryCount);
         metrics.register("scheduler.waiting", (Gauge<Integer>) slotScheduler::queueLength);
+        registerQuotaMetrics();
         setSeeds(settings.seeds());
         traffic.scheduleAtFixedRate(
                 () -> loadReports.publishIfDue(now()),
@@ -127,6 +130,13 @@
                 this::maintain, MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void registerQuotaMetrics() {
+        QuotaCounts counts = quotas.counts();
+        metrics.register("scheduler.quota.refused.within", (Gauge<Long>) counts::refusedWithinLimit);
+        metrics.register("scheduler.quota.refused.beyond", (Gauge<Long>) counts::refusedBeyondLimit);
+        metrics.register("scheduler.quota.excess", (Gauge<Long>) counts::excessUse);
+    }
+
     /**
      * Returns whether the scheduler, rather than the replica, handles a message that this host has accepted.
      *
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -92,7 +92,8 @@
                 8_000,
                 new SlotRequest.ExpectedLoad(100, 20, 0, 0, "", 0),
                 List.of(),
-                List.of());
+                List.of(),
+                RequestTerms.NONE);
     }
 
     private void reply(String scheduler, UpstreamSlot slot, SlotReply reply, long now) {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -42,7 +42,16 @@
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
         FleetMessage.LoadReport report = new FleetMessage.LoadReport(
-                "s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4], Map.of("o", 1L), new int[3]);
+                "s",
+                true,
+                new int[] {1},
+                new int[5],
+                Map.of("o", 2L),
+                NOTES,
+                new int[4],
+                Map.of("o", 1L),
+                new int[3],
+                Map.of("o", 1L));
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
@@ -79,6 +88,7 @@
         assertThat(reread(report, FleetMessage.LoadReport.class).usageWithinLimits())
                 .isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).waiting()).isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).waitingUsage()).isEmpty();
     }
 
     @Test
@@ -102,7 +112,20 @@
     void readsRequestsWithAndWithoutTerms() {
         SlotRequest.ExpectedLoad load = new SlotRequest.ExpectedLoad(1, 2, 3, 0, "", 0);
         SlotRequest request = new SlotRequest(
-                        "pool", "a", "o", 1, 0, false, true, 2, 3, 4, load, List.of("run"), List.of())
+                        "pool",
+                        "a",
+                        "o",
+                        1,
+                        0,
+                        false,
+                        true,
+                        2,
+                        3,
+                        4,
+                        load,
+                        List.of("run"),
+                        List.of(),
+                        RequestTerms.NONE)
                 .withTerms(new RequestTerms(200, List.of("a")));
         EarlierSlotRequest earlier =
                 new EarlierSlotRequest("pool", "a", "o", 1, 0, false, true, 2, 3, 4, load, List.of("run"), List.of());
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -19,6 +19,7 @@
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.PoolRule;
 import org.radishspur.model.catalogue.RequestLimit;
 import org.radishspur.model.catalogue.Upstream;
@@ -39,8 +40,9 @@
     private final CrashLedger crashes = new CrashLedger();
     private long messageCount;
     private int connectionCount = 1;
-    private final LoadReportExchange exchange = new LoadReportExchange(
-            new RecordingFleetSender(), pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), crashes, "self/1");
+    private final QuotaLedger quotas = new QuotaLedger(new QuotaLedger.Tolerance(0, 0, 8_000));
+    private final LoadReportExchange exchange =
+            new LoadReportExchange(new RecordingFleetSender(), pools, quotas, crashes, "self/1");
 
     private UpstreamLoad engine() {
         return pools.dispatcher("pool").upstreams().find(ENGINE.runId()).orElseThrow();
@@ -76,7 +78,8 @@
                 List.of(),
                 new int[0],
                 Map.of(),
-                new int[0]);
+                new int[0],
+                Map.of());
     }
 
     @Nested
@@ -127,6 +130,25 @@
             assertThat(sentReports.get(0).limits()).hasSize(4).contains(120);
         }
 
+        /** Guards against use that peers let expire while its requests still wait, or count as waiting after it. */
+        @Test
+        void publishesWhichUsageWaits() {
+            OrganisationRule organisation = new OrganisationRule("fleet", Set.of("key"), 0, 1_000, 1_000, true, 1);
+            applyView(1);
+            exchange.publishIfDue(0);
+            quotas.tryCharge(organisation, 7, false, 1);
+            exchange.publishIfDue(TICK_MILLIS);
+            assertThat(lastReport().waitingUsage()).isEqualTo(Map.of("fleet", 7L));
+            quotas.recordGrant(organisation, 7, TICK_MILLIS + 1);
+            exchange.publishIfDue(2 * TICK_MILLIS);
+            assertThat(lastReport().organisations()).isEqualTo(Map.of("fleet", 7L));
+            assertThat(lastReport().waitingUsage()).isEmpty();
+        }
+
+        private FleetMessage.LoadReport lastReport() {
+            return sentReports.get(sentReports.size() - 1);
+        }
+
         /** Guards against messages between idle schedulers in every round. */
         @Test
         void sendsOnlyFullReportsWhileNothingChanges() {
@@ -188,7 +210,8 @@
                             List.of(),
                             new int[0],
                             Map.of(),
-                            new int[0]),
+                            new int[0],
+                            Map.of()),
                     Map.of(),
                     530);
             assertThat(engine().inProgress()).isEqualTo(4);
--- a/node/src/test/java/org/radishspur/node/schedule/PublishRoundsTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PublishRoundsTest.java
@@ -53,7 +53,14 @@
 
     @Test
     void publishesOnlyUsageThatHasChanged() {
-        rounds.recordPublished(Map.of(), Map.of("one", 5L, "two", 7L));
-        assertThat(rounds.changedUsage(Map.of("one", 5L, "two", 8L))).isEqualTo(Map.of("two", 8L));
+        rounds.recordPublished(Map.of(), Map.of("one", 5L, "two", 7L), Map.of());
+        assertThat(rounds.changedUsage(Map.of("one", 5L, "two", 8L), Map.of())).isEqualTo(Map.of("two", 8L));
+    }
+
+    @Test
+    void publishesUsageOfWhichAnotherPartWaits() {
+        rounds.recordPublished(Map.of(), Map.of("one", 5L, "two", 7L), Map.of("two", 7L));
+        assertThat(rounds.changedUsage(Map.of("one", 5L, "two", 7L), Map.of("two", 3L)))
+                .isEqualTo(Map.of("two", 7L));
     }
 }
