Attach to schedulers that answer, and serve by the entry's share while none does

Cause: an entry whose scheduler fell silent tried the next connected one, which may be lost as well, one reply timeout after the other, and returned to lost ones when their avoidance ended. With six of nine schedulers dark requests waited up to 901 ms and 45 got no slot; with all dark for 2.25 s 125 got none. Nothing bounded what an entry granted by itself. Change: SchedulerFailover probes all schedulers once a request has no reply for 40 ms and chooses only those that have answered; a request that two schedulers have failed is scheduled by the entry itself, within its share of the slots.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -79,6 +79,7 @@
     private final StreamPauses pauses = new StreamPauses();
     private final Random random;
     private int schedulerCount = 1;
+    private boolean limitedToShare;
     private final ReportStaleness staleness = new ReportStaleness();
     private Set<String> evacuatedDomains = Set.of();
     private ColdStart coldStartRule = ColdStart.NONE;
@@ -116,6 +117,17 @@
         loads.values().forEach(this::updatePoolTimesUse);
     }
 
+    /** Limits the requests that this scheduler has in progress to its share, as it doesn't see those of the others. */
+    public void limitToShare() {
+        limitedToShare = true;
+    }
+
+    private boolean isShareTaken(long now) {
+        return limitedToShare
+                && loads.values().stream().mapToInt(UpstreamLoad::ownInProgress).sum()
+                        >= OwnShare.INSTANCE.maxInProgress(slots(now), schedulerCount);
+    }
+
     /**
      * Sets the cold start limit, and which cold upstreams this scheduler may use. Only one scheduler may use each cold
      * upstream, so that the limit holds for any number of schedulers, independently of the reports between them.
@@ -221,7 +233,7 @@
         if (reserved > 0) {
             removeReserved(usable, reserved, now);
         }
-        if (usable.stream().noneMatch(load -> hasFreeSlot(load, now))) {
+        if (isShareTaken(now) || usable.stream().noneMatch(load -> hasFreeSlot(load, now))) {
             return Optional.empty();
         }
         boolean early = now < queued.selectiveUntil();
--- a/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SchedulerChoice.java
@@ -24,9 +24,21 @@
     /** The maximum time for which a scheduler is avoided after a failure, in milliseconds. */
     private static final long MAX_AVOIDANCE_MILLIS = 8_000;
 
-    /** How long a scheduler is avoided after it has replied that it isn't ready, in milliseconds. */
+    /**
+     * How long a scheduler is avoided after it has replied that it isn't ready, in milliseconds; doubles with each
+     * consecutive such reply.
+     */
     private static final long UNREADY_AVOIDANCE_MILLIS = 100;
 
+    /** The maximum time for which a scheduler is avoided that isn't ready, in milliseconds. */
+    private static final long MAX_UNREADY_AVOIDANCE_MILLIS = 400;
+
+    /**
+     * How long a scheduler that wasn't ready doesn't replace one that serves, in milliseconds. Each change withdraws all
+     * pending requests of the entry, which lose their positions in the queue.
+     */
+    private static final long RETURN_AFTER_MILLIS = 1_000;
+
     private final String entry;
     private final String failureDomain;
     private final Map<String, Avoidance> avoidances = new HashMap<>();
@@ -78,8 +90,28 @@
      * @return the address of the scheduler, or empty if there is no such scheduler.
      */
     public Optional<String> choose(Predicate<String> reachable, long now) {
+        return choose(reachable, "", now);
+    }
+
+    /**
+     * Returns the most preferred scheduler that is connected and isn't avoided. One that recently wasn't ready doesn't
+     * replace the current one.
+     *
+     * @param reachable returns whether there is a connection to a scheduler.
+     * @param current the address of the scheduler that serves the entry, or empty if none does.
+     * @param now the current time in milliseconds.
+     * @return the address of the scheduler, or empty if there is no such scheduler.
+     */
+    public Optional<String> choose(Predicate<String> reachable, String current, long now) {
+        boolean serves = preferredOrder.contains(current) && !isAvoided(current, now) && reachable.test(current);
         return preferredOrder.stream()
                 .filter(address -> !isAvoided(address, now) && reachable.test(address))
+                .filter(address -> !serves
+                        || address.equals(current)
+                        || now
+                                >= avoidances
+                                        .getOrDefault(address, Avoidance.NONE)
+                                        .returnsAt())
                 .findFirst();
     }
 
@@ -93,7 +125,7 @@
         int consecutiveFailures =
                 avoidances.getOrDefault(address, Avoidance.NONE).consecutiveFailures();
         long millis = Math.min(MAX_AVOIDANCE_MILLIS, FIRST_AVOIDANCE_MILLIS << Math.min(consecutiveFailures, 10));
-        avoidances.put(address, new Avoidance(now + millis, consecutiveFailures + 1));
+        avoidances.put(address, new Avoidance(now + millis, now + millis, consecutiveFailures + 1, 0));
     }
 
     /**
@@ -103,7 +135,9 @@
      * @param now the current time in milliseconds.
      */
     public void recordUnready(String address, long now) {
-        avoidances.put(address, new Avoidance(now + UNREADY_AVOIDANCE_MILLIS, 0));
+        int consecutive = avoidances.getOrDefault(address, Avoidance.NONE).consecutiveUnready();
+        long millis = Math.min(MAX_UNREADY_AVOIDANCE_MILLIS, UNREADY_AVOIDANCE_MILLIS << Math.min(consecutive, 10));
+        avoidances.put(address, new Avoidance(now + millis, now + RETURN_AFTER_MILLIS, 0, consecutive + 1));
     }
 
     /**
@@ -115,6 +149,11 @@
         avoidances.remove(address);
     }
 
+    /** Returns the addresses of all known schedulers, the most preferred first. */
+    List<String> schedulers() {
+        return preferredOrder;
+    }
+
     private boolean isAvoided(String address, long now) {
         return now < avoidances.getOrDefault(address, Avoidance.NONE).until();
     }
@@ -123,9 +162,11 @@
      * Describes how long a scheduler is avoided.
      *
      * @param until the time in milliseconds from which the scheduler may be chosen again.
+     * @param returnsAt the time in milliseconds from which it may replace a scheduler that serves.
      * @param consecutiveFailures the number of failures since the last reply.
+     * @param consecutiveUnready the number of replies that it isn't ready since the last other reply or failure.
      */
-    private record Avoidance(long until, int consecutiveFailures) {
-        static final Avoidance NONE = new Avoidance(Long.MIN_VALUE, 0);
+    private record Avoidance(long until, long returnsAt, int consecutiveFailures, int consecutiveUnready) {
+        static final Avoidance NONE = new Avoidance(Long.MIN_VALUE, Long.MIN_VALUE, 0, 0);
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 
@@ -14,6 +15,8 @@
     private final Timer firstByteTime = registry.timer("answers.first-byte");
     private final Timer responseTime = registry.timer("answers.whole");
     private final Timer slotWait = registry.timer("requests.waited");
+    private final Timer lostSchedulerWait = registry.timer("requests.waited-for-lost-scheduler");
+    private final Counter localGrants = registry.counter("slots.granted-locally");
 
     MetricRegistry registry() {
         return registry;
@@ -60,6 +63,16 @@
         slotWait.update(millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Records how long one request has waited for a scheduler that did not reply, in milliseconds. */
+    void recordLostSchedulerWait(long millis) {
+        lostSchedulerWait.update(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts a slot that this entry has granted by itself. */
+    void countLocalGrant() {
+        localGrants.inc();
+    }
+
     void recordAnswered(long firstMillis, long millis) {
         firstByteTime.update(firstMillis, TimeUnit.MILLISECONDS);
         responseTime.update(millis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -87,7 +87,7 @@
         CrashLedger crashLedger = new CrashLedger();
         crashGuard =
                 new CrashGuard(crashLedger, settings.peerAddress().toString().hashCode());
-        slots = new SlotClient(settings, transport.schedulers(), events, crashLedger, this::onCrashNotes);
+        slots = new SlotClient(settings, transport.schedulers(), events, metrics, crashLedger, this::onCrashNotes);
         crashes = new CrashDetector(
                 transport.probe(),
                 crashLedger,
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -12,7 +12,7 @@
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.slot.SchedulerChoice;
+import org.radishspur.decision.slot.SchedulerFailover;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -38,11 +38,10 @@
  */
 final class SlotClient {
     /**
-     * How long a scheduler may take to reply, in milliseconds; usually it takes one or two. After that its pending
-     * requests are sent to another one, so that a frozen or unreachable scheduler delays a request by this time and one
-     * check interval at most.
+     * How long a scheduler may take to reply, in milliseconds. After that its pending requests are sent to another one, so
+     * that a frozen or unreachable scheduler delays a request by this time and one check interval at most.
      */
-    static final long REPLY_TIMEOUT_MILLIS = 100;
+    static final long REPLY_TIMEOUT_MILLIS = SchedulerFailover.REPLY_TIMEOUT_MILLIS;
 
     /** How long after its maximum wait a request is rejected here, in milliseconds, if its scheduler hasn't. */
     private static final long OVERDUE_MARGIN_MILLIS = 100;
@@ -66,7 +65,8 @@
     private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
     private final SlotScheduler localScheduler;
-    private final SchedulerChoice schedulerChoice;
+    private final SchedulerFailover failover;
+    private final EntryMetrics metrics;
     private final Map<Long, UpstreamSlot> pending = new HashMap<>();
     private final UpstreamRests rests = new UpstreamRests();
     private Collection<String> schedulerAddresses = List.of();
@@ -78,17 +78,20 @@
             PlatformProcessSettings settings,
             FleetSender links,
             EventLog events,
+            EntryMetrics metrics,
             CrashLedger crashes,
             Consumer<List<CrashNote>> crashListener) {
         this.links = links;
         this.events = events;
+        this.metrics = metrics;
         this.crashes = crashes;
         this.crashListener = crashListener;
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
+        pools.limitToShare();
         // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
         localScheduler = new SlotScheduler(pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), new LocalReplies());
-        schedulerChoice = new SchedulerChoice(entry, settings.failureDomain());
+        failover = new SchedulerFailover(entry, settings.failureDomain(), new LinkContacts());
     }
 
     /** Applies a view to the upstreams, the quota shares and the choice of schedulers. */
@@ -98,7 +101,7 @@
         Map<String, String> schedulers = view.controlHosts().stream()
                 .collect(Collectors.toMap(ControlHost::address, ControlHost::failureDomain, (one, other) -> one));
         schedulerAddresses = schedulers.keySet();
-        schedulerChoice.setSchedulers(schedulers);
+        failover.setSchedulers(schedulers);
         localScheduler.advance(now);
     }
 
@@ -109,7 +112,8 @@
 
     /** Sends the request for a slot to a scheduler; the local one may grant or reject it before this method returns. */
     void send(UpstreamSlot slot, long now) {
-        Optional<String> scheduler = attach(now);
+        Optional<String> attached = attach(now);
+        Optional<String> scheduler = failover.staysLocal(slot.failedSchedulers()) ? Optional.empty() : attached;
         long id = ++nextId;
         slot.markSent(scheduler.orElse(LOCAL_ADDRESS), id, now);
         pending.put(id, slot);
@@ -178,8 +182,10 @@
             }
             return;
         }
-        schedulerChoice.recordReply(scheduler);
         slot.markReplied();
+        if (!isUnready(reply.reply())) {
+            failover.recordReply(scheduler);
+        }
         if (reply.reply() instanceof SlotReply.Granted granted) {
             pending.remove(reply.id());
             onGranted(slot, granted, now);
@@ -209,9 +215,14 @@
         }
     }
 
+    private static boolean isUnready(SlotReply reply) {
+        return reply instanceof SlotReply.Rejected rejected && rejected.reason() == SlotReply.Reason.UNREADY;
+    }
+
     private void onRejected(UpstreamSlot slot, SlotReply.Rejected rejected, long now) {
-        if (rejected.reason() == SlotReply.Reason.UNREADY) {
-            schedulerChoice.recordUnready(slot.scheduler(), now);
+        if (isUnready(rejected)) {
+            failover.recordUnready(slot.scheduler(), now);
+            slot.recordSchedulerFailure();
             if (attachedScheduler.equals(slot.scheduler())) {
                 attachedScheduler = LOCAL_ADDRESS;
             }
@@ -224,6 +235,7 @@
     /** Switches to another scheduler if the connection to the attached one is lost. */
     void onLinkLost(String scheduler, long now) {
         if (scheduler.equals(attachedScheduler)) {
+            failover.recordDisconnection(scheduler, now);
             onSchedulerLost(scheduler, "connection", now);
         }
     }
@@ -236,12 +248,18 @@
     /** Replaces schedulers that have not replied in time, rejects overdue requests and advances the local scheduler. */
     void checkPending(long now) {
         localScheduler.advance(now);
+        if (attachedScheduler.equals(LOCAL_ADDRESS) && !pending.isEmpty()) {
+            attach(now);
+        }
         for (UpstreamSlot slot : List.copyOf(pending.values())) {
             if (!slot.isPending() || slot.scheduler().equals(LOCAL_ADDRESS)) {
                 continue;
             }
-            if (slot.isUnanswered(REPLY_TIMEOUT_MILLIS, now)) {
-                onSchedulerLost(slot.scheduler(), "silence", now);
+            if (slot.isUnanswered(SchedulerFailover.PROBE_AFTER_MILLIS - 1, now)) {
+                failover.onUnanswered(now);
+            }
+            if (slot.isUnanswered(failover.replyTimeoutMillis(slot.failedSchedulers()), now)) {
+                onUnanswered(slot, now);
             } else if (slot.isOverdue(OVERDUE_MARGIN_MILLIS, now)) {
                 cancel(slot);
                 slot.reject(new SlotReply.Rejected(SlotReply.Reason.OVERLOAD, 0));
@@ -249,9 +267,23 @@
         }
     }
 
+    /** Replaces a scheduler that has not replied, or only for this request if that one has waited for another before. */
+    private void onUnanswered(UpstreamSlot slot, long now) {
+        if (slot.failedSchedulers() == 0) {
+            failover.recordSilence(slot.scheduler(), now);
+            onSchedulerLost(slot.scheduler(), "silence", now);
+            return;
+        }
+        metrics.recordLostSchedulerWait(slot.millisSinceSent(now));
+        slot.recordSchedulerFailure();
+        pending.remove(slot.id());
+        release(slot.scheduler(), slot.id());
+        send(slot, now);
+    }
+
     /** Returns the address of the chosen scheduler, empty for the local one, and attaches to it if needed. */
     private Optional<String> attach(long now) {
-        Optional<String> chosen = schedulerChoice.choose(address -> links.connectionCount(address) > 0, now);
+        Optional<String> chosen = failover.choose(attachedScheduler, now);
         String next = chosen.orElse(LOCAL_ADDRESS);
         int connection = links.connectionCount(next);
         if (next.equals(attachedScheduler) && connection == attachedConnection) {
@@ -271,13 +303,21 @@
             withdraw(previous);
             links.send(previous, new FleetMessage.Detach());
             resend(previous, now);
+        } else if (chosen.isPresent()) {
+            takeBack(now);
         }
         return chosen;
     }
 
     private void onSchedulerLost(String scheduler, String cause, long now) {
-        schedulerChoice.recordFailure(scheduler, now);
-        events.emit(EventCode.SCHEDULER_LOST, scheduler, cause);
+        List<UpstreamSlot> waiting = pendingAt(scheduler);
+        long longestMillis = 0;
+        for (UpstreamSlot slot : waiting) {
+            slot.recordSchedulerFailure();
+            metrics.recordLostSchedulerWait(slot.millisSinceSent(now));
+            longestMillis = Math.max(longestMillis, slot.millisSinceSent(now));
+        }
+        events.emit(EventCode.SCHEDULER_LOST, scheduler, cause, waiting.size(), longestMillis);
         if (scheduler.equals(attachedScheduler)) {
             attach(now);
         } else {
@@ -290,20 +330,36 @@
      * the charge of the slots that it has granted.
      */
     private void withdraw(String scheduler) {
-        pending.values().stream()
-                .filter(slot -> slot.scheduler().equals(scheduler))
-                .forEach(slot -> release(scheduler, slot.id()));
+        pendingAt(scheduler).forEach(slot -> release(scheduler, slot.id()));
     }
 
     /** Sends the pending requests of one scheduler to the current one. */
     private void resend(String scheduler, long now) {
-        List<UpstreamSlot> moved = pending.values().stream()
-                .filter(slot -> slot.scheduler().equals(scheduler))
-                .toList();
+        List<UpstreamSlot> moved = pendingAt(scheduler);
         moved.forEach(slot -> pending.remove(slot.id()));
         moved.forEach(slot -> send(slot, now));
     }
 
+    /**
+     * Sends the requests that wait at the local scheduler for lack of another one to the attached one. Requests that
+     * schedulers have failed stay.
+     */
+    private void takeBack(long now) {
+        for (UpstreamSlot slot : pendingAt(LOCAL_ADDRESS)) {
+            // Another request's withdrawal may have freed the quota or slot for this one.
+            if (!failover.staysLocal(slot.failedSchedulers()) && pending.remove(slot.id()) != null) {
+                release(LOCAL_ADDRESS, slot.id());
+                send(slot, now);
+            }
+        }
+    }
+
+    private List<UpstreamSlot> pendingAt(String scheduler) {
+        return pending.values().stream()
+                .filter(slot -> slot.scheduler().equals(scheduler))
+                .toList();
+    }
+
     /** Releases a slot, or a pending request for one, at the scheduler that it was sent to. */
     private void release(String scheduler, long id) {
         SlotReport unused = new SlotReport.Ended(SlotOutcome.UNUSED);
@@ -314,6 +370,27 @@
         }
     }
 
+    /** Shows which schedulers are connected and answer. */
+    private final class LinkContacts implements SchedulerFailover.Contacts {
+        /** {@inheritDoc} */
+        @Override
+        public boolean isConnected(String address) {
+            return links.connectionCount(address) > 0;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public long answeredAt(String address) {
+            return links.answeredAt(address);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void ping(String address) {
+            links.ping(address);
+        }
+    }
+
     /** Handles the replies of the local scheduler. */
     private final class LocalReplies extends UpstreamEventLogger {
         LocalReplies() {
@@ -333,6 +410,7 @@
                         .upstreams()
                         .find(granted.upstream().runId())
                         .orElseThrow();
+                metrics.countLocalGrant();
                 slot.grant(upstream, false);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 slot.reject(rejected);
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
@@ -22,6 +22,7 @@
     private long sentAt;
     private boolean replied;
     private int declinedGrants;
+    private int failedSchedulers;
     private State state = State.PENDING;
     private UpstreamLoad upstream;
     private boolean eventTimeRequested;
@@ -96,6 +97,21 @@
         replied = false;
     }
 
+    /** Records that the scheduler that the request was last sent to has not replied in time or isn't ready. */
+    void recordSchedulerFailure() {
+        failedSchedulers++;
+    }
+
+    /** Returns how many schedulers have failed the request. */
+    int failedSchedulers() {
+        return failedSchedulers;
+    }
+
+    /** Returns how long ago the request was last sent to a scheduler, in milliseconds. */
+    long millisSinceSent(long now) {
+        return now - sentAt;
+    }
+
     void markReplied() {
         replied = true;
     }
--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -130,6 +130,13 @@
         return link == null || link.channel == null ? 0 : link.connectionCount;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public long answeredAt(String address) {
+        Link link = links.get(address);
+        return link == null ? Long.MIN_VALUE : link.health.answeredAt();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetSender.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetSender.java
@@ -39,4 +39,24 @@
      * @return the number, or 0 if there is no connection at present.
      */
     int connectionCount(String address);
+
+    /**
+     * Returns when a process has last sent a message, over whichever connection. Without more, every process counts as
+     * one that has just done so.
+     *
+     * @param address the address.
+     * @return the time by the monotonic clock in milliseconds, a very early one if it never has.
+     */
+    default long answeredAt(String address) {
+        return Long.MAX_VALUE;
+    }
+
+    /**
+     * Sends a message that the other process answers at once if it runs.
+     *
+     * @param address the address.
+     */
+    default void ping(String address) {
+        send(address, new FleetMessage.Ping());
+    }
 }
--- a/node/src/main/java/org/radishspur/node/fleet/LinkHealth.java
+++ b/node/src/main/java/org/radishspur/node/fleet/LinkHealth.java
@@ -21,6 +21,7 @@
     static final long IDLE_AFTER_MILLIS = 2_000;
 
     private volatile long receivedAt;
+    private volatile long answeredAt = Long.MIN_VALUE;
     private volatile long sentAt;
     private volatile boolean awaitingAnswer;
     private long pingSentAt;
@@ -35,9 +36,15 @@
     /** Records that a message was received; any message counts as the response to a pending ping. */
     void onReceived(long now) {
         receivedAt = now;
+        answeredAt = now;
         awaitingAnswer = false;
     }
 
+    /** Returns when the last message was received over any connection, a very early time if none was. */
+    long answeredAt() {
+        return answeredAt;
+    }
+
     /** Records that a message other than a ping was sent. */
     void onSent(long now) {
         sentAt = now;
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -23,7 +23,7 @@
     /** An entry has attached to another scheduler; an empty name means that the entry schedules by itself. */
     SCHEDULER(false, "scheduler", "before", "asked"),
     /** A scheduler did not answer an entry, or the connection to it was lost. */
-    SCHEDULER_LOST(false, "scheduler", "cause"),
+    SCHEDULER_LOST(false, "scheduler", "cause", "moved", "waitedMillis"),
     /** A control replica has recovered its state from its disk. */
     RECOVERED(false, "replica", "entries", "snapshotIndex"),
     /** The role of a control replica has changed. */
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -49,6 +49,7 @@
     private final Map<String, Integer> preferenceByRun = new HashMap<>();
     private ConfirmedView view = ConfirmedView.EMPTY;
     private double quotaShare = 1;
+    private boolean limitedToShare;
 
     /**
      * Creates a set without pools.
@@ -129,6 +130,14 @@
         }
     }
 
+    /**
+     * Limits the requests that this process has in progress in each pool to its share of the slots. This must precede all
+     * other calls.
+     */
+    public void limitToShare() {
+        limitedToShare = true;
+    }
+
     /**
      * Sets the share of each organisation's quota that is granted here.
      *
@@ -148,7 +157,11 @@
         return dispatchers.computeIfAbsent(pool, name -> {
             int configured = rule(name).map(PoolRule::slots).orElse(0);
             int slots = configured > 0 ? configured : DEFAULT_SLOTS;
-            return new PoolDispatcher(new UpstreamPool(self, failureDomain, slots));
+            UpstreamPool upstreams = new UpstreamPool(self, failureDomain, slots);
+            if (limitedToShare) {
+                upstreams.limitToShare();
+            }
+            return new PoolDispatcher(upstreams);
         });
     }
 
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -47,8 +47,8 @@
     private final FakeLinks links = new FakeLinks();
     private final RecordingListener listener = new RecordingListener();
     private final CrashLedger crashes = new CrashLedger();
-    private final SlotClient client =
-            new SlotClient(ProcessSettingsFixture.of("entry", SELF), links, events, crashes, notes -> {});
+    private final SlotClient client = new SlotClient(
+            ProcessSettingsFixture.of("entry", SELF), links, events, new EntryMetrics(), crashes, notes -> {});
 
     @BeforeEach
     void applyViewWithTwoSchedulers() {
@@ -334,6 +334,10 @@
             addresses.forEach(address -> send(address, message));
         }
 
+        /** {@inheritDoc} A scheduler that a test lets be silent is so for requests alone. */
+        @Override
+        public void ping(String address) {}
+
         /** {@inheritDoc} */
         @Override
         public void setWatchedAddress(String address) {}
