Divide scarce slots among organisations by fair shares

Cause: the queue knew the rank of an organisation only. Within a rank, one that sends six times its usual took the slots of all others for as long as its quota allowed it.

Change: FairShares sums up, at each scheduler, what each organisation requested and was granted lately. While slots are scarce, one that requests more than twice as much for its weight as the others together keeps its place for half of its share; its other requests come after those of the others of its rank, are the first to be refused and leave more slots free. The weight is the rate of the quota. With one organisation or none, or while nobody waits, decisions are as before. Two gauges count grants that overtook and refusals above a share. The simulation of decision's tests draws an organisation for each request.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -11,7 +11,8 @@
 /**
  * Orders the requests of one pool that wait for a slot. Requests that can still be answered on time come first, then
  * those of the more urgent organisation, then those with the higher slot value; among equals, the earliest queueing
- * deadline.
+ * deadline. Where requests of several organisations wait, those above the share of their organisation come last
+ * among those of one rank; see {@link FairShares}.
  *
  * <p>Late requests come last so that a burst can end. A refused caller retries with much time left; if its retry went
  * before new requests, these would be refused, retry and be late in turn.
@@ -31,12 +32,19 @@
             .thenComparing(Comparator.comparingDouble(QueuedRequest::slotValue).reversed())
             .thenComparingLong(QueuedRequest::queueingDeadline)
             .thenComparingLong(QueuedRequest::sequence));
+    private final FairShares shares;
     private final Deque<Long> presentReleases = new ArrayDeque<>();
     private final Deque<Long> usualReleases = new ArrayDeque<>();
     private long nextSequence;
 
-    /** Creates an empty queue. */
-    public AdmissionQueue() {}
+    /**
+     * Creates an empty queue.
+     *
+     * @param shares the shares of the organisations in the slots.
+     */
+    AdmissionQueue(FairShares shares) {
+        this.shares = shares;
+    }
 
     /**
      * Records that a slot was released.
@@ -65,7 +73,7 @@
         double present = presentReleases.size() * 1_000.0 / PRESENT_WINDOW_MILLIS;
         double usual = usualReleases.size() * 1_000.0 / USUAL_WINDOW_MILLIS;
         double rate = Math.max(MIN_RELEASES_PER_SECOND, Math.max(present, usual));
-        int ahead = requests.headSet(queued, false).size();
+        int ahead = ahead(queued, now).size();
         return (long) ((ahead + 1) * 1_000 / rate);
     }
 
@@ -120,12 +128,38 @@
     /**
      * Returns the waiting requests in the order in which they should get slots.
      *
+     * @param now the current time in milliseconds.
      * @return a copy that later changes to the queue don't affect.
      */
-    public List<QueuedRequest> inOrder() {
+    public List<QueuedRequest> inOrder(long now) {
+        return shares.order(byValue(), now);
+    }
+
+    /**
+     * Returns the waiting requests in the order that would hold if they had the same organisation.
+     *
+     * @return a copy that later changes to the queue don't affect.
+     */
+    public List<QueuedRequest> byValue() {
         return new ArrayList<>(requests);
     }
 
+    /**
+     * Returns the waiting requests that should get slots before a request, which may wait itself.
+     *
+     * @param queued the request.
+     * @param now the current time in milliseconds.
+     * @return the requests, in order.
+     */
+    public List<QueuedRequest> ahead(QueuedRequest queued, long now) {
+        boolean isNew = requests.add(queued);
+        List<QueuedRequest> order = inOrder(now);
+        if (isNew) {
+            requests.remove(queued);
+        }
+        return order.subList(0, order.indexOf(queued));
+    }
+
     /**
      * Returns the number of waiting requests.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -30,7 +30,11 @@
 
     private final UpstreamPool upstreams;
     private final SlotValues slotValues = new SlotValues();
-    private final AdmissionQueue queue = new AdmissionQueue();
+    private final FairShares shares = new FairShares(
+            queued -> slotValues.usualHoldMillis(queued.requirements().tier()));
+    private final AdmissionQueue queue = new AdmissionQueue(shares);
+    private long overtakingGrants;
+    private long refusedAboveShare;
 
     /**
      * Creates a dispatcher with an empty queue.
@@ -60,7 +64,27 @@
     }
 
     /**
-     * Grants a slot to a new request, queues it or refuses it.
+     * Returns how many requests were granted a slot before others of their tier because the organisations of these had
+     * been granted more lately.
+     *
+     * @return the number since this dispatcher was created.
+     */
+    public long overtakingGrants() {
+        return overtakingGrants;
+    }
+
+    /**
+     * Returns how many requests were refused whose organisation had been granted more than its share lately.
+     *
+     * @return the number since this dispatcher was created.
+     */
+    public long refusedAboveShare() {
+        return refusedAboveShare;
+    }
+
+    /**
+     * Grants a slot to a new request, queues it or refuses it. Where a slot is free that a waiting request of another
+     * organisation should get, the new one is queued, and {@link #dispatchQueued} is to be called.
      *
      * @param queued the request.
      * @param now the current time in milliseconds.
@@ -69,17 +93,19 @@
     public Decision offer(QueuedRequest queued, long now) {
         slotValues.addTier(queued.requirements().tier());
         queue.assignPosition(queued, slotValues.valueFor(queued));
+        shares.recordDemand(queued, now);
         Optional<UpstreamLoad> free = findSlot(queued, now);
-        if (free.isPresent()) {
+        boolean yields = free.isPresent() && yieldsToRival(queued, now);
+        if (free.isPresent() && !yields) {
             return grant(queued, free.get(), now);
         }
+        shares.recordScarcity(queued, now);
         long wait = expectedWaitMillis(queued, now);
         if (now + wait > queued.queueingDeadline()) {
-            return new Decision.Refused(
-                    queued, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now));
+            return refuse(queued, wait, now);
         }
         queue.add(queued);
-        return new Decision.Queued(queued, wait);
+        return new Decision.Queued(queued, wait, yields);
     }
 
     /**
@@ -91,14 +117,16 @@
     public List<Decision> dispatchQueued(long now) {
         List<Decision> decisions = new ArrayList<>();
         for (QueuedRequest expired : queue.removeExpired(now)) {
-            long wait = expectedWaitMillis(expired, now);
-            decisions.add(new Decision.Refused(
-                    expired, Math.max(MIN_RETRY_AFTER_MILLIS, wait), queue.size(), upstreams.slots(now)));
+            decisions.add(refuse(expired, expectedWaitMillis(expired, now), now));
         }
         int failed = 0;
-        for (QueuedRequest queued : queue.inOrder()) {
+        List<QueuedRequest> byValue = queue.byValue();
+        List<QueuedRequest> inOrder = queue.inOrder(now);
+        for (int position = 0; position < inOrder.size(); position++) {
+            QueuedRequest queued = inOrder.get(position);
             Optional<UpstreamLoad> free = findSlot(queued, now);
             if (free.isPresent()) {
+                overtakingGrants += byValue.indexOf(queued) > position ? 1 : 0;
                 queue.remove(queued);
                 decisions.add(grant(queued, free.get(), now));
             } else if (++failed == MAX_FAILED_GRANTS) {
@@ -148,14 +176,33 @@
     private Optional<UpstreamLoad> findSlot(QueuedRequest queued, long now) {
         // Late requests leave slots free as well. Otherwise a burst would go on through retries: an answer on time is
         // worth several late ones, and each slot that a late request takes makes another one late.
-        return upstreams.choose(queued, RESERVED_SHARE_PER_TIER * slotValues.tiersBehindBest(queued), now);
+        double tiersBehind = shares.isAboveShare(queued, now)
+                ? slotValues.tiersBehindBestIfLast(queued)
+                : slotValues.tiersBehindBest(queued);
+        return upstreams.choose(queued, RESERVED_SHARE_PER_TIER * tiersBehind, now);
     }
 
-    private static Decision grant(QueuedRequest queued, UpstreamLoad upstream, long now) {
+    /** Returns whether a waiting request of another organisation should get the slot that a new request has found. */
+    private boolean yieldsToRival(QueuedRequest queued, long now) {
+        return queue.size() > 0
+                && shares.isAboveShare(queued, now)
+                && queue.ahead(queued, now).stream()
+                        .limit(MAX_FAILED_GRANTS)
+                        .anyMatch(rival -> findSlot(rival, now).isPresent());
+    }
+
+    private Decision grant(QueuedRequest queued, UpstreamLoad upstream, long now) {
         upstream.recordSent(queued, queued.uncachedTokens(), now);
+        shares.recordGrant(queued, now);
         return new Decision.Granted(queued, upstream);
     }
 
+    private Decision refuse(QueuedRequest queued, long waitMillis, long now) {
+        refusedAboveShare += shares.isAboveShare(queued, now) ? 1 : 0;
+        return new Decision.Refused(
+                queued, Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis), queue.size(), upstreams.slots(now));
+    }
+
     /**
      * Represents what was decided for a request.
      */
@@ -180,8 +227,9 @@
          *
          * @param queued the request.
          * @param expectedWaitMillis the expected time in the queue, in milliseconds.
+         * @param yields whether a slot is free, which a waiting request of another organisation should get.
          */
-        record Queued(QueuedRequest queued, long expectedWaitMillis) implements Decision {}
+        record Queued(QueuedRequest queued, long expectedWaitMillis, boolean yields) implements Decision {}
 
         /**
          * Refuses the request, which will not run.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -19,7 +19,7 @@
     private final Map<Integer, Long> restsUntil = new HashMap<>();
     private String entryDomain = "";
     private String organisation = "";
-    private double organisationWeight = 1;
+    private double organisationWeight;
     private RequestTerms terms = RequestTerms.NONE;
     private long sequence;
     private double slotValue;
@@ -91,11 +91,12 @@
     /**
      * Sets the organisation of the request.
      *
-     * @param name the name of the organisation; empty where there is none.
-     * @param weight the weight of the organisation's share of scarce slots, above 0.
+     * @param newOrganisation the name of the organisation; empty where there is none.
+     * @param weight the weight of the organisation's share of scarce slots; 0 where none is stated, for the mean of the
+     *     others.
      */
-    public void setOrganisation(String name, double weight) {
-        organisation = name;
+    public void setOrganisation(String newOrganisation, double weight) {
+        organisation = newOrganisation;
         organisationWeight = weight;
     }
 
@@ -104,7 +105,7 @@
         return organisation;
     }
 
-    /** Returns the weight of the organisation's share of scarce slots. */
+    /** Returns the weight of the organisation's share of scarce slots, or 0 where none is stated. */
     double organisationWeight() {
         return organisationWeight;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
@@ -19,6 +19,12 @@
     /** Weight of the newest time in an average holding time; about fifty requests outweigh the older ones. */
     private static final double HOLD_AVERAGE_WEIGHT = 0.02;
 
+    /**
+     * How many tiers a request that comes after all others is behind the last tier. With one, the slots that it leaves
+     * free are so few that requests which wait at other schedulers often don't get them.
+     */
+    private static final double TIERS_BEHIND_LAST = 2;
+
     private final TreeMap<Integer, MovingAverage> holdMillisByTier = new TreeMap<>();
     private final MovingAverage holdMillisOfAllTiers = new MovingAverage(HOLD_AVERAGE_WEIGHT);
 
@@ -52,6 +58,17 @@
         return Math.max(0, Math.log(best / valueFor(queued)) / Math.log(VALUE_RATIO_PER_TIER));
     }
 
+    /** Returns how many tiers a request is behind those with the highest slot value if it comes after all others. */
+    double tiersBehindBestIfLast(QueuedRequest queued) {
+        double worst = valueFor(queued);
+        double best = worst;
+        for (int tier : holdMillisByTier.keySet()) {
+            best = Math.max(best, tierValue(tier));
+            worst = Math.min(worst, tierValue(tier));
+        }
+        return Math.max(0, Math.log(best / worst) / Math.log(VALUE_RATIO_PER_TIER)) + TIERS_BEHIND_LAST;
+    }
+
     private double tierValue(int tier) {
         return Math.pow(VALUE_RATIO_PER_TIER, holdMillisByTier.firstKey() - tier) / usualHoldMillis(tier);
     }
@@ -59,7 +76,7 @@
     /**
      * Returns the average holding time of a tier in milliseconds; that of all tiers where the tier has no answers yet.
      */
-    private double usualHoldMillis(int tier) {
+    double usualHoldMillis(int tier) {
         MovingAverage average = holdMillisByTier.get(tier);
         if (average != null && average.isKnown()) {
             return average.value();
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -93,10 +93,10 @@
      * @param now the current time in milliseconds.
      */
     public void request(String entry, long requestId, SlotRequest request, long now) {
-        Optional<OrganisationRule> organisation =
-                request.quotaCost() > 0 ? pools.organisationRule(request.organisation()) : Optional.empty();
+        Optional<OrganisationRule> rule = pools.organisationRule(request.organisation());
+        Optional<OrganisationRule> organisation = rule.filter(known -> request.quotaCost() > 0);
         Optional<Long> wait =
-                organisation.flatMap(rule -> quotas.tryCharge(rule, request.quotaCost(), request.retry(), now));
+                organisation.flatMap(known -> quotas.tryCharge(known, request.quotaCost(), request.retry(), now));
         if (wait.isPresent()) {
             listener.onReply(entry, requestId, new SlotReply.Rejected(SlotReply.Reason.QUOTA, wait.get()));
             return;
@@ -104,10 +104,16 @@
         PoolDispatcher pool = pools.dispatcher(request.pool());
         QueuedRequest queued =
                 request.toQueuedRequest(pools.versionRule(request.pool(), request.allowTrialVersion()), now);
+        queued.setOrganisation(
+                request.organisation(), rule.map(SlotScheduler::shareWeight).orElse(0.0));
         TrackedRequest tracked = new TrackedRequest(entry, requestId, pool, queued, organisation, request.quotaCost());
         requestsOf(entry).put(requestId, tracked);
         queuedRequests.put(queued, tracked);
-        applyDecision(pool.offer(queued, now));
+        Decision decision = pool.offer(queued, now);
+        applyDecision(decision);
+        if (decision instanceof Decision.Queued waiting && waiting.yields()) {
+            advance(pool, now);
+        }
     }
 
     /**
@@ -188,6 +194,33 @@
         return requestsByEntry.size();
     }
 
+    /**
+     * Returns how many requests were granted a slot before others of their tier for the shares of their organisations.
+     *
+     * @return the number since the dispatchers were created.
+     */
+    public long overtakingGrants() {
+        return pools.dispatchers().stream()
+                .mapToLong(PoolDispatcher::overtakingGrants)
+                .sum();
+    }
+
+    /**
+     * Returns how many requests were refused whose organisation had been granted more than its share lately.
+     *
+     * @return the number since the dispatchers were created.
+     */
+    public long refusedAboveShare() {
+        return pools.dispatchers().stream()
+                .mapToLong(PoolDispatcher::refusedAboveShare)
+                .sum();
+    }
+
+    /** Returns the requests per second that a quota allows, or 0 where it has no limit. */
+    private static double shareWeight(OrganisationRule rule) {
+        return rule.ratePerSecond() / Math.max(1, rule.cost(0));
+    }
+
     private Map<Long, TrackedRequest> requestsOf(String entry) {
         return requestsByEntry.computeIfAbsent(entry, key -> new HashMap<>());
     }
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -10,10 +11,12 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.Upstream;
 
 /**
@@ -46,6 +49,10 @@
     private final Map<String, Engine> engines = new HashMap<>();
     private final SchedulerNode[] nodes;
     private final Map<Long, Request> pendingRequests = new HashMap<>();
+    private final List<Request> organisationRequests = new ArrayList<>();
+    private final List<Upstream> listed = new ArrayList<>();
+    private Collection<OrganisationRule> rules = List.of();
+    private OrganisationMix organisations = new OrganisationMix(List.of());
     private final PriorityQueue<ScheduledAction> scheduledActions =
             new PriorityQueue<>((one, other) -> Long.compare(one.dueAt, other.dueAt));
     private final int[] arrivalsByTier;
@@ -70,7 +77,6 @@
         onTimeByDomain = new int[workload.domains()];
         lastGrantAt = new long[workload.schedulers()];
         longestGrantGap = new long[workload.schedulers()];
-        List<Upstream> listed = new ArrayList<>();
         for (int number = 0; number < workload.upstreams(); number++) {
             Upstream upstream = SinglePool.engine(number, domainName(number), workload.slots());
             listed.add(upstream);
@@ -95,6 +101,24 @@
         return "entry-" + entry;
     }
 
+    /** Sets the organisations of the requests that arrive from now on. */
+    void setOrganisations(OrganisationMix mix) {
+        organisations = mix;
+    }
+
+    /** Sets the rules of organisations at all schedulers. */
+    void setRules(Collection<OrganisationRule> stated) {
+        rules = stated;
+        for (SchedulerNode node : nodes) {
+            rules.forEach(node.pools::setOrganisation);
+        }
+    }
+
+    /** Returns the current time in milliseconds since the start. */
+    long now() {
+        return now;
+    }
+
     /** Runs the simulation for some time with requests arriving at random at a mean rate. */
     void run(double requestsPerSecond, long millis) {
         for (long end = now + millis; now < end; now++) {
@@ -129,6 +153,21 @@
         schedule(PEER_TIMEOUT_MILLIS, () -> removePeer(node));
     }
 
+    /** Replaces a scheduler by one that has just started; its entries attach to it and send their requests again. */
+    void restartScheduler(int number) {
+        SchedulerNode lost = nodes[number];
+        lost.stopped = true;
+        nodes[number] = new SchedulerNode(number);
+        nodes[number].pools.setUpstreams(listed, nodes.length);
+        rules.forEach(nodes[number].pools::setOrganisation);
+        for (int entry = number; entry < workload.entries(); entry += nodes.length) {
+            nodes[number].scheduler.attach(entryName(entry), lost.scheduler.heldSlots(entryName(entry)), now);
+        }
+        List.copyOf(pendingRequests.values()).stream()
+                .filter(request -> request.node == lost)
+                .forEach(this::sendRequest);
+    }
+
     private void reattachEntries(int number) {
         for (int entry = number; entry < workload.entries(); entry += nodes.length) {
             nodeOf(entry).scheduler.attach(entryName(entry), nodes[number].scheduler.heldSlots(entryName(entry)), now);
@@ -159,6 +198,30 @@
         return (double) onTimeByDomain[number] / arrivalsByDomain[number];
     }
 
+    /** Returns the share of requests on time among those of some organisations that arrived in some time. */
+    double onTimeShare(Predicate<Integer> organisation, long from, long until) {
+        return organisationRequests.stream()
+                .filter(request -> request.arrivedBetween(from, until) && organisation.test(request.organisation))
+                .mapToInt(request -> request.onTime ? 1 : 0)
+                .average()
+                .orElse(1);
+    }
+
+    /** Returns how many requests of some organisations that arrived in some time were answered on time. */
+    long countOnTime(Predicate<Integer> organisation, long from, long until) {
+        return organisationRequests.stream()
+                .filter(request -> request.arrivedBetween(from, until) && organisation.test(request.organisation))
+                .filter(request -> request.onTime)
+                .count();
+    }
+
+    /** Returns how many requests were granted a slot before others for the shares of their organisations. */
+    long overtakingGrants() {
+        return Arrays.stream(nodes)
+                .mapToLong(node -> node.scheduler.overtakingGrants())
+                .sum();
+    }
+
     /** Returns the share of requests that were rejected on their first attempt. */
     double rejectedShare() {
         return (double) rejectedRequests / Arrays.stream(arrivalsByTier).sum();
@@ -188,6 +251,10 @@
         Request request =
                 new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, expectedTokens, now);
         arrivalsByDomain[request.entry % workload.domains()]++;
+        if (!organisations.sizes().isEmpty()) {
+            request.organisation = organisations.draw(random);
+            organisationRequests.add(request);
+        }
         sendRequest(request);
     }
 
@@ -209,7 +276,7 @@
                 new SlotRequest(
                         SinglePool.POOL,
                         domainName(request.entry),
-                        "",
+                        request.organisation < 0 ? "" : OrganisationMix.name(request.organisation),
                         0,
                         0,
                         request.retry,
@@ -283,6 +350,8 @@
         private final long expectedTokens;
         private final long arrivedAt;
         private long attemptStartedAt;
+        private int organisation = -1;
+        private boolean onTime;
         private boolean retry;
         private long id;
         private SchedulerNode node;
@@ -296,6 +365,10 @@
             this.arrivedAt = arrivedAt;
             this.attemptStartedAt = arrivedAt;
         }
+
+        boolean arrivedBetween(long from, long until) {
+            return arrivedAt >= from && arrivedAt < until;
+        }
     }
 
     /** Holds one scheduler, and passes its grants to the engines. */
@@ -369,6 +442,7 @@
             long firstByteAt = promptsProcessedUntil + (long) (request.events == 0 ? callMillis() : 2 * eventMillis);
             long endsAt = firstByteAt + (long) (request.events * eventMillis);
             boolean isOnTime = firstByteAt <= targetOf(request) && endsAt <= deadlineOf(request);
+            request.onTime = isOnTime;
             onTimeByTier[request.tier] += isOnTime ? 1 : 0;
             onTimeByDomain[request.entry % workload.domains()] += isOnTime ? 1 : 0;
             schedule(firstByteAt - now, () -> report(request, new SlotReport.FirstByte(now - sentAt)));
--- a/decision/src/test/java/org/radishspur/decision/slot/SinglePool.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SinglePool.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.radishspur.decision.dispatch.PoolDispatcher;
@@ -12,13 +14,13 @@
 import org.radishspur.model.catalogue.Upstream;
 
 /**
- * Provides a scheduler under test with one pool, whose upstreams and organisation the test sets.
+ * Provides a scheduler under test with one pool, whose upstreams and organisations the test sets.
  */
 final class SinglePool implements SlotScheduler.Pools {
     static final String POOL = "pool";
 
     private final PoolDispatcher dispatcher;
-    private Optional<OrganisationRule> organisation = Optional.empty();
+    private final Map<String, OrganisationRule> organisations = new HashMap<>();
 
     SinglePool(String scheduler, String failureDomain, int slots) {
         dispatcher = new PoolDispatcher(new UpstreamPool(scheduler, failureDomain, slots));
@@ -35,7 +37,7 @@
     }
 
     void setOrganisation(OrganisationRule rule) {
-        organisation = Optional.of(rule);
+        organisations.put(rule.name(), rule);
     }
 
     UpstreamPool upstreams() {
@@ -63,6 +65,6 @@
     /** {@inheritDoc} */
     @Override
     public Optional<OrganisationRule> organisationRule(String name) {
-        return organisation.filter(rule -> rule.name().equals(name));
+        return Optional.ofNullable(organisations.get(name));
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -114,6 +114,8 @@
                 pollerLoop, links, dialect, events, "", List::of, newer -> traffic.execute(() -> onView(newer)));
         metrics.register("scheduler.entries", (Gauge<Integer>) slotScheduler::entryCount);
         metrics.register("scheduler.waiting", (Gauge<Integer>) slotScheduler::queueLength);
+        metrics.register("scheduler.shares.overtaking", (Gauge<Long>) slotScheduler::overtakingGrants);
+        metrics.register("scheduler.shares.refused", (Gauge<Long>) slotScheduler::refusedAboveShare);
         setSeeds(settings.seeds());
         traffic.scheduleAtFixedRate(
                 () -> loadReports.publishIfDue(now()),
