Bound what an entry holds for slow readers

Cause: callers and upstreams may read slowly. An entry stopped reading an upstream while its caller didn't read, so that the slot stayed taken and the upstream cut the response off; bodies were held with a limit each and none for their sum, and nothing bounded what waits at an upstream. Change: where the settings name slow readers, one budget counts request bodies and response bytes that wait; a response is read on within its backlog, so that the slot becomes free; large bodies wait unread, go to the upstream in pieces, and pile up at no upstream; beyond the budget a request is refused as not run. Without that setting nothing is bounded.

--- a/command/src/main/java/org/radishspur/command/TraceCommand.java
+++ b/command/src/main/java/org/radishspur/command/TraceCommand.java
@@ -28,6 +28,7 @@
             "overload", "no slot was expected to become free in the pool within the request's maximum wait",
             "quota", "the organisation had used up its quota",
             "unconfirmed", "the entry had no confirmation by the control leader that its tables are still in force",
+            "memory", "the entry held as many bytes for its callers as it may; it was refused before its body was read",
             "expired", "its deadline passed before it was sent to an upstream",
             "not-taken", "no upstream accepted it",
             "route-unknown", "no route of the tables in force matches it",
--- a/node/src/main/java/org/radishspur/node/entry/EndReason.java
+++ b/node/src/main/java/org/radishspur/node/entry/EndReason.java
@@ -21,6 +21,8 @@
     UNCONFIRMED(503, true),
     /** No failure domain lies in a region that the route and the organisation allow. */
     REGION_UNAVAILABLE(503, true),
+    /** The entry holds as many bytes for its callers as it may. */
+    MEMORY(503, true),
     /** No slot becomes free in time. */
     OVERLOAD(503, true),
     /** Several upstreams have ended while they ran this request, and none has answered it since. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -84,12 +83,14 @@
     private final CrashCheck crashCheck;
     private final RequestRuns runs;
     private final Hedge hedge;
-    private final ByteBuf body = Unpooled.buffer(0);
+    private final RequestBody body;
 
     private RequestHead head;
     private RoutedRequest routed;
     private boolean callerRetry;
     private boolean bodyComplete;
+    private boolean bodyAdmitted;
+    private Optional<BodyAdmission.Waiting> waitingForMemory = Optional.empty();
     private boolean counted;
     private boolean done;
     private long deadlineAt;
@@ -105,21 +106,91 @@
     EntryExchange(
             EntryServices services, FrontConnection connection, ChannelHandlerContext context, HttpRequest request) {
         this.services = services;
-        this.response = new CallerResponse(services, connection, context, request);
+        this.response = new CallerResponse(services, connection, context, request, this::onCallerWritable);
         this.request = request;
         this.arrivedAt = EntryServices.now();
         this.log = new ExchangeLog(services, this);
         this.crashCheck = new CrashCheck(services, this, log);
         this.runs = new RequestRuns(this, services, crashCheck);
         this.hedge = new Hedge(this, services, log, runs);
+        this.body = new RequestBody(services.heldBytes(), request);
     }
 
     void begin() {
         services.requestStarted();
         counted = true;
+        if (tryReserveBody()) {
+            onBodyAdmitted();
+        } else {
+            awaitMemory();
+        }
+    }
+
+    private boolean tryReserveBody() {
+        return body.tryReserve(services.limits().maxBodyBytes());
+    }
+
+    /** Reads the body on, now that there is memory for it. */
+    private void onBodyAdmitted() {
+        bodyAdmitted = true;
+        endWaitForMemory();
         if (HttpUtil.is100ContinueExpected(request)) {
             response.writeContinue();
         }
+        if (bodyComplete) {
+            handleCompleteBody();
+        } else if (services.heldBytes().isLimited() && body.mayBeLarge()) {
+            awaitBody();
+        }
+    }
+
+    /** Refuses the request at its deadline if the body, for which memory is reserved, isn't complete by then. */
+    private void awaitBody() {
+        head = services.dialect().decodeHead(request);
+        timer = services.loop()
+                .schedule(() -> refuse(EndReason.EXPIRED, 0, false), statedDeadlineMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops reading the connection until there is memory for the body, or refuses the request. */
+    private void awaitMemory() {
+        if (body.isLarge()) {
+            waitingForMemory =
+                    services.bodyAdmission().await(this::tryReserveBody, this::onBodyAdmitted, this::refuseForMemory);
+        }
+        if (waitingForMemory.isPresent()) {
+            services.metrics().countPausedBody();
+            response.stopReading();
+        } else {
+            refuseForMemory();
+        }
+    }
+
+    boolean isWaitingForMemory() {
+        return waitingForMemory.isPresent();
+    }
+
+    private void endWaitForMemory() {
+        waitingForMemory.ifPresent(waiting -> {
+            waiting.cancel();
+            response.readOn();
+        });
+        waitingForMemory = Optional.empty();
+    }
+
+    /** Refuses a request for whose body there is no memory; what comes of the body is discarded. */
+    private void refuseForMemory() {
+        if (done) {
+            return;
+        }
+        head = services.dialect().decodeHead(request);
+        deadlineAt = arrivedAt + statedDeadlineMillis();
+        // A caller that waits for the interim response won't send the body, so that its next request can't be told
+        // apart.
+        refuse(EndReason.MEMORY, maxRetryAfter(), !bodyAdmitted && HttpUtil.is100ContinueExpected(request));
+    }
+
+    private long statedDeadlineMillis() {
+        return head.deadlineMillis() > 0 ? head.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
     }
 
     boolean isBodyComplete() {
@@ -129,28 +200,40 @@
     void onBody(HttpContent content) {
         try {
             if (done) {
+                bodyComplete |= content instanceof LastHttpContent;
                 return;
             }
-            if (body.readableBytes() + content.content().readableBytes()
+            if (body.bytes().readableBytes() + content.content().readableBytes()
                     > services.limits().maxBodyBytes()) {
                 bodyComplete = true;
                 refuse(EndReason.BODY_TOO_LARGE, 0, true);
                 return;
             }
-            body.writeBytes(content.content());
+            if (!body.append(content.content())) {
+                refuseForMemory();
+                return;
+            }
             if (content instanceof LastHttpContent) {
                 bodyComplete = true;
-                services.linkLoad().recordRequest(body.readableBytes());
-                // Avoids work for disconnected callers: after a pause of the process, a request and the close that
-                // follows it are read together. As the server reads until the socket is empty, the close is handled
-                // before this task runs.
-                services.loop().execute(this::handleRequest);
+                if (bodyAdmitted) {
+                    handleCompleteBody();
+                }
             }
         } finally {
             content.release();
         }
     }
 
+    private void handleCompleteBody() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        services.linkLoad().recordRequest(body.bytes().readableBytes());
+        // Avoids work for disconnected callers: after a pause of the process, a request and the close that follows it
+        // are read together. As the server reads until the socket is empty, the close is handled before this task runs.
+        services.loop().execute(this::handleRequest);
+    }
+
     private void handleRequest() {
         if (done || !response.isOpen()) {
             return;
@@ -160,7 +243,7 @@
             refuse(EndReason.MALFORMED, 0, false);
             return;
         }
-        long statedMillis = head.deadlineMillis() > 0 ? head.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
+        long statedMillis = statedDeadlineMillis();
         deadlineAt = arrivedAt + statedMillis;
         if (services.isConfirmed()) {
             matchRoute(statedMillis);
@@ -248,6 +331,7 @@
         if (attempt != null) {
             avoided.add(attempt.upstream().run());
         }
+        avoided.addAll(services.unansweredBodies().avoidedBy(bodyBytes()));
         SlotRequest slotRequest = buildSlotRequest(Math.max(0, waitMillis), trialAllowed, avoided, now);
         return services.slots().request(slotRequest, listener, now);
     }
@@ -292,6 +376,7 @@
         log.refused(reason, retryAfterMillis, rejected.queueLength(), rejected.slots());
         release();
         response.writeError(reason, retryAfterMillis, false);
+        endResponse();
     }
 
     /**
@@ -322,6 +407,11 @@
             granted.end(SlotOutcome.UNUSED);
             return;
         }
+        if (!mayPileUpAt(granted.upstream())) {
+            granted.end(SlotOutcome.UNUSED);
+            retryElsewhere("upstream-full", true);
+            return;
+        }
         crashCheck.beginTrialIfSuspected();
         services.metrics().recordSlotWait(EntryServices.now() - arrivedAt);
         attempt = new UpstreamAttempt(this, services, granted);
@@ -330,6 +420,15 @@
         attempt.start(routed.route().isRepeatable() && runs.budget().hasUnreserved());
     }
 
+    /** Returns whether the body may be sent to an upstream beside those that wait there. */
+    boolean mayPileUpAt(UpstreamLoad upstream) {
+        return services.mayPileUp(upstream.upstream(), bodyBytes());
+    }
+
+    private int bodyBytes() {
+        return body.bytes().readableBytes();
+    }
+
     /** Returns whether a connected attempt may be sent now; the second of two takes a retry from the budget. */
     boolean maySend(UpstreamAttempt connected, ConfirmedView viewAtGrant) {
         return isStillUsable(connected.upstream(), viewAtGrant)
@@ -528,9 +627,13 @@
         if (continuesWithout(ended, reason)) {
             return;
         }
+        retryElsewhere(reason, !wasSent);
+    }
+
+    private void retryElsewhere(String reason, boolean free) {
         if (runs.isNextAttemptAllowed()
                 && slotRequests < MAX_SLOT_REQUESTS
-                && (!wasSent || runs.budget().tryTake())) {
+                && (free || runs.budget().tryTake())) {
             retry(reason);
         } else {
             refuse(EndReason.NOT_TAKEN, maxRetryAfter(), false);
@@ -624,14 +727,14 @@
     void writeFull(HttpResponse upstreamHead, ByteBuf content) {
         response.writeFull(upstreamHead, content);
         release();
-        response.onWritten();
+        endResponse();
     }
 
     /** Ends a response that was written in parts, and the request with it. */
     void writeEnd() {
         response.writeEnd();
         release();
-        response.onWritten();
+        endResponse();
     }
 
     /** Records the time from the arrival of the request to the first byte of its first response. */
@@ -642,6 +745,10 @@
         }
     }
 
+    private void endResponse() {
+        response.end(deadlineAt == 0 ? DEFAULT_DEADLINE_MILLIS : remainingMillis());
+    }
+
     void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis, ResponseEnd end, int restBytes) {
         log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis, end, restBytes);
     }
@@ -661,6 +768,7 @@
         log.refused(reason, retryAfterMillis, 0, 0);
         release();
         response.writeError(reason, retryAfterMillis, close);
+        endResponse();
     }
 
     /** Ends a request that may have run with an error response, or aborts its response if a part was sent. */
@@ -673,6 +781,7 @@
             return;
         }
         response.writeError(reason, 0, false);
+        endResponse();
     }
 
     /** Releases the timer, the slot, the attempt and the body of the request, once. */
@@ -682,6 +791,7 @@
         }
         done = true;
         services.stopAwaitingConfirmation(this);
+        endWaitForMemory();
         if (timer != null) {
             timer.cancel(false);
         }
@@ -692,6 +802,7 @@
             attempt.abandon();
         }
         hedge.cancel();
+        response.discardGathered();
         services.removeRunning(this);
         crashCheck.endTrial();
         body.release();
@@ -706,12 +817,12 @@
 
     /** Returns the body, which is complete once the request has been routed. */
     ByteBuf body() {
-        return body;
+        return body.bytes();
     }
 
     /** Returns the body with a reference count of its own, which the caller of this method releases. */
     ByteBuf retainedBody() {
-        return body.retainedDuplicate();
+        return body.bytes().retainedDuplicate();
     }
 
     RequestHead head() {
--- a/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
@@ -59,6 +59,21 @@
         registry.counter("connections.refusing").inc();
     }
 
+    /** Counts a request that waits for memory before its body is read. */
+    void countPausedBody() {
+        registry.counter("memory.paused.requests").inc();
+    }
+
+    /** Counts a time in which a response isn't read from its upstream because of what its caller hasn't taken. */
+    void countPausedResponse() {
+        registry.counter("memory.paused.responses").inc();
+    }
+
+    /** Counts a complete response that its caller hasn't taken by its deadline. */
+    void countUnread() {
+        registry.counter("answers.unread").inc();
+    }
+
     void recordSlotWait(long millis) {
         slotWait.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryProcess.java
@@ -31,7 +31,6 @@
 import org.radishspur.node.supervise.Supervisor;
 import org.radishspur.node.upstream.RelayedProbe;
 import org.radishspur.node.upstream.UpstreamConnections;
-import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamProbe;
 
 /**
@@ -94,8 +93,13 @@
         VersionCounters versionCounters = new VersionCounters();
         links = new FleetLinks(traffic, this);
         LinkMonitor linkMonitor = new LinkMonitor(events, this::reportReach, EntryServices::now);
-        UpstreamExchange.Factory exchanges =
+        HeldBytes heldBytes =
+                HeldBytes.of(settings.memory(), Runtime.getRuntime().maxMemory());
+        UpstreamConnections exchanges =
                 new UpstreamConnections(traffic, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, linkMonitor.paths());
+        if (heldBytes.isLimited()) {
+            exchanges.setMaxReadBytes(HeldBytes.READ_BYTES);
+        }
         UpstreamProbe probe = new RelayedProbe(
                 new UpstreamProbe.Default(traffic),
                 new RelayDialer(traffic, CONNECT_TIMEOUT_MILLIS),
@@ -106,7 +110,8 @@
                 events,
                 metrics,
                 new EntryServices.Transport(traffic, exchanges, probe, linkMonitor, links),
-                versionCounters);
+                versionCounters,
+                heldBytes);
         metrics.registry().register("requests.in_progress", (Gauge<Integer>) services::inProgress);
         metrics.registry().register("catalogue.revision", (Gauge<Long>)
                 () -> services.view().revision());
--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -17,6 +17,7 @@
 import org.radishspur.decision.region.RegionMap;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
+import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.caller.RetryBudget;
 import org.radishspur.node.dialect.CallerDialect;
 import org.radishspur.node.fleet.FleetMessage;
@@ -61,6 +62,9 @@
     private final Set<EntryExchange> running = new HashSet<>();
     private final Map<String, Long> maxDeadlineMillis = new HashMap<>();
     private final LinkLoad linkLoad;
+    private final HeldBytes heldBytes;
+    private final BodyAdmission bodyAdmission;
+    private final UnansweredBodies unansweredBodies = new UnansweredBodies();
     private final PauseDetector pauses = new PauseDetector(CHECK_INTERVAL_MILLIS);
     private volatile ConfirmedView view = ConfirmedView.EMPTY;
     private volatile boolean confirmationAwaited;
@@ -75,7 +79,8 @@
             EventLog events,
             EntryMetrics metrics,
             Transport transport,
-            VersionCounters versionCounters) {
+            VersionCounters versionCounters,
+            HeldBytes heldBytes) {
         this.settings = settings;
         regions = settings.regions();
         this.dialect = dialect;
@@ -83,6 +88,10 @@
         this.metrics = metrics;
         this.transport = transport;
         this.versionCounters = versionCounters;
+        this.heldBytes = heldBytes;
+        bodyAdmission = new BodyAdmission(transport.loop(), heldBytes);
+        metrics.registry().register("memory.held", (Gauge<Long>) heldBytes::total);
+        metrics.registry().register("memory.budget", (Gauge<Long>) heldBytes::budget);
         linkLoad = new LinkLoad(settings.bounds().linkBytesPerSecond(), EntryServices::now);
         CrashLedger crashLedger = new CrashLedger();
         crashGuard =
@@ -190,6 +199,24 @@
         return linkLoad;
     }
 
+    HeldBytes heldBytes() {
+        return heldBytes;
+    }
+
+    BodyAdmission bodyAdmission() {
+        return bodyAdmission;
+    }
+
+    UnansweredBodies unansweredBodies() {
+        return unansweredBodies;
+    }
+
+    /** Returns whether a body may be sent to an upstream beside those that wait there; always where readers aren't slow. */
+    boolean mayPileUp(Upstream upstream, int bodyBytes) {
+        return !heldBytes.isLimited()
+                || unansweredBodies.hasRoom(upstream, bodyBytes, limits().maxBodyBytes(), view.entryCount());
+    }
+
     private boolean isConfirmedWithin(double share) {
         return view.isConfirmedWithin(settings.bounds().revocationLimitMillis() * share);
     }
--- a/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
@@ -21,9 +21,13 @@
      */
     private static final int MAX_QUEUED_PARTS = 256;
 
+    /** The maximum size of queued parts, in bytes, from which on the connection isn't read where memory is bounded. */
+    private static final int MAX_QUEUED_BYTES = 64 << 10;
+
     private final EntryServices services;
     private final FrontServer server;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
+    private final HeldBytes.Share queuedBytes;
     private EntryExchange exchange;
     private final LinkLoad.Expected firstRequest;
     private long idleSince;
@@ -33,6 +37,7 @@
         this.services = services;
         this.server = server;
         this.idleSince = EntryServices.now();
+        this.queuedBytes = services.heldBytes().share();
         this.firstRequest = services.linkLoad().expectRequest();
     }
 
@@ -50,7 +55,7 @@
         if (closing) {
             ReferenceCountUtil.release(part);
         } else if (exchange != null && exchange.isBodyComplete()) {
-            queuedParts.addLast(part);
+            queue(context, part);
             if (queuedParts.size() > MAX_QUEUED_PARTS) {
                 context.close();
             }
@@ -59,6 +64,28 @@
         }
     }
 
+    private void queue(ChannelHandlerContext context, HttpObject part) {
+        queuedParts.addLast(part);
+        queuedBytes.set(queuedBytes.bytes() + bytes(part));
+        if (services.heldBytes().isLimited() && queuedBytes.bytes() > MAX_QUEUED_BYTES) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    private HttpObject takeQueued(ChannelHandlerContext context) {
+        HttpObject part = queuedParts.removeFirst();
+        queuedBytes.set(queuedBytes.bytes() - bytes(part));
+        boolean waiting = exchange != null && exchange.isWaitingForMemory();
+        if (queuedParts.isEmpty() && services.heldBytes().isLimited() && !waiting) {
+            context.channel().config().setAutoRead(true);
+        }
+        return part;
+    }
+
+    private static int bytes(HttpObject part) {
+        return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     private void handle(ChannelHandlerContext context, HttpObject part) {
         if (part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
@@ -93,7 +120,7 @@
             return;
         }
         while (!queuedParts.isEmpty() && (exchange == null || !exchange.isBodyComplete()) && !closing) {
-            handle(context, queuedParts.removeFirst());
+            handle(context, takeQueued(context));
         }
     }
 
@@ -122,6 +149,7 @@
         firstRequest.end();
         queuedParts.forEach(ReferenceCountUtil::release);
         queuedParts.clear();
+        queuedBytes.close();
         if (exchange != null) {
             EntryExchange abandoned = exchange;
             exchange = null;
--- a/node/src/main/java/org/radishspur/node/entry/Hedge.java
+++ b/node/src/main/java/org/radishspur/node/entry/Hedge.java
@@ -78,6 +78,11 @@
     private void start(UpstreamSlot granted) {
         boolean otherUpstream =
                 !granted.upstream().run().equals(exchange.firstUpstream().run());
+        if (!exchange.mayPileUpAt(granted.upstream())) {
+            granted.end(SlotOutcome.UNUSED);
+            giveUp("upstream full");
+            return;
+        }
         if (!exchange.mayBeHedged() || !otherUpstream && !sameUpstreamAllowed) {
             granted.end(SlotOutcome.UNUSED);
             giveUp(otherUpstream ? "not allowed" : "no other upstream");
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -22,6 +22,7 @@
 import org.radishspur.node.dialect.CallerDialect.ResponseKind;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.schedule.ConfirmedView;
+import org.radishspur.node.upstream.PacedRequest;
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
@@ -41,12 +42,17 @@
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
+    /** The time for which any upstream keeps a response that isn't read, in milliseconds. */
+    private static final long MAX_UNREAD_MILLIS = 1_000;
+
     private final EntryExchange caller;
     private final EntryServices services;
     private final UpstreamSlot slot;
     private final UpstreamLoad upstream;
     private final VersionEvidence evidence;
     private final ConfirmedView viewAtGrant;
+    private final HeldBytes.Share held;
+    private final ReadPauses pauses = new ReadPauses();
     private UpstreamExchange exchange;
     private Phase phase = Phase.CONNECTING;
     private long sentAt;
@@ -65,6 +71,7 @@
     private long longestPauseMillis;
     private EventSplitter splitter;
     private boolean resumed;
+    private int sentBodyBytes;
 
     UpstreamAttempt(EntryExchange caller, EntryServices services, UpstreamSlot slot) {
         this.caller = caller;
@@ -74,6 +81,7 @@
         this.evidence = new VersionEvidence(
                 services, upstream.upstream(), caller.route().name());
         this.viewAtGrant = services.view();
+        this.held = services.heldBytes().share();
     }
 
     /**
@@ -122,10 +130,20 @@
         resumed = caller.eventCount() > 0;
         caller.onSent(this);
         logSent();
-        exchange.write(forwardedRequest());
+        writeRequest();
         exchange.read();
     }
 
+    private void writeRequest() {
+        if (!services.heldBytes().isLimited()) {
+            exchange.write(forwardedRequest());
+            return;
+        }
+        sentBodyBytes = caller.body().readableBytes();
+        services.unansweredBodies().add(upstream.upstream(), sentBodyBytes);
+        PacedRequest.write(exchange, forwardedRequest());
+    }
+
     private void logSent() {
         if (services.events().isSampled(caller.head().requestId())) {
             services.events()
@@ -275,6 +293,7 @@
     private void writeEvents(ByteBuf content) {
         long eventsBefore = splitter.eventCount();
         ByteBuf complete = splitter.split(content);
+        held.set(splitter.restBytes());
         long newEvents = splitter.eventCount() - eventsBefore;
         if (newEvents > 0) {
             caller.onEvents(this, newEvents, splitter.lastEventId());
@@ -287,6 +306,17 @@
             complete.release();
             caller.response().writeContent(content.retain());
         }
+        if (isEndlessEvent()) {
+            exchange.abort();
+            onMalformedResponse(new ProtocolException("an event has no end"));
+        }
+    }
+
+    /** Returns whether the upstream sends an event that is larger than what may be held for a caller. */
+    private boolean isEndlessEvent() {
+        return services.heldBytes().isLimited()
+                && splitter.restBytes() > CallerBacklog.MAX_BYTES
+                && (caller.route().resumable() || UpstreamHeaders.INSTANCE.mayBeEventStream(responseHead));
     }
 
     /**
@@ -296,7 +326,8 @@
         long events = splitter.eventCount();
         if (slot.isEventTimeRequested() && !eventTimeReported && events >= EARLY_REPORT_EVENTS) {
             eventTimeReported = true;
-            slot.report(new SlotReport.FirstEventTime((double) (EntryServices.now() - firstByteAt) / (events - 1)));
+            long millis = EntryServices.now() - firstByteAt - pauses.totalMillis();
+            slot.report(new SlotReport.FirstEventTime((double) millis / (events - 1)));
         }
     }
 
@@ -309,14 +340,23 @@
             return;
         }
         buffered.writeBytes(content);
-        if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+        held.set(buffered.capacity());
+        if (buffered.readableBytes() > maxBufferedBytes()) {
             caller.keep(this);
             caller.response().writeHead(responseHead, true);
             caller.response().writeContent(buffered);
             buffered = Unpooled.EMPTY_BUFFER;
+            held.set(0);
         }
     }
 
+    /** Returns how much is buffered so that an interrupted response can be retried; little while much is held. */
+    private int maxBufferedBytes() {
+        return services.heldBytes().hasRoom(HeldBytes.Use.READ_AHEAD, 0)
+                ? MAX_BUFFERED_BYTES
+                : CallerBacklog.SHORT_BYTES;
+    }
+
     /** Records the arrival of bytes: times and pauses, and the first byte for the scheduler. */
     private void recordBytes() {
         long now = EntryServices.now();
@@ -343,6 +383,8 @@
             caller.response().flush();
             if (caller.response().isWritable()) {
                 exchange.read();
+            } else if (services.heldBytes().isLimited()) {
+                pauseReading();
             }
         } else if (phase == Phase.DRAINING) {
             exchange.read();
@@ -352,10 +394,19 @@
     /** Reads more of the response, once the caller has received the written part. */
     void read() {
         if (phase == Phase.RUNNING) {
+            // The upstream could send nothing meanwhile.
+            lastByteAt += pauses.end(EntryServices.now());
             exchange.read();
         }
     }
 
+    private void pauseReading() {
+        if (pauses.begin(EntryServices.now())) {
+            services.metrics().countPausedResponse();
+            exchange.pauseReading();
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onResponseComplete(ResponseEnd end) {
@@ -419,14 +470,17 @@
             return;
         }
         long now = EntryServices.now();
+        long pausedMillis = pauses.totalMillis();
         long events = isEventStream() ? splitter.eventCount() : 0;
-        double eventMillis = isEventStream() ? (double) (now - firstByteAt) / Math.max(1, events - 1) : now - sentAt;
+        double eventMillis = isEventStream()
+                ? (double) (now - firstByteAt - pausedMillis) / Math.max(1, events - 1)
+                : now - sentAt - pausedMillis;
         evidence.recordResponse(true);
-        evidence.recordFirstByteTime((isEventStream() ? firstByteAt : now) - sentAt);
+        evidence.recordFirstByteTime((isEventStream() ? firstByteAt : now - pausedMillis) - sentAt);
         recordEventTimes();
         end(new SlotReport.Ended(
                         SlotOutcome.SUCCESS,
-                        now - sentAt,
+                        now - sentAt - pausedMillis,
                         isEventStream() && events <= 1 ? 0 : eventMillis,
                         resumed ? 0 : events,
                         caller.routed().expectedTokens())
@@ -436,7 +490,7 @@
     /** Records the time between events so far. */
     private void recordEventTimes() {
         if (isEventStream()) {
-            evidence.recordEventTimes(lastByteAt - firstByteAt, splitter.eventCount());
+            evidence.recordEventTimes(lastByteAt - firstByteAt - pauses.totalMillis(), splitter.eventCount());
         }
     }
 
@@ -461,9 +515,10 @@
         if (phase != Phase.RUNNING) {
             return;
         }
-        boolean pathBroken = isPathBroken();
-        boolean countsForVersion = !pathBroken && upstream.isSeparateBreak(EntryServices.now());
-        end(pathBroken ? SlotOutcome.ABANDONED : SlotOutcome.BROKEN);
+        // An upstream may cut off a response that remains unread.
+        boolean ownFault = isPathBroken() || pauses.totalMillis() > MAX_UNREAD_MILLIS;
+        boolean countsForVersion = !ownFault && upstream.isSeparateBreak(EntryServices.now());
+        end(ownFault ? SlotOutcome.ABANDONED : SlotOutcome.BROKEN);
         long millis = EntryServices.now() - sentAt;
         caller.onConnectionLost(this, firstByteReceived, millis, "broken: " + cause.getMessage(), result -> {
             if (countsForVersion) {
@@ -501,7 +556,7 @@
 
     /** Returns whether the request was sent and no part of its response has come for a while. */
     private boolean isStalled(long now) {
-        return phase == Phase.RUNNING && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
+        return phase == Phase.RUNNING && !pauses.isPaused() && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
     }
 
     /** Returns whether this entry has lost its direct path to the upstream, so that the upstream is not at fault. */
@@ -567,6 +622,9 @@
 
     private void end(SlotReport.Ended ended) {
         phase = Phase.ENDED;
+        held.close();
+        services.unansweredBodies().remove(upstream.upstream(), sentBodyBytes);
+        sentBodyBytes = 0;
         slot.end(unreportedLimit.map(ended::withLimit).orElse(ended).withRequests(restMillis, upstreamLeaves));
     }
 
--- a/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
+++ b/node/src/main/java/org/radishspur/node/settings/PlatformProcessSettings.java
@@ -25,6 +25,7 @@
  * @param metricsAddress the address at which metrics are served, if they are.
  * @param bounds the bounds that the platform's users rely on, over all processes together.
  * @param regions the regions of the failure domains.
+ * @param memory what is known of the memory of the process.
  */
 public record PlatformProcessSettings(
         String node,
@@ -40,7 +41,8 @@
         HostPort hostListAddress,
         Optional<HostPort> metricsAddress,
         Bounds bounds,
-        RegionMap regions) {
+        RegionMap regions,
+        Memory memory) {
 
     /** Creates the settings with a copy of the seeds. */
     public PlatformProcessSettings {
@@ -68,7 +70,8 @@
                 hostListAddress,
                 metricsAddress,
                 bounds,
-                regions);
+                regions,
+                memory);
     }
 
     /**
@@ -103,4 +106,15 @@
             return 2 * toleratedHostLosses + 1;
         }
     }
+
+    /**
+     * Holds what is known of the memory of a process.
+     *
+     * @param slowReaders whether callers and upstreams may read slowly, so that what waits for them has to be bounded.
+     * @param processBytes the memory beyond which the process is killed, in bytes; 0 where it isn't stated.
+     */
+    public record Memory(boolean slowReaders, long processBytes) {
+        /** Callers and upstreams read at once, and no limit is stated. */
+        public static final Memory UNBOUNDED = new Memory(false, 0);
+    }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -41,6 +41,8 @@
     private boolean responseComplete;
     private boolean reusable;
     private boolean skippingResponse;
+    private boolean paused;
+    private boolean wasPaused;
     private long maxIdleMillis;
 
     UpstreamConnection(UpstreamConnections connections, Target target) {
@@ -57,6 +59,8 @@
         responseComplete = false;
         reusable = true;
         skippingResponse = false;
+        paused = false;
+        wasPaused = false;
         maxIdleMillis = Long.MAX_VALUE;
     }
 
@@ -77,9 +81,27 @@
     /** {@inheritDoc} */
     @Override
     public void read() {
+        if (paused) {
+            paused = false;
+            if (unanswered && isDirect()) {
+                connections.paths().recordSent(target.address());
+            }
+        }
         channel.read();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void pauseReading() {
+        if (!paused) {
+            if (unanswered && isDirect()) {
+                connections.paths().recordEnded(target.address());
+            }
+            paused = true;
+            wasPaused = true;
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     public void skipResponse() {
@@ -187,7 +209,7 @@
 
     /** Records once that the request that was sent has ended, for the direct path that it was sent on. */
     private void recordEnded() {
-        if (unanswered && isDirect()) {
+        if (unanswered && isDirect() && !paused) {
             connections.paths().recordEnded(target.address());
         }
         unanswered = false;
@@ -206,7 +228,8 @@
     private void fail(Throwable cause) {
         UpstreamListener receiver = listener;
         listener = null;
-        if (unanswered && isDirect()) {
+        // An upstream may cut off a response that remains unread.
+        if (unanswered && isDirect() && !wasPaused) {
             connections.paths().recordLoss(target.address());
         }
         recordEnded();
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -8,9 +8,11 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.radishspur.node.relay.RelayDialer;
 import org.radishspur.node.relay.RelayMessage;
@@ -23,11 +25,17 @@
  * <p>Where the direct path to an upstream is broken, connections are made through another host, if one relays.
  */
 public final class UpstreamConnections implements UpstreamExchange.Factory {
+    /** The sizes between which buffers for reads are chosen, and the first one, in bytes; Netty's defaults. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int INITIAL_READ_BYTES = 2_048;
+
     private final EventLoop loop;
     private final int connectMillis;
     private final long keepMillis;
     private final UpstreamPaths paths;
     private final RelayDialer dialer;
+    private Optional<RecvByteBufAllocator> readSizes = Optional.empty();
     private final Map<String, Deque<Idle>> directIdle = new HashMap<>();
     private final Map<String, Deque<Idle>> relayedIdle = new HashMap<>();
 
@@ -58,6 +66,16 @@
         this.dialer = new RelayDialer(loop, connectMillis);
     }
 
+    /**
+     * Limits the bytes of each read on direct connections that are made from now on.
+     *
+     * @param bytes the maximum, in bytes.
+     */
+    public void setMaxReadBytes(int bytes) {
+        readSizes = Optional.of(
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, bytes).maxMessagesPerRead(1));
+    }
+
     /** {@inheritDoc} */
     @Override
     public UpstreamExchange open(String address, UpstreamListener listener) {
@@ -152,13 +170,10 @@
     private void connectDirectly(UpstreamConnection connection, UpstreamListener listener, boolean relayable) {
         String address = connection.target().address();
         ClientSocket.INSTANCE
-                .connect(
-                        address,
-                        loop,
-                        connectMillis,
-                        channel -> channel.pipeline()
-                                .addLast(new HttpClientCodec())
-                                .addLast(connection))
+                .connect(address, loop, connectMillis, channel -> {
+                    readSizes.ifPresent(channel.config()::setRecvByteBufAllocator);
+                    channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+                })
                 .addListener((ChannelFuture future) -> {
                     if (future.isSuccess()) {
                         paths.recordConnected(address);
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -19,6 +19,9 @@
     /** Requests one more read of the response; nothing is read otherwise. */
     void read();
 
+    /** Notes that no read is requested for a while, so that silence until the next read shows nothing. */
+    default void pauseReading() {}
+
     /**
      * Discards the response whose head has just been received and waits for the next one, after which the connection is
      * closed.
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -12,9 +12,13 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -44,6 +48,7 @@
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.ProcessSettingsFixture;
+import org.radishspur.node.upstream.PacedChannel;
 import org.radishspur.node.upstream.ResponseEnd;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -56,15 +61,17 @@
  */
 final class EntryFixture implements AutoCloseable {
     private static final long DEADLINE_MILLIS = 10_000;
+    private static final int PART_BYTES = 16 << 10;
     private static final String RESUME_AFTER = "resume-after";
     private static final HostPort UNUSED_ADDRESS = HostPort.parse("127.0.0.1:1");
 
-    private final EmbeddedChannel caller = new EmbeddedChannel();
-    private final List<EmbeddedChannel> others = new ArrayList<>();
+    private final PacedChannel caller = new PacedChannel();
+    private final List<PacedChannel> others = new ArrayList<>();
     private final EventLog events = new EventLog("entry", new PrintStream(OutputStream.nullOutputStream()));
     private final FleetLinks links = new FleetLinks(caller.eventLoop(), (sender, message) -> {});
     private final List<FakeExchange> exchanges = new ArrayList<>();
     private final EntryServices services;
+    private final HeldBytes held;
     private Catalogue catalogue;
     private HostList hosts;
     private final List<Rollout> rollouts;
@@ -74,20 +81,37 @@
     private final LinkMonitor linkMonitor = new LinkMonitor(events, changed -> reach = changed, () -> linkMillis);
     private boolean connectsAutomatically = true;
     private int checks;
+    private int entryCount = 1;
     private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
-        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE);
+        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, HeldBytes.unlimited());
+    }
+
+    EntryFixture(RequestKind kind, boolean resumable, int upstreams, HeldBytes held) {
+        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, held);
     }
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams, Set<String> allowedRegions, RegionMap regions) {
+        this(kind, resumable, upstreams, allowedRegions, regions, HeldBytes.unlimited());
+    }
+
+    private EntryFixture(
+            RequestKind kind,
+            boolean resumable,
+            int upstreams,
+            Set<String> allowedRegions,
+            RegionMap regions,
+            HeldBytes held) {
+        this.held = held;
         services = new EntryServices(
                 ProcessSettingsFixture.of("entry", UNUSED_ADDRESS, regions),
                 new FakeDialect(),
                 events,
                 new EntryMetrics(),
                 new EntryServices.Transport(caller.eventLoop(), new FakeFactory(), this::check, linkMonitor, links),
-                versionCounters);
+                versionCounters,
+                held);
         RouteRule route = new RouteRule(
                 "route",
                 "host",
@@ -122,7 +146,25 @@
     /** Applies a view with the given evacuated failure domains and time of confirmation. */
     void applyView(Set<String> evacuated, Moment confirmedAt) {
         services.onView(new ConfirmedView(
-                Optional.of(catalogue), hosts, rollouts, 1, List.of(), evacuated, List.of("relay"), confirmedAt));
+                Optional.of(catalogue),
+                hosts,
+                rollouts,
+                entryCount,
+                List.of(),
+                evacuated,
+                List.of("relay"),
+                confirmedAt));
+    }
+
+    /** Sets how many entries there are. */
+    void setEntryCount(int count) {
+        entryCount = count;
+        applyView(Set.of(), Moment.now());
+    }
+
+    /** Lets large bodies of this entry wait at the first upstream. */
+    void pileUp(long bytes) {
+        services.unansweredBodies().add(hosts.upstreams().get(0), bytes);
     }
 
     /** Leaves connections to upstreams pending until {@link FakeExchange#connect()}. */
@@ -173,13 +215,74 @@
 
     /** Sends a request as another caller, whose response is not read. */
     void requestAsOther() {
-        EmbeddedChannel other = new EmbeddedChannel();
+        request(connectOther());
+    }
+
+    /** Connects another caller, which takes responses as its channel allows. */
+    PacedChannel connectOther() {
+        PacedChannel other = new PacedChannel();
         others.add(other);
         connect(other);
-        request(other);
+        return other;
+    }
+
+    /** Returns the channel of the first caller. */
+    PacedChannel caller() {
+        return caller;
+    }
+
+    /** Sends a request with a body of a size, which the head states, as far as it is read. */
+    void requestLarge(PacedChannel channel, int bodyBytes) {
+        sendHead(channel, bodyBytes);
+        sendBody(channel, bodyBytes);
+        channel.runPendingTasks();
+        caller.runPendingTasks();
+    }
+
+    /** Sends the head of a request with a body of a size. */
+    void sendHead(PacedChannel channel, int bodyBytes) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+        channel.writeInbound(head);
+    }
+
+    /** Sends a whole body, as long as the connection is read. */
+    void sendBody(PacedChannel channel, int bodyBytes) {
+        int last = Math.min(PART_BYTES, bodyBytes);
+        sendBegin(channel, bodyBytes - last);
+        if (channel.config().isAutoRead()) {
+            channel.writeInbound(new DefaultLastHttpContent(Unpooled.wrappedBuffer(new byte[last])));
+        }
+    }
+
+    /** Sends the beginning of a body, as long as the connection is read. */
+    void sendBegin(PacedChannel channel, int bytes) {
+        for (int left = bytes; left > 0 && channel.config().isAutoRead(); left -= PART_BYTES) {
+            int part = Math.min(PART_BYTES, left);
+            channel.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[part])));
+        }
+    }
+
+    HeldBytes held() {
+        return held;
+    }
+
+    /** Returns how many requests are in progress, whose responses were not taken. */
+    int inProgress() {
+        return services.inProgress();
+    }
+
+    long count(String metric) {
+        return services.metrics().registry().counter(metric).getCount();
     }
 
-    private void request(EmbeddedChannel channel) {
+    /** Runs what waits in all event loops. */
+    void runAll() {
+        caller.runPendingTasks();
+        others.forEach(EmbeddedChannel::runPendingTasks);
+    }
+
+    void request(EmbeddedChannel channel) {
         channel.writeInbound(new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII)));
         caller.runPendingTasks();
@@ -195,6 +298,11 @@
         return exchanges.size();
     }
 
+    /** Returns the exchanges on which a request was sent and whose response hasn't ended. */
+    List<FakeExchange> openExchanges() {
+        return exchanges.stream().filter(FakeExchange::isOpen).toList();
+    }
+
     void disconnectCaller() {
         caller.close();
         caller.runPendingTasks();
@@ -207,11 +315,16 @@
 
     /** Returns what the caller has received since the last call. */
     ReceivedResponse received() {
-        caller.runPendingTasks();
+        return received(caller);
+    }
+
+    /** Returns what a caller has received since the last call. */
+    ReceivedResponse received(EmbeddedChannel channel) {
+        channel.runPendingTasks();
         StringBuilder text = new StringBuilder();
         int status = 0;
         boolean complete = false;
-        for (Object part = caller.readOutbound(); part != null; part = caller.readOutbound()) {
+        for (Object part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
             if (part instanceof HttpResponse response) {
                 status = response.status().code();
             }
@@ -276,8 +389,8 @@
     /** {@inheritDoc} */
     @Override
     public void close() {
-        caller.close();
-        others.forEach(EmbeddedChannel::close);
+        caller.finishAndReleaseAll();
+        others.forEach(EmbeddedChannel::finishAndReleaseAll);
         links.close();
         events.close();
     }
@@ -313,7 +426,12 @@
         private final boolean relayable;
         private boolean aborted;
         private boolean requestSent;
+        private boolean begun;
+        private boolean ended;
         private long resumeAfter;
+        private int reads;
+        private int sentBytes;
+        private ChannelPromise unwritten;
 
         FakeExchange(String address, UpstreamListener listener, boolean relayable) {
             this.address = address;
@@ -362,7 +480,38 @@
             listener.onResponseComplete(ResponseEnd.CONNECTION_CLOSED);
         }
 
+        boolean isOpen() {
+            return requestSent && !aborted && !ended;
+        }
+
+        /** Sends the head of a response unless it was sent. */
+        void begin(int status) {
+            if (!begun) {
+                begun = true;
+                sendHead(status);
+            }
+        }
+
+        /** Sends a part of a response, unless the entry has ended the exchange. */
+        void sendPart(String text) {
+            if (isOpen()) {
+                sendBody(text);
+            }
+        }
+
+        /** Ends a response that was begun, and closes the connection if the body of the request isn't sent. */
+        void finish() {
+            begin(HttpResponseStatus.OK.code());
+            if (isOpen()) {
+                ended = true;
+                failUnwritten();
+                complete();
+            }
+        }
+
         void loseConnection() {
+            ended = true;
+            failUnwritten();
             listener.onConnectionLost(new java.io.IOException("reset"));
         }
 
@@ -379,16 +528,37 @@
         @Override
         public ChannelFuture write(HttpObject part) {
             requestSent = true;
+            if (part instanceof HttpContent content) {
+                sentBytes += content.content().readableBytes();
+            }
             if (part instanceof HttpRequest sent) {
                 resumeAfter = Long.parseLong(sent.headers().get(RESUME_AFTER));
             }
             io.netty.util.ReferenceCountUtil.release(part);
-            return null;
+            unwritten = new EmbeddedChannel().newPromise();
+            return unwritten;
+        }
+
+        /** Takes what was written last, as an upstream that reads. */
+        void takeWritten() {
+            unwritten.setSuccess();
+        }
+
+        /** Returns how many bytes of the body were written. */
+        int sentBytes() {
+            return sentBytes;
+        }
+
+        /** Returns how often more of the response was requested. */
+        int reads() {
+            return reads;
         }
 
         /** {@inheritDoc} */
         @Override
-        public void read() {}
+        public void read() {
+            reads++;
+        }
 
         /** {@inheritDoc} */
         @Override
@@ -398,6 +568,13 @@
         @Override
         public void abort() {
             aborted = true;
+            failUnwritten();
+        }
+
+        private void failUnwritten() {
+            if (unwritten != null) {
+                unwritten.tryFailure(new java.nio.channels.ClosedChannelException());
+            }
         }
     }
 
--- a/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
+++ b/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
@@ -48,6 +48,7 @@
                 address,
                 Optional.empty(),
                 bounds,
-                regions);
+                regions,
+                PlatformProcessSettings.Memory.UNBOUNDED);
     }
 }
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -6,11 +6,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,13 +29,14 @@
     private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
 
     private final RecordingListener listener = new RecordingListener();
-    private EmbeddedChannel channel;
+    private final RecordingPaths paths = new RecordingPaths();
+    private PacedChannel channel;
     private UpstreamConnection connection;
 
     @BeforeEach
     void connect() {
-        channel = new EmbeddedChannel();
-        UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000);
+        channel = new PacedChannel();
+        UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
         connection = new UpstreamConnection(connections, new UpstreamConnections.Target("127.0.0.1:1", false));
         channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
         connection.begin(channel, listener);
@@ -170,6 +172,118 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    @Nested
+    class LongBody {
+        private static final int BODY_BYTES = 1_000_000;
+        private static final int MAX_PENDING_BYTES = 80_000;
+
+        private final ByteBuf body = numbered();
+
+        private static ByteBuf numbered() {
+            ByteBuf bytes = Unpooled.buffer(BODY_BYTES);
+            for (int index = 0; index < BODY_BYTES; index++) {
+                bytes.writeByte(index % 251);
+            }
+            return bytes;
+        }
+
+        private void send() {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", body);
+            HttpUtil.setContentLength(request, BODY_BYTES);
+            PacedRequest.write(connection, request);
+        }
+
+        /** Guards against a copy of a whole body that waits in the socket of an upstream which doesn't read. */
+        @Test
+        void waitsOutsideTheSocket() {
+            channel.stopTaking();
+            send();
+            assertThat(channel.unsafe().outboundBuffer().totalPendingWriteBytes())
+                    .isBetween(1L, (long) MAX_PENDING_BYTES);
+            channel.close();
+            assertThat(body.refCnt()).isZero();
+            assertThat(listener.lost).isTrue();
+        }
+
+        @Test
+        void isWrittenInOrderAndTheConnectionKept() {
+            send();
+            channel.runPendingTasks();
+            ByteBuf written = Unpooled.buffer();
+            for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+                written.writeBytes(part);
+                part.release();
+            }
+            assertThat(written.skipBytes(written.readableBytes() - BODY_BYTES)).isEqualTo(numbered());
+            receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+            assertThat(channel.isActive()).isTrue();
+        }
+
+        /** Guards against another request in the place of the rest of a body that its upstream answered before it. */
+        @Test
+        void closesItsConnectionWhereTheResponseIsCompleteBeforeIt() {
+            channel.stopTaking();
+            send();
+            receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+            assertThat(listener.body.toString()).isEqualTo("body");
+            assertThat(channel.isActive()).isFalse();
+            assertThat(body.refCnt()).isZero();
+        }
+    }
+
+    @Nested
+    class PausedReading {
+        /** Guards against paths that count as silent, and a host as cut off, while callers don't take their responses. */
+        @Test
+        void doesNotCountAsWaitingForTheUpstream() {
+            request(HttpMethod.GET);
+            assertThat(paths.waiting).isEqualTo(1);
+            connection.pauseReading();
+            connection.pauseReading();
+            assertThat(paths.waiting).isZero();
+            connection.read();
+            connection.read();
+            assertThat(paths.waiting).isEqualTo(1);
+            connection.abort();
+            assertThat(paths.waiting).isZero();
+        }
+
+        /** Guards against an upstream that cuts off an unread response and counts as lost. */
+        @Test
+        void makesALossShowNothing() {
+            request(HttpMethod.GET);
+            connection.pauseReading();
+            connection.read();
+            channel.close();
+            assertThat(listener.lost).isTrue();
+            assertThat(paths.losses).isZero();
+            assertThat(paths.waiting).isZero();
+        }
+    }
+
+    /** Counts the requests that wait on direct paths, and the losses. */
+    private static final class RecordingPaths implements UpstreamPaths {
+        private int waiting;
+        private int losses;
+
+        @Override
+        public void recordSent(String upstream) {
+            waiting++;
+        }
+
+        @Override
+        public void recordEnded(String upstream) {
+            waiting--;
+        }
+
+        @Override
+        public void recordLoss(String upstream) {
+            losses++;
+        }
+    }
+
     /** Records what the listener of an exchange receives. */
     private static final class RecordingListener implements UpstreamListener {
         private final StringBuilder body = new StringBuilder();
