--- a/command/src/main/java/org/radishspur/command/TraceCommand.java
+++ b/command/src/main/java/org/radishspur/command/TraceCommand.java
@@ -24,17 +24,23 @@
         mixinStandardHelpOptions = true)
 final class TraceCommand implements Callable<Integer> {
     /** The explanations by the reason code of a refusal or failure. */
-    private static final Map<String, String> EXPLANATIONS = Map.of(
-            "overload", "no slot was expected to become free in the pool within the request's maximum wait",
-            "quota", "the organisation had used up its quota",
-            "unconfirmed", "the entry had no confirmation by the control leader that its tables are still in force",
-            "memory", "the entry held as many bytes for its callers as it may; it was refused before its body was read",
-            "expired", "its deadline passed before it was sent to an upstream",
-            "not-taken", "no upstream accepted it",
-            "route-unknown", "no route of the tables in force matches it",
-            "key-unknown", "its key is missing or belongs to no organisation in the tables in force",
-            "timeout", "its deadline passed after it was sent; it may have run",
-            "upstream-failed", "the connection to the upstream broke or its answer was invalid; it may have run");
+    private static final Map<String, String> EXPLANATIONS = Map.ofEntries(
+            Map.entry("overload", "no slot was expected to become free in the pool within the request's maximum wait"),
+            Map.entry("quota", "the organisation had used up its quota"),
+            Map.entry(
+                    "unconfirmed",
+                    "the entry had no confirmation by the control leader that its tables are still in force"),
+            Map.entry("memory", "the entry held as many bytes for its callers as it may; it was refused before it ran"),
+            Map.entry("expired", "its deadline passed before it was sent to an upstream"),
+            Map.entry("not-taken", "no upstream accepted it"),
+            Map.entry("route-unknown", "no route of the tables in force matches it"),
+            Map.entry("key-unknown", "its key is missing or belongs to no organisation in the tables in force"),
+            Map.entry("timeout", "its deadline passed after it was sent; it may have run"),
+            Map.entry(
+                    "upstream-failed",
+                    "the connection to the upstream broke or its answer was invalid; it may have run"),
+            Map.entry(
+                    "region-unavailable", "no failure domain lies in a region that its route and organisation allow"));
 
     @Parameters(index = "0", paramLabel = "REQUEST", description = "The request's id.")
     private String requestId;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -20,8 +20,6 @@
     private final Set<String> avoidedRuns = new HashSet<>();
     private final Map<Integer, Long> restsUntil = new HashMap<>();
     private String entryDomain = "";
-    private String organisation = "";
-    private double organisationWeight = 1;
     private RequestTerms terms = RequestTerms.NONE;
     private long sequence;
     private double slotValue;
@@ -92,27 +90,6 @@
         return entryDomain.isEmpty() ? defaultDomain : entryDomain;
     }
 
-    /**
-     * Sets the organisation of the request.
-     *
-     * @param organisationName the name of the organisation; empty where there is none.
-     * @param weight the weight of the organisation's share of scarce slots, above 0.
-     */
-    public void setOrganisation(String organisationName, double weight) {
-        organisation = organisationName;
-        organisationWeight = weight;
-    }
-
-    /** Returns the name of the organisation, or an empty text where there is none. */
-    String organisation() {
-        return organisation;
-    }
-
-    /** Returns the weight of the organisation's share of scarce slots. */
-    double organisationWeight() {
-        return organisationWeight;
-    }
-
     /**
      * Sets what the route and the organisation state about how the request has to be served.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/RecentQuantiles.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RecentQuantiles.java
@@ -6,7 +6,7 @@
  * Estimates quantiles of the latest samples of a measure.
  */
 final class RecentQuantiles {
-    /** The number of samples that are kept; one in ten of them is enough for a high quantile. */
+    /** The number of latest samples that are kept. */
     private static final int SAMPLES = 128;
 
     /** The number of new samples after which the kept ones are sorted again. */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -247,15 +247,12 @@
         Map<UpstreamLoad, Timeliness> ratings = rate(usable, queued, affinityTargets, events, now);
         Timeliness bestTimeliness =
                 ratings.values().stream().min(Comparator.naturalOrder()).orElse(Timeliness.TOO_LATE);
-        boolean selective = bestTimeliness != Timeliness.LATE && early;
         // Upstreams that are left for more urgent requests may be suitable soon.
         boolean waits = early
                 && bestTimeliness == Timeliness.HOLDING_UP
-                && rate(usable(queued, now), queued, affinityTargets, events, now)
+                && rate(usableBeyondReserve(queued, now), queued, affinityTargets, events, now)
                         .containsValue(Timeliness.ON_TIME);
-        Timeliness worstAccepted = bestTimeliness == Timeliness.TOO_LATE
-                ? Timeliness.TOO_LATE
-                : waits ? Timeliness.ON_TIME : selective ? bestTimeliness : Timeliness.LATE;
+        Timeliness worstAccepted = worstAccepted(bestTimeliness, early, waits);
         usable.removeIf(load -> ratings.get(load).compareTo(worstAccepted) > 0);
         if (bestTimeliness == Timeliness.TOO_LATE) {
             removeSlower(usable, queued, affinityTargets, events);
@@ -270,6 +267,25 @@
         return chosen;
     }
 
+    /** Returns the upstreams among which the request could choose if no slots were left for others. */
+    private List<UpstreamLoad> usableBeyondReserve(QueuedRequest queued, long now) {
+        List<UpstreamLoad> upstreams = usable(queued, now);
+        upstreams.removeIf(load -> !load.allowsLimitedRequest(now));
+        removeUnlessAll(upstreams, load -> queued.avoids(load.run()));
+        return upstreams;
+    }
+
+    /** Returns the worst rating that a request accepts, given the best one that is to be had. */
+    private static Timeliness worstAccepted(Timeliness best, boolean early, boolean waitsForBetter) {
+        if (best == Timeliness.TOO_LATE) {
+            return Timeliness.TOO_LATE;
+        }
+        if (waitsForBetter) {
+            return Timeliness.ON_TIME;
+        }
+        return early && best != Timeliness.LATE ? best : Timeliness.LATE;
+    }
+
     /**
      * Removes all but the fastest upstreams, for an answer that none is expected to complete in time. On a slow engine
      * it would hold a slot until its deadline and fail; on a fast one it is likely to complete, because estimates are
--- a/decision/src/main/java/org/radishspur/decision/slot/SchedulerFailover.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SchedulerFailover.java
@@ -12,7 +12,7 @@
  * none, the entry schedules by itself, within its share.
  */
 public final class SchedulerFailover {
-    /** How long a scheduler may take to reply before the others are probed, in milliseconds; usually it takes one or two. */
+    /** How long a scheduler may take to reply before the others are probed, in milliseconds. */
     public static final long PROBE_AFTER_MILLIS = 40;
 
     /** How long a scheduler may take to reply before it counts as lost, in milliseconds. */
--- a/node/src/main/java/org/radishspur/node/entry/BodyAdmission.java
+++ b/node/src/main/java/org/radishspur/node/entry/BodyAdmission.java
@@ -20,7 +20,7 @@
      */
     static final long MAX_WAIT_MILLIS = 300;
 
-    /** The maximum number of requests that wait; what was read of them already isn't counted. */
+    /** The maximum number of requests that wait. */
     private static final int MAX_WAITING = 32;
 
     private final EventLoop loop;
@@ -88,6 +88,7 @@
         void cancel() {
             timer.cancel(false);
             waiting.remove(this);
+            onRoom();
         }
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/CallerResponse.java
+++ b/node/src/main/java/org/radishspur/node/entry/CallerResponse.java
@@ -81,7 +81,7 @@
     }
 
     /** Reads the connection of the caller again. */
-    void readOn() {
+    void resumeReading() {
         context.channel().config().setAutoRead(true);
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -147,8 +147,9 @@
     /** Refuses the request at its deadline if the body, for which memory is reserved, isn't complete by then. */
     private void awaitBody() {
         head = services.dialect().decodeHead(request);
+        deadlineAt = arrivedAt + statedDeadlineMillis();
         timer = services.loop()
-                .schedule(() -> refuse(EndReason.EXPIRED, 0, false), statedDeadlineMillis(), TimeUnit.MILLISECONDS);
+                .schedule(() -> refuse(EndReason.EXPIRED, 0, false), remainingMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Stops reading the connection until there is memory for the body, or refuses the request. */
@@ -172,7 +173,7 @@
     private void endWaitForMemory() {
         waitingForMemory.ifPresent(waiting -> {
             waiting.cancel();
-            response.readOn();
+            response.resumeReading();
         });
         waitingForMemory = Optional.empty();
     }
@@ -407,7 +408,7 @@
             granted.end(SlotOutcome.UNUSED);
             return;
         }
-        if (!mayPileUpAt(granted.upstream())) {
+        if (!hasRoomForBodyAt(granted.upstream())) {
             granted.end(SlotOutcome.UNUSED);
             retryElsewhere("upstream-full", true);
             return;
@@ -421,7 +422,7 @@
     }
 
     /** Returns whether the body may be sent to an upstream beside those that wait there. */
-    boolean mayPileUpAt(UpstreamLoad upstream) {
+    boolean hasRoomForBodyAt(UpstreamLoad upstream) {
         return services.mayPileUp(upstream.upstream(), bodyBytes());
     }
 
@@ -726,15 +727,21 @@
     /** Writes the complete response of an upstream and ends the request. */
     void writeFull(HttpResponse upstreamHead, ByteBuf content) {
         response.writeFull(upstreamHead, content);
-        release();
-        endResponse();
+        releaseAndEndResponse();
     }
 
     /** Ends a response that was written in parts, and the request with it. */
     void writeEnd() {
         response.writeEnd();
+        releaseAndEndResponse();
+    }
+
+    /** Counts the request as in progress throughout, as a planned stop doesn't wait once nothing is in progress. */
+    private void releaseAndEndResponse() {
+        services.requestStarted();
         release();
         endResponse();
+        services.requestEnded();
     }
 
     /** Records the time from the arrival of the request to the first byte of its first response. */
--- a/node/src/main/java/org/radishspur/node/entry/Hedge.java
+++ b/node/src/main/java/org/radishspur/node/entry/Hedge.java
@@ -78,7 +78,7 @@
     private void start(UpstreamSlot granted) {
         boolean otherUpstream =
                 !granted.upstream().run().equals(exchange.firstUpstream().run());
-        if (!exchange.mayPileUpAt(granted.upstream())) {
+        if (!exchange.hasRoomForBodyAt(granted.upstream())) {
             granted.end(SlotOutcome.UNUSED);
             giveUp("upstream full");
             return;
--- a/node/src/main/java/org/radishspur/node/entry/HeldBytes.java
+++ b/node/src/main/java/org/radishspur/node/entry/HeldBytes.java
@@ -28,6 +28,9 @@
      */
     private static final int PART_BESIDE_HEAP = 4;
 
+    /** The part of the heap's budget that remains where the settings leave no memory beside the heap. */
+    private static final int MIN_PART_OF_BUDGET = 4;
+
     private static final long UNLIMITED = Long.MAX_VALUE;
 
     private final long budget;
@@ -59,7 +62,8 @@
             return new HeldBytes(ofHeap);
         }
         long besideHeap = Math.max(0, memory.processBytes() - heapBytes) / PART_BESIDE_HEAP;
-        return new HeldBytes(Math.min(ofHeap, besideHeap));
+        // Where the heap may take all of the memory, small requests still have to be served.
+        return new HeldBytes(Math.max(ofHeap / MIN_PART_OF_BUDGET, Math.min(ofHeap, besideHeap)));
     }
 
     /** Creates a count without a limit. */
--- a/node/src/main/java/org/radishspur/node/entry/ReadPauses.java
+++ b/node/src/main/java/org/radishspur/node/entry/ReadPauses.java
@@ -38,4 +38,9 @@
     long totalMillis() {
         return totalMillis;
     }
+
+    /** Returns the length of all pauses, the present one included, in milliseconds. */
+    long totalMillis(long now) {
+        return totalMillis + (isPaused() ? now - since : 0);
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -37,12 +37,6 @@
  * scheduler decides.
  */
 final class SlotClient {
-    /**
-     * How long a scheduler may take to reply, in milliseconds. After that its pending requests are sent to another one, so
-     * that a frozen or unreachable scheduler delays a request by this time and one check interval at most.
-     */
-    static final long REPLY_TIMEOUT_MILLIS = SchedulerFailover.REPLY_TIMEOUT_MILLIS;
-
     /** How long after its maximum wait a request is rejected here, in milliseconds, if its scheduler hasn't. */
     private static final long OVERDUE_MARGIN_MILLIS = 100;
 
@@ -304,7 +298,7 @@
             links.send(previous, new FleetMessage.Detach());
             resend(previous, now);
         } else if (chosen.isPresent()) {
-            takeBack(now);
+            moveFromLocalScheduler(now);
         }
         return chosen;
     }
@@ -344,7 +338,7 @@
      * Sends the requests that wait at the local scheduler for lack of another one to the attached one. Requests that
      * schedulers have failed stay.
      */
-    private void takeBack(long now) {
+    private void moveFromLocalScheduler(long now) {
         for (UpstreamSlot slot : pendingAt(LOCAL_ADDRESS)) {
             // Another request's withdrawal may have freed the quota or slot for this one.
             if (!failover.staysLocal(slot.failedSchedulers()) && pending.remove(slot.id()) != null) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -516,7 +516,7 @@
             return;
         }
         // An upstream may cut off a response that remains unread.
-        boolean ownFault = isPathBroken() || pauses.totalMillis() > MAX_UNREAD_MILLIS;
+        boolean ownFault = isPathBroken() || pauses.totalMillis(EntryServices.now()) > MAX_UNREAD_MILLIS;
         boolean countsForVersion = !ownFault && upstream.isSeparateBreak(EntryServices.now());
         end(ownFault ? SlotOutcome.ABANDONED : SlotOutcome.BROKEN);
         long millis = EntryServices.now() - sentAt;
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -139,10 +139,6 @@
      * @param limits four numbers for each upstream that states a limit or has stated one, one upstream after the other:
      *     the hash code of its run, the requests per minute or 0, the age of that statement in milliseconds, and the
      *     requests that the scheduler has sent to it since it started.
-     * @param usageWithinLimits the part of the usage of each organisation that was within its limit, as
-     *     {@code organisations}.
-     * @param waiting three numbers for each pool and tier with waiting requests: the hash code of the pool's name, the
-     *     tier, and the number of requests that wait for a slot.
      * @param waitingUsage the part of the usage of each organisation whose requests wait for a slot; none of an
      *     organisation that isn't listed.
      */
@@ -154,16 +150,12 @@
             Map<String, Long> organisations,
             List<CrashNote> crashes,
             int[] limits,
-            Map<String, Long> usageWithinLimits,
-            int[] waiting,
             Map<String, Long> waitingUsage)
             implements FleetMessage {
-        /** Replaces notes, limits, usage and waiting requests that an older build doesn't send. */
+        /** Replaces notes, limits and waiting usage that an older build doesn't send. */
         public LoadReport {
             crashes = crashes == null ? List.of() : crashes;
             limits = limits == null ? new int[0] : limits;
-            usageWithinLimits = usageWithinLimits == null ? Map.of() : usageWithinLimits;
-            waiting = waiting == null ? new int[0] : waiting;
             waitingUsage = waitingUsage == null ? Map.of() : waitingUsage;
         }
     }
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -324,16 +324,7 @@
         Map<String, Long> waitingUsage = quotas.ownWaitingUse();
         waitingUsage.keySet().retainAll(usage.keySet());
         return new FleetMessage.LoadReport(
-                self,
-                full,
-                digests,
-                counts,
-                new HashMap<>(usage),
-                notes,
-                statedLimits,
-                Map.of(),
-                new int[0],
-                waitingUsage);
+                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, waitingUsage);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
