--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -185,8 +185,8 @@
         }
         head = services.dialect().decodeHead(request);
         deadlineAt = arrivedAt + statedDeadlineMillis();
-        // A caller that waits for the interim response won't send the body, so that its next request can't be told
-        // apart.
+        // A caller that waits for the interim response won't send the body, so that its next request can't be
+        // distinguished from it.
         refuse(EndReason.MEMORY, maxRetryAfter(), !bodyAdmitted && HttpUtil.is100ContinueExpected(request));
     }
 
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -220,7 +220,7 @@
             assertThat(channel.isActive()).isTrue();
         }
 
-        /** Guards against another request in the place of the rest of a body that its upstream answered before it. */
+        /** Guards against a request that is sent where an upstream, which has answered early, expects the rest of a body. */
         @Test
         void closesItsConnectionWhereTheResponseIsCompleteBeforeIt() {
             channel.stopTaking();
