Use a relayed connection after the direct one has failed

Cause: the handler of a connection was added to the direct channel before that was connected. Netty refuses to add such a handler to a second channel, so that a request whose direct connection failed, and which was then relayed, got neither a connection nor a failure and waited for its deadline. Change: the handler is added once the connection is made.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -1,5 +1,7 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 
 import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
@@ -36,6 +38,7 @@
     private final UsageWindow window;
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
+    private final Deque<Scaling> scalings = new ArrayDeque<>();
     private double ownWaiting;
     private double limit;
     private double toleratedExcess;
@@ -68,6 +71,10 @@
         if (newLimit < limit) {
             // The use before was allowed by the higher limit, so it must not block requests within the lower one.
             window.scale(newLimit / limit);
+            scalings.addLast(new Scaling(now, newLimit / limit));
+        }
+        while (!scalings.isEmpty() && scalings.peekFirst().at() <= now - tolerance.windowMillis()) {
+            scalings.removeFirst();
         }
         limit = newLimit;
         toleratedExcess = rateOverWindow(organisation) * tolerance.rateShare() + tolerance.burstAmount();
@@ -141,7 +148,7 @@
 
     /** Spreads what a peer has started over the time since its last report, and counts what still waits as of now. */
     private void addPeerUse(PeerUse previous, PeerUse latest) {
-        window.remove(previous.waiting(), previous.reportedAt());
+        window.remove(previous.waiting() * scaleSince(previous.reportedAt()), previous.reportedAt());
         window.add(latest.waiting(), latest.reportedAt());
         long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
         if (started > 0) {
@@ -151,6 +158,14 @@
         }
     }
 
+    /** Returns by which factor use that was reported at a time has been scaled since. */
+    private double scaleSince(long reportedAt) {
+        return scalings.stream()
+                .filter(scaling -> scaling.at() > reportedAt)
+                .mapToDouble(Scaling::factor)
+                .reduce(1, (one, other) -> one * other);
+    }
+
     /** {@inheritDoc} */
     @Override
     public double ownWaiting() {
@@ -160,4 +175,12 @@
     private double rateOverWindow(OrganisationRule organisation) {
         return organisation.ratePerSecond() * tolerance.windowMillis() / 1_000;
     }
+
+    /**
+     * Records that the use in the window was scaled, because the limit was lowered.
+     *
+     * @param at when that was, in milliseconds.
+     * @param factor the factor, below 1.
+     */
+    private record Scaling(long at, double factor) {}
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -266,6 +266,17 @@
             assertThat(admitted).isLessThanOrEqualTo(1_000);
         }
 
+        /** Guards against use beyond a lowered limit, because waiting use of a peer is taken back as it was before. */
+        @Test
+        void takesBackWaitingUseInProportionToALoweredLimit() {
+            admit(5_000, OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 4_000, 4_000, OBSERVED);
+            OrganisationRule lower = rule(100, 200);
+            ledger.recordPeerUse("peer/1", lower, 0, 0, OBSERVED + 2);
+            assertThat(admit(ledger, lower, 500, OBSERVED + 2)).isTrue();
+            assertThat(admit(ledger, lower, 1, OBSERVED + 2)).isFalse();
+        }
+
         @Test
         void allowsMoreAtOnceWhenALimitIsRaised() {
             admit(10_000, OBSERVED);
--- a/node/src/main/java/org/radishspur/node/entry/RequestBody.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestBody.java
@@ -54,20 +54,24 @@
 
     /** Appends a part, which isn't released, and returns whether there was memory for it. */
     boolean append(ByteBuf content) {
-        ensureRoom(content.readableBytes());
+        int capacity = capacityWith(content.readableBytes());
+        long reserved = HeldBytes.REQUEST_BYTES + capacity;
+        if (reserved > share.bytes() && !share.trySet(reserved, useFor(capacity))) {
+            return false;
+        }
+        bytes.capacity(capacity);
         bytes.writeBytes(content);
-        long needed = HeldBytes.REQUEST_BYTES + bytes.capacity();
-        return needed <= share.bytes() || share.trySet(needed, useFor(bytes.capacity()));
+        return true;
     }
 
-    /** Grows the buffer by doubling, but not beyond the stated length. */
-    private void ensureRoom(int count) {
+    /** Returns the capacity with which more bytes fit; it grows by doubling, but not beyond the stated length. */
+    private int capacityWith(int count) {
         int needed = bytes.readableBytes() + count;
         if (needed <= bytes.capacity()) {
-            return;
+            return bytes.capacity();
         }
         long doubled = Math.max(needed, 2L * bytes.capacity());
-        bytes.capacity((int) (statedBytes >= needed ? Math.min(doubled, statedBytes) : doubled));
+        return (int) (statedBytes >= needed ? Math.min(doubled, statedBytes) : doubled);
     }
 
     private static HeldBytes.Use useFor(long count) {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -172,13 +172,11 @@
         ClientSocket.INSTANCE
                 .connect(address, loop, connectMillis, channel -> {
                     readSizes.ifPresent(channel.config()::setRecvByteBufAllocator);
-                    channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
                 })
                 .addListener((ChannelFuture future) -> {
                     if (future.isSuccess()) {
                         paths.recordConnected(address);
-                        connection.begin(future.channel(), listener);
-                        listener.onConnected();
+                        begin(connection, future.channel(), listener);
                         return;
                     }
                     paths.recordConnectFailure(address);
@@ -191,15 +189,23 @@
                 });
     }
 
+    /**
+     * Begins an exchange on a new channel. The handler can be added to one channel only, so it isn't added before it is
+     * known whether the direct or the relayed one is used.
+     */
+    private static void begin(UpstreamConnection connection, Channel channel, UpstreamListener listener) {
+        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+        connection.begin(channel, listener);
+        listener.onConnected();
+    }
+
     /** Connects through one of some hosts. Where the upstream refuses these as well, it is itself at fault. */
     private void connectThroughRelay(UpstreamConnection connection, UpstreamListener listener, List<String> relays) {
         String address = connection.target().address();
         dialer.dial(relays, address, new RelayDialer.Listener() {
             @Override
             public void onOpened(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
-                connection.begin(channel, listener);
-                listener.onConnected();
+                begin(connection, channel, listener);
             }
 
             @Override
