Hold requests for a pool until its owner has the tables that show it

Cause: an entry obeys an edit once it has it; the owner of the pool's queue may have it later, and a node that has started again owns queues before it has any tables. PoolOwnerService.onPermitRequest refused what it didn't know (no-upstream, not run). It dropped registrations of permits in use in the same way, and granted 400 ms later although entries register again only after a second. Change: DeferredPermits holds requests by later tables, and registrations, until the tables decide, for at most the time in which an owner without tables is replaced; PermitAcquire states the revision of the entry's tables at its end, so that a pool that is gone is refused at once. An entry ignores refusals by a node that is no longer the owner.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -274,7 +274,8 @@
                 validated.route().name(),
                 TimeUnit.MILLISECONDS.toMicros(validated.deadlineMillis()) - elapsedMicros,
                 estimateSize(),
-                fingerprint);
+                fingerprint,
+                services.core().tables().revision());
         services.core().requestPermit(acquire, next);
     }
 
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -17,6 +17,7 @@
 import org.radishspur.node.peer.PeerListener;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.settings.NodeSettings;
+import org.radishspur.node.settings.Timeouts;
 import org.radishspur.replication.state.ControlCommand;
 import org.radishspur.replication.state.ControlState;
 import org.radishspur.replication.state.TablesDelta;
@@ -64,8 +65,12 @@
         this.controlClient = new ControlClient(settings, loop, this::send);
         this.permitService =
                 new PermitService(loop, settings.node(), incarnation, this::send, connections::isConnected);
-        this.ownerService =
-                new PoolOwnerService(loop, settings.node() + '/' + incarnation, this::send, new LeaderReporter());
+        this.ownerService = new PoolOwnerService(
+                loop,
+                settings.node() + '/' + incarnation,
+                this::send,
+                new LeaderReporter(),
+                maxDeferralMillis(settings.timeouts()));
         this.replicaRunner = settings.isControl()
                 ? Optional.of(new ReplicaRunner(
                         ReplicaRunner.setupOf(settings),
@@ -79,6 +84,14 @@
         loop.repeat(this::heartbeat, settings.timeouts().heartbeatMillis());
     }
 
+    /**
+     * Returns how long a message waits for tables that an owner lacks: until an owner that gets none any more has been
+     * replaced by another one and the entries have learned of it.
+     */
+    private static long maxDeferralMillis(Timeouts timeouts) {
+        return timeouts.nodeLostMillis() + 2 * timeouts.heartbeatMillis();
+    }
+
     /** Connects to the other nodes. */
     public void start() {
         connections.start(cause -> {});
@@ -317,7 +330,7 @@
         } else if (message instanceof PeerMessage.PermitGranted granted) {
             permitService.onGranted(granted);
         } else if (message instanceof PeerMessage.PermitRefused refused) {
-            permitService.onRefused(refused);
+            permitService.onRefused(node, refused);
         } else if (message instanceof PeerMessage.PermitCancel cancel) {
             ownerService.onCancel(cancel);
         } else if (message instanceof PeerMessage.PermitFirstToken first) {
--- a/node/src/main/java/org/radishspur/node/control/PermitService.java
+++ b/node/src/main/java/org/radishspur/node/control/PermitService.java
@@ -139,7 +139,11 @@
         pending.listener.onGranted(granted.upstream(), granted.address());
     }
 
-    void onRefused(PeerMessage.PermitRefused refused) {
+    /** Passes a refusal on, unless the request waits at another owner meanwhile. */
+    void onRefused(String node, PeerMessage.PermitRefused refused) {
+        if (!owners.getOrDefault(refused.pool(), node).equals(node)) {
+            return;
+        }
         PendingRequest pending = pendingRequests.remove(refused.id());
         if (pending != null) {
             pending.listener.onRefused(refused.refusal());
@@ -182,8 +186,6 @@
     private void register(String pool, String owner) {
         List<PeerMessage.PermitInUse> registered = permitsInUse.values().stream()
                 .filter(permit -> permit.request().pool().equals(pool))
-                .map(permit -> new PeerMessage.PermitInUse(
-                        withElapsed(permit.request(), 0), permit.upstream(), permit.silent()))
                 .toList();
         List<PendingRequest> pending = pendingRequests.values().stream()
                 .filter(request -> request.request.pool().equals(pool))
@@ -192,19 +194,7 @@
         pending.forEach(request -> ids.add(request.request.id()));
         sender.send(owner, new PeerMessage.PermitRegister(pool, incarnation, registered, ids));
         pending.forEach(request ->
-                sender.send(owner, withElapsed(request.request, loop.nowMicros() - request.requestedAtMicros)));
-    }
-
-    private static PeerMessage.PermitAcquire withElapsed(PeerMessage.PermitAcquire request, long elapsedMicros) {
-        return new PeerMessage.PermitAcquire(
-                request.pool(),
-                request.id(),
-                request.tier(),
-                request.organisation(),
-                request.route(),
-                request.remainingMicros() - elapsedMicros,
-                request.size(),
-                request.fingerprint());
+                sender.send(owner, request.request.afterWaiting(loop.nowMicros() - request.requestedAtMicros)));
     }
 
     private boolean isUnreachable(String node) {
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import org.radishspur.decision.move.Move;
 import org.radishspur.decision.move.MoveDriver;
@@ -55,17 +56,24 @@
     private final Map<String, OwnedPool> ownedPools = new TreeMap<>();
     private final Set<ClusterView.Member> entryMembers = new HashSet<>();
     private final EntryContacts contacts = new EntryContacts();
+    private final DeferredPermits deferred;
     private Tables tables = Tables.EMPTY;
     private final Set<Move> pendingProposals = new HashSet<>();
     private Map<String, Move> moves = Map.of();
     private Set<String> evacuatedDomains = Set.of();
     private boolean decisionScheduled;
 
-    PoolOwnerService(ControlLoop loop, String ownerIdentity, LeaderService.Sender sender, Reporter reporter) {
+    PoolOwnerService(
+            ControlLoop loop,
+            String ownerIdentity,
+            LeaderService.Sender sender,
+            Reporter reporter,
+            long maxDeferralMillis) {
         this.loop = loop;
         this.ownerIdentity = ownerIdentity;
         this.sender = sender;
         this.reporter = reporter;
+        this.deferred = new DeferredPermits(maxDeferralMillis);
         loop.repeat(this::runDueTimers, TIMER_INTERVAL_MILLIS);
         loop.repeat(this::advanceMoves, MOVE_INTERVAL_MILLIS);
         loop.repeat(this::dropLostEntries, CONTACT_INTERVAL_MILLIS);
@@ -80,6 +88,17 @@
             }
         });
         applyVersionSplits();
+        resumeDeferred();
+    }
+
+    /** Handles the messages about which these tables decide; registrations first, as they show which slots are taken. */
+    private void resumeDeferred() {
+        deferred.removeRegistrations(tables).forEach(held -> onRegister(held.node(), held.register()));
+        deferred.removeDecided(tables)
+                .forEach(held -> onPermitRequest(
+                        held.node(),
+                        held.message()
+                                .afterWaiting(TimeUnit.MILLISECONDS.toMicros(loop.nowMillis() - held.receivedAt()))));
     }
 
     void onView(ClusterView view) {
@@ -93,6 +112,7 @@
         List<ClusterView.Member> lost = contacts.removeLost(entryMembers, loop.nowMillis());
         for (ClusterView.Member member : lost) {
             ownedPools.values().forEach(owned -> owned.scheduler.dropEntry(member.node(), member.incarnation()));
+            deferred.drop(member);
         }
         if (!lost.isEmpty()) {
             requestDecision();
@@ -163,22 +183,29 @@
     }
 
     void onPermitRequest(String node, PeerMessage.PermitAcquire request) {
+        contacts.recordMessage(new ClusterView.Member(node, request.id().incarnation()), loop.nowMillis());
         OwnedPool owned = findOrCreatePool(request.pool());
         if (owned == null) {
-            sender.send(
-                    node,
-                    new PeerMessage.PermitRefused(
-                            request.pool(),
-                            request.id(),
-                            Refusal.notRun(RefusalReason.NO_UPSTREAM, "The pool is not in the tables.", 1_000)));
+            if (!DeferredPermits.isAhead(request, tables) || !deferred.defer(node, request, loop.nowMillis())) {
+                refuseUnknownPool(node, request);
+            }
             return;
         }
-        contacts.recordMessage(new ClusterView.Member(node, request.id().incarnation()), loop.nowMillis());
         owned.scheduler.submit(requestOf(request), loop.nowMicros());
         requestDecision();
     }
 
+    private void refuseUnknownPool(String node, PeerMessage.PermitAcquire request) {
+        sender.send(
+                node,
+                new PeerMessage.PermitRefused(
+                        request.pool(),
+                        request.id(),
+                        Refusal.notRun(RefusalReason.NO_UPSTREAM, "The pool is not in the tables.", 1_000)));
+    }
+
     void onCancel(PeerMessage.PermitCancel cancel) {
+        deferred.forget(cancel.id());
         OwnedPool owned = ownedPools.get(cancel.pool());
         if (owned != null) {
             owned.scheduler.cancel(cancel.id(), loop.nowMicros());
@@ -208,6 +235,7 @@
     }
 
     void onRelease(PeerMessage.PermitRelease release) {
+        deferred.forget(release.id());
         OwnedPool owned = ownedPools.get(release.pool());
         if (owned != null) {
             owned.scheduler.finish(release.id(), release.outcome(), loop.nowMicros());
@@ -217,11 +245,12 @@
     }
 
     void onRegister(String node, PeerMessage.PermitRegister register) {
+        contacts.recordMessage(new ClusterView.Member(node, register.incarnation()), loop.nowMillis());
         OwnedPool owned = findOrCreatePool(register.pool());
         if (owned == null) {
+            deferred.defer(node, register, loop.nowMillis());
             return;
         }
-        contacts.recordMessage(new ClusterView.Member(node, register.incarnation()), loop.nowMillis());
         owned.scheduler.readmitEntry(node, register.incarnation());
         Set<PermitId> listed = new HashSet<>(register.waiting());
         for (PeerMessage.PermitInUse permit : register.inUse()) {
@@ -273,6 +302,7 @@
     }
 
     private void runDueTimers() {
+        deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseUnknownPool(held.node(), held.message()));
         long now = loop.nowMicros();
         if (ownedPools.values().stream().anyMatch(owned -> owned.scheduler.nextDecisionAt() <= now)) {
             decide();
--- a/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerMessage.java
@@ -147,6 +147,8 @@
      * @param remainingMicros the time until the deadline of the request, in microseconds.
      * @param size the estimated size of the request: how much an upstream has to compute for it.
      * @param fingerprint the digest of the request's content.
+     * @param tablesRevision the revision of the tables by which the entry node sends the request, or 0 where an older
+     *     build doesn't state it.
      */
     record PermitAcquire(
             String pool,
@@ -156,8 +158,28 @@
             String route,
             long remainingMicros,
             RequestSize size,
-            String fingerprint)
-            implements PeerMessage {}
+            String fingerprint,
+            long tablesRevision)
+            implements PeerMessage {
+        /**
+         * Returns this request after it has waited.
+         *
+         * @param elapsedMicros how long it has waited, in microseconds.
+         * @return the request with the time that remains.
+         */
+        public PermitAcquire afterWaiting(long elapsedMicros) {
+            return new PermitAcquire(
+                    pool,
+                    id,
+                    tier,
+                    organisation,
+                    route,
+                    remainingMicros - elapsedMicros,
+                    size,
+                    fingerprint,
+                    tablesRevision);
+        }
+    }
 
     /**
      * Grants a permit; sent by the owner of the pool's queue.
--- a/node/src/test/java/org/radishspur/node/peer/EarlierPeerTest.java
+++ b/node/src/test/java/org/radishspur/node/peer/EarlierPeerTest.java
@@ -23,7 +23,8 @@
             "route",
             5,
             new RequestSize(1, 2, List.of()),
-            "x");
+            "x",
+            3);
 
     private static <T> T reread(Object message, Class<T> type) {
         return MessagePack.INSTANCE.decode(MessagePack.INSTANCE.encode(message), type);
@@ -38,5 +39,32 @@
                 .isEqualTo(new PeerMessage.PermitInUse(REQUEST, "upstream", false));
     }
 
+    @Test
+    void permitRequestsAreReadBothWays() {
+        EarlierPermitAcquire earlier = new EarlierPermitAcquire(
+                REQUEST.pool(),
+                REQUEST.id(),
+                REQUEST.tier(),
+                REQUEST.organisation(),
+                REQUEST.route(),
+                REQUEST.remainingMicros(),
+                REQUEST.size(),
+                REQUEST.fingerprint());
+        assertThat(reread(REQUEST, EarlierPermitAcquire.class)).isEqualTo(earlier);
+        PeerMessage.PermitAcquire read = reread(earlier, PeerMessage.PermitAcquire.class);
+        assertThat(read.fingerprint()).isEqualTo(REQUEST.fingerprint());
+        assertThat(read.tablesRevision()).isZero();
+    }
+
+    private record EarlierPermitAcquire(
+            String pool,
+            PermitId id,
+            Tier tier,
+            String organisation,
+            String route,
+            long remainingMicros,
+            RequestSize size,
+            String fingerprint) {}
+
     private record EarlierPermitInUse(PeerMessage.PermitAcquire request, String upstream) {}
 }
--- a/testkit/src/main/java/org/radishspur/testkit/measure/MeasureFrames.java
+++ b/testkit/src/main/java/org/radishspur/testkit/measure/MeasureFrames.java
@@ -58,7 +58,8 @@
                         "briefing",
                         30_000_000,
                         new RequestSize(1_200, 200, prefix),
-                        "5d41402abc4b2a76b9719d911017c592"));
+                        "5d41402abc4b2a76b9719d911017c592",
+                        29_000));
         measure("permit granted", new PeerMessage.PermitGranted("engines", id, "worker-1234", "10.12.13.14:8000"));
         measure("permit first token", new PeerMessage.PermitFirstToken("engines", id));
         measure(
--- a/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
@@ -101,7 +101,8 @@
     @Test
     void streamCutInsideAnEventIsNotComplete() {
         answer = eventStream(WHOLE_EVENT + PARTIAL_EVENT);
-        assertThat(send("cut").statusCode()).isZero();
+        HttpResponse<String> first = send("cut");
+        assertThat(first.statusCode()).as("status with body %s", first.body()).isZero();
         HttpResponse<String> again = send("cut");
         assertThat(again.statusCode()).isNotEqualTo(200);
         assertThat(runs).isEqualTo(1);
@@ -120,7 +121,9 @@
     void streamThatEndsBetweenEventsIsComplete() {
         answer = eventStream(WHOLE_EVENT);
         HttpResponse<String> response = send("whole");
-        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.statusCode())
+                .as("status with body %s", response.body())
+                .isEqualTo(200);
         assertThat(response.body()).isEqualTo(WHOLE_EVENT);
     }
 
