Let first tries wait as long as their target allows

A first try waited for a slot for half of its target and was refused then, though a first event takes a tenth of a second from the grant on; its retry came seconds later and was late. Requests of one tier counted alike, however long their answers. A request limited to some failure domains expected the releases of all of them.

A scheduler now limits the wait of a first try by the time that the pool needs to the first byte of a prompt of its length, and such a request stays selective for nine tenths of that wait. Within a tier a short answer goes before a long one that arrived a little earlier, where lengths are stated; the shift is at most a tenth of the wait to either side. Requests that become late while they wait go behind those that can be on time. The expected wait counts the requests and the releases of the failure domains that the request may reach. While the pool's times aren't known, the wait is half of the target as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -1,38 +1,27 @@
 package org.radishspur.decision.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
 import java.util.TreeSet;
 
+import org.radishspur.model.catalogue.Upstream;
+
 /**
  * Orders the requests of one pool that wait for a slot. Requests that can still be answered on time come first, then
- * those of the more urgent organisation, then those with the higher slot value; among equals, the earliest queueing
- * deadline.
+ * those of the more urgent organisation, then those with the higher slot value; among equals, by {@link QueuePriority}.
  *
  * <p>Late requests come last so that a burst can end. A refused caller retries with much time left; if its retry went
  * before new requests, these would be refused, retry and be late in turn.
  */
 public final class AdmissionQueue {
-    /** Period over which released slots are counted to estimate the present release rate, in milliseconds. */
-    private static final long PRESENT_WINDOW_MILLIS = 1_000;
-
-    /** Period over which they are counted to estimate the usual rate, in milliseconds; longer than most stalls. */
-    private static final long USUAL_WINDOW_MILLIS = 5_000;
-
-    /** Minimum release rate that is assumed, in slots per second; it applies where no slot was released recently. */
-    private static final double MIN_RELEASES_PER_SECOND = 2;
-
-    private final TreeSet<QueuedRequest> requests = new TreeSet<>(Comparator.comparing(QueuedRequest::isLate)
+    private final TreeSet<QueuedRequest> requests = new TreeSet<>(Comparator.comparing(QueuedRequest::isOrderedAsLate)
             .thenComparingInt(QueuedRequest::rank)
             .thenComparing(Comparator.comparingDouble(QueuedRequest::slotValue).reversed())
-            .thenComparingLong(QueuedRequest::queueingDeadline)
+            .thenComparingLong(QueuedRequest::orderAt)
             .thenComparingLong(QueuedRequest::sequence));
-    private final Deque<Long> presentReleases = new ArrayDeque<>();
-    private final Deque<Long> usualReleases = new ArrayDeque<>();
+    private final WaitEstimate waits = new WaitEstimate();
     private long nextSequence;
 
     /** Creates an empty queue. */
@@ -41,32 +30,26 @@
     /**
      * Records that a slot was released.
      *
+     * @param upstream the upstream whose slot it is.
      * @param now the current time in milliseconds.
      */
-    public void recordRelease(long now) {
-        presentReleases.addLast(now);
-        usualReleases.addLast(now);
-        removeOldReleases(now);
+    public void recordRelease(Upstream upstream, long now) {
+        waits.recordRelease(upstream, now);
     }
 
     /**
-     * Estimates how long a request would wait for a slot, from its position and the present or the usual release rate,
-     * whichever is higher.
-     *
-     * <p>While upstreams stall, no slot is released. By the present rate alone, requests that can be served right after
-     * the stall would be refused.
+     * Estimates how long a request would wait for a slot, from the requests ahead of it that may take the same slots, and
+     * from the present or the usual rate at which such slots are released.
      *
      * @param queued the request.
      * @param now the current time in milliseconds.
      * @return the time in milliseconds.
      */
     public long expectedWaitMillis(QueuedRequest queued, long now) {
-        removeOldReleases(now);
-        double present = presentReleases.size() * 1_000.0 / PRESENT_WINDOW_MILLIS;
-        double usual = usualReleases.size() * 1_000.0 / USUAL_WINDOW_MILLIS;
-        double rate = Math.max(MIN_RELEASES_PER_SECOND, Math.max(present, usual));
-        int ahead = requests.headSet(queued, false).size();
-        return (long) ((ahead + 1) * 1_000 / rate);
+        long ahead = requests.headSet(queued, false).stream()
+                .filter(queued::competesWith)
+                .count();
+        return waits.millis(queued, ahead, now);
     }
 
     /**
@@ -117,6 +100,21 @@
         return expired;
     }
 
+    /**
+     * Puts the requests that have become late while they waited behind those that can be on time.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void reorderLate(long now) {
+        List<QueuedRequest> late =
+                requests.stream().filter(queued -> queued.becomesLate(now)).toList();
+        for (QueuedRequest queued : late) {
+            requests.remove(queued);
+            queued.orderAsLate();
+            requests.add(queued);
+        }
+    }
+
     /**
      * Returns the waiting requests in the order in which they should get slots.
      *
@@ -134,15 +132,4 @@
     public int size() {
         return requests.size();
     }
-
-    private void removeOldReleases(long now) {
-        removeUntil(presentReleases, now - PRESENT_WINDOW_MILLIS);
-        removeUntil(usualReleases, now - USUAL_WINDOW_MILLIS);
-    }
-
-    private static void removeUntil(Deque<Long> releases, long until) {
-        while (!releases.isEmpty() && releases.peekFirst() <= until) {
-            releases.removeFirst();
-        }
-    }
 }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -38,6 +38,7 @@
 
     private final UpstreamPool upstreams;
     private final SlotValues slotValues = new SlotValues();
+    private final QueuePriority priority = new QueuePriority();
     private final AdmissionQueue queue = new AdmissionQueue();
 
     /**
@@ -76,6 +77,7 @@
      */
     public Decision offer(QueuedRequest queued, long now) {
         slotValues.addTier(queued.requirements().tier());
+        prepare(queued);
         queue.assignPosition(queued, slotValues.valueFor(queued));
         Optional<UpstreamLoad> free = findSlot(queued, now);
         if (free.isPresent()) {
@@ -98,6 +100,7 @@
      */
     public List<Decision> dispatchQueued(long now) {
         List<Decision> decisions = new ArrayList<>();
+        queue.reorderLate(now);
         for (QueuedRequest expired : queue.removeExpired(now)) {
             long wait = expectedWaitMillis(expired, now);
             decisions.add(new Decision.Refused(
@@ -132,7 +135,7 @@
      */
     public void release(UpstreamLoad upstream, QueuedRequest queued, long now) {
         upstream.recordEnd(queued);
-        queue.recordRelease(now);
+        queue.recordRelease(upstream.upstream(), now);
     }
 
     /**
@@ -156,6 +159,14 @@
         return queue.remove(queued);
     }
 
+    /** Sets until when a request can be on time and how long it may wait, and its order among those of its tier. */
+    private void prepare(QueuedRequest queued) {
+        RequestTimes times = upstreams.expectedTimes(queued);
+        queued.setLatestStart(times.latestStart(queued));
+        queued.limitWaitForTarget(times.latestWait(queued), times.usualWait(queued));
+        queued.setOrderAt(priority.orderAt(queued, times));
+    }
+
     private long expectedWaitMillis(QueuedRequest queued, long now) {
         return Math.max(queue.expectedWaitMillis(queued, now), upstreams.takenFrom(queued, now) - now);
     }
--- /dev/null
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuePriority.java
@@ -0,0 +1,35 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Orders the requests of a tier by the time that they have and by their own work: a short answer goes before a long one
+ * that arrived a little earlier. The advance is bounded, so that long answers are not starved.
+ */
+final class QueuePriority {
+    /** Maximum advance of a short answer, and delay of a long one, as a share of the time that a request may wait. */
+    private static final double MAX_SHIFT_SHARE = 0.1;
+
+    /** Ratio of the work of a request to the usual work of its tier from which the shift doesn't grow any more. */
+    private static final double MAX_WORK_RATIO = 4;
+
+    /** Weight of the newest request in the usual work; about fifty requests outweigh the older ones. */
+    private static final double WORK_AVERAGE_WEIGHT = 0.02;
+
+    private final Map<Integer, MovingAverage> logarithmsByTier = new HashMap<>();
+
+    /** Returns the time by which a request is ordered among those of its tier; the earliest comes first. */
+    long orderAt(QueuedRequest queued, RequestTimes times) {
+        if (times.holdMillis() <= 0) {
+            return queued.queueingDeadline();
+        }
+        MovingAverage usual = logarithmsByTier.computeIfAbsent(
+                queued.requirements().tier(), key -> new MovingAverage(WORK_AVERAGE_WEIGHT));
+        double logarithm = Math.log(Math.max(1, times.holdMillis()));
+        usual.add(logarithm);
+        double steps = (logarithm - usual.value()) / Math.log(MAX_WORK_RATIO);
+        long waitMillis = queued.queueingDeadline() - queued.arrivedAt();
+        return queued.queueingDeadline() + (long) (Math.max(-1, Math.min(1, steps)) * MAX_SHIFT_SHARE * waitMillis);
+    }
+}
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -11,10 +11,23 @@
  * Represents one request for a slot at an upstream, at a scheduler.
  */
 public final class QueuedRequest {
+    /** Share of its queueing time in which a request accepts only upstreams that are likely to answer on time. */
+    private static final double SELECTIVE_SHARE = 0.5;
+
+    /**
+     * The same for a request that may wait for most of the time until its target: as long as it can still be on time, an
+     * upstream that would be late is of little use to its caller.
+     */
+    private static final double SELECTIVE_SHARE_FOR_TARGET = 0.9;
+
     private final String name;
     private final int rank;
     private final long arrivedAt;
-    private final long queueingDeadline;
+    private long queueingDeadline;
+    private long latestStart;
+    private long orderAt;
+    private boolean orderedAsLate;
+    private double selectiveShare = SELECTIVE_SHARE;
     private final VersionRule versions;
     private final Requirements requirements;
     private final Set<String> avoidedRuns = new HashSet<>();
@@ -50,6 +63,9 @@
         this.queueingDeadline = queueingDeadline;
         this.versions = versions;
         this.requirements = requirements;
+        orderedAsLate = isLate();
+        latestStart = requirements.targetAt();
+        orderAt = queueingDeadline;
     }
 
     /**
@@ -179,9 +195,51 @@
         return requirements.targetAt() <= arrivedAt;
     }
 
+    /** Returns whether the request is ordered behind those that can be on time. */
+    boolean isOrderedAsLate() {
+        return orderedAsLate;
+    }
+
+    /** Returns whether the request can't be on time any more, but isn't ordered as late yet. */
+    boolean becomesLate(long now) {
+        return !orderedAsLate && now > latestStart;
+    }
+
+    /** Orders the request behind those that can be on time; it must not be queued meanwhile. */
+    void orderAsLate() {
+        orderedAsLate = true;
+    }
+
+    /** Sets until when a slot must be granted for an answer on time. */
+    void setLatestStart(long time) {
+        latestStart = time;
+    }
+
+    /**
+     * Limits the wait of a request that waits only while it can be on time, as first tries do.
+     *
+     * @param latest until when it may wait and be on time.
+     * @param usual until when it may wait at least; one that may wait longer chooses its upstream with more care.
+     */
+    void limitWaitForTarget(long latest, long usual) {
+        if (queueingDeadline <= requirements.targetAt()) {
+            queueingDeadline = Math.min(queueingDeadline, Math.max(latest, usual));
+            selectiveShare = queueingDeadline > usual ? SELECTIVE_SHARE_FOR_TARGET : SELECTIVE_SHARE;
+        }
+    }
+
+    /** Returns the time by which the request is ordered among those of its tier. */
+    long orderAt() {
+        return orderAt;
+    }
+
+    void setOrderAt(long time) {
+        orderAt = time;
+    }
+
     /** Returns until when only upstreams that are likely to answer on time are accepted, on the scheduler's clock. */
     long selectiveUntil() {
-        return arrivedAt + (queueingDeadline - arrivedAt) / 2;
+        return arrivedAt + (long) ((queueingDeadline - arrivedAt) * selectiveShare);
     }
 
     /** Returns whether an upstream may run the request, by its version and its failure domain. */
@@ -189,6 +247,11 @@
         return versions.allows(upstream.version()) && terms.allowsDomain(upstream.failureDomain());
     }
 
+    /** Returns whether some upstream may run this request as well as another one. */
+    boolean competesWith(QueuedRequest other) {
+        return terms.sharesDomainWith(other.terms);
+    }
+
     VersionRule versions() {
         return versions;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/RequestTerms.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RequestTerms.java
@@ -18,6 +18,13 @@
         allowedDomains = allowedDomains == null ? List.of() : List.copyOf(allowedDomains);
     }
 
+    /** Returns whether some failure domain may run both requests with these and requests with other terms. */
+    boolean sharesDomainWith(RequestTerms other) {
+        return allowedDomains.isEmpty()
+                || other.allowedDomains.isEmpty()
+                || allowedDomains.stream().anyMatch(other.allowedDomains::contains);
+    }
+
     /**
      * Returns whether an upstream in a failure domain may run the request.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -345,6 +345,24 @@
         return pauses.rate(alone, load, queued, uncachedTokens);
     }
 
+    /** Returns how long the pool is expected to need for a request, once a slot is granted. */
+    RequestTimes expectedTimes(QueuedRequest queued) {
+        double[] eventTimes = loads.values().stream()
+                .filter(load -> load.isEventTimeKnown() && queued.allows(load.upstream()))
+                .mapToDouble(UpstreamLoad::eventMillis)
+                .sorted()
+                .toArray();
+        if (eventTimes.length == 0 || !firstByte.isKnownForPool()) {
+            return RequestTimes.UNKNOWN;
+        }
+        QueuedRequest.Requirements requirements = queued.requirements();
+        double eventMillis = eventTimes[eventTimes.length / 2];
+        double firstByteMillis = firstByte.millis(requirements.promptTokens()) * eventMillis;
+        double events = outputLengths.events(requirements.outputTokens());
+        return new RequestTimes(
+                firstByteMillis, requirements.outputTokens() > 0 ? firstByteMillis + events * eventMillis : 0);
+    }
+
     /**
      * Returns the estimate of the length of answers.
      *
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -31,8 +32,8 @@
     /** The time without a reply after which an entry uses another scheduler. */
     private static final long REPLY_TIMEOUT_MILLIS = 150;
 
-    /** The maximum wait of a retried request for a slot. */
-    private static final long RETRY_MAX_WAIT_MILLIS = 1_200;
+    /** The maximum wait of a request for a slot. */
+    private static final long MAX_WAIT_MILLIS = 1_200;
 
     /** The speed at which a fast engine processes prompts. */
     private static final double PROMPT_TOKENS_PER_MILLI = 157;
@@ -58,8 +59,11 @@
     private final int[] onTimeByDomain;
     private final long[] lastGrantAt;
     private final long[] longestGrantGap;
+    private final List<Request> arrivals = new ArrayList<>();
     private long countedFrom;
     private boolean limitsStated = true;
+    private boolean lengthsStated = true;
+    private double firstTryWaitShare = 1;
     private int rejectedRequests;
     private int rejectedRetries;
     private int longestEngineQueue;
@@ -174,6 +178,7 @@
         }
         rejectedRequests = 0;
         rejectedRetries = 0;
+        arrivals.clear();
         countedFrom = now;
     }
 
@@ -182,6 +187,16 @@
         limitsStated = false;
     }
 
+    /** Lets first tries wait for half of their target only, as entries of an earlier build do. */
+    void halveWaits() {
+        firstTryWaitShare = 0.5;
+    }
+
+    /** Lets requests state no expected length. */
+    void hideLengths() {
+        lengthsStated = false;
+    }
+
     /** Returns the share of a tier's complete streams without a longer pause than their callers accept. */
     double smoothShare(int tier) {
         return (double) smoothByTier[tier] / streamsByTier[tier];
@@ -210,6 +225,16 @@
                 / Arrays.stream(arrivalsByTier).sum();
     }
 
+    /** Returns the share on time among a tier's requests of some lengths, of which 0 is the shortest and 1 the longest. */
+    double onTimeShare(int tier, double fromQuantile, double toQuantile) {
+        List<Request> sorted = arrivals.stream()
+                .filter(request -> request.tier == tier)
+                .sorted(Comparator.comparingDouble(request -> request.events))
+                .toList();
+        List<Request> part = sorted.subList((int) (sorted.size() * fromQuantile), (int) (sorted.size() * toQuantile));
+        return (double) part.stream().filter(request -> request.onTime).count() / part.size();
+    }
+
     /** Returns the share of requests on time among those that arrived at entries of a failure domain. */
     double onTimeShareInDomain(int number) {
         return (double) onTimeByDomain[number] / arrivalsByDomain[number];
@@ -244,6 +269,7 @@
         Request request =
                 new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, expectedTokens, now);
         arrivalsByDomain[request.entry % workload.domains()]++;
+        arrivals.add(request);
         sendRequest(request);
     }
 
@@ -257,8 +283,9 @@
         }
         long remainingMillis = deadlineOf(request) - now;
         long remainingTargetMillis = request.retry ? 0 : targetOf(request) - now;
-        long usualWaitMillis = workload.tiers().get(request.tier).targetMillis() / 2;
-        long waitUntil = request.attemptStartedAt + (request.retry ? RETRY_MAX_WAIT_MILLIS : usualWaitMillis);
+        long usualWaitMillis = Math.min(
+                MAX_WAIT_MILLIS, (long) (workload.tiers().get(request.tier).targetMillis() * firstTryWaitShare));
+        long waitUntil = request.attemptStartedAt + (request.retry ? MAX_WAIT_MILLIS : usualWaitMillis);
         request.node.scheduler.request(
                 entryName(request.entry),
                 request.id,
@@ -273,7 +300,8 @@
                         Math.max(0, waitUntil - now),
                         Math.max(0, remainingTargetMillis),
                         remainingMillis,
-                        new SlotRequest.ExpectedLoad(request.tokens, request.expectedTokens, 0, request.tier, "", 0),
+                        new SlotRequest.ExpectedLoad(
+                                request.tokens, lengthsStated ? request.expectedTokens : 0, 0, request.tier, "", 0),
                         List.of(),
                         List.of(),
                         new RequestTerms(maxPauseOf(request), List.of())),
@@ -346,6 +374,7 @@
         private long attemptStartedAt;
         private boolean retry;
         private boolean firstOnTime;
+        private boolean onTime;
         private long id;
         private SchedulerNode node;
 
@@ -463,6 +492,7 @@
             streamsByTier[request.tier]++;
             smoothByTier[request.tier] += smooth ? 1 : 0;
             onTimeByTier[request.tier] += onTime ? 1 : 0;
+            request.onTime = onTime;
             goodByTier[request.tier] += onTime && smooth ? 1 : 0;
             onTimeByDomain[request.entry % workload.domains()] += onTime ? 1 : 0;
         }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -36,9 +36,6 @@
  * that. The traffic thread owns it.
  */
 final class EntryExchange implements UpstreamSlot.Listener {
-    /** The share of the target latency that a caller's first try may wait for a slot; the rest is for the response. */
-    private static final double FIRST_TRY_WAIT_SHARE = 0.5;
-
     /**
      * The share of the time until its deadline that a request may wait for a slot where no target latency applies: the
      * route has none, or the caller or this entry is retrying.
@@ -304,7 +301,8 @@
         long targetMillis = routed.route().targetLatencyMillis();
         double waitMillis = callerRetry || targetMillis <= 0
                 ? (deadlineAt - arrivedAt) * RETRY_WAIT_SHARE
-                : targetMillis * FIRST_TRY_WAIT_SHARE;
+                // The scheduler leaves as much of it for the response as the pool needs.
+                : targetMillis;
         lastEventId = head.resumeAfter();
         requestSlot(arrivedAt + (long) waitMillis, true);
     }
