Count slots of plain calls only while a call runs there

Cause: at a service with few upstreams a scheduler counts a slot as taken from the grant until the report of the end. With plain calls of 64 ms and entries that take 30 ms each way, half of the capacity isn't used, and less urgent calls get none at all. Besides, a scheduler that has counted no release assumed two a second and refused the first calls that had to wait.

Change: UnusedSlotTime measures the time for which a call is counted beside that for which it is at the upstream, and UpstreamPool adds the idle slots, at most as many as there are. AssumedReleases estimates the least release rate for plain calls from the slots and the time of a call, before it is known from the target. Streams are decided about as before. SchedulerSimulation learns faults of upstreams, late reports and slow entries; it measures a call's time from its sending, counts only requests that arrived after a reset of the results, and states no output for plain calls, as the entry does.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -21,11 +21,18 @@
             .thenComparing(Comparator.comparingDouble(QueuedRequest::slotValue).reversed())
             .thenComparingLong(QueuedRequest::orderAt)
             .thenComparingLong(QueuedRequest::sequence));
-    private final WaitEstimate waits = new WaitEstimate();
+    private final WaitEstimate waits;
     private long nextSequence;
 
     /** Creates an empty queue. */
-    public AdmissionQueue() {}
+    public AdmissionQueue() {
+        this(AssumedReleases.FEW);
+    }
+
+    /** Creates an empty queue with the minimum release rate that is assumed. */
+    AdmissionQueue(AssumedReleases assumedReleases) {
+        waits = new WaitEstimate(assumedReleases);
+    }
 
     /**
      * Records that a slot was released.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -39,7 +39,7 @@
     private final UpstreamPool upstreams;
     private final SlotValues slotValues = new SlotValues();
     private final QueuePriority priority = new QueuePriority();
-    private final AdmissionQueue queue = new AdmissionQueue();
+    private final AdmissionQueue queue;
 
     /**
      * Creates a dispatcher with an empty queue.
@@ -48,6 +48,7 @@
      */
     public PoolDispatcher(UpstreamPool upstreams) {
         this.upstreams = upstreams;
+        queue = new AdmissionQueue(upstreams::assumedReleasesPerSecond);
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -237,6 +237,20 @@
         orderAt = time;
     }
 
+    /**
+     * Returns whether the request is a plain call, as far as its size tells.
+     *
+     * @return whether it has no prompt and no answer to generate.
+     */
+    public boolean isPlainCall() {
+        return requirements.promptTokens() == 0 && requirements.outputTokens() == 0 && requirements.outputLimit() == 0;
+    }
+
+    /** Returns how long after its arrival the caller wants the answer, or at least needs it if it is late anyway. */
+    long wantedWithinMillis() {
+        return (isLate() ? requirements.endsAt() : requirements.targetAt()) - arrivedAt;
+    }
+
     /** Returns until when only upstreams that are likely to answer on time are accepted, on the scheduler's clock. */
     long selectiveUntil() {
         return arrivedAt + (long) ((queueingDeadline - arrivedAt) * selectiveShare);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
@@ -19,6 +19,9 @@
      */
     private static final long MIN_HOLD_SAMPLES = 100;
 
+    /** The same for plain calls, whose times differ less. */
+    private static final long MIN_PLAIN_HOLD_SAMPLES = 10;
+
     private final MovingAverage holdMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
 
     /** Records how long an answered request held its slot. */
@@ -48,6 +51,15 @@
         return isHoldKnown() ? (int) (slots * Math.min(1, MAX_REPORT_AGE_MILLIS / holdMillis.value())) : 0;
     }
 
+    /**
+     * Returns how long a plain call holds its slot, in milliseconds.
+     *
+     * @param assumedMillis the time to assume until enough calls have ended.
+     */
+    double plainHoldMillis(double assumedMillis) {
+        return holdMillis.samples() >= MIN_PLAIN_HOLD_SAMPLES ? holdMillis.value() : assumedMillis;
+    }
+
     private boolean isHoldKnown() {
         return holdMillis.samples() >= MIN_HOLD_SAMPLES;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -81,6 +81,7 @@
     private int schedulerCount = 1;
     private boolean limitedToShare;
     private final ReportStaleness staleness = new ReportStaleness();
+    private final UnusedSlotTime unusedTime = new UnusedSlotTime();
     private Set<String> evacuatedDomains = Set.of();
     private ColdStart coldStartRule = ColdStart.NONE;
     private Predicate<String> mayUseCold = run -> true;
@@ -107,6 +108,18 @@
         staleness.recordHold(millis);
     }
 
+    /**
+     * Records for how long an answered request was counted here, and for how long it was at its upstream. Streams hold
+     * slots for so long that the difference doesn't matter.
+     *
+     * @param plainCall whether the request is a plain call.
+     * @param counted the time from the grant to the report of its end, in milliseconds.
+     * @param held the time from its sending to the end of the answer, in milliseconds.
+     */
+    public void recordCounted(boolean plainCall, long counted, long held) {
+        unusedTime.record(plainCall ? counted : held, held);
+    }
+
     /**
      * Sets how many schedulers share the upstreams.
      *
@@ -426,6 +439,22 @@
                 .sum();
     }
 
+    /**
+     * Returns how many slots per second are at least released to this scheduler while all are taken.
+     *
+     * <p>Each slot is released once in the time for which a call holds it. Until that time is known, it is assumed to be the
+     * time within which the caller wants the answer. Streams hold slots for much longer than a caller waits for one, so that
+     * their number of slots tells little.
+     */
+    double assumedReleasesPerSecond(QueuedRequest queued, long now) {
+        double few = AssumedReleases.FEW.perSecond(queued, now);
+        if (!queued.isPlainCall()) {
+            return few;
+        }
+        double holdMillis = staleness.plainHoldMillis(queued.wantedWithinMillis());
+        return Math.max(few, (double) slots(now) / schedulerCount * 1_000 / Math.max(1, holdMillis));
+    }
+
     /**
      * Returns the usual failure share in the pool.
      *
@@ -591,7 +620,8 @@
     }
 
     private int freeSlots(UpstreamLoad load) {
-        return Math.max(0, slots(load) - load.inProgress());
+        int slots = slots(load);
+        return Math.max(0, slots + unusedTime.unusedSlots(slots) - load.inProgress());
     }
 
     /**
@@ -609,7 +639,9 @@
         if (schedulerCount > 1 && !isOwnDomain(load) && now - load.lastSentAt() < staleness.spacingMillis()) {
             return false;
         }
-        int slots = slots(load) + (schedulerCount > 1 ? staleness.unreportedReleases(slots(load)) : 0);
+        int slots = slots(load)
+                + (schedulerCount > 1 ? staleness.unreportedReleases(slots(load)) : 0)
+                + unusedTime.unusedSlots(slots(load));
         int ownShare = load.isEventTimeKnown() ? slots : Math.max(1, slots / schedulerCount);
         return load.inProgress() < slots && load.ownInProgress() < ownShare;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
@@ -19,11 +19,14 @@
     /** Period over which they are counted to estimate the usual rate, in milliseconds; longer than most stalls. */
     private static final long USUAL_WINDOW_MILLIS = 5_000;
 
-    /** Minimum release rate that is assumed, in slots per second; it applies where no slot was released recently. */
-    private static final double MIN_RELEASES_PER_SECOND = 2;
-
     private final Deque<Release> present = new ArrayDeque<>();
     private final Deque<Release> usual = new ArrayDeque<>();
+    private final AssumedReleases assumedReleases;
+
+    /** Creates an estimate without releases, with the minimum release rate that is assumed. */
+    WaitEstimate(AssumedReleases assumedReleases) {
+        this.assumedReleases = assumedReleases;
+    }
 
     /** Records that a slot of an upstream was released. */
     void recordRelease(Upstream upstream, long now) {
@@ -44,7 +47,7 @@
         removeOld(now);
         double rate = Math.max(
                 perSecond(present, queued, PRESENT_WINDOW_MILLIS), perSecond(usual, queued, USUAL_WINDOW_MILLIS));
-        return (long) ((ahead + 1) * 1_000 / Math.max(MIN_RELEASES_PER_SECOND, rate));
+        return (long) ((ahead + 1) * 1_000 / Math.max(assumedReleases.perSecond(queued, now), rate));
     }
 
     private static double perSecond(Deque<Release> releases, QueuedRequest queued, long windowMillis) {
--- a/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/slot/SlotScheduler.java
@@ -265,6 +265,7 @@
             }
             if (ended.outcome() == SlotOutcome.SUCCESS) {
                 tracked.pool.recordCompletion(tracked.queued, ended.heldMillis());
+                tracked.recordCounted(ended, now);
             }
         }
         release(tracked, ended.outcome(), now);
@@ -413,6 +414,13 @@
             organisation.ifPresent(rule -> quotas.recordGrant(rule, quotaCost, now));
         }
 
+        void recordCounted(SlotReport.Ended ended, long now) {
+            // A slot that another scheduler granted has no time of its grant here.
+            if (grantedAt > 0) {
+                pool.upstreams().recordCounted(queued.isPlainCall(), now - grantedAt, ended.heldMillis());
+            }
+        }
+
         void refundQuota(QuotaLedger quotas) {
             if (upstream == null) {
                 organisation.ifPresent(rule -> quotas.refund(rule, quotaCost));
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/AssumedReleasesTest.java
@@ -0,0 +1,78 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.Upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests with one of six schedulers that share eighteen slots. */
+class AssumedReleasesTest {
+    private static final long NOW = 10_000;
+
+    private static final long TARGET_MILLIS = 300;
+
+    private final UpstreamPool pool = new UpstreamPool("scheduler", "a", 6);
+
+    @BeforeEach
+    void list() {
+        pool.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
+        pool.setSchedulerCount(6);
+    }
+
+    private static Upstream upstream(String id) {
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 6, false, false);
+    }
+
+    private static QueuedRequest request(long promptTokens, long outputTokens, long targetMillis) {
+        return new QueuedRequest(
+                "r",
+                0,
+                NOW,
+                NOW + TARGET_MILLIS / 2,
+                VersionRule.Any.INSTANCE,
+                new QueuedRequest.Requirements(promptTokens, outputTokens, 0, NOW + targetMillis, NOW + 3_000));
+    }
+
+    private double perSecond(QueuedRequest request) {
+        return pool.assumedReleasesPerSecond(request, NOW);
+    }
+
+    /** Guards against calls that are refused because nothing is known yet, rather than wait for the first release. */
+    @Test
+    void areOfTheOwnSlotsWithinTheTargetWhereNothingIsKnown() {
+        assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(10);
+        assertThat(new AdmissionQueue(pool::assumedReleasesPerSecond)
+                        .expectedWaitMillis(request(0, 0, TARGET_MILLIS), NOW))
+                .isLessThan(TARGET_MILLIS / 2);
+    }
+
+    /** Guards against calls that are refused at the start of a burst, by the few releases of the quiet time before. */
+    @Test
+    void areOfTheOwnSlotsWithinTheTimeOfACallOnceItIsKnown() {
+        for (int call = 0; call < 10; call++) {
+            pool.recordHold(60);
+        }
+        assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
+    }
+
+    /** Guards against many late calls that wait in the place of new ones. */
+    @Test
+    void areFewForLateCallsWhereNothingIsKnown() {
+        assertThat(perSecond(request(0, 0, 0))).isEqualTo(2);
+    }
+
+    /** Guards against streams that wait for slots which are held for seconds; their wait is estimated as before. */
+    @Test
+    void areFewForStreams() {
+        for (int call = 0; call < 10; call++) {
+            pool.recordHold(60);
+        }
+        assertThat(perSecond(request(0, 40, TARGET_MILLIS))).isEqualTo(2);
+        assertThat(perSecond(request(100, 0, TARGET_MILLIS))).isEqualTo(2);
+        assertThat(AssumedReleases.FEW.perSecond(request(100, 40, TARGET_MILLIS), NOW))
+                .isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UnusedSlotTimeTest.java
@@ -0,0 +1,87 @@
+package org.radishspur.decision.dispatch;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.radishspur.model.catalogue.Upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests with the load of a pool of two upstreams with four slots each. */
+class UnusedSlotTimeTest {
+    private static final long NOW = 10_000;
+
+    private final UnusedSlotTime unused = new UnusedSlotTime();
+    private final UpstreamPool pool = new UpstreamPool("scheduler", "a", 4);
+
+    private static Upstream upstream(String id) {
+        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false, false);
+    }
+
+    private int grants() {
+        pool.refresh(List.of(upstream("one"), upstream("two")));
+        pool.loads().forEach(load -> load.recordEventTime(60, 1));
+        int granted = 0;
+        while (pool.choose(queued(), 0, NOW).stream()
+                .peek(load -> load.recordSent(new Object(), 0, NOW))
+                .findAny()
+                .isPresent()) {
+            granted++;
+        }
+        return granted;
+    }
+
+    private static QueuedRequest queued() {
+        return new QueuedRequest(
+                "r",
+                0,
+                NOW,
+                NOW + 200,
+                VersionRule.Any.INSTANCE,
+                new QueuedRequest.Requirements(0, 0, 0, NOW + 400, NOW + 3_000));
+    }
+
+    /** Guards against upstreams that get more than their slots where every end is counted at once. */
+    @Test
+    void addsNoSlotWhereCallsAreCountedOnlyWhileTheyRun() {
+        assertThat(unused.unusedSlots(6)).isZero();
+        unused.record(60, 60);
+        assertThat(unused.unusedSlots(6)).isZero();
+        unused.record(61, 60);
+        assertThat(unused.unusedSlots(6)).isZero();
+    }
+
+    /** Guards against slots that are idle for the time that grants and reports are on their way. */
+    @Test
+    void addsAsManySlotsAsAreIdle() {
+        unused.record(90, 60);
+        assertThat(unused.unusedSlots(6)).isEqualTo(3);
+    }
+
+    /** Guards against upstreams that get a multiple of their slots while entries stall. */
+    @Test
+    void atMostDoublesTheSlots() {
+        unused.record(5_000, 60);
+        assertThat(unused.unusedSlots(6)).isEqualTo(6);
+    }
+
+    /** Guards against a call that seems to run for longer than it was counted, by the clocks of two hosts. */
+    @Test
+    void ignoresACallThatRanForLongerThanItWasCounted() {
+        unused.record(40, 60);
+        assertThat(unused.unusedSlots(6)).isZero();
+    }
+
+    @Test
+    void letsAPoolSendAsMuchAsFillsItsSlots() {
+        pool.recordCounted(true, 90, 60);
+        assertThat(grants()).isEqualTo(12);
+    }
+
+    /** Guards against streams that are delayed inside engines; they are decided about as without these times. */
+    @Test
+    void changesNothingForStreams() {
+        pool.recordCounted(false, 90, 60);
+        assertThat(grants()).isEqualTo(8);
+    }
+}
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WaitEstimateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WaitEstimateTest.java
@@ -14,7 +14,7 @@
 class WaitEstimateTest {
     private static final long NOW = 10_000;
 
-    private final WaitEstimate estimate = new WaitEstimate();
+    private final WaitEstimate estimate = new WaitEstimate(AssumedReleases.FEW);
 
     private static QueuedRequest allowedIn(String... domains) {
         QueuedRequest queued = new QueuedRequest(
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -43,6 +43,15 @@
 
     private static final double LONG_CALL_FACTOR = 5;
 
+    /** The longest time of a plain call, in milliseconds. */
+    private static final double MAX_CALL_MILLIS = 450;
+
+    /** The number of attempts that may fail before an entry gives up. */
+    private static final int MAX_FAILED_ATTEMPTS = 3;
+
+    /** The share of the time until its deadline for which a request that an upstream failed waits for another slot. */
+    private static final double RESEND_WAIT_SHARE = 0.4;
+
     private final Workload workload;
     private final Random random;
     private final Map<String, Engine> engines = new HashMap<>();
@@ -52,6 +61,7 @@
             new PriorityQueue<>((one, other) -> Long.compare(one.dueAt, other.dueAt));
     private final int[] arrivalsByTier;
     private final int[] onTimeByTier;
+    private final int[] servedByTier;
     private final int[] streamsByTier;
     private final int[] smoothByTier;
     private final int[] goodByTier;
@@ -64,6 +74,10 @@
     private boolean limitsStated = true;
     private boolean lengthsStated = true;
     private double firstTryWaitShare = 1;
+    private long networkMillis;
+    private long startMillis;
+    private long handoverMillis;
+    private final Map<String, Fault> faults = new HashMap<>();
     private int rejectedRequests;
     private int rejectedRetries;
     private int longestEngineQueue;
@@ -76,6 +90,7 @@
         nodes = new SchedulerNode[workload.schedulers()];
         arrivalsByTier = new int[workload.tiers().size()];
         onTimeByTier = new int[workload.tiers().size()];
+        servedByTier = new int[workload.tiers().size()];
         streamsByTier = new int[workload.tiers().size()];
         smoothByTier = new int[workload.tiers().size()];
         goodByTier = new int[workload.tiers().size()];
@@ -173,7 +188,8 @@
 
     /** Forgets the results so far, such as those of the time in which schedulers know nothing yet. */
     void resetResults() {
-        for (int[] counts : List.of(arrivalsByTier, onTimeByTier, streamsByTier, smoothByTier, goodByTier)) {
+        for (int[] counts :
+                List.of(arrivalsByTier, onTimeByTier, servedByTier, streamsByTier, smoothByTier, goodByTier)) {
             Arrays.fill(counts, 0);
         }
         rejectedRequests = 0;
@@ -182,6 +198,26 @@
         countedFrom = now;
     }
 
+    /** Lets load reports take some time from one scheduler to another, in milliseconds. */
+    void delayReports(long millis) {
+        networkMillis = millis;
+    }
+
+    /** Lets entries that have just started take some time to send a request, which falls to none within a second. */
+    void startSlowly(long millis) {
+        startMillis = millis;
+    }
+
+    /** Lets entries take some time to send a granted request, and the same to report its end, in milliseconds. */
+    void handOverSlowly(long millis) {
+        handoverMillis = millis;
+    }
+
+    /** Lets an upstream fail a share of the requests that it gets within some time: unreachable, or by a reset. */
+    void failUpstream(int number, SlotOutcome outcome, double share, long millis) {
+        faults.put(engines.keySet().stream().sorted().toList().get(number), new Fault(outcome, share, now + millis));
+    }
+
     /** Lets requests state no limit of pauses; they are measured all the same. */
     void hideLimits() {
         limitsStated = false;
@@ -235,6 +271,17 @@
         return (double) part.stream().filter(request -> request.onTime).count() / part.size();
     }
 
+    /** Returns the share of a tier's requests that met their deadline. */
+    double servedShare(int tier) {
+        return (double) servedByTier[tier] / arrivalsByTier[tier];
+    }
+
+    /** Returns the share of all requests that met their deadline. */
+    double servedShare() {
+        return (double) Arrays.stream(servedByTier).sum()
+                / Arrays.stream(arrivalsByTier).sum();
+    }
+
     /** Returns the share of requests on time among those that arrived at entries of a failure domain. */
     double onTimeShareInDomain(int number) {
         return (double) onTimeByDomain[number] / arrivalsByDomain[number];
@@ -265,7 +312,8 @@
         arrivalsByTier[tier]++;
         double events = workload.tiers().get(tier).drawEvents(random);
         double tokens = workload.tiers().get(tier).drawTokens(random);
-        long expectedTokens = Math.max(1, (long) (events * 4 * Math.exp(random.nextGaussian() * 0.5)));
+        double lengthFactor = Math.exp(random.nextGaussian() * 0.5);
+        long expectedTokens = events == 0 ? 0 : Math.max(1, (long) (events * 4 * lengthFactor));
         Request request =
                 new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, expectedTokens, now);
         arrivalsByDomain[request.entry % workload.domains()]++;
@@ -285,7 +333,10 @@
         long remainingTargetMillis = request.retry ? 0 : targetOf(request) - now;
         long usualWaitMillis = Math.min(
                 MAX_WAIT_MILLIS, (long) (workload.tiers().get(request.tier).targetMillis() * firstTryWaitShare));
-        long waitUntil = request.attemptStartedAt + (request.retry ? MAX_WAIT_MILLIS : usualWaitMillis);
+        long maxWaitMillis = request.retry ? MAX_WAIT_MILLIS : usualWaitMillis;
+        long waitUntil = request.failedRuns.isEmpty()
+                ? request.attemptStartedAt + maxWaitMillis
+                : now + (long) (remainingMillis * RESEND_WAIT_SHARE);
         request.node.scheduler.request(
                 entryName(request.entry),
                 request.id,
@@ -302,12 +353,34 @@
                         remainingMillis,
                         new SlotRequest.ExpectedLoad(
                                 request.tokens, lengthsStated ? request.expectedTokens : 0, 0, request.tier, "", 0),
-                        List.of(),
+                        List.copyOf(request.failedRuns),
                         List.of(),
                         new RequestTerms(maxPauseOf(request), List.of())),
                 now);
     }
 
+    private void sendToUpstream(Request request, String run) {
+        Fault fault = faults.get(run);
+        if (fault == null || now >= fault.until() || random.nextDouble() >= fault.share()) {
+            later(
+                    handoverMillis + startMillis * Math.max(0, 1_000 - now) / 1_000,
+                    () -> engines.get(run).accept(request));
+        } else {
+            schedule(Math.max(1, 2 * networkMillis), () -> fail(request, run, fault.outcome()));
+        }
+    }
+
+    /** Reports a failed attempt; the entry sends the request again if it wasn't run or may be repeated. */
+    private void fail(Request request, String run, SlotOutcome outcome) {
+        report(request, new SlotReport.Ended(outcome));
+        boolean mayRepeat = outcome == SlotOutcome.UNREACHABLE
+                || workload.tiers().get(request.tier).mayRepeat();
+        if (mayRepeat && request.failedRuns.size() < MAX_FAILED_ATTEMPTS) {
+            request.failedRuns.add(run);
+            sendRequest(request);
+        }
+    }
+
     private long maxPauseOf(Request request) {
         return limitsStated ? workload.tiers().get(request.tier).maxPauseMillis() : 0;
     }
@@ -321,6 +394,9 @@
     }
 
     private void reject(Request request, long retryAfterMillis) {
+        if (!request.failedRuns.isEmpty()) {
+            return;
+        }
         if (request.retry) {
             rejectedRetries++;
             return;
@@ -334,6 +410,14 @@
         schedule(retryDelay, () -> sendRequest(request));
     }
 
+    private void later(long millis, Runnable action) {
+        if (millis == 0) {
+            action.run();
+        } else {
+            schedule(millis, action);
+        }
+    }
+
     private void schedule(long millis, Runnable action) {
         scheduledActions.add(new ScheduledAction(now + millis, action));
     }
@@ -342,17 +426,7 @@
         for (SchedulerNode from : nodes) {
             for (SchedulerNode to : nodes) {
                 if (from != to && !from.stopped && !to.stopped) {
-                    from.pools
-                            .upstreams()
-                            .loads()
-                            .forEach(load -> to.pools
-                                    .upstreams()
-                                    .find(load.upstream().runId())
-                                    .ifPresent(target -> {
-                                        target.recordPeerInProgress(from.name, load.ownInProgress());
-                                        target.recordPeerPendingTokens(from.name, load.ownPendingTokens());
-                                        target.recordPeerEventTime(load.ownEventMillis());
-                                    }));
+                    from.pools.upstreams().loads().forEach(load -> sendReport(from, to, load));
                 }
             }
         }
@@ -363,6 +437,22 @@
         }
     }
 
+    private void sendReport(SchedulerNode from, SchedulerNode to, UpstreamLoad load) {
+        int inProgress = load.ownInProgress();
+        long tokens = load.ownPendingTokens();
+        double eventMillis = load.ownEventMillis();
+        Runnable receive = () -> to.pools
+                .upstreams()
+                .find(load.run())
+                .filter(target -> !from.stopped)
+                .ifPresent(target -> {
+                    target.recordPeerInProgress(from.name, inProgress);
+                    target.recordPeerPendingTokens(from.name, tokens);
+                    target.recordPeerEventTime(eventMillis);
+                });
+        later(networkMillis, receive);
+    }
+
     /** Holds a request with its load on an engine and the scheduler that it was sent to. */
     private static final class Request {
         private final int tier;
@@ -372,9 +462,11 @@
         private final long expectedTokens;
         private final long arrivedAt;
         private long attemptStartedAt;
+        private long sentAt;
         private boolean retry;
         private boolean firstOnTime;
         private boolean onTime;
+        private final List<String> failedRuns = new ArrayList<>();
         private long id;
         private SchedulerNode node;
 
@@ -414,7 +506,7 @@
                 longestGrantGap[assignedScheduler] =
                         Math.max(longestGrantGap[assignedScheduler], now - lastGrantAt[assignedScheduler]);
                 lastGrantAt[assignedScheduler] = now;
-                engines.get(granted.upstream().runId()).accept(request);
+                sendToUpstream(request, granted.upstream().runId());
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 reject(request, rejected.retryAfterMillis());
             }
@@ -515,15 +607,16 @@
         /** {@inheritDoc} */
         @Override
         public void accept(Request request) {
+            request.sentAt = now;
             if (running < workload.slots()) {
-                start(request, now);
+                start(request);
             } else {
                 queue.add(request);
                 longestEngineQueue = Math.max(longestEngineQueue, queue.size());
             }
         }
 
-        private void start(Request request, long sentAt) {
+        private void start(Request request) {
             running++;
             long promptMillis =
                     (long) (request.tokens / PROMPT_TOKENS_PER_MILLI * eventMillis / workload.fastEventMillis());
@@ -531,33 +624,37 @@
             long firstByteAt = promptsProcessedUntil + (long) (request.events == 0 ? callMillis() : 2 * eventMillis);
             long endsAt = firstByteAt + (long) (request.events * eventMillis);
             boolean isOnTime = firstByteAt <= targetOf(request) && endsAt <= deadlineOf(request);
-            onTimeByTier[request.tier] += isOnTime ? 1 : 0;
+            if (request.arrivedAt >= countedFrom) {
+                onTimeByTier[request.tier] += isOnTime ? 1 : 0;
+                servedByTier[request.tier] += endsAt <= deadlineOf(request) ? 1 : 0;
+            }
             onTimeByDomain[request.entry % workload.domains()] += isOnTime ? 1 : 0;
-            schedule(firstByteAt - now, () -> report(request, new SlotReport.FirstByte(now - sentAt)));
-            schedule(endsAt - now, () -> end(request, sentAt));
+            schedule(firstByteAt - now, () -> report(request, new SlotReport.FirstByte(now - request.sentAt)));
+            schedule(endsAt - now, () -> end(request));
         }
 
         private double callMillis() {
             double factor = random.nextDouble() < LONG_CALL_SHARE ? LONG_CALL_FACTOR : 1;
-            return factor * eventMillis * Math.exp(random.nextGaussian() * 0.5 - 0.125);
+            return Math.min(MAX_CALL_MILLIS, factor * eventMillis * Math.exp(random.nextGaussian() * 0.5 - 0.125));
         }
 
-        private void end(Request request, long sentAt) {
+        private void end(Request request) {
             running--;
-            double measuredMillis = request.events == 0 ? now - sentAt : eventMillis;
-            report(
-                    request,
-                    new SlotReport.Ended(
-                            SlotOutcome.SUCCESS,
-                            now - sentAt,
-                            measuredMillis,
-                            (long) request.events,
-                            request.expectedTokens));
+            double measuredMillis = request.events == 0 ? now - request.sentAt : eventMillis;
+            SlotReport ended = new SlotReport.Ended(
+                    SlotOutcome.SUCCESS,
+                    now - request.sentAt,
+                    measuredMillis,
+                    (long) request.events,
+                    request.expectedTokens);
+            later(handoverMillis, () -> report(request, ended));
             if (!queue.isEmpty()) {
-                start(queue.poll(), now);
+                start(queue.poll());
             }
         }
     }
 
+    private record Fault(SlotOutcome outcome, double share, long until) {}
+
     private record ScheduledAction(long dueAt, Runnable action) {}
 }
--- a/decision/src/test/java/org/radishspur/decision/slot/Workload.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/Workload.java
@@ -46,6 +46,20 @@
     static final Workload PLAIN_CALLS = new Workload(
             3, 2, 61, 5, 6, 61, 61, List.of(new Tier(0.8, 0, 0, 315, 3_000), new Tier(0.2, 0, 0, 314, 3_000)));
 
+    /**
+     * Short plain calls at seventy-seven entries in three failure domains, which share three upstreams; the first tier may
+     * run at most once.
+     */
+    static final Workload FEW_UPSTREAMS = new Workload(
+            3,
+            2,
+            77,
+            3,
+            6,
+            64,
+            64,
+            List.of(new Tier(0.72, 0, 0, 325, 1_550).runAtMostOnce(), new Tier(0.28, 0, 0, 325, 1_550)));
+
     /**
      * Long prompts beside streams, at engines that read prompts in chunks between the steps of the streams; a long prompt
      * makes the streams at a slow engine pause for longer than their callers accept.
@@ -90,13 +104,28 @@
      * @param targetMillis the target for the first byte, in milliseconds after arrival.
      * @param deadlineMillis the deadline of the complete answer, in milliseconds after arrival.
      * @param maxPauseMillis the longest pause between two events that callers accept, in milliseconds; 0 for no limit.
+     * @param mayRepeat whether a request may be sent again after an upstream has begun to run it.
      */
     record Tier(
-            double share, double events, double tokens, long targetMillis, long deadlineMillis, long maxPauseMillis) {
+            double share,
+            double events,
+            double tokens,
+            long targetMillis,
+            long deadlineMillis,
+            long maxPauseMillis,
+            boolean mayRepeat) {
         Tier(double share, double events, double tokens, long targetMillis, long deadlineMillis) {
             this(share, events, tokens, targetMillis, deadlineMillis, 0);
         }
 
+        Tier(double share, double events, double tokens, long targetMillis, long deadlineMillis, long maxPauseMillis) {
+            this(share, events, tokens, targetMillis, deadlineMillis, maxPauseMillis, true);
+        }
+
+        Tier runAtMostOnce() {
+            return new Tier(share, events, tokens, targetMillis, deadlineMillis, maxPauseMillis, false);
+        }
+
         double drawEvents(Random random) {
             return events == 0 ? 0 : Math.max(1, events * Math.exp(random.nextGaussian() * 0.9 - 0.4));
         }
