Bound what one call counts as unused time of its slot

Cause: a scheduler or entry that stalls for some seconds once counts its calls in progress as if grants and reports always took that long, so that upstreams would get twice their slots for seconds after it.

Change: of a call's unused time at most the average time of a call counts.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UnusedSlotTime.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UnusedSlotTime.java
@@ -8,34 +8,28 @@
     /** Weight of the newest call in the average times; about fifty calls outweigh the older ones. */
     private static final double TIME_AVERAGE_WEIGHT = 0.02;
 
-    /** Minimum share of the counted requests that is assumed to run; an upstream gets at most twice its slots. */
-    private static final double MIN_RUNNING_SHARE = 0.5;
-
-    private final MovingAverage countedMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
     private final MovingAverage heldMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
+    private final MovingAverage unusedMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
 
     /**
-     * Records an answered call.
+     * Records an answered call. Of the unused time at most the time of a call counts: a stall of this process or of an
+     * entry tells nothing about the time after it.
      *
      * @param counted for how long this scheduler counted its slot as taken, in milliseconds.
      * @param held for how long the call was at the upstream, in milliseconds.
      */
     void record(long counted, long held) {
-        countedMillis.add(Math.max(1, counted));
-        heldMillis.add(Math.min(Math.max(1, counted), Math.max(1, held)));
+        heldMillis.add(Math.max(1, held));
+        unusedMillis.add(Math.max(0, Math.min(counted - held, heldMillis.value())));
     }
 
     /**
-     * Returns how many of the slots of a fully used upstream are counted as taken while no request runs there.
+     * Returns how many requests are counted as running at an upstream, but don't run there, when it is fully used.
      *
      * @param slots the slots of the upstream.
+     * @return the number, at most that of the slots.
      */
     int unusedSlots(int slots) {
-        if (!countedMillis.isKnown()) {
-            return 0;
-        }
-        // Of the requests that are counted, the share that runs there has to fill the slots.
-        double runningShare = Math.max(MIN_RUNNING_SHARE, heldMillis.value() / countedMillis.value());
-        return (int) (slots / runningShare) - slots;
+        return heldMillis.isKnown() ? (int) (slots * Math.min(1, unusedMillis.value() / heldMillis.value())) : 0;
     }
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UnusedSlotTimeTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UnusedSlotTimeTest.java
@@ -65,6 +65,18 @@
         assertThat(unused.unusedSlots(6)).isEqualTo(6);
     }
 
+    /** Guards against upstreams that get too much for seconds because this process has stalled once. */
+    @Test
+    void addsHardlyAnySlotAfterAStall() {
+        for (int call = 0; call < 100; call++) {
+            unused.record(60, 60);
+        }
+        for (int call = 0; call < 10; call++) {
+            unused.record(5_000, 60);
+        }
+        assertThat(unused.unusedSlots(6)).isLessThanOrEqualTo(1);
+    }
+
     /** Guards against a call that seems to run for longer than it was counted, by the clocks of two hosts. */
     @Test
     void ignoresACallThatRanForLongerThanItWasCounted() {
