Tell callers without quota when their quota has room

Cause: a caller refused with 429 was told at least 0.30 of the time that it has left, also where its quota has room after 200 ms. Change: it is told the time until the quota has room, up to 50 ms and a tenth of that time later, and at most a third of its time.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/RetryAfterPolicyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/RetryAfterPolicyTest.java
@@ -38,4 +38,15 @@
     void returnsAtLeastOneMillisecond() {
         assertThat(RetryAfterPolicy.INSTANCE.maxRetryAfterMillis(0)).isEqualTo(1);
     }
+
+    /** Guards against callers that wait for much longer than until their quota has room, or return all at once. */
+    @Test
+    void callerWithoutQuotaReturnsShortlyAfterItHasRoom() {
+        assertThat(RetryAfterPolicy.INSTANCE.quotaRetryAfterMillis(12_000, 200, 0))
+                .isEqualTo(200);
+        assertThat(RetryAfterPolicy.INSTANCE.quotaRetryAfterMillis(12_000, 200, 1))
+                .isEqualTo(270);
+        assertThat(RetryAfterPolicy.INSTANCE.quotaRetryAfterMillis(3_000, 5_000, 0))
+                .isEqualTo(990);
+    }
 }
