--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -65,6 +65,15 @@
         assertThat(reread(earlier, SlotReport.Ended.class)).isEqualTo(new SlotReport.Ended(SlotOutcome.NOT_RUN));
     }
 
+    /** Guards against returns at the time that an earlier scheduler names, which it has chosen for nobody. */
+    @Test
+    void readsRejectionsWithAndWithoutAScheduledReturn() {
+        EarlierRejected earlier = new EarlierRejected(SlotReply.Reason.OVERLOAD, 150, 3, 4);
+        SlotReply.Rejected rejected = new SlotReply.Rejected(SlotReply.Reason.OVERLOAD, 150, 3, 4, true);
+        assertThat(reread(rejected, EarlierRejected.class)).isEqualTo(earlier);
+        assertThat(reread(earlier, SlotReply.Rejected.class).returnScheduled()).isFalse();
+    }
+
     @Test
     void sendsWhatThisBuildReads() {
         assertThat(reread(new EarlierAttach("entry", List.of(HELD)), FleetMessage.Attach.class))
@@ -137,6 +146,8 @@
             List<String> avoidedRuns,
             List<UpstreamRest> rests) {}
 
+    private record EarlierRejected(SlotReply.Reason reason, long retryAfterMillis, int queueLength, int slots) {}
+
     private record EarlierAttach(String entry, List<HeldSlot> held) {}
 
     private record EarlierReportSlot(long id, SlotReport report) {}
