--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -39,6 +39,7 @@
     private final UpstreamPool upstreams;
     private final SlotValues slotValues = new SlotValues();
     private final AdmissionQueue queue = new AdmissionQueue();
+    private final PeerQueues peerQueues = new PeerQueues();
 
     /**
      * Creates a dispatcher with an empty queue.
@@ -67,6 +68,24 @@
         return queue.size();
     }
 
+    /**
+     * Returns what the other schedulers have reported about the requests that wait there.
+     *
+     * @return the reports, to which newer ones are added.
+     */
+    public PeerQueues peerQueues() {
+        return peerQueues;
+    }
+
+    /**
+     * Counts the queued requests, for the report to other schedulers.
+     *
+     * @return the counts.
+     */
+    public WaitingCounts waiting() {
+        return WaitingCounts.of(queue.inOrder());
+    }
+
     /**
      * Grants a slot to a new request, queues it or refuses it.
      *
@@ -163,7 +182,16 @@
     private Optional<UpstreamLoad> findSlot(QueuedRequest queued, long now) {
         // Late requests leave slots free as well. Otherwise a burst would go on through retries: an answer on time is
         // worth several late ones, and each slot that a late request takes makes another one late.
-        return upstreams.choose(queued, RESERVED_SHARE_PER_TIER * slotValues.tiersBehindBest(queued), now);
+        double usual = RESERVED_SHARE_PER_TIER * slotValues.tiersBehindBest(queued);
+        return upstreams.choose(queued, usual, shareLeftToPeers(queued, usual, now), now);
+    }
+
+    private double shareLeftToPeers(QueuedRequest queued, double usual, long now) {
+        // One that leaves nothing for other tiers is worth most, wherever others wait.
+        int waiting = usual <= 0 ? 0 : peerQueues.waitingBefore(queued, now);
+        return waiting == 0
+                ? 0
+                : peerQueues.extraShare(queued, waiting, usual, upstreams.freeShare(now), upstreams.slots(now), now);
     }
 
     private static Decision grant(QueuedRequest queued, UpstreamLoad upstream, long now) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -226,12 +226,25 @@
      * @return the upstream, or empty where no suitable slot is free.
      */
     public Optional<UpstreamLoad> choose(QueuedRequest queued, double reserved, long now) {
+        return choose(queued, reserved, 0, now);
+    }
+
+    /**
+     * Chooses an upstream with a free slot.
+     *
+     * @param queued the request.
+     * @param reserved the share of the slots that the request leaves free, among fast upstreams and among slow ones.
+     * @param reservedFast the share that it leaves free beyond that among fast ones.
+     * @param now the current time in milliseconds.
+     * @return the upstream, or empty where no suitable slot is free.
+     */
+    Optional<UpstreamLoad> choose(QueuedRequest queued, double reserved, double reservedFast, long now) {
         pauses.recordRequest(queued, now);
         List<UpstreamLoad> usable = usable(queued, now);
         // No request waits for a fast upstream whose limit is used up, as it would for one whose slots are taken.
         usable.removeIf(load -> !load.allowsLimitedRequest(now));
-        if (reserved > 0) {
-            removeReserved(usable, reserved, now);
+        if (reserved + reservedFast > 0) {
+            removeReserved(usable, reserved, reservedFast, now);
         }
         if (isShareTaken(now) || usable.stream().noneMatch(load -> hasFreeSlot(load, now))) {
             return Optional.empty();
@@ -485,15 +498,20 @@
      * requests. Fast and slow slots are counted separately: an urgent request doesn't go to a slow engine, so that a
      * free slot there must not let a less urgent request take the last fast one.
      */
-    private void removeReserved(List<UpstreamLoad> usable, double reserved, long now) {
+    private void removeReserved(List<UpstreamLoad> usable, double reserved, double reservedFast, long now) {
         double slowAboveMillis = shortestEventMillis(loads.values()) * SLOW_FACTOR;
         for (boolean slow : new boolean[] {false, true}) {
-            if (freeShare(slow, slowAboveMillis, now) <= reserved) {
+            if (freeShare(slow, slowAboveMillis, now) <= reserved + (slow ? 0 : reservedFast)) {
                 usable.removeIf(load -> isSlow(load, slowAboveMillis) == slow);
             }
         }
     }
 
+    /** Returns the share of the slots of fast upstreams that is free. */
+    double freeShare(long now) {
+        return freeShare(false, shortestEventMillis(loads.values()) * SLOW_FACTOR, now);
+    }
+
     private double freeShare(boolean slow, double slowAboveMillis, long now) {
         int slots = 0;
         int free = 0;
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.RequestTerms;
 import org.radishspur.decision.dispatch.RetryAfterPolicy;
@@ -42,6 +43,9 @@
 
     private static final double LONG_CALL_FACTOR = 5;
 
+    /** A wait in which a scheduler can't know yet who waits at the others. */
+    private static final long SHORT_WAIT_MILLIS = 100;
+
     private final Workload workload;
     private final Random random;
     private final Map<String, Engine> engines = new HashMap<>();
@@ -60,8 +64,10 @@
     private final long[] longestGrantGap;
     private long countedFrom;
     private boolean limitsStated = true;
+    private boolean waitingReported = true;
     private int rejectedRequests;
     private int rejectedRetries;
+    private int outOfOrderGrants;
     private int longestEngineQueue;
     private long nextId;
     private long now;
@@ -113,7 +119,7 @@
             while (!scheduledActions.isEmpty() && scheduledActions.peek().dueAt <= now) {
                 scheduledActions.poll().action.run();
             }
-            for (double expected = requestsPerSecond / 1_000; expected > 0; expected--) {
+            for (double expected = requestsPerSecond / 1_000 * workload.demand().at(now); expected > 0; expected--) {
                 if (random.nextDouble() < expected) {
                     addArrival();
                 }
@@ -169,9 +175,17 @@
 
     /** Forgets the results so far, such as those of the time in which schedulers know nothing yet. */
     void resetResults() {
-        for (int[] counts : List.of(arrivalsByTier, onTimeByTier, streamsByTier, smoothByTier, goodByTier)) {
+        for (int[] counts : List.of(
+                arrivalsByTier,
+                onTimeByTier,
+                streamsByTier,
+                smoothByTier,
+                goodByTier,
+                arrivalsByDomain,
+                onTimeByDomain)) {
             Arrays.fill(counts, 0);
         }
+        outOfOrderGrants = 0;
         rejectedRequests = 0;
         rejectedRetries = 0;
         countedFrom = now;
@@ -182,6 +196,11 @@
         limitsStated = false;
     }
 
+    /** Lets schedulers report no waiting requests, as older builds do. */
+    void hideWaiting() {
+        waitingReported = false;
+    }
+
     /** Returns the share of a tier's complete streams without a longer pause than their callers accept. */
     double smoothShare(int tier) {
         return (double) smoothByTier[tier] / streamsByTier[tier];
@@ -225,6 +244,21 @@
         return (double) rejectedRetries / Arrays.stream(arrivalsByTier).sum();
     }
 
+    /**
+     * Returns the number of grants while a more urgent request had waited for longer than {@link #SHORT_WAIT_MILLIS} at
+     * another scheduler.
+     */
+    int outOfOrderGrants() {
+        return outOfOrderGrants;
+    }
+
+    private boolean isOutOfOrder(Request granted) {
+        return pendingRequests.values().stream()
+                .anyMatch(other -> other.node != granted.node
+                        && now - other.attemptStartedAt > SHORT_WAIT_MILLIS
+                        && (other.retry == granted.retry ? other.tier < granted.tier : granted.retry));
+    }
+
     /** Returns the largest number of requests that were queued inside one engine. */
     int longestEngineQueue() {
         return longestEngineQueue;
@@ -242,7 +276,7 @@
         double tokens = workload.tiers().get(tier).drawTokens(random);
         long expectedTokens = Math.max(1, (long) (events * 4 * Math.exp(random.nextGaussian() * 0.5)));
         Request request =
-                new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, expectedTokens, now);
+                new Request(tier, workload.drawEntry(random, now), events, (long) tokens, expectedTokens, now);
         arrivalsByDomain[request.entry % workload.domains()]++;
         sendRequest(request);
     }
@@ -314,6 +348,9 @@
         for (SchedulerNode from : nodes) {
             for (SchedulerNode to : nodes) {
                 if (from != to && !from.stopped && !to.stopped) {
+                    if (waitingReported) {
+                        reportWaiting(from, to);
+                    }
                     from.pools
                             .upstreams()
                             .loads()
@@ -335,6 +372,11 @@
         }
     }
 
+    private void reportWaiting(SchedulerNode from, SchedulerNode to) {
+        PoolDispatcher dispatcher = from.pools.dispatcher(SinglePool.POOL);
+        to.pools.dispatcher(SinglePool.POOL).peerQueues().record(from.name, dispatcher.waiting(), now);
+    }
+
     /** Holds a request with its load on an engine and the scheduler that it was sent to. */
     private static final class Request {
         private final int tier;
@@ -385,6 +427,7 @@
                 longestGrantGap[assignedScheduler] =
                         Math.max(longestGrantGap[assignedScheduler], now - lastGrantAt[assignedScheduler]);
                 lastGrantAt[assignedScheduler] = now;
+                outOfOrderGrants += isOutOfOrder(request) ? 1 : 0;
                 engines.get(granted.upstream().runId()).accept(request);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 reject(request, rejected.retryAfterMillis());
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -141,6 +141,9 @@
      *     requests that the scheduler has sent to it since it started.
      * @param waitingUsage the part of the usage of each organisation whose requests wait for a slot; none of an
      *     organisation that isn't listed.
+     * @param waiting who waits for a slot, for each pool in which that has changed, one pool after the other: the last 16
+     *     bits of the hash code of its name, the number of classes, and the numbers of
+     *     {@link org.radishspur.decision.dispatch.WaitingCounts#toArray()}.
      */
     record LoadReport(
             String scheduler,
@@ -150,13 +153,15 @@
             Map<String, Long> organisations,
             List<CrashNote> crashes,
             int[] limits,
-            Map<String, Long> waitingUsage)
+            Map<String, Long> waitingUsage,
+            int[] waiting)
             implements FleetMessage {
-        /** Replaces notes, limits and waiting usage that an older build doesn't send. */
+        /** Replaces notes, limits, waiting usage and waiting requests that an older build doesn't send. */
         public LoadReport {
             crashes = crashes == null ? List.of() : crashes;
             limits = limits == null ? new int[0] : limits;
             waitingUsage = waitingUsage == null ? Map.of() : waitingUsage;
+            waiting = waiting == null ? new int[0] : waiting;
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -77,6 +77,7 @@
     private final QuotaLedger quotas;
     private final CrashLedger crashes;
     private final StatedLimitExchange limits = new StatedLimitExchange();
+    private final WaitingExchange waiting = new WaitingExchange();
     private final String self;
     private final Map<UpstreamLoad, long[]> outcomes = new HashMap<>();
     private final PublishRounds publishRounds = new PublishRounds(MIN_ROUND_MILLIS, MAX_MESSAGES_PER_SECOND);
@@ -111,6 +112,7 @@
         publishRounds.setPeers(others);
         upstreams = upstreamsByDigest();
         limits.setUpstreams(upstreams);
+        waiting.setPools(pools.dispatchersByName(), publishRounds.roundMillis());
         outcomes.keySet().retainAll(Set.copyOf(upstreams.values()));
     }
 
@@ -148,6 +150,7 @@
         }
         publishRounds.recordPublished(current, quotas.ownUse(), quotas.ownWaitingUse());
         limits.recordPublished();
+        waiting.recordPublished();
     }
 
     /** Returns the peers to which a connection was made since the last call; they have none of the values. */
@@ -164,19 +167,27 @@
     }
 
     private FleetMessage.LoadReport fullReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
-        return report(current, Map.of(), quotas.ownUse(), true, notes, limits.all(now));
+        return report(current, Map.of(), quotas.ownUse(), true, notes, limits.all(now), waiting.all());
     }
 
     private FleetMessage.LoadReport changeReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
         Map<String, Long> changedUsage = publishRounds.changedUsage(quotas.ownUse(), quotas.ownWaitingUse());
-        return report(current, publishRounds.publishedUpstreams(), changedUsage, false, notes, limits.changes(now));
+        return report(
+                current,
+                publishRounds.publishedUpstreams(),
+                changedUsage,
+                false,
+                notes,
+                limits.changes(now),
+                waiting.changes());
     }
 
     private static boolean isEmpty(FleetMessage.LoadReport report) {
         return report.upstreams().length == 0
                 && report.organisations().isEmpty()
                 && report.crashes().isEmpty()
-                && report.limits().length == 0;
+                && report.limits().length == 0
+                && report.waiting().length == 0;
     }
 
     /** Applies a report of a peer and returns whether it shows that a slot has become free. */
@@ -189,6 +200,7 @@
         }
         crashes.merge(report.crashes(), now);
         limits.apply(report.scheduler(), report.limits(), now);
+        waiting.apply(report.scheduler(), report.waiting(), report.full(), now);
         if (report.full()) {
             removeMissingUpstreams(report, peer);
         }
@@ -308,7 +320,8 @@
             Map<String, Long> usage,
             boolean full,
             List<CrashNote> notes,
-            int[] statedLimits) {
+            int[] statedLimits,
+            int[] waitingRequests) {
         List<Integer> changed = new ArrayList<>();
         current.forEach((digest, counts) -> {
             if (!Arrays.equals(counts, published.get(digest))) {
@@ -324,7 +337,7 @@
         Map<String, Long> waitingUsage = quotas.ownWaitingUse();
         waitingUsage.keySet().retainAll(usage.keySet());
         return new FleetMessage.LoadReport(
-                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, waitingUsage);
+                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, waitingUsage, waitingRequests);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -214,6 +215,11 @@
                 .map(rule -> quotaShare < 1 ? rule.withShare(quotaShare) : rule);
     }
 
+    /** Returns the dispatchers of all pools by the names of the pools. */
+    Map<String, PoolDispatcher> dispatchersByName() {
+        return Collections.unmodifiableMap(dispatchers);
+    }
+
     /** Returns the number of requests that were granted here and are in progress in a failure domain. */
     int inProgress(String evacuatedDomain) {
         return dispatchers.values().stream()
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -42,7 +42,9 @@
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
         FleetMessage.LoadReport report = new FleetMessage.LoadReport(
-                "s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4], Map.of("o", 1L));
+                "s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4], Map.of("o", 1L), new int[] {
+                    7, 0
+                });
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
@@ -77,6 +79,7 @@
         assertThat(reread(report, FleetMessage.LoadReport.class).crashes()).isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).limits()).isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).waitingUsage()).isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).waiting()).isEmpty();
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -15,8 +15,11 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.dispatch.PoolDispatcher;
+import org.radishspur.decision.dispatch.QueuedRequest;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.VersionRule;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -68,6 +71,16 @@
         exchange.refresh(peers);
     }
 
+    private static QueuedRequest request(int tier) {
+        return new QueuedRequest(
+                "request",
+                0,
+                0,
+                10_000,
+                VersionRule.Any.INSTANCE,
+                new QueuedRequest.Requirements(100, 50, tier, 9_000, 90_000));
+    }
+
     private static FleetMessage.LoadReport report(boolean full, int inProgress) {
         return new FleetMessage.LoadReport(
                 "other-0/1",
@@ -77,7 +90,8 @@
                 Map.of(),
                 List.of(),
                 new int[0],
-                Map.of());
+                Map.of(),
+                new int[0]);
     }
 
     @Nested
@@ -143,6 +157,25 @@
             assertThat(lastReport().waitingUsage()).isEmpty();
         }
 
+        /** Guards against peers that never learn who waits here, or that it has changed, and against repeated counts. */
+        @Test
+        void publishesWhoWaitsWhenItChanges() {
+            applyView(1);
+            exchange.publishIfDue(0);
+            pools.dispatcher("pool").offer(request(0), 1);
+            QueuedRequest waiting = request(1);
+            engine().recordPeerInProgress("other", 9);
+            pools.dispatcher("pool").offer(waiting, 1);
+            exchange.publishIfDue(TICK_MILLIS);
+            assertThat(lastReport().waiting()).containsExactly("pool".hashCode() & 0xFFFF, 1, 1, 1);
+            exchange.publishIfDue(2 * TICK_MILLIS);
+            assertThat(sentReports.stream().filter(report -> report.waiting().length > 0))
+                    .hasSize(1);
+            pools.dispatcher("pool").withdraw(waiting);
+            exchange.publishIfDue(3 * TICK_MILLIS);
+            assertThat(lastReport().waiting()).containsExactly("pool".hashCode() & 0xFFFF, 0);
+        }
+
         private FleetMessage.LoadReport lastReport() {
             return sentReports.get(sentReports.size() - 1);
         }
@@ -200,7 +233,15 @@
             publishFor(520);
             exchange.onReport(
                     new FleetMessage.LoadReport(
-                            "other-0/1", false, new int[0], new int[0], Map.of(), List.of(), new int[0], Map.of()),
+                            "other-0/1",
+                            false,
+                            new int[0],
+                            new int[0],
+                            Map.of(),
+                            List.of(),
+                            new int[0],
+                            Map.of(),
+                            new int[0]),
                     Map.of(),
                     530);
             assertThat(engine().inProgress()).isEqualTo(4);
@@ -215,6 +256,51 @@
             assertThat(engine().inProgress()).isEqualTo(4);
         }
 
+        /** Guards against a less urgent request taking the slot for which a more urgent one waits at a peer. */
+        @Test
+        void leavesTheLastSlotsToRequestsThatWaitAtAPeer() {
+            assertThat(grantsAfter(new int[0])).isEqualTo(9);
+            assertThat(grantsAfter(new int[] {"pool".hashCode() & 0xFFFF, 1, 0, 2}))
+                    .isEqualTo(8);
+        }
+
+        /** Guards against numbers that end early, or of an unknown pool, which stop the scheduler. */
+        @Test
+        void ignoresIncompleteNumbers() {
+            assertThat(grantsAfter(new int[] {3, 1, 0, 2, "pool".hashCode() & 0xFFFF, 9, 0}))
+                    .isEqualTo(9);
+            assertThat(grantsAfter(new int[] {"pool".hashCode() & 0xFFFF, -4, 0, 2, 5}))
+                    .isEqualTo(9);
+        }
+
+        /** Counts the requests of the last tier that get a slot after a peer has reported who waits there. */
+        private int grantsAfter(int[] waiting) {
+            applyView(6);
+            engine().recordEventTime(10, 1);
+            exchange.onReport(
+                    new FleetMessage.LoadReport(
+                            "other-0/1",
+                            true,
+                            new int[0],
+                            new int[0],
+                            Map.of(),
+                            List.of(),
+                            new int[0],
+                            Map.of(),
+                            waiting),
+                    Map.of(),
+                    0);
+            PoolDispatcher dispatcher = pools.dispatcher("pool");
+            List<QueuedRequest> requests = new ArrayList<>(List.of(request(0)));
+            IntStream.range(0, 20).forEach(number -> requests.add(request(2)));
+            List<QueuedRequest> granted = requests.stream()
+                    .filter(request -> dispatcher.offer(request, 0) instanceof PoolDispatcher.Decision.Granted)
+                    .toList();
+            requests.forEach(dispatcher::withdraw);
+            granted.forEach(request -> dispatcher.release(engine(), request, 0));
+            return granted.size();
+        }
+
         private void publishFor(long millis) {
             for (long now = 0; now <= millis; now += TICK_MILLIS) {
                 exchange.publishIfDue(now);
