Simulate uneven failure domains, and note why who waits elsewhere isn't reported

Schedulers grant by themselves, so that a less urgent request may get a slot while a more urgent one waits at another scheduler. So only the workload, the count of such grants and the note are added.

resetResults() now also clears the counts by failure domain, which it left out.

--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -42,6 +42,9 @@
 
     private static final double LONG_CALL_FACTOR = 5;
 
+    /** A wait in which a scheduler can't know yet who waits at the others. */
+    private static final long SHORT_WAIT_MILLIS = 100;
+
     private final Workload workload;
     private final Random random;
     private final Map<String, Engine> engines = new HashMap<>();
@@ -62,6 +65,7 @@
     private boolean limitsStated = true;
     private int rejectedRequests;
     private int rejectedRetries;
+    private int outOfOrderGrants;
     private int longestEngineQueue;
     private long nextId;
     private long now;
@@ -113,7 +117,7 @@
             while (!scheduledActions.isEmpty() && scheduledActions.peek().dueAt <= now) {
                 scheduledActions.poll().action.run();
             }
-            for (double expected = requestsPerSecond / 1_000; expected > 0; expected--) {
+            for (double expected = requestsPerSecond / 1_000 * workload.demand().at(now); expected > 0; expected--) {
                 if (random.nextDouble() < expected) {
                     addArrival();
                 }
@@ -169,9 +173,17 @@
 
     /** Forgets the results so far, such as those of the time in which schedulers know nothing yet. */
     void resetResults() {
-        for (int[] counts : List.of(arrivalsByTier, onTimeByTier, streamsByTier, smoothByTier, goodByTier)) {
+        for (int[] counts : List.of(
+                arrivalsByTier,
+                onTimeByTier,
+                streamsByTier,
+                smoothByTier,
+                goodByTier,
+                arrivalsByDomain,
+                onTimeByDomain)) {
             Arrays.fill(counts, 0);
         }
+        outOfOrderGrants = 0;
         rejectedRequests = 0;
         rejectedRetries = 0;
         countedFrom = now;
@@ -225,6 +237,21 @@
         return (double) rejectedRetries / Arrays.stream(arrivalsByTier).sum();
     }
 
+    /**
+     * Returns the number of grants while a more urgent request had waited for longer than {@link #SHORT_WAIT_MILLIS} at
+     * another scheduler.
+     */
+    int outOfOrderGrants() {
+        return outOfOrderGrants;
+    }
+
+    private boolean isOutOfOrder(Request granted) {
+        return pendingRequests.values().stream()
+                .anyMatch(other -> other.node != granted.node
+                        && now - other.attemptStartedAt > SHORT_WAIT_MILLIS
+                        && (other.retry == granted.retry ? other.tier < granted.tier : granted.retry));
+    }
+
     /** Returns the largest number of requests that were queued inside one engine. */
     int longestEngineQueue() {
         return longestEngineQueue;
@@ -242,7 +269,7 @@
         double tokens = workload.tiers().get(tier).drawTokens(random);
         long expectedTokens = Math.max(1, (long) (events * 4 * Math.exp(random.nextGaussian() * 0.5)));
         Request request =
-                new Request(tier, random.nextInt(workload.entries()), events, (long) tokens, expectedTokens, now);
+                new Request(tier, workload.drawEntry(random, now), events, (long) tokens, expectedTokens, now);
         arrivalsByDomain[request.entry % workload.domains()]++;
         sendRequest(request);
     }
@@ -385,6 +412,7 @@
                 longestGrantGap[assignedScheduler] =
                         Math.max(longestGrantGap[assignedScheduler], now - lastGrantAt[assignedScheduler]);
                 lastGrantAt[assignedScheduler] = now;
+                outOfOrderGrants += isOutOfOrder(request) ? 1 : 0;
                 engines.get(granted.upstream().runId()).accept(request);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 reject(request, rejected.retryAfterMillis());
--- a/decision/src/test/java/org/radishspur/decision/slot/Workload.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/Workload.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 /**
  * Describes the entries, schedulers, upstreams and requests of a {@link SchedulerSimulation}.
@@ -14,6 +15,7 @@
  * @param fastEventMillis the time for one event, or for a plain call, at most upstreams, in milliseconds.
  * @param slowEventMillis the same at one upstream in three, in milliseconds.
  * @param tiers the kinds of requests, the most urgent first.
+ * @param demand how the requests are spread over the failure domains.
  */
 record Workload(
         int domains,
@@ -23,7 +25,8 @@
         int slots,
         double fastEventMillis,
         double slowEventMillis,
-        List<Tier> tiers) {
+        List<Tier> tiers,
+        Demand demand) {
 
     /**
      * Model requests at ninety-one entries in five failure domains; one engine in three is 4.4 times as slow as the
@@ -63,6 +66,34 @@
                     new Tier(0.27, 13, 2_890, 1_519, 6_000, 300),
                     new Tier(0.38, 43, 1_110, 1_511, 12_000, 300)));
 
+    /**
+     * The same requests at seventy-seven entries, most of them in one failure domain, whose demand rises and falls nearly
+     * in step.
+     */
+    static final Workload UNEVEN_DOMAINS = new Workload(
+            3, 2, 77, 98, 4, 12.5, 55.2, LONG_PROMPTS.tiers(), new Demand(List.of(0.41, 0.30, 0.29), 0.55, 6_000));
+
+    Workload(
+            int domains,
+            int schedulersPerDomain,
+            int entries,
+            int upstreams,
+            int slots,
+            double fastEventMillis,
+            double slowEventMillis,
+            List<Tier> tiers) {
+        this(
+                domains,
+                schedulersPerDomain,
+                entries,
+                upstreams,
+                slots,
+                fastEventMillis,
+                slowEventMillis,
+                tiers,
+                Demand.EVEN);
+    }
+
     /** Returns whether engines read prompts in chunks; otherwise a prompt doesn't delay the streams beside it. */
     boolean readsInChunks() {
         return tiers.stream().anyMatch(tier -> tier.maxPauseMillis() > 0);
@@ -81,6 +112,52 @@
         return tier;
     }
 
+    /** Draws the entry of a request that arrives at a time. */
+    int drawEntry(Random random, long now) {
+        int entry = random.nextInt(entries);
+        return demand.shares().isEmpty()
+                ? entry
+                : entry / domains * domains % (entries - domains) + demand.drawDomain(random, now);
+    }
+
+    /**
+     * Describes how the requests are spread over the failure domains.
+     *
+     * @param shares the mean share of each failure domain; empty if the entries have equal shares.
+     * @param swing the share by which the demand of each failure domain rises and falls.
+     * @param periodMillis the time from one peak of the demand to the next, in milliseconds.
+     */
+    record Demand(List<Double> shares, double swing, long periodMillis) {
+        /** Represents equal and steady demand. */
+        static final Demand EVEN = new Demand(List.of(), 0, 1);
+
+        /** The part of the period by which the peak of each failure domain follows that of the one before. */
+        private static final double LAG = 0.06;
+
+        /** Returns the demand at a time, as a multiple of the mean. */
+        double at(long now) {
+            return shares.isEmpty()
+                    ? 1
+                    : IntStream.range(0, shares.size())
+                            .mapToDouble(domain -> of(domain, now))
+                            .sum();
+        }
+
+        private double of(int domain, long now) {
+            return shares.get(domain)
+                    * (1 + swing * Math.sin(2 * Math.PI * ((double) now / periodMillis - LAG * domain)));
+        }
+
+        private int drawDomain(Random random, long now) {
+            int domain = 0;
+            double remaining = random.nextDouble() * at(now) - of(0, now);
+            while (remaining >= 0 && domain < shares.size() - 1) {
+                remaining -= of(++domain, now);
+            }
+            return domain;
+        }
+    }
+
     /**
      * Describes one kind of request.
      *
