--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
 
 import org.radishspur.model.catalogue.Upstream;
 
@@ -19,8 +22,8 @@
     /** Period over which they are counted to estimate the usual rate, in milliseconds; longer than most stalls. */
     private static final long USUAL_WINDOW_MILLIS = 5_000;
 
-    private final Deque<Release> present = new ArrayDeque<>();
-    private final Deque<Release> usual = new ArrayDeque<>();
+    private final Releases present = new Releases(PRESENT_WINDOW_MILLIS);
+    private final Releases usual = new Releases(USUAL_WINDOW_MILLIS);
     private final MinimumReleaseRate minReleaseRate;
 
     /** Creates an estimate without releases, with the minimum release rate that is assumed. */
@@ -30,10 +33,8 @@
 
     /** Records that a slot of an upstream was released. */
     void recordRelease(Upstream upstream, long now) {
-        Release release = new Release(upstream, now);
-        present.addLast(release);
-        usual.addLast(release);
-        removeOld(now);
+        present.add(upstream.failureDomain(), now);
+        usual.add(upstream.failureDomain(), now);
     }
 
     /**
@@ -44,9 +45,8 @@
      * @param now the current time in milliseconds.
      */
     long millis(QueuedRequest queued, double ahead, long now) {
-        removeOld(now);
-        double rate = Math.max(
-                perSecond(present, queued, PRESENT_WINDOW_MILLIS), perSecond(usual, queued, USUAL_WINDOW_MILLIS));
+        Predicate<String> allowed = queued.terms()::allowsDomain;
+        double rate = Math.max(present.perSecond(allowed, now), usual.perSecond(allowed, now));
         return (long) ((ahead + 1) * 1_000 / Math.max(minReleaseRate.perSecond(queued, now), rate));
     }
 
@@ -58,38 +58,44 @@
         if (queued.terms().allowedDomains().isEmpty()) {
             return 1;
         }
-        removeOld(now);
-        long usable =
-                usual.stream().filter(release -> release.isUsableBy(ahead)).count();
-        long shared = usual.stream()
-                .filter(release -> release.isUsableBy(ahead) && release.isUsableBy(queued))
-                .count();
-        return usable == 0 ? 1 : (double) shared / usable;
+        Predicate<String> allowedAhead = ahead.terms()::allowsDomain;
+        double usable = usual.perSecond(allowedAhead, now);
+        return usable == 0 ? 1 : usual.perSecond(allowedAhead.and(queued.terms()::allowsDomain), now) / usable;
     }
 
-    private static double perSecond(Deque<Release> releases, QueuedRequest queued, long windowMillis) {
-        long usable = queued.terms().allowedDomains().isEmpty()
-                ? releases.size()
-                : releases.stream()
-                        .filter(release -> release.isUsableBy(queued))
-                        .count();
-        return usable * 1_000.0 / windowMillis;
-    }
+    /**
+     * Counts the slots released within a period by the failure domains of their upstreams. Versions aren't told apart.
+     */
+    private static final class Releases {
+        private final long windowMillis;
+        private final Deque<Release> latest = new ArrayDeque<>();
+        private final Map<String, Integer> countByDomain = new HashMap<>();
 
-    private void removeOld(long now) {
-        removeUntil(present, now - PRESENT_WINDOW_MILLIS);
-        removeUntil(usual, now - USUAL_WINDOW_MILLIS);
-    }
+        Releases(long windowMillis) {
+            this.windowMillis = windowMillis;
+        }
 
-    private static void removeUntil(Deque<Release> releases, long until) {
-        while (!releases.isEmpty() && releases.peekFirst().at() <= until) {
-            releases.removeFirst();
+        void add(String failureDomain, long now) {
+            latest.addLast(new Release(failureDomain, now));
+            countByDomain.merge(failureDomain, 1, Integer::sum);
+            removeOld(now);
+        }
+
+        double perSecond(Predicate<String> allowedDomains, long now) {
+            removeOld(now);
+            int count = 0;
+            for (Map.Entry<String, Integer> each : countByDomain.entrySet()) {
+                count += allowedDomains.test(each.getKey()) ? each.getValue() : 0;
+            }
+            return count * 1_000.0 / windowMillis;
         }
-    }
 
-    private record Release(Upstream upstream, long at) {
-        boolean isUsableBy(QueuedRequest queued) {
-            return queued.terms().allowsDomain(upstream.failureDomain());
+        private void removeOld(long now) {
+            while (!latest.isEmpty() && latest.peekFirst().at() <= now - windowMillis) {
+                countByDomain.merge(latest.removeFirst().failureDomain(), -1, Integer::sum);
+            }
         }
     }
+
+    private record Release(String failureDomain, long at) {}
 }
