Let a replaced owner keep what it holds, and count crashes reported before the pool

Cause: an owner of a queue that got its tables late resumed the requests that it held even if another node owned the queue by then. Entries register their permits at that one, so the first would have granted slots that are taken. Crash suspects that it received before it had the pool were dropped until their next change. Change: held messages are resumed only by the present owner; others expire, and their refusals are ignored by the entries as before. The latest crash suspects of all pools are kept and take effect with the pool. The owners of queues are chosen before the owner service gets the tables.

--- a/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
+++ b/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
@@ -74,16 +74,24 @@
                         && registration.register.incarnation() == entry.incarnation());
     }
 
-    /** Removes and returns the registrations for pools that the tables show. */
-    List<Registration> removeRegistrations(Tables tables) {
+    /** Removes and returns the registrations for pools that the tables show and whose queues this node owns. */
+    List<Registration> removeRegistrations(Tables tables, Predicate<String> isOwner) {
         return removeIf(
                 registrations.values(),
-                registration -> tables.pool(registration.register.pool()).isPresent());
+                registration -> tables.pool(registration.register.pool()).isPresent()
+                        && isOwner.test(registration.register.pool()));
     }
 
-    /** Removes and returns the requests whose pool the tables show, or won't show, in the order of their arrival. */
-    List<Request> removeDecided(Tables tables) {
-        return removeIf(requests.values(), request -> !mayBecomeKnown(request.message, tables));
+    /**
+     * Removes and returns the requests whose pool the tables show, or won't show, in the order of their arrival. Those for
+     * a queue that another node owns by now stay until they expire: their entries have sent them there too, and an owner
+     * to which no entry registers its permits would grant slots that are taken.
+     */
+    List<Request> removeDecided(Tables tables, Predicate<String> isOwner) {
+        return removeIf(
+                requests.values(),
+                request -> !mayBecomeKnown(request.message, tables)
+                        && (tables.pool(request.message.pool()).isEmpty() || isOwner.test(request.message.pool())));
     }
 
     /** Removes the messages that have been held too long, and returns the requests among them. */
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -388,8 +388,9 @@
     }
 
     private void onTables() {
-        ownerService.onTables(tables);
+        // Chooses the owners of new queues first, as the owner service decides by them.
         permitService.onTables(tables);
+        ownerService.onTables(tables);
         ComponentLog.NODE.info("Tables of revision " + tables.revision() + " are in force.");
     }
 
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -60,6 +60,7 @@
     private final EntryContacts contacts = new EntryContacts();
     private final DeferredPermits deferred;
     private Tables tables = Tables.EMPTY;
+    private Map<String, Map<String, Integer>> crashCountsByPool = Map.of();
     private final Set<Move> pendingProposals = new HashSet<>();
     private Map<String, Move> moves = Map.of();
     private Set<String> evacuatedDomains = Set.of();
@@ -95,8 +96,9 @@
 
     /** Handles the messages about which these tables decide; registrations first, as they show which slots are taken. */
     private void resumeDeferred() {
-        deferred.removeRegistrations(tables).forEach(held -> onRegister(held.node(), held.register()));
-        deferred.removeDecided(tables)
+        deferred.removeRegistrations(tables, reporter::isOwner)
+                .forEach(held -> onRegister(held.node(), held.register()));
+        deferred.removeDecided(tables, reporter::isOwner)
                 .forEach(held -> onPermitRequest(
                         held.node(),
                         held.message()
@@ -122,6 +124,7 @@
     }
 
     void onSuspects(Map<String, Map<String, Integer>> suspects) {
+        crashCountsByPool = Map.copyOf(suspects);
         suspects.forEach((pool, crashCounts) -> {
             OwnedPool owned = ownedPools.get(pool);
             if (owned != null) {
@@ -290,6 +293,7 @@
             owned = new OwnedPool(new PoolScheduler(row, SchedulerOptions.DEFAULTS, ownerIdentity));
             owned.scheduler.pauseGrantsUntil(loop.nowMicros() + REGISTRATION_WAIT_MICROS);
             owned.scheduler.evacuate(evacuatedDomains);
+            owned.scheduler.replaceCrashCounts(crashCountsByPool.getOrDefault(pool, Map.of()), loop.nowMicros());
             ownedPools.put(pool, owned);
             applyVersionSplits();
             ComponentLog.OWNER.info("This node now owns the queue of pool " + pool + '.');
@@ -309,6 +313,10 @@
     }
 
     private void runDueTimers() {
+        if (deferred.size() > 0) {
+            // This node may have become the owner of a queue since the tables changed.
+            resumeDeferred();
+        }
         deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseUnknownPool(held.node(), held.message()));
         long now = loop.nowMicros();
         if (ownedPools.values().stream().anyMatch(owned -> owned.scheduler.nextDecisionAt() <= now)) {
--- a/node/src/test/java/org/radishspur/node/control/DeferredPermitsTest.java
+++ b/node/src/test/java/org/radishspur/node/control/DeferredPermitsTest.java
@@ -74,8 +74,8 @@
     void requestsAreDecidedInTheOrderOfTheirArrival() {
         deferred.defer("a", request(2, 2), 0);
         deferred.defer("a", request(1, 2), 0);
-        assertThat(deferred.removeDecided(tables(1, Map.of()))).isEmpty();
-        assertThat(deferred.removeDecided(WITH_POOL))
+        assertThat(deferred.removeDecided(tables(1, Map.of()), pool -> true)).isEmpty();
+        assertThat(deferred.removeDecided(WITH_POOL, pool -> true))
                 .extracting(DeferredPermits.Request::message)
                 .containsExactly(request(2, 2), request(1, 2));
         assertThat(deferred.size()).isZero();
@@ -116,7 +116,7 @@
     void releasedPermitIsLeftOutOfItsRegistration() {
         deferred.defer("a", registration(request(1, 1), request(2, 1)), 0);
         deferred.forget(request(1, 1).id());
-        assertThat(deferred.removeRegistrations(WITH_POOL))
+        assertThat(deferred.removeRegistrations(WITH_POOL, pool -> true))
                 .extracting(DeferredPermits.Registration::register)
                 .containsExactly(registration(request(2, 1)));
         assertThat(deferred.size()).isZero();
@@ -127,7 +127,7 @@
     void laterRegistrationReplacesTheEarlierOneOfItsEntry() {
         deferred.defer("a", registration(request(1, 1)), 0);
         deferred.defer("a", registration(), 0);
-        assertThat(deferred.removeRegistrations(WITH_POOL))
+        assertThat(deferred.removeRegistrations(WITH_POOL, pool -> true))
                 .extracting(DeferredPermits.Registration::register)
                 .containsExactly(registration());
     }
--- a/node/src/test/java/org/radishspur/node/control/PoolOwnerServiceTest.java
+++ b/node/src/test/java/org/radishspur/node/control/PoolOwnerServiceTest.java
@@ -32,6 +32,11 @@
 class PoolOwnerServiceTest {
     private static final long LONG_MILLIS = 60_000;
     private static final long SHORT_MILLIS = 100;
+
+    /** Longer than the time for which a new owner waits for registrations, in milliseconds. */
+    private static final long REGISTRATION_MILLIS = 600;
+
+    private static final String FINGERPRINT = "content";
     private static final long ANSWER_SECONDS = 20;
     private static final PoolRow ROW = new PoolRow(
             "pool",
@@ -47,6 +52,7 @@
 
     private final ControlLoop loop = new ControlLoop();
     private final BlockingQueue<PeerMessage> sent = new LinkedBlockingQueue<>();
+    private final NoReports reports = new NoReports();
 
     @AfterEach
     void stopLoop() {
@@ -54,8 +60,7 @@
     }
 
     private PoolOwnerService owner(long maxDeferralMillis) {
-        return new PoolOwnerService(
-                loop, "owner/1", (node, message) -> sent.add(message), new NoReports(), maxDeferralMillis);
+        return new PoolOwnerService(loop, "owner/1", (node, message) -> sent.add(message), reports, maxDeferralMillis);
     }
 
     private static PeerMessage.PermitAcquire request(long sequence) {
@@ -67,7 +72,7 @@
                 "route",
                 TimeUnit.SECONDS.toMicros(30),
                 RequestSize.SERVICE_CALL,
-                "",
+                FINGERPRINT,
                 2);
     }
 
@@ -174,11 +179,45 @@
                         granted -> assertThat(granted.id()).isEqualTo(request(2).id()));
     }
 
+    /** Guards against slots granted twice: a replaced owner gets the tables late, while entries register at the next one. */
+    @Test
+    void replacedOwnerGrantsNothingThatItHeld() throws InterruptedException {
+        PoolOwnerService owner = owner(LONG_MILLIS);
+        reports.isOwner = false;
+        loop.execute(() -> {
+            owner.onRegister("a", new PeerMessage.PermitRegister("pool", 1, List.of(), List.of()));
+            owner.onPermitRequest("a", request(1));
+            owner.onView(VIEW_OF_ONE_ENTRY);
+            owner.onTables(WITH_POOL);
+        });
+        assertThat(sent.poll(REGISTRATION_MILLIS, TimeUnit.MILLISECONDS)).isNull();
+        assertThat(owner.schedulers()).isEmpty();
+        reports.isOwner = true;
+        assertThat(answer()).isInstanceOf(PeerMessage.PermitGranted.class);
+    }
+
+    /** Guards against a request that crashes upstreams and is sent to one more by an owner that got its tables late. */
+    @Test
+    void crashesThatWereReportedBeforeThePoolWasKnownCount() throws InterruptedException {
+        PoolOwnerService owner = owner(LONG_MILLIS);
+        loop.execute(() -> {
+            owner.onSuspects(Map.of("pool", Map.of(FINGERPRINT, 2)));
+            owner.onPermitRequest("a", request(1));
+            owner.onTables(WITH_POOL);
+        });
+        assertThat(answer())
+                .isInstanceOfSatisfying(
+                        PeerMessage.PermitRefused.class,
+                        refused -> assertThat(refused.refusal().reason()).isEqualTo(RefusalReason.CRASH_SUSPECT));
+    }
+
     /** Proposes and reports nothing. */
     private static final class NoReports implements PoolOwnerService.Reporter {
+        private volatile boolean isOwner = true;
+
         @Override
         public boolean isOwner(String pool) {
-            return true;
+            return isOwner;
         }
 
         @Override
