Split the body, the deadline, the routing and the slots off the exchange

EntryExchange had 874 lines. Four jobs whose state only they use are classes of their own now: BodyReader (the body and the wait for its memory), RequestDeadline (the deadline, its timer and the retry-after), RequestRouting (the route by the confirmed view, and whether the view still allows it) and SlotRequests (the slots that are requested, and the wait for each). EntryExchange has 625 lines. No change of behaviour.

--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -1,10 +1,6 @@
 package org.radishspur.node.entry;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -12,17 +8,10 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.decision.crash.Admission;
-import org.radishspur.decision.dispatch.RetryAfterPolicy;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
-import org.radishspur.decision.slot.SlotRequest;
-import org.radishspur.model.catalogue.Catalogue;
-import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.model.catalogue.RouteRule;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.dialect.CallerDialect.RequestHead;
@@ -36,36 +25,6 @@
  * that. The traffic thread owns it.
  */
 final class EntryExchange implements UpstreamSlot.Listener {
-    /**
-     * The share of the time until its deadline that a request may wait for a slot where no target latency applies: the
-     * route has none, or the caller or this entry is retrying.
-     */
-    private static final double RETRY_WAIT_SHARE = 0.4;
-
-    /**
-     * The share of its deadline that a request waits for the view to be confirmed. A caller that is refused sooner
-     * spends its only retry before the confirmation.
-     */
-    private static final double CONFIRMATION_WAIT_SHARE = 0.2;
-
-    /**
-     * The maximum time that a request waits for a slot, in milliseconds. Callers of streams disconnect after about two
-     * seconds without an event; the rest is for the upstream's first event.
-     */
-    private static final long MAX_WAIT_MILLIS = 1_200;
-
-    /**
-     * The deadline of a request that states none, in milliseconds from its arrival; a route's timeout may end it
-     * sooner.
-     */
-    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
-
-    /**
-     * The maximum number of slots that are requested for one request while upstreams don't run it; each slot costs a
-     * round trip.
-     */
-    private static final int MAX_SLOT_REQUESTS = 4;
-
     /**
      * The time without a byte from which on an attempt on a broken path is not expected to go on, in milliseconds. A slot
      * that is released sooner isn't counted when the upstream was only silent.
@@ -75,26 +34,19 @@
     private final EntryServices services;
     private final CallerResponse response;
     private final HttpRequest request;
-    private final long arrivedAt;
+    private final RequestDeadline deadline;
+    private final RequestRouting routing;
     private final ExchangeLog log;
     private final CrashCheck crashCheck;
     private final RequestRuns runs;
     private final Hedge hedge;
-    private final RequestBody body;
-
-    private RequestHead head;
-    private RoutedRequest routed;
-    private boolean callerRetry;
-    private boolean bodyComplete;
-    private boolean bodyAdmitted;
-    private Optional<BodyAdmission.Waiting> waitingForMemory = Optional.empty();
+    private final SlotRequests slotRequests;
+    private final BodyReader body;
+
     private boolean counted;
     private boolean done;
-    private long deadlineAt;
-    private int slotRequests;
     private UpstreamSlot slot;
     private UpstreamAttempt attempt;
-    private ScheduledFuture<?> timer;
     private boolean firstByteReceived;
     private long firstMillis;
     private long lastEventId;
@@ -105,260 +57,99 @@
         this.services = services;
         this.response = new CallerResponse(services, connection, context, request, this::onCallerWritable);
         this.request = request;
-        this.arrivedAt = EntryServices.now();
+        this.deadline = new RequestDeadline(services.loop());
+        this.routing = new RequestRouting(this, services, request, deadline);
         this.log = new ExchangeLog(services, this);
         this.crashCheck = new CrashCheck(services, this, log);
         this.runs = new RequestRuns(this, services, crashCheck);
         this.hedge = new Hedge(this, services, log, runs);
-        this.body = new RequestBody(services.heldBytes(), request);
+        this.slotRequests = new SlotRequests(this, services, deadline, runs);
+        this.body = new BodyReader(this, services, response, request);
     }
 
     void begin() {
         services.requestStarted();
         counted = true;
-        if (tryReserveBody()) {
-            onBodyAdmitted();
-        } else {
-            awaitMemory();
-        }
+        body.begin();
     }
 
-    private boolean tryReserveBody() {
-        return body.tryReserve(services.limits().maxBodyBytes());
+    /** Refuses the request at its deadline if its large body, for which memory is reserved, isn't complete by then. */
+    void onLargeBodyAwaited() {
+        deadline.set(routing.readHead());
+        deadline.schedule(() -> refuse(EndReason.EXPIRED, 0, false));
     }
 
-    /** Reads the body on, now that there is memory for it. */
-    private void onBodyAdmitted() {
-        bodyAdmitted = true;
-        endWaitForMemory();
-        if (HttpUtil.is100ContinueExpected(request)) {
-            response.writeContinue();
-        }
-        if (bodyComplete) {
-            handleCompleteBody();
-        } else if (services.heldBytes().isLimited() && body.mayBeLarge()) {
-            awaitBody();
+    /** Refuses the request, as there is no memory for its body. */
+    void onNoMemory(boolean close) {
+        if (done) {
+            return;
         }
+        deadline.set(routing.readHead());
+        refuse(EndReason.MEMORY, deadline.maxRetryAfter(), close);
     }
 
-    /** Refuses the request at its deadline if the body, for which memory is reserved, isn't complete by then. */
-    private void awaitBody() {
-        head = services.dialect().decodeHead(request);
-        deadlineAt = arrivedAt + statedDeadlineMillis();
-        timer = services.loop()
-                .schedule(() -> refuse(EndReason.EXPIRED, 0, false), remainingMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    /** Stops reading the connection until there is memory for the body, or refuses the request. */
-    private void awaitMemory() {
-        if (body.isLarge()) {
-            waitingForMemory =
-                    services.bodyAdmission().await(this::tryReserveBody, this::onBodyAdmitted, this::refuseForMemory);
-        }
-        if (waitingForMemory.isPresent()) {
-            services.metrics().countPausedBody();
-            response.stopReading();
-        } else {
-            refuseForMemory();
-        }
+    /** Refuses the request, as its body is larger than callers may send. */
+    void onBodyTooLarge() {
+        refuse(EndReason.BODY_TOO_LARGE, 0, true);
     }
 
     boolean isWaitingForMemory() {
-        return waitingForMemory.isPresent();
-    }
-
-    private void endWaitForMemory() {
-        waitingForMemory.ifPresent(waiting -> {
-            waiting.cancel();
-            response.resumeReading();
-        });
-        waitingForMemory = Optional.empty();
-    }
-
-    /** Refuses a request for whose body there is no memory; what comes of the body is discarded. */
-    private void refuseForMemory() {
-        if (done) {
-            return;
-        }
-        head = services.dialect().decodeHead(request);
-        deadlineAt = arrivedAt + statedDeadlineMillis();
-        // A caller that waits for the interim response won't send the body, so that its next request can't be
-        // distinguished from it.
-        refuse(EndReason.MEMORY, maxRetryAfter(), !bodyAdmitted && HttpUtil.is100ContinueExpected(request));
-    }
-
-    private long statedDeadlineMillis() {
-        return head.deadlineMillis() > 0 ? head.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
+        return body.isWaitingForMemory();
     }
 
     boolean isBodyComplete() {
-        return bodyComplete;
+        return body.isComplete();
     }
 
     void onBody(HttpContent content) {
-        try {
-            if (done) {
-                bodyComplete |= content instanceof LastHttpContent;
-                return;
-            }
-            if (body.bytes().readableBytes() + content.content().readableBytes()
-                    > services.limits().maxBodyBytes()) {
-                bodyComplete = true;
-                refuse(EndReason.BODY_TOO_LARGE, 0, true);
-                return;
-            }
-            if (!body.append(content.content())) {
-                refuseForMemory();
-                return;
-            }
-            if (content instanceof LastHttpContent) {
-                bodyComplete = true;
-                if (bodyAdmitted) {
-                    handleCompleteBody();
-                }
-            }
-        } finally {
-            content.release();
-        }
+        body.add(content);
     }
 
-    private void handleCompleteBody() {
-        if (timer != null) {
-            timer.cancel(false);
-        }
-        services.linkLoad().recordRequest(body.bytes().readableBytes());
+    /** Handles the request, whose body has come and has its memory. */
+    void onBodyComplete() {
+        deadline.cancelTimer();
+        services.linkLoad().recordRequest(body.size());
         // Avoids work for disconnected callers: after a pause of the process, a request and the close that follows it
         // are read together. As the server reads until the socket is empty, the close is handled before this task runs.
-        services.loop().execute(this::handleRequest);
-    }
-
-    private void handleRequest() {
-        if (done || !response.isOpen()) {
-            return;
-        }
-        head = services.dialect().decodeHead(request);
-        if (head.requestId().isEmpty()) {
-            refuse(EndReason.MALFORMED, 0, false);
-            return;
-        }
-        long statedMillis = statedDeadlineMillis();
-        deadlineAt = arrivedAt + statedMillis;
-        if (services.isConfirmed()) {
-            matchRoute(statedMillis);
-        } else {
-            awaitConfirmation(statedMillis);
-        }
-    }
-
-    /**
-     * Waits for the view to be confirmed before the request is routed. After a restart or the loss of the control
-     * leader that takes about a second; a caller that is refused immediately would spend its only retry before it.
-     */
-    private void awaitConfirmation(long statedMillis) {
-        long waitMillis = Math.min(MAX_WAIT_MILLIS, (long) (statedMillis * CONFIRMATION_WAIT_SHARE));
-        timer = services.loop()
-                .schedule(
-                        () -> refuse(EndReason.UNCONFIRMED, maxRetryAfter(), false), waitMillis, TimeUnit.MILLISECONDS);
-        services.awaitConfirmation(this, () -> {
-            timer.cancel(false);
-            matchRoute(statedMillis);
+        services.loop().execute(() -> {
+            if (!done && response.isOpen()) {
+                routing.begin();
+            }
         });
     }
 
-    /** Finds the route and checks the key, then sets the deadline and requests the first slot. */
-    private void matchRoute(long statedMillis) {
-        Catalogue catalogue = services.view().catalogue().orElseThrow();
-        Optional<RouteRule> matched = catalogue.match(head.host(), head.path());
-        if (matched.isEmpty()) {
-            refuse(EndReason.ROUTE_UNKNOWN, 0, false);
-            return;
-        }
-        RouteRule route = matched.get();
-        Optional<OrganisationRule> organisation = head.apiKey().flatMap(catalogue::organisationByKey);
-        // Chooses one of the pools of the route by their shares.
-        String pool = route.choosePool(ThreadLocalRandom.current().nextDouble());
-        routed = new RoutedRequest(head, route, organisation, pool);
-        if (!route.allowsAnonymous() && !catalogue.organisations().isEmpty() && organisation.isEmpty()) {
-            refuse(EndReason.KEY_UNKNOWN, 0, false);
-            return;
-        }
-        deadlineAt = Math.min(deadlineAt, arrivedAt + route.timeoutMillis());
-        if (!routed.hasAllowedDomain(services.regions())) {
-            refuse(EndReason.REGION_UNAVAILABLE, maxRetryAfter(), false);
-            return;
-        }
-        callerRetry = services.isCallerRetry(route.name(), statedMillis);
+    /** Requests the first slot, once the route is found. */
+    void onRouted() {
         if (refuseIfItEndsUpstreams()) {
             return;
         }
-        timer = services.loop()
-                .schedule(this::onDeadline, Math.max(1, deadlineAt - EntryServices.now()), TimeUnit.MILLISECONDS);
+        deadline.schedule(this::onDeadline);
         requestFirstSlot();
     }
 
     private void requestFirstSlot() {
         runs.budget().recordRequest();
-        long targetMillis = routed.route().targetLatencyMillis();
-        // The scheduler shortens the wait for the whole target by the time that the pool needs to the first byte.
-        boolean canBeOnTime = !callerRetry && targetMillis > 0;
-        double waitMillis = canBeOnTime ? targetMillis : (deadlineAt - arrivedAt) * RETRY_WAIT_SHARE;
-        lastEventId = head.resumeAfter();
-        requestSlot(arrivedAt + (long) waitMillis, true);
+        lastEventId = head().resumeAfter();
+        long now = EntryServices.now();
+        send(slotRequests.createFirst(this, now), now);
     }
 
-    /**
-     * Requests a slot in the pool. The upstream of the last attempt and unreachable ones are used only if no other is
-     * available.
-     *
-     * @param waitUntil the time until which to wait for the slot, by {@link EntryServices#now()}.
-     * @param trialAllowed whether an upstream of a version under trial may run the request.
-     */
-    private void requestSlot(long waitUntil, boolean trialAllowed) {
-        slotRequests++;
-        long now = EntryServices.now();
-        hedge.cancel();
-        slot = createSlot(waitUntil, trialAllowed, this, now);
+    /** Waits for another slot in place of the last attempt and of a second one that is being made. */
+    private void send(UpstreamSlot created, long now) {
+        slotRequests.add();
+        slot = created;
         attempt = null;
         services.slots().send(slot, now);
         services.scheduleCheck();
     }
 
-    private UpstreamSlot createSlot(long waitUntil, boolean trialAllowed, UpstreamSlot.Listener listener, long now) {
-        long waitMillis = Math.min(MAX_WAIT_MILLIS, Math.min(waitUntil, deadlineAt) - now);
-        List<String> avoided = new ArrayList<>(services.slots().unreachable(routed.pool(), now));
-        if (attempt != null) {
-            avoided.add(attempt.upstream().run());
-        }
-        avoided.addAll(services.unansweredBodies().avoidedBy(bodyBytes()));
-        SlotRequest slotRequest = buildSlotRequest(Math.max(0, waitMillis), trialAllowed, avoided, now);
-        return services.slots().request(slotRequest, listener, now);
+    /** Creates a slot for a second attempt. */
+    UpstreamSlot createRetrySlot(UpstreamSlot.Listener listener, long now) {
+        return slotRequests.createRetry(lastUpstream(), listener, now);
     }
 
-    /** Creates a slot for another attempt, which waits for a share of the time that is left. */
-    UpstreamSlot createRetrySlot(UpstreamSlot.Listener listener, long now) {
-        return createSlot(now + (long) ((deadlineAt - now) * RETRY_WAIT_SHARE), false, listener, now);
-    }
-
-    private SlotRequest buildSlotRequest(long waitMillis, boolean trialAllowed, List<String> avoided, long now) {
-        long targetLatencyMillis = routed.route().targetLatencyMillis();
-        // The target latency counts from the caller's first try, so a retry of the caller has missed it.
-        long targetMillis =
-                callerRetry ? 0 : targetLatencyMillis > 0 ? arrivedAt + targetLatencyMillis - now : deadlineAt - now;
-        return new SlotRequest(
-                routed.pool(),
-                services.failureDomain(),
-                routed.organisationName(),
-                runs.arePossible() ? 0 : routed.quotaCost(),
-                routed.organisationRank(),
-                callerRetry,
-                trialAllowed,
-                waitMillis,
-                Math.max(0, targetMillis),
-                deadlineAt - now,
-                routed.expectedLoad(),
-                avoided,
-                List.of(),
-                routed.terms(services.regions()));
+    private Optional<UpstreamLoad> lastUpstream() {
+        return Optional.ofNullable(attempt).map(UpstreamAttempt::upstream);
     }
 
     /** {@inheritDoc} */
@@ -370,35 +161,22 @@
             return;
         }
         EndReason reason = rejected.reason() == SlotReply.Reason.QUOTA ? EndReason.QUOTA : EndReason.OVERLOAD;
-        long retryAfterMillis = spreadRetryAfter(rejected.retryAfterMillis());
+        long retryAfterMillis = deadline.spreadRetryAfter(rejected.retryAfterMillis());
         log.refused(reason, retryAfterMillis, rejected.queueLength(), rejected.slots());
         release();
         response.writeError(reason, retryAfterMillis, false);
         endResponse();
     }
 
-    /**
-     * Returns the retry-after in milliseconds, spread at random so that callers refused together don't retry together.
-     */
-    private long spreadRetryAfter(long capacityAfterMillis) {
-        double draw = ThreadLocalRandom.current().nextDouble();
-        return RetryAfterPolicy.INSTANCE.retryAfterMillis(deadlineAt - EntryServices.now(), capacityAfterMillis, draw);
-    }
-
-    /** Returns the maximum retry-after in milliseconds, for refusals without information about capacity. */
-    private long maxRetryAfter() {
-        return RetryAfterPolicy.INSTANCE.maxRetryAfterMillis(deadlineAt - EntryServices.now());
-    }
-
     /** {@inheritDoc} */
     @Override
     public void onGranted(UpstreamSlot granted) {
         slot = null;
-        if (!services.isConfirmed() || !isStillAllowed()) {
+        if (!routing.isStillAllowed()) {
             // The view may have changed or expired since the check on arrival, for instance during a pause of the
             // entire process.
             granted.end(SlotOutcome.UNUSED);
-            refuse(EndReason.UNCONFIRMED, maxRetryAfter(), false);
+            refuse(EndReason.UNCONFIRMED, deadline.maxRetryAfter(), false);
             return;
         }
         if (refuseIfItEndsUpstreams()) {
@@ -411,48 +189,27 @@
             return;
         }
         crashCheck.beginTrialIfSuspected();
-        services.metrics().recordSlotWait(EntryServices.now() - arrivedAt);
+        services.metrics().recordSlotWait(deadline.elapsedMillis());
         attempt = new UpstreamAttempt(this, services, granted);
         services.addRunning(this);
         // On a broken path that is tried again, only a second attempt can serve the request.
-        attempt.start(routed.route().isRepeatable() && runs.budget().hasUnreserved());
+        attempt.start(route().isRepeatable() && runs.budget().hasUnreserved());
     }
 
     /** Returns whether the body may be sent to an upstream beside those that wait there. */
     boolean hasRoomForBodyAt(UpstreamLoad upstream) {
-        return services.mayPileUp(upstream.upstream(), bodyBytes());
-    }
-
-    private int bodyBytes() {
-        return body.bytes().readableBytes();
+        return services.mayPileUp(upstream.upstream(), body.size());
     }
 
     /** Returns whether a connected attempt may be sent now; the second of two takes a retry from the budget. */
     boolean maySend(UpstreamAttempt connected, ConfirmedView viewAtGrant) {
-        return isStillUsable(connected.upstream(), viewAtGrant)
+        return routing.isStillUsable(connected.upstream(), viewAtGrant)
                 && (!hedge.isMadeBy(connected) || runs.budget().tryTake());
     }
 
-    /** Returns whether the current view still allows the request to be sent to the granted upstream. */
-    private boolean isStillUsable(UpstreamLoad upstream, ConfirmedView viewAtGrant) {
-        long now = EntryServices.now();
-        boolean unchanged = services.view().hasSameContent(viewAtGrant);
-        return services.isConfirmed()
-                && services.slots().isUsable(upstream, now)
-                && (unchanged || isStillAllowed())
-                && isInAllowedRegion(upstream);
-    }
-
-    /** Returns whether an upstream lies in a region that the request may reach, by the settings of now. */
-    private boolean isInAllowedRegion(UpstreamLoad upstream) {
-        return routed.hasAllowedDomain(services.regions())
-                && routed.terms(services.regions())
-                        .allowsDomain(upstream.upstream().failureDomain());
-    }
-
     /** Returns whether the body of the request may pass through another host of this system. */
     boolean mayBeRelayed() {
-        return services.regions().allowsAnyHost(routed.allowedRegions());
+        return routing.mayBeRelayed();
     }
 
     /** Returns whether a connected attempt has to wait before it is sent. */
@@ -462,18 +219,13 @@
 
     /** Requests another slot, or refuses the request, after an attempt could not be sent to its granted upstream. */
     void onOutdated(UpstreamAttempt outdated) {
-        if (services.isConfirmed() && isStillAllowed()) {
+        if (routing.isStillAllowed()) {
             onNotRun(outdated, "outdated", false);
         } else if (!continuesWithout(outdated, "outdated")) {
-            refuse(EndReason.UNCONFIRMED, maxRetryAfter(), false);
+            refuse(EndReason.UNCONFIRMED, deadline.maxRetryAfter(), false);
         }
     }
 
-    /** Returns whether the current catalogue still allows the request. */
-    private boolean isStillAllowed() {
-        return routed.isAllowedBy(services.view().catalogue().orElseThrow());
-    }
-
     /**
      * Makes a second attempt if the upstream has stopped sending, or its path is broken, and the request may run again.
      * The first attempt goes on, as its response may still come; on a broken path its slot is released once it has been
@@ -498,7 +250,7 @@
 
     /** Returns whether the request may be sent to an upstream beside the one that is silent. */
     boolean mayBeHedged() {
-        return services.isConfirmed() && isStillAllowed() && crashCheck.mayRetry();
+        return routing.isStillAllowed() && crashCheck.mayRetry();
     }
 
     /** Returns whether a second attempt is being made or running, which may go on when the first one ends. */
@@ -598,7 +350,7 @@
             hedge.cancel();
             if (unanswered) {
                 attempt.abandon();
-                refuse(EndReason.CRASH_SUSPECT, maxRetryAfter(), false);
+                refuse(EndReason.CRASH_SUSPECT, deadline.maxRetryAfter(), false);
             }
         }
     }
@@ -630,11 +382,11 @@
 
     private void retryElsewhere(String reason, boolean free) {
         if (runs.isNextAttemptAllowed()
-                && slotRequests < MAX_SLOT_REQUESTS
+                && slotRequests.isNextAllowed()
                 && (free || runs.budget().tryTake())) {
             retry(reason);
         } else {
-            refuse(EndReason.NOT_TAKEN, maxRetryAfter(), false);
+            refuse(EndReason.NOT_TAKEN, deadline.maxRetryAfter(), false);
         }
     }
 
@@ -666,14 +418,15 @@
 
     /** Sends the request to another upstream: by the second attempt that is being made, or by a new one. */
     void retry(String reason) {
-        log.retried(reason, upstreamName(), slotRequests);
+        log.retried(reason, upstreamName(), slotRequests.count());
         if (hedge.isPending()) {
-            slotRequests++;
+            slotRequests.add();
             hedge.handOverPending();
             return;
         }
-        long remaining = deadlineAt - EntryServices.now();
-        requestSlot(EntryServices.now() + (long) (remaining * RETRY_WAIT_SHARE), false);
+        long now = EntryServices.now();
+        hedge.cancel();
+        send(slotRequests.createRetry(lastUpstream(), this, now), now);
     }
 
     /** Waits for a slot that was requested for a second attempt, after the first one has ended. */
@@ -745,12 +498,12 @@
     void recordFirstByte(long millis) {
         if (!firstByteReceived) {
             firstByteReceived = true;
-            firstMillis = EntryServices.now() - arrivedAt;
+            firstMillis = deadline.elapsedMillis();
         }
     }
 
     private void endResponse() {
-        response.end(deadlineAt == 0 ? DEFAULT_DEADLINE_MILLIS : remainingMillis());
+        response.end(deadline.responseMillis());
     }
 
     void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis, ResponseEnd end, int restBytes) {
@@ -763,7 +516,7 @@
     }
 
     /** Ends the request with a response that states that it has not run, unless it may have run. */
-    private void refuse(EndReason reason, long retryAfterMillis, boolean close) {
+    void refuse(EndReason reason, long retryAfterMillis, boolean close) {
         if (runs.arePossible()) {
             // A refusal states that the request has not run, which is not certain here.
             fail(EndReason.UPSTREAM_FAILED, reason.code());
@@ -795,10 +548,8 @@
         }
         done = true;
         services.stopAwaitingConfirmation(this);
-        endWaitForMemory();
-        if (timer != null) {
-            timer.cancel(false);
-        }
+        body.endWaitForMemory();
+        deadline.cancelTimer();
         if (slot != null) {
             slot.cancel();
         }
@@ -830,16 +581,16 @@
     }
 
     RequestHead head() {
-        return head;
+        return routing.head();
     }
 
     /** Returns the request with its route, null before its route is found. */
     RoutedRequest routed() {
-        return routed;
+        return routing.routed();
     }
 
     RouteRule route() {
-        return routed.route();
+        return routed().route();
     }
 
     /** Returns the highest identifier of an event that was written to the caller, or the one after which it resumes. */
@@ -859,16 +610,16 @@
 
     /** Returns the time until the deadline in milliseconds, at least 1. */
     long remainingMillis() {
-        return Math.max(1, deadlineAt - EntryServices.now());
+        return deadline.remainingMillis();
     }
 
     /** Returns when the request arrived, by {@link EntryServices#now()}. */
     long arrivedAt() {
-        return arrivedAt;
+        return deadline.arrivedAt();
     }
 
     /** Returns whether the caller is retrying after a refusal. */
     boolean isCallerRetry() {
-        return callerRetry;
+        return routing.isCallerRetry();
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/entry/RequestDeadline.java
@@ -0,0 +1,106 @@
+package org.radishspur.node.entry;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.radishspur.decision.dispatch.RetryAfterPolicy;
+import org.radishspur.node.dialect.CallerDialect.RequestHead;
+
+/**
+ * The deadline of one request, the timer for what it waits for next, and the retry-after of its refusal. The traffic thread
+ * owns it.
+ */
+final class RequestDeadline {
+    /**
+     * The deadline of a request that states none, in milliseconds from its arrival; a route's timeout may end it
+     * sooner.
+     */
+    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
+
+    /** The value of a deadline that isn't known, as the head wasn't read yet. */
+    private static final long UNKNOWN = 0;
+
+    private final EventLoop loop;
+    private final long arrivedAt = EntryServices.now();
+    private long deadlineAt = UNKNOWN;
+    private ScheduledFuture<?> timer;
+
+    /** Creates the deadline of a request that has just arrived. */
+    RequestDeadline(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Sets the deadline that a head states or implies, and returns it in milliseconds from the arrival. */
+    long set(RequestHead head) {
+        long statedMillis = head.deadlineMillis() > 0 ? head.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
+        deadlineAt = arrivedAt + statedMillis;
+        return statedMillis;
+    }
+
+    /** Bounds the deadline by a timeout from the arrival, in milliseconds. */
+    void limit(long timeoutMillis) {
+        deadlineAt = Math.min(deadlineAt, arrivedAt + timeoutMillis);
+    }
+
+    /** Returns when the request arrived, by {@link EntryServices#now()}. */
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
+    /** Returns when the request has to have ended, by {@link EntryServices#now()}. */
+    long deadlineAt() {
+        return deadlineAt;
+    }
+
+    /** Returns the time from the arrival to the deadline, in milliseconds. */
+    long totalMillis() {
+        return deadlineAt - arrivedAt;
+    }
+
+    /** Returns the time since the arrival, in milliseconds. */
+    long elapsedMillis() {
+        return EntryServices.now() - arrivedAt;
+    }
+
+    /** Returns the time until the deadline in milliseconds, at least 1. */
+    long remainingMillis() {
+        return Math.max(1, deadlineAt - EntryServices.now());
+    }
+
+    /** Returns the time that the caller has for reading the response, in milliseconds. */
+    long responseMillis() {
+        return deadlineAt == UNKNOWN ? DEFAULT_DEADLINE_MILLIS : remainingMillis();
+    }
+
+    /** Runs an action at the deadline, unless it is cancelled. */
+    void schedule(Runnable action) {
+        schedule(action, remainingMillis());
+    }
+
+    /** Runs an action after a time in milliseconds, unless it is cancelled. */
+    void schedule(Runnable action, long millis) {
+        timer = loop.schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Cancels the scheduled action, if there is one. */
+    void cancelTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    /**
+     * Returns the retry-after in milliseconds, spread at random so that callers refused together don't retry together.
+     */
+    long spreadRetryAfter(long capacityAfterMillis) {
+        double draw = ThreadLocalRandom.current().nextDouble();
+        return RetryAfterPolicy.INSTANCE.retryAfterMillis(deadlineAt - EntryServices.now(), capacityAfterMillis, draw);
+    }
+
+    /** Returns the maximum retry-after in milliseconds, for refusals without information about capacity. */
+    long maxRetryAfter() {
+        return RetryAfterPolicy.INSTANCE.maxRetryAfterMillis(deadlineAt - EntryServices.now());
+    }
+}
