Split the two attempts of a request off the exchange

RequestAttempts holds the slot that a request waits for, its attempt and the second one beside a silent upstream, and decides which of them goes on. No change of behaviour.

--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -1,6 +1,5 @@
 package org.radishspur.node.entry;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -25,12 +24,6 @@
  * that. The traffic thread owns it.
  */
 final class EntryExchange implements UpstreamSlot.Listener {
-    /**
-     * The time without a byte from which on an attempt on a broken path is not expected to go on, in milliseconds. A slot
-     * that is released sooner isn't counted when the upstream was only silent.
-     */
-    private static final long MAX_SOUND_SILENCE_MILLIS = 3_000;
-
     private final EntryServices services;
     private final CallerResponse response;
     private final HttpRequest request;
@@ -39,14 +32,12 @@
     private final ExchangeLog log;
     private final CrashCheck crashCheck;
     private final RequestRuns runs;
-    private final Hedge hedge;
+    private final RequestAttempts attempts;
     private final SlotRequests slotRequests;
     private final BodyReader body;
 
     private boolean counted;
     private boolean done;
-    private UpstreamSlot slot;
-    private UpstreamAttempt attempt;
     private boolean firstByteReceived;
     private long firstMillis;
     private long lastEventId;
@@ -62,7 +53,7 @@
         this.log = new ExchangeLog(services, this);
         this.crashCheck = new CrashCheck(services, this, log);
         this.runs = new RequestRuns(this, services, crashCheck);
-        this.hedge = new Hedge(this, services, log, runs);
+        this.attempts = new RequestAttempts(this, services, log, runs);
         this.slotRequests = new SlotRequests(this, services, deadline, runs);
         this.body = new BodyReader(this, services, response, request);
     }
@@ -134,28 +125,22 @@
         send(slotRequests.createFirst(this, now), now);
     }
 
-    /** Waits for another slot in place of the last attempt and of a second one that is being made. */
-    private void send(UpstreamSlot created, long now) {
+    private void send(UpstreamSlot slot, long now) {
         slotRequests.add();
-        slot = created;
-        attempt = null;
+        attempts.await(slot);
         services.slots().send(slot, now);
         services.scheduleCheck();
     }
 
     /** Creates a slot for a second attempt. */
     UpstreamSlot createRetrySlot(UpstreamSlot.Listener listener, long now) {
-        return slotRequests.createRetry(lastUpstream(), listener, now);
-    }
-
-    private Optional<UpstreamLoad> lastUpstream() {
-        return Optional.ofNullable(attempt).map(UpstreamAttempt::upstream);
+        return slotRequests.createRetry(attempts.upstream(), listener, now);
     }
 
     /** {@inheritDoc} */
     @Override
     public void onRejected(SlotReply.Rejected rejected) {
-        slot = null;
+        attempts.endWait();
         if (runs.arePossible()) {
             fail(EndReason.UPSTREAM_FAILED, "no other upstream has a slot");
             return;
@@ -171,7 +156,7 @@
     /** {@inheritDoc} */
     @Override
     public void onGranted(UpstreamSlot granted) {
-        slot = null;
+        attempts.endWait();
         if (!routing.isStillAllowed()) {
             // The view may have changed or expired since the check on arrival, for instance during a pause of the
             // entire process.
@@ -190,10 +175,7 @@
         }
         crashCheck.beginTrialIfSuspected();
         services.metrics().recordSlotWait(deadline.elapsedMillis());
-        attempt = new UpstreamAttempt(this, services, granted);
-        services.addRunning(this);
-        // On a broken path that is tried again, only a second attempt can serve the request.
-        attempt.start(route().isRepeatable() && runs.budget().hasUnreserved());
+        attempts.start(granted);
     }
 
     /** Returns whether the body may be sent to an upstream beside those that wait there. */
@@ -204,7 +186,7 @@
     /** Returns whether a connected attempt may be sent now; the second of two takes a retry from the budget. */
     boolean maySend(UpstreamAttempt connected, ConfirmedView viewAtGrant) {
         return routing.isStillUsable(connected.upstream(), viewAtGrant)
-                && (!hedge.isMadeBy(connected) || runs.budget().tryTake());
+                && (!attempts.isSecond(connected) || runs.budget().tryTake());
     }
 
     /** Returns whether the body of the request may pass through another host of this system. */
@@ -212,40 +194,20 @@
         return routing.mayBeRelayed();
     }
 
-    /** Returns whether a connected attempt has to wait before it is sent. */
-    boolean isHeld(UpstreamAttempt connected) {
-        return hedge.isHeld(connected);
-    }
-
     /** Requests another slot, or refuses the request, after an attempt could not be sent to its granted upstream. */
     void onOutdated(UpstreamAttempt outdated) {
         if (routing.isStillAllowed()) {
             onNotRun(outdated, "outdated", false);
-        } else if (!continuesWithout(outdated, "outdated")) {
+        } else if (!attempts.continueWithout(outdated, "outdated")) {
             refuse(EndReason.UNCONFIRMED, deadline.maxRetryAfter(), false);
         }
     }
 
-    /**
-     * Makes a second attempt if the upstream has stopped sending, or its path is broken, and the request may run again.
-     * The first attempt goes on, as its response may still come; on a broken path its slot is released once it has been
-     * silent for longer than a sound upstream, so that it doesn't keep the requests of others waiting.
-     */
+    /** Makes a second attempt if the first one is silent and the caller isn't what holds it up. */
     void checkSilence(long now) {
-        if (done || attempt == null || !response.isWritable()) {
-            return;
+        if (!done && response.isWritable()) {
+            attempts.checkSilence(now);
         }
-        boolean pathBroken = attempt.isStalledOnBrokenPath(now);
-        if (!pathBroken && !attempt.isSilent(now)) {
-            return;
-        }
-        if (attempt.beginSilence()) {
-            log.silent(upstreamName(), attempt.silentMillis(now), pathBroken, runs.verdict());
-        }
-        if (pathBroken && attempt.silentMillis(now) > MAX_SOUND_SILENCE_MILLIS) {
-            attempt.releaseSlot();
-        }
-        hedge.request(pathBroken, now);
     }
 
     /** Returns whether the request may be sent to an upstream beside the one that is silent. */
@@ -253,62 +215,23 @@
         return routing.isStillAllowed() && crashCheck.mayRetry();
     }
 
-    /** Returns whether a second attempt is being made or running, which may go on when the first one ends. */
-    boolean hasSecondAttempt() {
-        return hedge.isMade();
-    }
-
-    /** Returns whether two attempts have been sent, so that neither may end the request alone. */
-    boolean isHedged() {
-        return hedge.isRunning();
-    }
-
-    /** Records that the upstream of an attempt has sent something. */
-    void onProgress(UpstreamAttempt progressing) {
-        if (progressing == attempt) {
-            hedge.cancelUnlessSent();
-        }
-    }
-
     /** Records complete events, which are about to be written, and keeps only the attempt that they belong to. */
     void onEvents(UpstreamAttempt receiving, long events, long latestId) {
-        keep(receiving);
+        attempts.keep(receiving);
         eventCount += events;
         lastEventId = latestId;
     }
 
-    /** Keeps the attempt that continues the response, and cancels the other one. */
-    void keep(UpstreamAttempt continuing) {
-        if (hedge.isMadeBy(continuing)) {
-            UpstreamAttempt silent = attempt;
-            attempt = hedge.takeRunning().orElseThrow();
-            silent.abandon();
-        } else {
-            hedge.cancel();
-        }
-    }
-
-    /** Lets the request go on with its other attempt after one has ended, and returns whether there is one. */
-    private boolean continuesWithout(UpstreamAttempt ended, String cause) {
-        if (hedge.isMadeBy(ended)) {
-            hedge.onFailed(cause);
-            return true;
-        }
-        Optional<UpstreamAttempt> other = hedge.takeRunning();
-        other.ifPresent(running -> attempt = running);
-        return other.isPresent();
-    }
-
     /**
      * Lets the upstream be checked after the connection to it was lost while it was running the request. The request is
      * sent to another upstream only after the check, as it may be what ended this one.
      */
     void onConnectionLost(
             UpstreamAttempt lost, boolean begun, long millis, String cause, Consumer<UpstreamProbe.Result> listener) {
-        boolean continues = continuesWithout(lost, cause);
+        boolean continues = attempts.continueWithout(lost, cause);
         boolean retryAllowed = !continues && runs.isRetryAllowed();
         if (!continues) {
-            hedge.hold();
+            attempts.holdSecond();
         }
         crashCheck.onConnectionLost(lost.upstream().upstream(), begun, millis, result -> {
             listener.accept(result);
@@ -341,25 +264,12 @@
      * from the first one if its response hasn't begun.
      */
     void withdrawIfItEndsUpstreams() {
-        if (done || attempt == null || !hedge.isUnanswered()) {
+        if (done || !attempts.mayBeWithdrawn() || !crashCheck.isToBeWithdrawn()) {
             return;
         }
-        boolean unanswered = attempt.isUnanswered();
-        if ((unanswered || hedge.isMade()) && crashCheck.isToBeWithdrawn()) {
-            services.metrics().countWithdrawn();
-            hedge.cancel();
-            if (unanswered) {
-                attempt.abandon();
-                refuse(EndReason.CRASH_SUSPECT, deadline.maxRetryAfter(), false);
-            }
-        }
-    }
-
-    /** Counts the request as possibly run, since it is being sent. */
-    void onSent(UpstreamAttempt sent) {
-        runs.onSent();
-        if (hedge.isMadeBy(sent)) {
-            hedge.onSent();
+        services.metrics().countWithdrawn();
+        if (attempts.withdraw()) {
+            refuse(EndReason.CRASH_SUSPECT, deadline.maxRetryAfter(), false);
         }
     }
 
@@ -374,7 +284,7 @@
         if (wasSent) {
             runs.onNotRun();
         }
-        if (continuesWithout(ended, reason)) {
+        if (attempts.continueWithout(ended, reason)) {
             return;
         }
         retryElsewhere(reason, !wasSent);
@@ -395,7 +305,7 @@
      * goes on.
      */
     void onAttemptFailed(UpstreamAttempt failed, String reason) {
-        if (!continuesWithout(failed, reason)) {
+        if (!attempts.continueWithout(failed, reason)) {
             retryOrFail(reason);
         }
     }
@@ -418,36 +328,23 @@
 
     /** Sends the request to another upstream: by the second attempt that is being made, or by a new one. */
     void retry(String reason) {
-        log.retried(reason, upstreamName(), slotRequests.count());
-        if (hedge.isPending()) {
+        log.retried(reason, attempts.upstreamName(), slotRequests.count());
+        if (attempts.hasPendingSecond()) {
             slotRequests.add();
-            hedge.handOverPending();
+            attempts.takePendingSecond();
             return;
         }
         long now = EntryServices.now();
-        hedge.cancel();
-        send(slotRequests.createRetry(lastUpstream(), this, now), now);
-    }
-
-    /** Waits for a slot that was requested for a second attempt, after the first one has ended. */
-    void adopt(UpstreamSlot requested) {
-        slot = requested;
-        attempt = null;
-    }
-
-    /** Goes on with a second attempt that isn't sent yet, after the first one has ended. */
-    void adopt(UpstreamAttempt connecting) {
-        attempt = connecting;
+        attempts.cancelSecond();
+        send(slotRequests.createRetry(attempts.upstream(), this, now), now);
     }
 
     private void onDeadline() {
         if (done) {
             return;
         }
-        if (attempt != null || runs.arePossible()) {
-            if (attempt != null) {
-                attempt.endAtDeadline();
-            }
+        if (attempts.isMade() || runs.arePossible()) {
+            attempts.endAtDeadline();
             fail(EndReason.TIMEOUT, "timeout");
         } else {
             refuse(EndReason.EXPIRED, 0, false);
@@ -458,14 +355,13 @@
         if (done) {
             return;
         }
-        log.disconnected(upstreamName());
+        log.disconnected(attempts.upstreamName());
         release();
     }
 
     void onCallerWritable() {
-        if (attempt != null && response.isWritable()) {
-            attempt.read();
-            hedge.read();
+        if (response.isWritable()) {
+            attempts.read();
         }
     }
 
@@ -510,11 +406,6 @@
         log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis, end, restBytes);
     }
 
-    /** Returns the identifier of the upstream of the current attempt, or an empty text where there is none. */
-    private String upstreamName() {
-        return attempt == null ? "" : attempt.upstream().upstream().id();
-    }
-
     /** Ends the request with a response that states that it has not run, unless it may have run. */
     void refuse(EndReason reason, long retryAfterMillis, boolean close) {
         if (runs.arePossible()) {
@@ -530,7 +421,7 @@
 
     /** Ends a request that may have run with an error response, or aborts its response if a part was sent. */
     private void fail(EndReason reason, String cause) {
-        log.failed(reason, upstreamName(), cause);
+        log.failed(reason, attempts.upstreamName(), cause);
         release();
         if (response.isHeadWritten()) {
             // The status is sent already; only an incomplete response can still show the failure.
@@ -550,13 +441,7 @@
         services.stopAwaitingConfirmation(this);
         body.endWaitForMemory();
         deadline.cancelTimer();
-        if (slot != null) {
-            slot.cancel();
-        }
-        if (attempt != null) {
-            attempt.abandon();
-        }
-        hedge.cancel();
+        attempts.cancel();
         response.discardGathered();
         services.removeRunning(this);
         crashCheck.endTrial();
@@ -603,9 +488,9 @@
         return eventCount;
     }
 
-    /** Returns the upstream of the first of two attempts, or of the only one. */
-    UpstreamLoad firstUpstream() {
-        return attempt.upstream();
+    /** Returns the attempts of the request. */
+    RequestAttempts attempts() {
+        return attempts;
     }
 
     /** Returns the time until the deadline in milliseconds, at least 1. */
--- a/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
+++ b/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
@@ -93,7 +93,7 @@
                         requestId(),
                         state,
                         upstream.upstream().id(),
-                        exchange.firstUpstream().upstream().id(),
+                        exchange.attempts().upstreamName(),
                         cause,
                         eventCount(),
                         elapsedMillis());
--- a/node/src/main/java/org/radishspur/node/entry/Hedge.java
+++ b/node/src/main/java/org/radishspur/node/entry/Hedge.java
@@ -76,8 +76,9 @@
     }
 
     private void start(UpstreamSlot granted) {
-        boolean otherUpstream =
-                !granted.upstream().run().equals(exchange.firstUpstream().run());
+        boolean otherUpstream = !granted.upstream()
+                .run()
+                .equals(exchange.attempts().upstream().orElseThrow().run());
         if (!exchange.hasRoomForBodyAt(granted.upstream())) {
             granted.end(SlotOutcome.UNUSED);
             giveUp("upstream full");
@@ -166,9 +167,9 @@
         runs.budget().release();
         end();
         if (slotHandedOver) {
-            exchange.adopt(requested);
+            exchange.attempts().await(requested);
         } else {
-            exchange.adopt(connecting);
+            exchange.attempts().adopt(connecting);
             connecting.sendIfConnected();
         }
     }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -105,7 +105,7 @@
             return;
         }
         connected = true;
-        if (!caller.isHeld(this)) {
+        if (!caller.attempts().isHeld(this)) {
             sendIfConnected();
         }
     }
@@ -128,7 +128,7 @@
         lastByteAt = sentAt;
         splitter = new EventSplitter(caller.lastEventId());
         resumed = caller.eventCount() > 0;
-        caller.onSent(this);
+        caller.attempts().onSent(this);
         logSent();
         writeRequest();
         exchange.read();
@@ -234,10 +234,10 @@
     }
 
     private void onSuccess() {
-        caller.onProgress(this);
+        caller.attempts().onProgress(this);
         if (!isEventStream()) {
             buffered = Unpooled.buffer();
-        } else if (!caller.isHedged()) {
+        } else if (!caller.attempts().isHedged()) {
             writeHead();
         }
     }
@@ -249,7 +249,7 @@
 
     private void onFailure() {
         boolean serverError = responseHead.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        if (caller.response().isHeadWritten() || caller.isHedged()) {
+        if (caller.response().isHeadWritten() || caller.attempts().isHedged()) {
             // An error text after the head and some events from an earlier upstream would make the truncated response
             // look complete. Where another attempt goes on, the response may still be a success.
             endAnswered(!serverError);
@@ -342,7 +342,7 @@
         buffered.writeBytes(content);
         held.set(buffered.capacity());
         if (buffered.readableBytes() > maxBufferedBytes()) {
-            caller.keep(this);
+            caller.attempts().keep(this);
             caller.response().writeHead(responseHead, true);
             caller.response().writeContent(buffered);
             buffered = Unpooled.EMPTY_BUFFER;
@@ -365,7 +365,7 @@
         }
         lastByteAt = now;
         silenceNoted = false;
-        caller.onProgress(this);
+        caller.attempts().onProgress(this);
         upstream.recordBytes(now);
         if (!firstByteReceived) {
             firstByteReceived = true;
@@ -422,7 +422,7 @@
             onConnectionLost(new ProtocolException("the connection was closed inside an event"));
             return;
         }
-        caller.keep(this);
+        caller.attempts().keep(this);
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         if (succeeded) {
             caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - sentAt);
@@ -455,7 +455,7 @@
 
     private void endNotRun() {
         // The second attempt is charged to no quota, so the charge of this one has to stay.
-        SlotOutcome notRun = caller.hasSecondAttempt() ? SlotOutcome.ABANDONED : SlotOutcome.NOT_RUN;
+        SlotOutcome notRun = caller.attempts().hasSecond() ? SlotOutcome.ABANDONED : SlotOutcome.NOT_RUN;
         end(kind == ResponseKind.WRONG_INSTANCE ? SlotOutcome.REPLACED : notRun);
         caller.onNotRun(this, kind == ResponseKind.NOT_RUN ? "not-run" : "wrong-instance", true);
     }
