Split ejection and the detection of silence off the load of an upstream

UpstreamHealth counts failures and failed and broken connections, ejects the upstream for them and puts it on probation; AnswerSilence detects an upstream that stops answering. Each has its constants and the state that only it uses; two numbers without a name got one. No change of behaviour.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -1,6 +1,5 @@
 package org.radishspur.decision.dispatch;
 
-import org.radishspur.decision.upstream.EventGroup;
 import org.radishspur.decision.upstream.RefusalBackoff;
 import org.radishspur.model.catalogue.ColdStart;
 import org.radishspur.model.catalogue.RequestLimit;
@@ -14,42 +13,12 @@
     /** Weight of the newest answer in the average times; about ten answers outweigh the older ones. */
     private static final double TIME_AVERAGE_WEIGHT = 0.1;
 
-    /** Weight of the newest answer in the failure share; five failures in a row bring it above one half. */
-    private static final double FAILURE_AVERAGE_WEIGHT = 0.15;
-
-    /** Number of answers from which the failure share counts. */
-    private static final long MIN_OUTCOMES = 5;
-
-    /** Number of failures in a row that eject an upstream, whatever its failure share. */
-    private static final int CONSECUTIVE_FAILURES_TO_EJECT = 3;
-
-    /** How long an upstream is ejected for failures, in milliseconds; long enough to spare about ten requests. */
-    private static final long FAILURE_EJECTION_MILLIS = 1_500;
-
-    /** Ejection time after the first failed connection, in milliseconds; it doubles with each further one. */
-    private static final long MIN_CONNECT_EJECTION_MILLIS = 200;
-
-    /**
-     * Maximum ejection time after a failed connection, in milliseconds; a restarted upstream is found again by then.
-     */
-    private static final long MAX_CONNECT_EJECTION_MILLIS = 1_600;
-
     /**
      * Minimum time without a byte after which an upstream counts as silent, in milliseconds; healthy ones answer well
      * within it.
      */
     public static final long MIN_SILENCE_MILLIS = 600;
 
-    /**
-     * The same for an upstream that has not answered yet, in milliseconds. With a queue of long prompts the first
-     * answer of a slow engine takes over a second; with a shorter limit every attempt would be abandoned before it, and
-     * the engine would never be measured as slow.
-     */
-    private static final long FIRST_ANSWER_SILENCE_MILLIS = 1_500;
-
-    /** An upstream counts as silent after this multiple of its usual time to first byte. */
-    private static final double SILENCE_FACTOR = 5;
-
     /** Spreads hash codes that differ in their last bits only; the constant of Knuth's multiplicative hashing. */
     private static final int GOLDEN_RATIO = 0x9E3779B9;
 
@@ -68,7 +37,6 @@
     private int ownRequests;
     private long lastSentAt = Long.MIN_VALUE / 2;
     private final PeerTotal peerInProgress = new PeerTotal();
-    private final MovingAverage firstByteMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
     private final FirstByteModel firstByte = new FirstByteModel();
     private final FirstByteModel poolFirstByte;
     private final StreamPauses pauses;
@@ -77,26 +45,20 @@
     private final RequestLimiter limiter = new RequestLimiter();
     private final RefusalBackoff refusals = new RefusalBackoff();
     private final MovingAverage eventMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
-    private final MovingAverage failures = new MovingAverage(FAILURE_AVERAGE_WEIGHT);
+    private final UpstreamHealth health = new UpstreamHealth();
     private double peerEventMillis;
-    private int consecutiveFailures;
-    private int connectFailures;
-    private long ejectedUntil;
-    private boolean onProbation;
     private boolean replaced;
     private long leavingSince = NOT_LEAVING;
-    private boolean unreachable;
     private final UnansweredRequests unanswered = new UnansweredRequests();
     private final PeerTotal peerPendingTokens = new PeerTotal();
-    private long lastByteAt;
-    private final EventGroup breaks = new EventGroup();
+    private final AnswerSilence silence = new AnswerSilence(unanswered);
 
     /**
      * Creates the load of an upstream without requests.
      *
      * @param upstream the upstream.
      * @param poolFirstByte the times to first byte in the whole pool, as multiples of each upstream's time per event.
-     * @param pauses learns in the whole pool how long prompts are read.
+     * @param pauses the times for which prompts are read, in the whole pool.
      * @param scheduler the name of the scheduler, from which its slight preference among upstreams is derived.
      */
     UpstreamLoad(Upstream upstream, FirstByteModel poolFirstByte, StreamPauses pauses, String scheduler) {
@@ -169,9 +131,7 @@
         ownRequests++;
         lastSentAt = now;
         coldLimit.recordSent(now);
-        if (unanswered.isEmpty()) {
-            lastByteAt = now;
-        }
+        silence.recordSending(now);
         unanswered.add(request, promptTokens, pendingTokens(), now);
     }
 
@@ -185,8 +145,7 @@
      */
     public void recordFirstByte(Object request, long promptTokens, long millis, long now) {
         long tokensAhead = unanswered.remove(request);
-        lastByteAt = now;
-        firstByteMillis.add(millis);
+        silence.recordFirstByte(millis, now);
         firstByte.add(promptTokens + tokensAhead, millis);
         if (isEventTimeKnown()) {
             poolFirstByte.add(promptTokens + tokensAhead, millis / eventMillis());
@@ -200,7 +159,7 @@
      * @param now the current time in milliseconds.
      */
     public void recordBytes(long now) {
-        lastByteAt = now;
+        silence.recordBytes(now);
     }
 
     /**
@@ -285,7 +244,7 @@
      * when it is reachable again, some time before the host list shows it.
      */
     boolean isCold(long now) {
-        return coldLimit.isLimited() && (upstream.cold() || unreachable || coldLimit.mayBeCold(now));
+        return coldLimit.isLimited() && (upstream.cold() || health.isUnreachable() || coldLimit.mayBeCold(now));
     }
 
     /** Sets how this scheduler shares the limit that the upstream may state. */
@@ -409,37 +368,24 @@
      */
     public void recordOutcome(boolean success, double poolFailures, long now) {
         refusals.recordRun();
-        failures.add(success ? 0 : 1);
-        if (success) {
-            if (unreachable) {
-                coldLimit.recordPossibleRestart(now);
-            }
-            consecutiveFailures = 0;
-            connectFailures = 0;
-            unreachable = false;
-            onProbation = false;
+        if (!success) {
+            health.recordFailure(poolFailures, now);
             return;
         }
-        consecutiveFailures++;
-        boolean failsOften = failures.samples() >= MIN_OUTCOMES && failures.value() > poolFailures + 0.25;
-        if (consecutiveFailures >= CONSECUTIVE_FAILURES_TO_EJECT || failsOften || onProbation) {
-            ejectedUntil = now + FAILURE_EJECTION_MILLIS;
-            onProbation = true;
+        if (health.isUnreachable()) {
+            coldLimit.recordPossibleRestart(now);
         }
+        health.recordSuccess();
     }
 
     /**
      * Records that a connection broke, and returns whether it counts as a separate failure.
      *
-     * <p>A fault of this host or its network resets many connections at once, several of them to the same upstream. If
-     * each counted, they would eject a healthy upstream, as three failures in a row do. An upstream that is really down
-     * is detected by the next connection attempt.
-     *
      * @param now the current time in milliseconds.
      * @return whether it counts, rather than being part of the previous break.
      */
     public boolean recordConnectionBreak(long now) {
-        return breaks.add(now);
+        return health.recordConnectionBreak(now);
     }
 
     /**
@@ -449,7 +395,7 @@
      * @return whether no other connection broke just before.
      */
     public boolean isSeparateBreak(long now) {
-        return breaks.hasEnded(now);
+        return health.isSeparateBreak(now);
     }
 
     /**
@@ -458,12 +404,7 @@
      * @param now the current time in milliseconds.
      */
     public void recordConnectFailure(long now) {
-        long ejectionMillis =
-                Math.min(MAX_CONNECT_EJECTION_MILLIS, MIN_CONNECT_EJECTION_MILLIS << Math.min(connectFailures, 5));
-        connectFailures++;
-        ejectedUntil = now + ejectionMillis;
-        onProbation = true;
-        unreachable = true;
+        health.recordConnectFailure(now);
     }
 
     /**
@@ -523,11 +464,11 @@
     }
 
     boolean isEjected(long now) {
-        return now < ejectedUntil;
+        return health.isEjected(now);
     }
 
     boolean isUnreachable(long now) {
-        return unreachable && isEjected(now);
+        return health.isUnreachable() && health.isEjected(now);
     }
 
     /**
@@ -536,29 +477,17 @@
      * @return whether it is on probation.
      */
     public boolean isOnProbation() {
-        return onProbation;
+        return health.isOnProbation();
     }
 
     /**
      * Returns whether the upstream has unanswered requests and has sent nothing for so long that it seems to hang.
      *
-     * <p>It detects an upstream that stops answering without a connection reset, so that no new request is sent to it.
-     * A busy engine keeps sending events of some stream, so that it doesn't count as silent.
-     *
      * @param now the current time in milliseconds.
      * @return whether it seems to hang.
      */
     public boolean isSilent(long now) {
-        if (unanswered.isEmpty()) {
-            return false;
-        }
-        double usualLimit =
-                firstByteMillis.isKnown() ? firstByteMillis.value() * SILENCE_FACTOR : FIRST_ANSWER_SILENCE_MILLIS;
-        double limit = Math.max(MIN_SILENCE_MILLIS, usualLimit);
-        if (now - lastByteAt <= limit) {
-            return false;
-        }
-        return now - unanswered.oldestSentAt(now) > limit;
+        return silence.isSilent(now);
     }
 
     /**
@@ -575,7 +504,7 @@
     }
 
     double failureShare() {
-        return failures.value();
+        return health.failureShare();
     }
 
     /** Returns how timely an answer of at most this number of events is likely to be if the request is sent now. */
