Split ejection and the request in flight off the state of an upstream

Ejection counts the failures of an upstream and how long it is ejected; InFlightRequest, a nested class whose fields the outer one set, is a class of its own with methods for these changes. No change of behaviour.

--- a/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/Ejector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.radishspur.decision.upstream.InFlightRequest;
 import org.radishspur.decision.upstream.UpstreamState;
 
 /**
@@ -97,7 +98,7 @@
     void ejectSlowUpstreams(long now) {
         Map<String, List<Double>> outputMicrosByGroup = new HashMap<>();
         for (UpstreamState upstream : upstreams.values()) {
-            for (UpstreamState.InFlightRequest flight : upstream.inFlight().values()) {
+            for (InFlightRequest flight : upstream.inFlight().values()) {
                 if (flight.becameOverdue(OVERDUE_FACTOR, now)) {
                     double minMicrosPerToken = flight.elapsed(now)
                             / (double) Math.max(1, flight.request().size().outputTokens());
--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -11,6 +11,7 @@
 
 import org.radishspur.decision.move.VersionComparison;
 import org.radishspur.decision.move.VersionSplit;
+import org.radishspur.decision.upstream.InFlightRequest;
 import org.radishspur.decision.upstream.UpstreamState;
 import org.radishspur.model.error.Refusal;
 import org.radishspur.model.error.RefusalReason;
@@ -211,7 +212,7 @@
             return;
         }
         UpstreamState upstream = upstreams.get(name);
-        UpstreamState.InFlightRequest flight = upstream.inFlight().get(id);
+        InFlightRequest flight = upstream.inFlight().get(id);
         if (!silent) {
             upstream.wentOn(flight);
         } else if (!flight.isSilent()) {
@@ -239,7 +240,7 @@
         }
         speeds.refreshIfStale(upstreams.values(), now);
         UpstreamState upstream = upstreams.get(name);
-        UpstreamState.InFlightRequest flight = upstream.end(id);
+        InFlightRequest flight = upstream.end(id);
         Integer tokens = announcedOutputTokens.get(id);
         markFinished(id);
         if (!flight.isSilent()) {
@@ -709,8 +710,7 @@
         actions.add(new PermitAction.Grant(request.id(), upstream.name()));
     }
 
-    private void recordOutcome(
-            UpstreamState upstream, UpstreamState.InFlightRequest flight, PermitOutcome outcome, long now) {
+    private void recordOutcome(UpstreamState upstream, InFlightRequest flight, PermitOutcome outcome, long now) {
         PermitRequest request = flight.request();
         crashSuspects.ended(request.id());
         prefixSuspects.ended(request.id());
--- a/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/UpstreamState.java
@@ -24,9 +24,6 @@
     /** How long a load report may take at most to arrive without being mistaken for load of other sources. */
     private static final long MAX_REPORT_DELAY_MICROS = 2_000_000;
 
-    /** From how many answers since its last ejection on an upstream is compared with others again. */
-    private static final int MIN_ANSWERS_SINCE_EJECTION = 2;
-
     /** The share of the time for processing a prompt by which each request in flight is delayed. */
     private static final double PREFILL_DELAY_SHARE = 0.3;
 
@@ -47,12 +44,8 @@
     private boolean leaving;
     private Set<String> evacuated = Set.of();
     private boolean removed;
-    private long ejectedUntil;
-    private boolean ejectedAsUnreachable;
-    private int consecutiveEjections;
-    private int consecutiveFailures;
+    private final Ejection ejection;
     private int answerCount;
-    private int answersSinceEjection;
     private int externalLoad;
     private int pendingPrefillTokens;
     private boolean runsExclusive;
@@ -73,6 +66,7 @@
     public UpstreamState(UpstreamRow row, boolean engine, int ceiling, SchedulerOptions options) {
         this.row = row;
         this.options = options;
+        this.ejection = new Ejection(options);
         this.speed = new SpeedEstimate(engine);
         this.limit = new ConcurrencyLimit(options.initialLimit(), ceiling);
         this.prefixes = new PrefixIndex(options.cacheBlocks());
@@ -128,7 +122,7 @@
      * @return whether it is a member of the pool and not ejected.
      */
     public boolean isUsable(long now) {
-        return isMember() && now >= ejectedUntil;
+        return isMember() && now >= ejection.until();
     }
 
     /**
@@ -301,7 +295,9 @@
         // Processing a prompt delays all other requests of the batch, which costs the pool more than the request
         // itself.
         double delay = uncachedTokens(size) * speed.prefillMicros() * runningCount() * PREFILL_DELAY_SHARE;
-        return (expectedMicros(size) + delay) * decayFactor(now) * (1 + PENALTY_PER_FAILURE * consecutiveFailures);
+        return (expectedMicros(size) + delay)
+                * decayFactor(now)
+                * (1 + PENALTY_PER_FAILURE * ejection.consecutiveFailures());
     }
 
     /**
@@ -360,10 +356,10 @@
      */
     public void firstToken(PermitId id, long now) {
         InFlightRequest flight = inFlight.get(id);
-        if (flight != null && !flight.prefilled) {
+        if (flight != null && !flight.isPrefilled()) {
             markPrefilled(flight);
-            if (flight.uncachedTokens > 0) {
-                speed.addFirstTokenTime(flight.uncachedTokens, flight.startedAt, now);
+            if (flight.uncachedTokens() > 0) {
+                speed.addFirstTokenTime(flight.uncachedTokens(), flight.startedAt(), now);
                 adjustLimit(flight, runningCount(), now);
             }
         }
@@ -371,15 +367,15 @@
 
     private void adjustLimit(InFlightRequest flight, int running, long now) {
         boolean noneWaiting = reportedNoneWaiting && reportAgeMicros(now) < REPORT_VALID_MICROS;
-        if (limit.update(speed.isCongested(noneWaiting), flight.startedAt, running, now)) {
+        if (limit.update(speed.isCongested(noneWaiting), flight.startedAt(), running, now)) {
             speed.resetCongestion();
         }
     }
 
     private void markPrefilled(InFlightRequest flight) {
-        if (!flight.prefilled) {
-            flight.prefilled = true;
-            pendingPrefillTokens -= flight.uncachedTokens;
+        if (!flight.isPrefilled()) {
+            flight.markPrefilled();
+            pendingPrefillTokens -= flight.uncachedTokens();
         }
     }
 
@@ -393,8 +389,8 @@
         InFlightRequest flight = inFlight.remove(id);
         if (flight != null) {
             markPrefilled(flight);
-            runsExclusive &= !flight.exclusive;
-            silentCount -= flight.silent ? 1 : 0;
+            runsExclusive &= !flight.isExclusive();
+            silentCount -= flight.isSilent() ? 1 : 0;
         }
         return flight;
     }
@@ -406,12 +402,10 @@
      * @param flight the request in flight.
      */
     public void fellSilent(InFlightRequest flight) {
-        if (!flight.silent) {
+        if (!flight.isSilent()) {
             markPrefilled(flight);
-            runsExclusive &= !flight.exclusive;
-            flight.exclusive = false;
-            flight.silent = true;
-            flight.wasSilent = true;
+            runsExclusive &= !flight.isExclusive();
+            flight.markSilent();
             silentCount++;
         }
     }
@@ -422,8 +416,8 @@
      * @param flight the request in flight.
      */
     public void wentOn(InFlightRequest flight) {
-        silentCount -= flight.silent ? 1 : 0;
-        flight.silent = false;
+        silentCount -= flight.isSilent() ? 1 : 0;
+        flight.endSilence();
     }
 
     /**
@@ -449,17 +443,13 @@
             InFlightRequest flight, long firstTokenMicros, long totalMicros, int outputTokens, long now) {
         if (!flight.wasSilent()) {
             lastMeasuredAt = now;
-            long outputMicros = flight.uncachedTokens > 0 ? totalMicros - firstTokenMicros : totalMicros;
-            speed.addOutputTime(outputMicros, outputTokens, flight.startedAt, now);
+            long outputMicros = flight.uncachedTokens() > 0 ? totalMicros - firstTokenMicros : totalMicros;
+            speed.addOutputTime(outputMicros, outputTokens, flight.startedAt(), now);
             adjustLimit(flight, runningCount() + 1, now);
         }
         refusals.recordRun();
-        consecutiveFailures = 0;
         answerCount++;
-        answersSinceEjection++;
-        if (answersSinceEjection > options.failuresToEject()) {
-            consecutiveEjections = 0;
-        }
+        ejection.recordAnswer();
     }
 
     /**
@@ -488,9 +478,7 @@
      *     ejection that no answer has followed.
      */
     public boolean recordFailure() {
-        consecutiveFailures++;
-        return consecutiveFailures >= options.failuresToEject()
-                || answersSinceEjection == 0 && consecutiveEjections > 0;
+        return ejection.recordFailure();
     }
 
     /**
@@ -501,13 +489,8 @@
      * @param now the current time in microseconds.
      */
     public void eject(boolean unreachable, long now) {
-        ejectedAsUnreachable = unreachable;
         speed.restart();
-        long duration = options.firstEjectionMicros() << Math.min(consecutiveEjections, Integer.SIZE / 2);
-        ejectedUntil = now + Math.min(duration, options.maxEjectionMicros());
-        consecutiveEjections++;
-        consecutiveFailures = 0;
-        answersSinceEjection = 0;
+        ejection.begin(unreachable, now);
         limit.reset();
     }
 
@@ -518,8 +501,7 @@
      * @return whether enough answers were measured, in all and since its last ejection.
      */
     public boolean isComparable() {
-        boolean measuredSinceEjection = consecutiveEjections == 0 || answersSinceEjection >= MIN_ANSWERS_SINCE_EJECTION;
-        return speed.hasEnoughSamples() && measuredSinceEjection;
+        return speed.hasEnoughSamples() && ejection.isMeasuredSince();
     }
 
     /**
@@ -528,12 +510,12 @@
      * @return whether it was unreachable.
      */
     public boolean wasUnreachable() {
-        return ejectedAsUnreachable;
+        return ejection.wasUnreachable();
     }
 
     /** Ends the ejection; the upstream is still probed with one request at a time. */
     public void readmit() {
-        ejectedUntil = 0;
+        ejection.end();
     }
 
     /**
@@ -542,7 +524,7 @@
      * @return the time in microseconds, which is in the past where the upstream isn't ejected.
      */
     public long ejectedUntil() {
-        return ejectedUntil;
+        return ejection.until();
     }
 
     /**
@@ -564,8 +546,7 @@
             incarnation = seen;
             leaving = false;
             refusals = new RefusalBackoff();
-            ejectedUntil = 0;
-            consecutiveFailures = 0;
+            ejection.onRestart();
             answerCount = 0;
             prefixes.clear();
         }
@@ -588,89 +569,4 @@
             limit.capAtRunning(running);
         }
     }
-
-    /**
-     * A request in flight.
-     */
-    public static final class InFlightRequest {
-        private final PermitRequest request;
-        private final long startedAt;
-        private final int uncachedTokens;
-        private final double expectedMicros;
-        private boolean exclusive;
-        private boolean prefilled;
-        private boolean overdue;
-        private boolean silent;
-        private boolean wasSilent;
-
-        InFlightRequest(
-                PermitRequest request, long startedAt, int uncachedTokens, double expectedMicros, boolean exclusive) {
-            this.request = request;
-            this.startedAt = startedAt;
-            this.uncachedTokens = uncachedTokens;
-            this.expectedMicros = expectedMicros;
-            this.exclusive = exclusive;
-        }
-
-        /**
-         * Returns the request.
-         *
-         * @return the request.
-         */
-        public PermitRequest request() {
-            return request;
-        }
-
-        /**
-         * Returns whether the request has become overdue since the last call. Returns true at most once.
-         *
-         * @param factor from how many times its expected time on the request is overdue.
-         * @param now the current time in microseconds.
-         * @return whether it has become overdue.
-         */
-        public boolean becameOverdue(double factor, long now) {
-            if (overdue || now - startedAt < factor * expectedMicros) {
-                return false;
-            }
-            overdue = true;
-            return true;
-        }
-
-        /**
-         * Returns whether the upstream sends nothing for the request.
-         *
-         * @return whether it is silent.
-         */
-        public boolean isSilent() {
-            return silent;
-        }
-
-        /**
-         * Returns whether the upstream is or has been silent on the request.
-         *
-         * @return whether it has ever been.
-         */
-        public boolean wasSilent() {
-            return wasSilent;
-        }
-
-        /**
-         * Returns when the request was dispatched.
-         *
-         * @return the time in microseconds.
-         */
-        public long startedAt() {
-            return startedAt;
-        }
-
-        /**
-         * Returns how long the request has been in flight.
-         *
-         * @param now the current time in microseconds.
-         * @return the time in microseconds.
-         */
-        public long elapsed(long now) {
-            return now - startedAt;
-        }
-    }
 }
