Split the selection of the next grant off the pool scheduler

GrantSelector selects the request of a tier that is granted next and its upstream, with the constants of that choice. No change of behaviour.

--- a/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/PoolScheduler.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.radishspur.decision.move.VersionComparison;
@@ -29,9 +29,6 @@
 public final class PoolScheduler {
     private static final double MICROS_PER_MILLI = 1_000;
 
-    /** How many organisations are considered for a grant, each with its next request. */
-    private static final int MAX_CANDIDATES_PER_TIER = 8;
-
     private static final int MAX_FINISHED_ATTEMPTS = 20_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
     private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
@@ -42,12 +39,6 @@
     /** How long requests wait without a grant before this is reported, and how often it is reported again. */
     private static final long STALL_REPORT_MICROS = 3_000_000;
 
-    /** How often a request that is first in order may wait for requests with a larger cached share. */
-    private static final int MAX_TIMES_PASSED_OVER = 8;
-
-    /** By how much the cached share of a prompt must be larger for its request to be preferred. */
-    private static final double MIN_CACHED_SHARE_GAIN = 0.1;
-
     private final SchedulerOptions options;
     private final OutputLengthCorrection outputLengths = new OutputLengthCorrection();
     private final WaitingQueue queue = new WaitingQueue();
@@ -72,7 +63,7 @@
     private final SlotReserve slotReserve = new SlotReserve();
     private final List<PermitAction> actions = new ArrayList<>();
     private final Ejector ejector;
-    private final UpstreamSelector selector;
+    private final GrantSelector grants;
     private PoolRow row;
     private long sequence;
     private long grantsPausedUntil;
@@ -96,7 +87,7 @@
         this.prefixSuspects = new PrefixSuspects(owner);
         this.deadlines = new DeadlineEstimator(options, upstreams, queue, speeds);
         this.ejector = new Ejector(options, upstreams, actions);
-        this.selector = new UpstreamSelector(crashSuspects, versionRouting, speeds);
+        this.grants = new GrantSelector(options, queue, new UpstreamSelector(crashSuspects, versionRouting, speeds));
         configure(row);
     }
 
@@ -631,67 +622,11 @@
             int reserved = slotReserve.reservedSlots(tier, capacity, options.maxReservedShare(), inFlight.size(), now);
             boolean granted = true;
             while (granted && queue.tier(tier).size() > 0) {
-                List<UpstreamState> available = withUnreservedSlots(reserved, usable, now);
-                granted = !available.isEmpty() && grantOne(tier, available, now);
-            }
-        }
-    }
-
-    /**
-     * Returns the upstreams that have free slots besides the reserved ones. The free slots of the fastest upstreams are
-     * reserved, since the most urgent requests may be unable to meet their deadlines on a slow one.
-     */
-    private static List<UpstreamState> withUnreservedSlots(int reserved, List<UpstreamState> fastestFirst, long now) {
-        List<UpstreamState> available = new ArrayList<>();
-        int remainingReserve = reserved;
-        for (UpstreamState upstream : fastestFirst) {
-            int slots = upstream.freeSlots(now);
-            if (slots > remainingReserve) {
-                available.add(upstream);
-            }
-            remainingReserve = Math.max(0, remainingReserve - slots);
-        }
-        return available;
-    }
-
-    /**
-     * Grants one request of a tier for which one of the available upstreams is selected; returns whether there was one.
-     *
-     * <p>This is usually the first such request in order. The next request of another organisation is granted before it
-     * if a larger share of its prompt is cached, but no request is passed over more than {@link #MAX_TIMES_PASSED_OVER}
-     * times.
-     */
-    private boolean grantOne(Tier tier, List<UpstreamState> available, long now) {
-        Iterator<WaitingRequest> heads = queue.tier(tier).heads();
-        WaitingRequest first = null;
-        WaitingRequest best = null;
-        UpstreamState bestUpstream = null;
-        double bestCached = -1;
-        for (int tried = 0; tried < MAX_CANDIDATES_PER_TIER && heads.hasNext(); tried++) {
-            WaitingRequest candidate = heads.next();
-            UpstreamState upstream = selector.choose(candidate.request, available, now);
-            if (upstream == null) {
-                continue;
-            }
-            first = first == null ? candidate : first;
-            double cached = upstream.cachedShare(candidate.request.size());
-            if (cached > bestCached + MIN_CACHED_SHARE_GAIN) {
-                best = candidate;
-                bestUpstream = upstream;
-                bestCached = cached;
-            }
-            if (!options.reusesPrefixes() || first.timesPassedOver >= MAX_TIMES_PASSED_OVER) {
-                break;
+                Optional<GrantSelector.Selection> next = grants.select(tier, reserved, usable, now);
+                next.ifPresent(selected -> grant(selected.waiting(), selected.upstream(), now));
+                granted = next.isPresent();
             }
         }
-        if (best == null) {
-            return false;
-        }
-        if (best != first) {
-            first.timesPassedOver++;
-        }
-        grant(best, bestUpstream, now);
-        return true;
     }
 
     private void grant(WaitingRequest waiting, UpstreamState upstream, long now) {
