Open the connections between processes by one piece of code

FleetLinks and PeerConnections built the same client socket, with the same options; ClientSocket, which did so a third time for upstreams, has it now as connectForMessages. Options, order of handlers and time-outs are the same.

The tests of node's packages entry, fleet and peer passed, unchanged (one run, load 22 to 25). They open none of these connections; the process tests, which do, were not run.

--- a/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetLinks.java
@@ -6,24 +6,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.transport.ClientSocket;
 
 /**
  * Keeps one connection open to each of a set of addresses and sends messages over it.
@@ -177,23 +172,15 @@
             if (removed || closed) {
                 return;
             }
-            new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(
-                            ChannelOption.WRITE_BUFFER_WATER_MARK,
-                            new WriteBufferWaterMark(MAX_BACKLOG_BYTES / 2, MAX_BACKLOG_BYTES))
-                    .handler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel connected) {
-                            connected.pipeline().addLast(new FlushConsolidationHandler(MAX_UNFLUSHED_MESSAGES, true));
-                            PeerCodec.install(connected, FleetServer.MAX_FRAME_BYTES, FleetMessage.class);
-                            connected.pipeline().addLast(Link.this);
-                        }
-                    })
-                    .connect(HostPort.parse(address).toSocketAddress())
+            ClientSocket.INSTANCE
+                    .connectForMessages(
+                            HostPort.parse(address), loop, CONNECT_TIMEOUT_MILLIS, MAX_BACKLOG_BYTES, connected -> {
+                                connected
+                                        .pipeline()
+                                        .addLast(new FlushConsolidationHandler(MAX_UNFLUSHED_MESSAGES, true));
+                                PeerCodec.install(connected, FleetServer.MAX_FRAME_BYTES, FleetMessage.class);
+                                connected.pipeline().addLast(this);
+                            })
                     .addListener((ChannelFuture future) -> {
                         if (!future.isSuccess()) {
                             scheduleReconnect();
--- a/node/src/main/java/org/radishspur/node/peer/PeerConnections.java
+++ b/node/src/main/java/org/radishspur/node/peer/PeerConnections.java
@@ -4,22 +4,17 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.metrics.NodeMetrics;
 import org.radishspur.node.settings.NodeSettings;
 import org.radishspur.node.settings.PeerSettings;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.transport.ClientSocket;
 
 /**
  * Keeps one connection to each other node and sends messages over it. A message to a node without a connection is
@@ -110,22 +105,11 @@
         if (closed) {
             return;
         }
-        new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(
-                        ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(MAX_BACKLOG_BYTES / 2, MAX_BACKLOG_BYTES))
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        PeerCodec.install(channel, settings.limits().frameBytes(), PeerMessage.class);
-                        channel.pipeline().addLast(new ClientHandshake(peer));
-                    }
+        ClientSocket.INSTANCE
+                .connectForMessages(peer.address(), group, CONNECT_TIMEOUT_MILLIS, MAX_BACKLOG_BYTES, channel -> {
+                    PeerCodec.install(channel, settings.limits().frameBytes(), PeerMessage.class);
+                    channel.pipeline().addLast(new ClientHandshake(peer));
                 })
-                .connect(peer.address().toSocketAddress())
                 .addListener(future -> {
                     if (!future.isSuccess()) {
                         reconnect(peer);
--- a/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
+++ b/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
@@ -9,12 +9,14 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.radishspur.node.settings.HostPort;
 
 /**
- * Opens outgoing connections that read only on request.
+ * Opens outgoing connections.
  */
 public enum ClientSocket {
     /** The only instance. */
@@ -31,7 +33,7 @@
     }
 
     /**
-     * Starts to connect.
+     * Starts to connect; the connection reads only on request.
      *
      * @param address the host and port.
      * @param loop the event loop of the connection.
@@ -41,18 +43,45 @@
      */
     public ChannelFuture connect(
             String address, EventLoop loop, int connectMillis, Consumer<SocketChannel> initializer) {
+        return bootstrap(loop, connectMillis, initializer)
+                .option(ChannelOption.AUTO_READ, false)
+                .connect(HostPort.parse(address).toSocketAddress());
+    }
+
+    /**
+     * Starts to connect to another process of the system, for messages that are sent without waiting for earlier ones.
+     *
+     * @param address the host and port.
+     * @param group the event loops of which one serves the connection.
+     * @param connectMillis the maximum time to connect, in milliseconds.
+     * @param maxBacklogBytes the size of unsent messages beyond which the connection isn't writable, in bytes.
+     * @param initializer adds the handlers to the connection.
+     * @return a future of the connection, which fails where none is established in time.
+     */
+    public ChannelFuture connectForMessages(
+            HostPort address,
+            EventLoopGroup group,
+            int connectMillis,
+            int maxBacklogBytes,
+            Consumer<SocketChannel> initializer) {
+        return bootstrap(group, connectMillis, initializer)
+                .option(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(maxBacklogBytes / 2, maxBacklogBytes))
+                .connect(address.toSocketAddress());
+    }
+
+    private static Bootstrap bootstrap(EventLoopGroup group, int connectMillis, Consumer<SocketChannel> initializer) {
         return new Bootstrap()
-                .group(loop)
+                .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         initializer.accept(channel);
                     }
-                })
-                .connect(HostPort.parse(address).toSocketAddress());
+                });
     }
 }
