Name what classes of node hold, not what they know or learn

Comments only: "knows", "learns", "learnt" and "forgets" of processes and tables are replaced by what is held, counted, reported or discarded.

--- a/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
+++ b/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
@@ -14,7 +14,7 @@
 import org.radishspur.node.peer.PeerMessage;
 
 /**
- * Holds requests for permits, and registrations of permits, whose pool the owner of its queue doesn't know yet.
+ * Holds requests for permits, and registrations of permits, whose pool isn't in the tables of the owner of its queue yet.
  *
  * <p>An entry obeys an edit once it has it, which may be before the owner has it. A node that has just started is chosen
  * as an owner before it has any tables. To refuse such requests would refuse what all other nodes could serve.
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -86,7 +86,7 @@
 
     /**
      * Returns how long a message waits for tables that an owner lacks: until an owner that gets none any more has been
-     * replaced by another one and the entries have learned of it.
+     * replaced by another one and the change has reached the entries.
      */
     private static long maxDeferralMillis(Timeouts timeouts) {
         return timeouts.nodeLostMillis() + 2 * timeouts.heartbeatMillis();
--- a/node/src/main/java/org/radishspur/node/control/PermitService.java
+++ b/node/src/main/java/org/radishspur/node/control/PermitService.java
@@ -103,7 +103,7 @@
         }
     }
 
-    /** Keeps whether the upstream of a permit is silent, which its owner learns with the next registration. */
+    /** Keeps whether the upstream of a permit is silent, which the next registration reports to its owner. */
     void reportSilence(PermitId id, boolean silent) {
         permitsInUse.computeIfPresent(
                 id, (key, permit) -> new PeerMessage.PermitInUse(permit.request(), permit.upstream(), silent));
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -266,7 +266,7 @@
         }
         owned.scheduler.reconcile(node, register.incarnation(), listed, RECONCILE_GRACE_MICROS, loop.nowMicros());
         owned.registeredNodes.add(node);
-        // A node that has just started may get registrations before it knows which entries there are.
+        // A node that has just started may get registrations before it has the list of the entries.
         boolean allRegistered = !entryMembers.isEmpty()
                 && entryMembers.stream().allMatch(member -> owned.registeredNodes.contains(member.node()));
         if (allRegistered) {
--- a/node/src/main/java/org/radishspur/node/entry/CrashCheck.java
+++ b/node/src/main/java/org/radishspur/node/entry/CrashCheck.java
@@ -13,7 +13,7 @@
 import org.radishspur.node.upstream.UpstreamProbe.Result;
 
 /**
- * Knows the signatures of one request by which it may end upstreams, and whether it runs as a trial. They are computed when
+ * Holds the signatures of one request by which it may end upstreams, and whether it runs as a trial. They are computed when
  * they are first needed. The traffic thread owns it.
  */
 final class CrashCheck {
--- a/node/src/main/java/org/radishspur/node/entry/RequestRuns.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestRuns.java
@@ -4,7 +4,7 @@
 import org.radishspur.node.caller.RetryBudget;
 
 /**
- * Knows how often one request may have run, and decides whether it may be sent to another upstream, within its route, its
+ * Counts how often one request may have run, and decides whether it may be sent to another upstream, within its route, its
  * deadline and the retry budget of its pool. The traffic thread owns it.
  */
 final class RequestRuns {
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -198,7 +198,8 @@
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
         }
-        // The scheduler's view is older or newer than this entry's, or its build knows no terms of requests; the entry
+        // The scheduler's view is older or newer than this entry's, or its build supports no terms of requests; the
+        // entry
         // decides where it sends requests.
         localScheduler.report(LOCAL_ENTRY, slot.id(), new SlotReport.Ended(SlotOutcome.UNUSED), now);
         release(slot.scheduler(), slot.id());
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamRests.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamRests.java
@@ -7,7 +7,7 @@
 import org.radishspur.decision.slot.UpstreamRest;
 
 /**
- * Knows which upstreams have asked this entry to send them nothing for some time. A new run of an upstream has asked for
+ * Records which upstreams have asked this entry to send them nothing for some time. A new run of an upstream has asked for
  * nothing.
  */
 final class UpstreamRests {
--- a/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
@@ -25,7 +25,7 @@
 
     private final Map<String, Trial> trials = new HashMap<>();
 
-    /** Starts counting for rollouts that have begun, and forgets those that have ended. */
+    /** Starts counting for rollouts that have begun, and discards the counts of those that have ended. */
     synchronized void setRollouts(List<Rollout> rollouts) {
         trials.keySet()
                 .removeIf(pool -> rollouts.stream()
--- a/node/src/main/java/org/radishspur/node/schedule/LeaderSearchOrder.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LeaderSearchOrder.java
@@ -21,7 +21,7 @@
     /**
      * Returns the control hosts to query in the next round.
      *
-     * @param hosts the addresses of all control hosts that may know the leader.
+     * @param hosts the addresses of all control hosts that may have the address of the leader.
      * @return the addresses to query, at most {@link #HOSTS_PER_ROUND}.
      */
     List<String> next(Collection<String> hosts) {
--- a/node/src/main/java/org/radishspur/node/schedule/PoolMetrics.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolMetrics.java
@@ -6,7 +6,7 @@
 import org.radishspur.decision.dispatch.UpstreamPool;
 
 /**
- * Publishes what a scheduler has learnt about its pools: about pauses inside streams and what it does about them, and
+ * Publishes what a scheduler has measured in its pools: about pauses inside streams and what it does about them, and
  * for how long slots of plain calls count as taken while no call runs.
  */
 final class PoolMetrics {
--- a/node/src/main/java/org/radishspur/node/upstream/EventBoundary.java
+++ b/node/src/main/java/org/radishspur/node/upstream/EventBoundary.java
@@ -67,7 +67,7 @@
         return fieldReceived || !lineBlank;
     }
 
-    /** Forgets the event that has begun, after which another connection continues the stream with a whole event. */
+    /** Discards the event that has begun, after which another connection continues the stream with a whole event. */
     public void discardEvent() {
         startLine();
         fieldReceived = false;
