--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -6,9 +6,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
-import org.radishspur.replication.raft.Effects.OutboundMessage;
 import org.radishspur.replication.raft.LogEntry.Payload;
 
 /**
@@ -18,22 +18,14 @@
  * <p>This class is not thread-safe; only the control thread uses it.
  */
 public final class RaftCore {
-    /**
-     * The minimum election timeout, in heartbeats, of a replica that has seen no leader since its start, where no lease
-     * is used.
-     */
-    private static final int INITIAL_ELECTION_TIMEOUT_HEARTBEATS = 1;
-
-    /** The upper bound of the estimated write time, in election timeouts. */
-    private static final int MAXIMUM_WRITE_ELECTION_TIMEOUTS = 8;
-
     private final RaftOptions options;
     private final String self;
-    private final RandomGenerator random;
     private final RaftLog log;
     private final Followers followers;
     private final Set<String> votes = new HashSet<>();
-    private final WriteTimeEstimate writeTimeEstimate;
+    private final ElectionTimer election;
+    private final PendingEffects effects = new PendingEffects();
+    private final LogSender sender;
 
     private HardState hardState;
     private boolean hardStateDurable = true;
@@ -46,10 +38,6 @@
     /** When the latest message of a leader was accepted, in milliseconds of the monotonic clock. */
     private long leaderContactAt;
 
-    /** Whether this replica has seen a leader, or led, since it started. */
-    private boolean leaderSeen;
-
-    private long electionDueAt;
     private long heartbeatDueAt;
 
     /** The index of the first entry that this replica appended as the leader of its latest term. */
@@ -62,13 +50,6 @@
 
     private SnapshotAssembly incomingSnapshot = new SnapshotAssembly(0, 0, 0);
 
-    private boolean hardStateChanged;
-    private List<LogEntry> unwrittenEntries = new ArrayList<>();
-    private Optional<Snapshot> unwrittenSnapshot = Optional.empty();
-    private Optional<Snapshot> installedSnapshot = Optional.empty();
-    private List<OutboundMessage> immediate = new ArrayList<>();
-    private List<OutboundMessage> afterWrite = new ArrayList<>();
-
     /**
      * Creates the core of a replica that has just started.
      *
@@ -81,12 +62,11 @@
     public RaftCore(RaftOptions options, String self, RecoveredState recovered, RandomGenerator random, long now) {
         this.options = options;
         this.self = self;
-        this.random = random;
         this.followers = new Followers(options, self);
-        this.writeTimeEstimate =
-                new WriteTimeEstimate(MAXIMUM_WRITE_ELECTION_TIMEOUTS * options.electionTimeoutMillis());
+        this.election = new ElectionTimer(options, random);
         this.hardState = recovered.hardState();
         this.log = new RaftLog(recovered.snapshot(), recovered.entries());
+        this.sender = new LogSender(options, log, effects);
         this.commitIndex = recovered.snapshot().lastIndex();
         this.appliedIndex = commitIndex;
         this.persistedIndex = log.lastIndex();
@@ -95,9 +75,9 @@
         // one.
         this.leaderContactAt = options.leaseMillis() > 0 ? now : now - options.electionTimeoutMillis();
         if (recovered.snapshot().lastIndex() > 0) {
-            installedSnapshot = Optional.of(recovered.snapshot());
+            effects.install(recovered.snapshot());
         }
-        scheduleElection(now);
+        election.schedule(now);
     }
 
     /**
@@ -108,11 +88,11 @@
     public void tick(long now) {
         if (role == Role.LEADER) {
             tickLeader(now);
-        } else if (now >= electionDueAt && hardStateDurable) {
+        } else if (election.isDue(now) && hardStateDurable) {
             if (log.configuration().voters().contains(self)) {
                 campaign(true, false, now);
             } else {
-                scheduleElection(now);
+                election.schedule(now);
             }
         }
     }
@@ -189,7 +169,7 @@
      * @param now the monotonic clock in milliseconds.
      */
     public void onWritePersisted(WriteBatch batch, long startedAt, long now) {
-        writeTimeEstimate.recordWrite(now - startedAt);
+        election.recordWrite(now - startedAt);
         batch.hardState().filter(hardState::equals).ifPresent(durable -> onHardStateDurable(now));
         if (!batch.entries().isEmpty()) {
             LogEntry last = batch.entries().get(batch.entries().size() - 1);
@@ -229,7 +209,7 @@
                 ? followers.oldestNeededIndex(index, log.firstIndex(), leaderClock)
                 : Long.MAX_VALUE;
         log.compact(newSnapshot, Math.min(index - options.trailingEntries(), oldestNeededIndex));
-        unwrittenSnapshot = Optional.of(newSnapshot);
+        effects.write(newSnapshot);
     }
 
     /**
@@ -247,7 +227,7 @@
         // The lease ends now, because the election that follows does not wait for it to expire.
         target.ifPresent(voter -> {
             transferring = true;
-            immediate.add(new OutboundMessage(voter, new RaftMessage.TimeoutNow(hardState.term())));
+            effects.send(voter, new RaftMessage.TimeoutNow(hardState.term()));
         });
         return target.isPresent();
     }
@@ -268,19 +248,7 @@
                 committed.add(log.get(appliedIndex));
             }
         }
-        WriteBatch write = new WriteBatch(
-                hardStateChanged ? Optional.of(hardState) : Optional.empty(),
-                List.copyOf(unwrittenEntries),
-                unwrittenSnapshot);
-        Effects effects =
-                new Effects(List.copyOf(immediate), write, List.copyOf(afterWrite), installedSnapshot, committed);
-        hardStateChanged = false;
-        unwrittenEntries = new ArrayList<>();
-        unwrittenSnapshot = Optional.empty();
-        installedSnapshot = Optional.empty();
-        immediate = new ArrayList<>();
-        afterWrite = new ArrayList<>();
-        return effects;
+        return effects.take(committed);
     }
 
     /**
@@ -427,92 +395,32 @@
         heartbeatDueAt = now + options.heartbeatMillis();
         leaderClock = now;
         for (String peer : peers()) {
-            Progress state = progressOf(peer);
-            if (state.unacknowledgedSince > 0 && now - state.unacknowledgedSince > options.electionTimeoutMillis()) {
-                state.unacknowledgedSince = 0;
-                state.nextIndex = state.matchIndex + 1;
-            }
-            if (!sendEntries(peer, state)) {
-                sendHeartbeat(peer, state);
-            }
+            sender.sendDue(peer, progressOf(peer), leadership());
         }
     }
 
+    private LogSender.Leadership leadership() {
+        return new LogSender.Leadership(hardState.term(), commitIndex, leaderClock);
+    }
+
     private void replicate() {
         for (String peer : peers()) {
-            sendEntries(peer, progressOf(peer));
+            sender.sendEntries(peer, progressOf(peer), leadership());
         }
     }
 
     private Set<String> peers() {
-        Set<String> peers = new java.util.TreeSet<>(log.configuration().voters());
+        Set<String> peers = new TreeSet<>(log.configuration().voters());
         peers.addAll(log.configuration().learners().keySet());
         peers.remove(self);
         return peers;
     }
 
-    /** Sends the peer the entries or the snapshot that it lacks; returns whether it lacks any. */
-    private boolean sendEntries(String peer, Progress state) {
-        if (state.nextIndex < log.firstIndex()) {
-            sendSnapshotChunk(peer, state);
-            return true;
-        }
-        List<LogEntry> entries = log.slice(state.nextIndex, options.maximumEntriesPerMessage());
-        if (entries.isEmpty()) {
-            return false;
-        }
-        sendAppend(peer, state.nextIndex - 1, entries);
-        state.nextIndex += entries.size();
-        if (state.unacknowledgedSince == 0) {
-            state.unacknowledgedSince = leaderClock;
-        }
-        return true;
-    }
-
-    private void sendHeartbeat(String peer, Progress state) {
-        long previous = Math.max(state.nextIndex - 1, log.firstIndex() - 1);
-        sendAppend(peer, previous, List.of());
-    }
-
-    private void sendAppend(String peer, long previous, List<LogEntry> entries) {
-        immediate.add(new OutboundMessage(
-                peer,
-                new RaftMessage.AppendRequest(
-                        hardState.term(), previous, log.termAt(previous), entries, commitIndex, leaderClock)));
-    }
-
-    private void sendSnapshotChunk(String peer, Progress state) {
-        if (state.snapshotInTransfer.isEmpty()) {
-            state.snapshotInTransfer = Optional.of(log.snapshot());
-            state.snapshotOffset = 0;
-            state.unacknowledgedSince = 0;
-        }
-        if (state.unacknowledgedSince > 0) {
-            return;
-        }
-        Snapshot snapshot = state.snapshotInTransfer.get();
-        int begin = (int) state.snapshotOffset;
-        int end = Math.min(snapshot.state().length, begin + options.snapshotChunkBytes());
-        byte[] chunk = java.util.Arrays.copyOfRange(snapshot.state(), begin, end);
-        state.unacknowledgedSince = Math.max(1, leaderClock);
-        immediate.add(new OutboundMessage(
-                peer,
-                new RaftMessage.SnapshotRequest(
-                        hardState.term(),
-                        snapshot.lastIndex(),
-                        snapshot.lastTerm(),
-                        snapshot.configuration(),
-                        begin,
-                        chunk,
-                        end == snapshot.state().length,
-                        leaderClock)));
-    }
-
     private void campaign(boolean preVote, boolean transfer, long now) {
         votes.clear();
         votes.add(self);
         leader = "";
-        scheduleElectionAfterVoteWrites(now);
+        election.scheduleAfterVoteWrites(now);
         if (preVote) {
             role = Role.PRE_CANDIDATE;
         } else {
@@ -527,7 +435,7 @@
         RaftMessage request = new RaftMessage.VoteRequest(term, preVote, transfer, log.lastIndex(), log.lastTerm());
         for (String voter : log.configuration().voters()) {
             if (!voter.equals(self)) {
-                afterWrite.add(new OutboundMessage(voter, request));
+                effects.sendAfterWrite(voter, request);
             }
         }
     }
@@ -546,8 +454,7 @@
             // The leader's lease relies on this replica not voting. The replica doesn't adopt the term of the request
             // either, so that a replica whose connection was restored can't depose a healthy leader.
             if (request.term() <= hardState.term() || request.preVote()) {
-                afterWrite.add(new OutboundMessage(
-                        from, new RaftMessage.VoteReply(hardState.term(), request.preVote(), false)));
+                effects.sendAfterWrite(from, new RaftMessage.VoteReply(hardState.term(), request.preVote(), false));
             }
             return;
         }
@@ -567,14 +474,14 @@
             // once, grant them to each other and then vote for themselves. Only the one with the lowest identity
             // proceeds. If it fails, the others request pre-votes again after their next timeout.
             role = Role.FOLLOWER;
-            scheduleElectionAfterVoteWrites(now);
+            election.scheduleAfterVoteWrites(now);
         }
         if (granted && !request.preVote()) {
             setHardState(new HardState(hardState.term(), from));
-            scheduleElection(now);
+            election.schedule(now);
         }
         long term = granted ? request.term() : hardState.term();
-        afterWrite.add(new OutboundMessage(from, new RaftMessage.VoteReply(term, request.preVote(), granted)));
+        effects.sendAfterWrite(from, new RaftMessage.VoteReply(term, request.preVote(), granted));
     }
 
     private void onVoteReply(String from, RaftMessage.VoteReply reply, long now) {
@@ -594,7 +501,7 @@
 
     private void becomeLeader(long now) {
         role = Role.LEADER;
-        leaderSeen = true;
+        election.recordLeader();
         leader = self;
         transferring = false;
         followers.clear();
@@ -611,7 +518,7 @@
         role = Role.FOLLOWER;
         leader = "";
         transferring = false;
-        scheduleElection(now);
+        election.schedule(now);
     }
 
     private void onAppendRequest(String from, RaftMessage.AppendRequest request, long now) {
@@ -636,8 +543,7 @@
         if (hardStateDurable) {
             // Replies without waiting for the write, so that a leader doesn't step down while disks are slow. Only
             // entries that are already on the disk are acknowledged.
-            immediate.add(
-                    new OutboundMessage(from, appendReply(true, Math.min(matched, persistedIndex), request.sentAt())));
+            effects.send(from, appendReply(true, Math.min(matched, persistedIndex), request.sentAt()));
         }
         if (!hardStateDurable || persistedIndex < matched) {
             replyAfterWrite(from, true, matched, request.sentAt());
@@ -650,9 +556,9 @@
         }
         role = Role.FOLLOWER;
         leader = from;
-        leaderSeen = true;
+        election.recordLeader();
         leaderContactAt = now;
-        scheduleElection(now);
+        election.schedule(now);
         return true;
     }
 
@@ -668,11 +574,11 @@
                 throw new IllegalStateException("leader sent another entry for the committed index " + entry.index());
             }
             log.truncateFrom(entry.index());
-            unwrittenEntries.removeIf(pending -> pending.index() >= entry.index());
+            effects.discardEntriesFrom(entry.index());
             persistedIndex = Math.min(persistedIndex, entry.index() - 1);
         }
         log.append(entry);
-        unwrittenEntries.add(entry);
+        effects.write(entry);
     }
 
     private long firstIndexOfTerm(long index) {
@@ -684,7 +590,7 @@
     }
 
     private void replyAfterWrite(String to, boolean matched, long index, long sentAt) {
-        afterWrite.add(new OutboundMessage(to, appendReply(matched, index, sentAt)));
+        effects.sendAfterWrite(to, appendReply(matched, index, sentAt));
     }
 
     private RaftMessage appendReply(boolean matched, long index, long sentAt) {
@@ -732,21 +638,22 @@
 
     private void install(Snapshot snapshot) {
         log.install(snapshot);
-        unwrittenEntries.removeIf(entry -> entry.index() <= snapshot.lastIndex() || entry.index() > log.lastIndex());
+        effects.discardEntriesUpTo(snapshot.lastIndex());
+        effects.discardEntriesFrom(log.lastIndex() + 1);
         // Until the snapshot is written, entries on the disk after the committed ones may differ from it.
         persistedIndex = Math.min(persistedIndex, commitIndex);
         commitIndex = snapshot.lastIndex();
         appliedIndex = snapshot.lastIndex();
-        unwrittenSnapshot = Optional.of(snapshot);
-        installedSnapshot = Optional.of(snapshot);
+        effects.write(snapshot);
+        effects.install(snapshot);
     }
 
     private void replyToSnapshotAfterWrite(
             String to, RaftMessage.SnapshotRequest request, long offset, boolean complete) {
-        afterWrite.add(new OutboundMessage(
+        effects.sendAfterWrite(
                 to,
                 new RaftMessage.SnapshotReply(
-                        hardState.term(), request.lastIndex(), offset, complete, request.sentAt())));
+                        hardState.term(), request.lastIndex(), offset, complete, request.sentAt()));
     }
 
     private void onSnapshotReply(String from, RaftMessage.SnapshotReply reply, long now) {
@@ -796,7 +703,7 @@
     private long appendAsLeader(Payload payload) {
         LogEntry entry = new LogEntry(log.lastIndex() + 1, hardState.term(), payload);
         log.append(entry);
-        unwrittenEntries.add(entry);
+        effects.write(entry);
         return entry.index();
     }
 
@@ -806,7 +713,7 @@
 
     private void setHardState(HardState changed) {
         hardState = changed;
-        hardStateChanged = true;
+        effects.write(changed);
         hardStateDurable = false;
     }
 
@@ -820,26 +727,9 @@
     private void onHardStateDurable(long now) {
         hardStateDurable = true;
         if (role == Role.CANDIDATE) {
-            scheduleElectionAfterVoteWrites(now);
+            election.scheduleAfterVoteWrites(now);
         } else if (role != Role.LEADER) {
-            scheduleElection(now);
+            election.schedule(now);
         }
     }
-
-    /** Schedules the next election, allowing for voters to write their votes and the batches queued before them. */
-    private void scheduleElectionAfterVoteWrites(long now) {
-        scheduleElection(now + 2 * writeTimeEstimate.millis());
-    }
-
-    private void scheduleElection(long now) {
-        // A replica that has seen no leader since it started begins an election early. If all replicas have restarted,
-        // there is no leader to wait for; if there is a leader, the pre-vote is refused. One heartbeat rather than two
-        // starts the election sooner but splits votes more often, so that it may not shorten an outage.
-        boolean noLeaderSeen = options.leaseMillis() == 0 && !leaderSeen;
-        long minimumMillis = noLeaderSeen
-                ? INITIAL_ELECTION_TIMEOUT_HEARTBEATS * options.heartbeatMillis()
-                : options.electionTimeoutMillis();
-        electionDueAt =
-                now + minimumMillis + random.nextLong(Math.max(1, noLeaderSeen ? 2 * minimumMillis : minimumMillis));
-    }
 }
