Split the measured times off the attempt at an upstream

AttemptTimes measures the time to the first byte, between the parts of a response and without its pauses; UpstreamHeaders copies a request for an upstream, beside the headers that it copied already. No change of behaviour.

--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -5,13 +5,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReport;
@@ -52,23 +48,17 @@
     private final VersionEvidence evidence;
     private final ConfirmedView viewAtGrant;
     private final HeldBytes.Share held;
-    private final ReadPauses pauses = new ReadPauses();
+    private final AttemptTimes times = new AttemptTimes();
     private UpstreamExchange exchange;
     private Phase phase = Phase.CONNECTING;
-    private long sentAt;
-    private long lastByteAt;
     private HttpResponse responseHead;
     private ResponseKind kind;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private Optional<RequestLimit> unreportedLimit = Optional.empty();
     private long restMillis;
     private boolean upstreamLeaves;
-    private boolean firstByteReceived;
     private boolean eventTimeReported;
-    private boolean silenceNoted;
     private boolean connected;
-    private long firstByteAt;
-    private long longestPauseMillis;
     private EventSplitter splitter;
     private boolean resumed;
     private int sentBodyBytes;
@@ -124,8 +114,7 @@
             return;
         }
         phase = Phase.RUNNING;
-        sentAt = EntryServices.now();
-        lastByteAt = sentAt;
+        times.recordSent(EntryServices.now());
         splitter = new EventSplitter(caller.lastEventId());
         resumed = caller.eventCount() > 0;
         caller.attempts().onSent(this);
@@ -152,7 +141,7 @@
                             caller.head().requestId(),
                             upstream.upstream().id(),
                             upstream.inProgress(),
-                            sentAt - caller.arrivedAt(),
+                            times.sentAt() - caller.arrivedAt(),
                             caller.remainingMillis(),
                             services.view().revision());
         }
@@ -160,24 +149,13 @@
 
     /** Builds the request to the upstream, which resumes a stream after the last complete event. */
     private FullHttpRequest forwardedRequest() {
-        FullHttpRequest copy = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                caller.request().method(),
-                caller.request().uri(),
-                caller.retainedBody());
-        HttpHeaders headers = copy.headers();
-        UpstreamHeaders.INSTANCE.copyEndToEnd(caller.request().headers(), headers);
-        boolean hasBody = copy.content().isReadable() || HttpUtil.isContentLengthSet(caller.request());
-        headers.remove("Content-Length");
-        if (hasBody) {
-            HttpUtil.setContentLength(copy, copy.content().readableBytes());
-        }
         long resumeAfter = caller.route().kind() == RequestKind.STREAM
                 ? splitter.lastEventId()
                 : caller.head().resumeAfter();
+        FullHttpRequest copy = UpstreamHeaders.INSTANCE.copyRequest(caller.request(), caller.retainedBody());
         services.dialect()
                 .rewriteHeaders(
-                        headers,
+                        copy.headers(),
                         new ForwardParameters(
                                 upstream.upstream().id(),
                                 caller.routed().organisation().map(OrganisationRule::name),
@@ -208,7 +186,7 @@
             return;
         }
         long now = EntryServices.now();
-        lastByteAt = now;
+        times.recordHead(now);
         responseHead = response;
         if (kind != ResponseKind.WRONG_INSTANCE) {
             unreportedLimit = Optional.of(services.dialect().decodeLimit(response));
@@ -326,7 +304,7 @@
         long events = splitter.eventCount();
         if (slot.isEventTimeRequested() && !eventTimeReported && events >= EARLY_REPORT_EVENTS) {
             eventTimeReported = true;
-            long millis = EntryServices.now() - firstByteAt - pauses.totalMillis();
+            long millis = times.bodyMillis(EntryServices.now());
             slot.report(new SlotReport.FirstEventTime((double) millis / (events - 1)));
         }
     }
@@ -360,19 +338,13 @@
     /** Records the arrival of bytes: times and pauses, and the first byte for the scheduler. */
     private void recordBytes() {
         long now = EntryServices.now();
-        if (firstByteReceived) {
-            longestPauseMillis = Math.max(longestPauseMillis, now - lastByteAt);
-        }
-        lastByteAt = now;
-        silenceNoted = false;
+        boolean first = times.recordBytes(now);
         caller.attempts().onProgress(this);
         upstream.recordBytes(now);
-        if (!firstByteReceived) {
-            firstByteReceived = true;
-            firstByteAt = now;
-            slot.report(new SlotReport.FirstByte(now - sentAt, unreportedLimit, upstreamLeaves));
+        if (first) {
+            slot.report(new SlotReport.FirstByte(times.firstByteMillis(), unreportedLimit, upstreamLeaves));
             unreportedLimit = Optional.empty();
-            caller.recordFirstByte(now - sentAt);
+            caller.recordFirstByte(times.firstByteMillis());
         }
     }
 
@@ -394,14 +366,13 @@
     /** Reads more of the response, once the caller has received the written part. */
     void read() {
         if (phase == Phase.RUNNING) {
-            // The upstream could send nothing meanwhile.
-            lastByteAt += pauses.end(EntryServices.now());
+            times.endPause(EntryServices.now());
             exchange.read();
         }
     }
 
     private void pauseReading() {
-        if (pauses.begin(EntryServices.now())) {
+        if (times.beginPause(EntryServices.now())) {
             services.metrics().countPausedResponse();
             exchange.pauseReading();
         }
@@ -425,10 +396,11 @@
         caller.attempts().keep(this);
         boolean succeeded = responseHead.status().code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         if (succeeded) {
-            caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - sentAt);
+            caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - times.sentAt());
         }
         endComplete(succeeded);
-        caller.logAnswered(responseHead.status().code(), upstream, longestPauseMillis, end, splitter.restBytes());
+        caller.logAnswered(
+                responseHead.status().code(), upstream, times.longestPauseMillis(), end, splitter.restBytes());
         if (isEventStream()) {
             writeHead();
             caller.response().writeContent(caller.route().resumable() ? splitter.takeRest() : Unpooled.EMPTY_BUFFER);
@@ -470,27 +442,25 @@
             return;
         }
         long now = EntryServices.now();
-        long pausedMillis = pauses.totalMillis();
         long events = isEventStream() ? splitter.eventCount() : 0;
-        double eventMillis = isEventStream()
-                ? (double) (now - firstByteAt - pausedMillis) / Math.max(1, events - 1)
-                : now - sentAt - pausedMillis;
+        long readMillis = times.readMillis(now);
+        double eventMillis = isEventStream() ? (double) times.bodyMillis(now) / Math.max(1, events - 1) : readMillis;
         evidence.recordResponse(true);
-        evidence.recordFirstByteTime((isEventStream() ? firstByteAt : now - pausedMillis) - sentAt);
+        evidence.recordFirstByteTime(isEventStream() ? times.firstByteMillis() : readMillis);
         recordEventTimes();
         end(new SlotReport.Ended(
                         SlotOutcome.SUCCESS,
-                        now - sentAt - pausedMillis,
+                        readMillis,
                         isEventStream() && events <= 1 ? 0 : eventMillis,
                         resumed ? 0 : events,
                         caller.routed().expectedTokens())
-                .withLongestPause(isEventStream() ? longestPauseMillis : 0));
+                .withLongestPause(isEventStream() ? times.longestPauseMillis() : 0));
     }
 
     /** Records the time between events so far. */
     private void recordEventTimes() {
         if (isEventStream()) {
-            evidence.recordEventTimes(lastByteAt - firstByteAt - pauses.totalMillis(), splitter.eventCount());
+            evidence.recordEventTimes(times.receivedMillis(), splitter.eventCount());
         }
     }
 
@@ -516,11 +486,11 @@
             return;
         }
         // An upstream may cut off a response that remains unread.
-        boolean ownFault = isPathBroken() || pauses.totalMillis(EntryServices.now()) > MAX_UNREAD_MILLIS;
+        boolean ownFault = isPathBroken() || times.unreadMillis(EntryServices.now()) > MAX_UNREAD_MILLIS;
         boolean countsForVersion = !ownFault && upstream.isSeparateBreak(EntryServices.now());
         end(ownFault ? SlotOutcome.ABANDONED : SlotOutcome.BROKEN);
-        long millis = EntryServices.now() - sentAt;
-        caller.onConnectionLost(this, firstByteReceived, millis, "broken: " + cause.getMessage(), result -> {
+        long millis = EntryServices.now() - times.sentAt();
+        caller.onConnectionLost(this, times.isFirstByteReceived(), millis, "broken: " + cause.getMessage(), result -> {
             if (countsForVersion) {
                 evidence.recordBreak(result);
             }
@@ -556,7 +526,7 @@
 
     /** Returns whether the request was sent and no part of its response has come for a while. */
     private boolean isStalled(long now) {
-        return phase == Phase.RUNNING && !pauses.isPaused() && now - lastByteAt > UpstreamLoad.MIN_SILENCE_MILLIS;
+        return phase == Phase.RUNNING && times.isStalled(now);
     }
 
     /** Returns whether this entry has lost its direct path to the upstream, so that the upstream is not at fault. */
@@ -573,14 +543,12 @@
 
     /** Notes that the upstream is silent, and returns whether that wasn't noted since the last byte. */
     boolean beginSilence() {
-        boolean begins = !silenceNoted;
-        silenceNoted = true;
-        return begins;
+        return times.beginSilence();
     }
 
     /** Returns the time since the last byte of the response, or since the request was sent, in milliseconds. */
     long silentMillis(long now) {
-        return now - lastByteAt;
+        return times.silentMillis(now);
     }
 
     /** Releases the slot while the attempt goes on. */
@@ -590,7 +558,7 @@
 
     /** Ends the attempt at the deadline of the request; a plain response that has begun and doesn't end is a failure. */
     void endAtDeadline() {
-        if (phase == Phase.RUNNING && firstByteReceived && !isEventStream()) {
+        if (phase == Phase.RUNNING && times.isFirstByteReceived() && !isEventStream()) {
             endAnswered(false);
             exchange.abort();
         }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamHeaders.java
@@ -3,10 +3,16 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * Defines the headers between radishspur-node and upstreams, and copies end-to-end headers for both programs.
@@ -77,6 +83,25 @@
         });
     }
 
+    /**
+     * Copies a request that has been read completely, to be sent on another connection.
+     *
+     * @param request the head of the request.
+     * @param body the body, which the copy releases.
+     * @return the copy with the end-to-end headers and the length of the body, stated where there is a body or
+     *     the request stated one.
+     */
+    public FullHttpRequest copyRequest(HttpRequest request, ByteBuf body) {
+        FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), body);
+        copyEndToEnd(request.headers(), copy.headers());
+        boolean hasBody = body.isReadable() || HttpUtil.isContentLengthSet(request);
+        copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (hasBody) {
+            HttpUtil.setContentLength(copy, body.readableBytes());
+        }
+        return copy;
+    }
+
     /**
      * Returns whether the body of a response may be an event stream.
      *
