--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -144,7 +144,7 @@
     }
 
     /**
-     * Returns what an operator may want to know of refusals and excess.
+     * Returns the metrics of refusals and excess.
      *
      * @return the counts, which are updated as the ledger decides.
      */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/RequestSizes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RequestSizes.java
@@ -1,7 +1,7 @@
 package org.radishspur.decision.dispatch;
 
 /**
- * Knows the usual cost of an organisation's requests, and which are small in comparison.
+ * Measures the usual cost of an organisation's requests, and which are small in comparison.
  */
 final class RequestSizes {
     /** A request counts as small below this ratio of its cost to the organisation's average cost. */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/StreamPauses.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/StreamPauses.java
@@ -10,7 +10,7 @@
  *
  * <p>An engine reads a prompt in chunks between the steps of the streams that run beside it. How long a pause may
  * become, as a multiple of the usual time per event, is about the same for all engines of a pool, because chunks and
- * steps scale with the speed of the engine. It is learnt from complete streams of the whole pool, so that a scheduler
+ * steps scale with the speed of the engine. It is measured on complete streams of the whole pool, so that a scheduler
  * needs few answers of each engine, and so that it stays known while no long prompt is sent to slow engines.
  */
 public final class StreamPauses {
@@ -18,8 +18,8 @@
     private static final double MAX_PAUSE_QUANTILE = 0.95;
 
     /**
-     * The share of a limit up to which pauses of other streams may be predicted. The rest covers what a prediction can't
-     * know: how chunks and events meet, and how many streams run by then.
+     * The share of a limit up to which pauses of other streams may be predicted. The rest covers what a prediction
+     * leaves out: how chunks and events meet, and how many streams run by then.
      */
     private static final double USED_LIMIT_SHARE = 0.8;
 
@@ -53,7 +53,7 @@
     private long delayed;
     private long heldUp;
 
-    /** Creates an instance that has learnt nothing. */
+    /** Creates an instance without measurements. */
     public StreamPauses() {}
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/permit/FinishedAttempts.java
+++ b/decision/src/main/java/org/radishspur/decision/permit/FinishedAttempts.java
@@ -40,7 +40,7 @@
         }
     }
 
-    /** Forgets the dropped attempts of an entry process, so that they can be registered and queued again. */
+    /** Removes the dropped attempts of an entry process, so that they can be registered and queued again. */
     void forgetDropped(String node, long incarnation) {
         attempts.entrySet()
                 .removeIf(attempt -> attempt.getValue()
--- a/decision/src/main/java/org/radishspur/decision/region/RegionMap.java
+++ b/decision/src/main/java/org/radishspur/decision/region/RegionMap.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 
 /**
- * Knows the regions of failure domains, as the settings of a process state them.
+ * Holds the regions of failure domains, as the settings of a process state them.
  *
  * @param ownRegion the region of this process, empty if the settings don't state it.
  * @param regionByDomain the regions by failure domain.
  */
 public record RegionMap(String ownRegion, Map<String, String> regionByDomain) {
-    /** Knows no region. */
+    /** Holds no region. */
     public static final RegionMap NONE = new RegionMap("", Map.of());
 
     /** Copies the regions. */
