--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamPoolTest.java
@@ -14,6 +14,7 @@
 import org.radishspur.model.catalogue.Upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.radishspur.decision.dispatch.PoolFixture.upstream;
 
 class UpstreamPoolTest {
     private static final long NOW = 10_000;
@@ -26,22 +27,12 @@
         upstreams.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
     }
 
-    private static Upstream upstream(String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false, false);
-    }
-
     private UpstreamLoad load(String id) {
         return upstreams.find(upstream(id).runId()).orElseThrow();
     }
 
     private static QueuedRequest queued() {
-        return new QueuedRequest(
-                "r",
-                0,
-                NOW,
-                NOW + 200,
-                VersionRule.Any.INSTANCE,
-                new QueuedRequest.Requirements(0, 0, 0, NOW + 400, NOW + 3_000));
+        return PoolFixture.queued(NOW);
     }
 
     private List<String> chosen(int count) {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsOutOfServiceTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsOutOfServiceTest.java
@@ -9,9 +9,10 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.radishspur.model.catalogue.ColdStart;
-import org.radishspur.model.catalogue.Upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.radishspur.decision.dispatch.PoolFixture.upstream;
+import static org.radishspur.decision.dispatch.PoolFixture.upstreamIn;
 
 /**
  * Tests which upstreams of a pool get no requests, or few, although they are listed and answer.
@@ -27,26 +28,12 @@
         upstreams.refresh(List.of(upstream("one"), upstream("two"), upstream("three")));
     }
 
-    private static Upstream upstream(String id) {
-        return upstreamIn("a", id);
-    }
-
-    private static Upstream upstreamIn(String failureDomain, String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", failureDomain, "v1", 4, false, false);
-    }
-
     private UpstreamLoad load(String id) {
         return upstreams.find(upstream(id).runId()).orElseThrow();
     }
 
     private static QueuedRequest queued() {
-        return new QueuedRequest(
-                "r",
-                0,
-                NOW,
-                NOW + 200,
-                VersionRule.Any.INSTANCE,
-                new QueuedRequest.Requirements(0, 0, 0, NOW + 400, NOW + 3_000));
+        return PoolFixture.queued(NOW);
     }
 
     private List<String> chosen(int count) {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsThatDeclineTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamsThatDeclineTest.java
@@ -10,6 +10,8 @@
 import org.radishspur.model.catalogue.Upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.radishspur.decision.dispatch.PoolFixture.queued;
+import static org.radishspur.decision.dispatch.PoolFixture.upstream;
 
 /** Chooses among upstreams of which some turn requests away, ask for rest or say that they leave. */
 class UpstreamsThatDeclineTest {
@@ -22,27 +24,13 @@
     @BeforeEach
     void list() {
         upstreams = new UpstreamPool("entry", "a", 4);
-        upstreams.refresh(ALL.stream().map(UpstreamsThatDeclineTest::upstream).toList());
-    }
-
-    private static Upstream upstream(String id) {
-        return new Upstream(id, 1, "pool", "10.0.0.1:80", "a", "v1", 4, false, false);
+        upstreams.refresh(ALL.stream().map(PoolFixture::upstream).toList());
     }
 
     private UpstreamLoad load(String id) {
         return upstreams.find(upstream(id).runId()).orElseThrow();
     }
 
-    private static QueuedRequest queued(long now) {
-        return new QueuedRequest(
-                "r",
-                0,
-                now,
-                now + 200,
-                VersionRule.Any.INSTANCE,
-                new QueuedRequest.Requirements(0, 0, 0, now + 400, now + 3_000));
-    }
-
     private static QueuedRequest excluding(List<String> ids) {
         QueuedRequest queued = queued(NOW);
         ids.forEach(id -> queued.excludeUntil(upstream(id).runId().hashCode(), NOW + REST_MILLIS));
