Name the three senses of late, and remove dead code of the simulation

Cause: isLate, becomesLate and orderAsLate of QueuedRequest meant an arrival after the target, a wait beyond the latest start, and a place in the queue. Change: arrivedAfterTarget, isPastLatestStart, and demote with isDemoted. startSlowly, startMillis and servedShare without an argument of SchedulerSimulation had no callers any more. No decision changes. Result: PoolDispatcherTest, WaitsForTargetTest and PlainCallsAtFewUpstreamsTest pass.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -16,7 +16,7 @@
  * before new requests, these would be refused, retry and be late in turn.
  */
 public final class AdmissionQueue {
-    private final TreeSet<QueuedRequest> requests = new TreeSet<>(Comparator.comparing(QueuedRequest::isOrderedAsLate)
+    private final TreeSet<QueuedRequest> requests = new TreeSet<>(Comparator.comparing(QueuedRequest::isDemoted)
             .thenComparingInt(QueuedRequest::rank)
             .thenComparing(Comparator.comparingDouble(QueuedRequest::slotValue).reversed())
             .thenComparingLong(QueuedRequest::virtualDeadline)
@@ -104,16 +104,17 @@
     }
 
     /**
-     * Puts the requests that have become late while they waited behind those that can be on time.
+     * Puts the requests that have waited beyond their latest start behind those that can be on time.
      *
      * @param now the current time in milliseconds.
      */
-    public void reorderLate(long now) {
-        List<QueuedRequest> late =
-                requests.stream().filter(queued -> queued.becomesLate(now)).toList();
+    public void demoteLate(long now) {
+        List<QueuedRequest> late = requests.stream()
+                .filter(queued -> !queued.isDemoted() && queued.isPastLatestStart(now))
+                .toList();
         for (QueuedRequest queued : late) {
             requests.remove(queued);
-            queued.orderAsLate();
+            queued.demote();
             requests.add(queued);
         }
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -101,7 +101,7 @@
      */
     public List<Decision> dispatchQueued(long now) {
         List<Decision> decisions = new ArrayList<>();
-        queue.reorderLate(now);
+        queue.demoteLate(now);
         for (QueuedRequest expired : queue.removeExpired(now)) {
             long wait = expectedWaitMillis(expired, now);
             decisions.add(new Decision.Refused(
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -26,7 +26,7 @@
     private long queueingDeadline;
     private long latestStart;
     private long virtualDeadline;
-    private boolean orderedAsLate;
+    private boolean demoted;
     private double selectiveShare = SELECTIVE_SHARE;
     private final VersionRule versions;
     private final Requirements requirements;
@@ -63,7 +63,7 @@
         this.queueingDeadline = queueingDeadline;
         this.versions = versions;
         this.requirements = requirements;
-        orderedAsLate = isLate();
+        demoted = arrivedAfterTarget();
         latestStart = requirements.targetAt();
         virtualDeadline = queueingDeadline;
     }
@@ -191,23 +191,23 @@
     }
 
     /** Returns whether the request arrived too late to be answered on time, such as a retry after a refusal. */
-    boolean isLate() {
+    boolean arrivedAfterTarget() {
         return requirements.targetAt() <= arrivedAt;
     }
 
     /** Returns whether the request is ordered behind those that can be on time. */
-    boolean isOrderedAsLate() {
-        return orderedAsLate;
+    boolean isDemoted() {
+        return demoted;
     }
 
-    /** Returns whether the request can't be on time any more, but isn't ordered as late yet. */
-    boolean becomesLate(long now) {
-        return !orderedAsLate && now > latestStart;
+    /** Returns whether a slot would come too late for an answer on time. */
+    boolean isPastLatestStart(long now) {
+        return now > latestStart;
     }
 
     /** Orders the request behind those that can be on time; it must not be in the queue during this call. */
-    void orderAsLate() {
-        orderedAsLate = true;
+    void demote() {
+        demoted = true;
     }
 
     /** Sets until when a slot must be granted for an answer on time. */
@@ -250,7 +250,7 @@
 
     /** Returns the time from the arrival until the target, or until the deadline after the target, in milliseconds. */
     long wantedWithinMillis() {
-        return (isLate() ? requirements.endsAt() : requirements.targetAt()) - arrivedAt;
+        return (arrivedAfterTarget() ? requirements.endsAt() : requirements.targetAt()) - arrivedAt;
     }
 
     /** Returns until when only upstreams that are likely to answer on time are accepted, on the scheduler's clock. */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotValues.java
@@ -37,7 +37,7 @@
     /** Returns the value of a slot to a request, per unit of the time that it holds the slot. */
     double valueFor(QueuedRequest queued) {
         double onTime = tierValue(queued.requirements().tier());
-        return queued.isLate() ? onTime * LATE_VALUE_RATIO : onTime;
+        return queued.arrivedAfterTarget() ? onTime * LATE_VALUE_RATIO : onTime;
     }
 
     /**
--- a/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/SchedulerSimulation.java
@@ -75,7 +75,6 @@
     private boolean lengthsStated = true;
     private double firstTryWaitShare = 1;
     private long networkMillis;
-    private long startMillis;
     private long handoverMillis;
     private final Map<String, Fault> faults = new HashMap<>();
     private int rejectedRequests;
@@ -203,11 +202,6 @@
         networkMillis = millis;
     }
 
-    /** Lets entries that have just started take some time to send a request, which falls to none within a second. */
-    void startSlowly(long millis) {
-        startMillis = millis;
-    }
-
     /** Lets entries take some time to send a granted request, and the same to report its end, in milliseconds. */
     void handOverSlowly(long millis) {
         handoverMillis = millis;
@@ -276,12 +270,6 @@
         return (double) servedByTier[tier] / arrivalsByTier[tier];
     }
 
-    /** Returns the share of all requests that met their deadline. */
-    double servedShare() {
-        return (double) Arrays.stream(servedByTier).sum()
-                / Arrays.stream(arrivalsByTier).sum();
-    }
-
     /** Returns the share of requests on time among those that arrived at entries of a failure domain. */
     double onTimeShareInDomain(int number) {
         return (double) onTimeByDomain[number] / arrivalsByDomain[number];
@@ -362,9 +350,7 @@
     private void sendToUpstream(Request request, String run) {
         Fault fault = faults.get(run);
         if (fault == null || now >= fault.until() || random.nextDouble() >= fault.share()) {
-            later(
-                    handoverMillis + startMillis * Math.max(0, 1_000 - now) / 1_000,
-                    () -> engines.get(run).accept(request));
+            later(handoverMillis, () -> engines.get(run).accept(request));
         } else {
             schedule(Math.max(1, 2 * networkMillis), () -> fail(request, run, fault.outcome()));
         }
