Estimate the least release rate for streams from those in progress

Cause: the least release rate by which a wait is estimated was two a second for streams, 500 ms for each request ahead. Where few releases were counted, after idle time or where an entry grants by itself, requests were refused at once, some moments before the slots came free. Change: each stream that the scheduler has in progress is expected to end once in the pool's average holding time, or in the mean age of the streams at its upstream where that is longer; until a hundred requests have ended, within the deadline. The rate stands for that part of the last second in which none waited. Plain calls are estimated as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -48,6 +48,9 @@
      * @return the time in milliseconds.
      */
     public long expectedWaitMillis(QueuedRequest queued, long now) {
+        if (requests.isEmpty()) {
+            waits.recordNoneWaiting(now);
+        }
         double ahead = requests.headSet(queued, false).stream()
                 .filter(queued::competesWith)
                 .mapToDouble(other -> waits.shareOfSlots(queued, other, now))
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -253,6 +253,11 @@
         return (arrivedAfterTarget() ? requirements.endsAt() : requirements.targetAt()) - arrivedAt;
     }
 
+    /** Returns how long the request may hold a slot, where nothing is known about the pool, in milliseconds. */
+    long longestHoldMillis() {
+        return isPlainCall() ? wantedWithinMillis() : requirements.endsAt() - arrivedAt;
+    }
+
     /** Returns until when only upstreams that are likely to answer on time are accepted, on the scheduler's clock. */
     long selectiveUntil() {
         return arrivedAt + (long) ((queueingDeadline - arrivedAt) * selectiveShare);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
@@ -19,8 +19,8 @@
      */
     private static final long MIN_HOLD_SAMPLES = 100;
 
-    /** The same for an estimate of the release rate, which need not be exact. */
-    private static final long MIN_SAMPLES_FOR_RELEASE_RATE = 10;
+    /** The same for an estimate of the release rate of plain calls, which differ little in length. */
+    private static final long MIN_CALLS_FOR_RELEASE_RATE = 10;
 
     private final MovingAverage holdMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
 
@@ -54,10 +54,12 @@
     /**
      * Returns how long answered requests of the pool hold their slots, in milliseconds; streams count as well.
      *
+     * @param plainCalls whether the time is to be used for plain calls.
      * @param assumedMillis the time to assume until enough requests have ended.
      */
-    double holdMillisOr(double assumedMillis) {
-        return holdMillis.samples() >= MIN_SAMPLES_FOR_RELEASE_RATE ? holdMillis.value() : assumedMillis;
+    double holdMillisOr(boolean plainCalls, double assumedMillis) {
+        long minSamples = plainCalls ? MIN_CALLS_FOR_RELEASE_RATE : MIN_HOLD_SAMPLES;
+        return holdMillis.samples() >= minSamples ? holdMillis.value() : assumedMillis;
     }
 
     private boolean isHoldKnown() {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -65,7 +65,7 @@
     private final String run;
     private final double preference;
     private boolean listed = true;
-    private int ownRequests;
+    private final RequestsInProgress ownRequests = new RequestsInProgress();
     private long lastSentAt = Long.MIN_VALUE / 2;
     private final PeerTotal peerInProgress = new PeerTotal();
     private final MovingAverage firstByteMillis = new MovingAverage(TIME_AVERAGE_WEIGHT);
@@ -166,7 +166,7 @@
      * @param now the current time in milliseconds.
      */
     public void recordHeld(Object request, long promptTokens, long now) {
-        ownRequests++;
+        ownRequests.add(request, now);
         lastSentAt = now;
         coldLimit.recordSent(now);
         if (unanswered.isEmpty()) {
@@ -209,7 +209,7 @@
      * @param request identifies the request.
      */
     public void recordEnd(Object request) {
-        ownRequests--;
+        ownRequests.remove(request);
         unanswered.remove(request);
     }
 
@@ -506,7 +506,7 @@
      * @return the number.
      */
     public int inProgress() {
-        return ownRequests + (int) peerInProgress.total();
+        return ownRequests.count() + (int) peerInProgress.total();
     }
 
     /**
@@ -515,7 +515,15 @@
      * @return the number.
      */
     public int ownInProgress() {
-        return ownRequests;
+        return ownRequests.count();
+    }
+
+    /**
+     * Returns at which rate slots are likely to be released by the requests of this scheduler. Requests that have run for
+     * longer than usual, as at an upstream that hangs, are taken to go on for as long.
+     */
+    double ownReleasesPerSecond(double usualHoldMillis, long now) {
+        return ownRequests.count() * 1_000 / Math.max(usualHoldMillis, ownRequests.meanAgeMillis(now));
     }
 
     long lastSentAt() {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 
 import org.radishspur.decision.dispatch.UpstreamLoad.Timeliness;
@@ -455,23 +456,22 @@
     /**
      * Returns the minimum rate, in slots per second, at which slots are released to this scheduler while all are taken.
      *
-     * <p>Each slot is released once in the time for which a call holds it. Until that time is known, it is assumed to be the
-     * time within which the caller wants the answer. Streams hold slots for much longer than a caller waits for one, so that
-     * their number of slots tells little.
+     * <p>Each slot is released once in the time for which requests hold it. Until that time is known, it is assumed to be the
+     * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. Streams run
+     * for so long that the slots which they hold are known from reports; a call may hold one for less than a report takes.
      */
     double minReleasesPerSecond(QueuedRequest queued, long now) {
-        double few = MinimumReleaseRate.DEFAULT.perSecond(queued, now);
-        if (!queued.isPlainCall()) {
-            return few;
-        }
-        double holdMillis = staleness.holdMillisOr(queued.wantedWithinMillis());
-        return Math.max(few, (double) slotsFor(queued, now) / schedulerCount * 1_000 / Math.max(1, holdMillis));
+        double holdMillis = Math.max(1, staleness.holdMillisOr(queued.isPlainCall(), queued.longestHoldMillis()));
+        double expected = queued.isPlainCall()
+                ? sumFor(queued, now, this::countedSlots) / schedulerCount * 1_000 / holdMillis
+                : sumFor(queued, now, load -> load.ownReleasesPerSecond(holdMillis, now));
+        return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), expected);
     }
 
-    private int slotsFor(QueuedRequest queued, long now) {
+    private double sumFor(QueuedRequest queued, long now, ToDoubleFunction<UpstreamLoad> amount) {
         return loads.values().stream()
                 .filter(load -> isInService(load, now) && queued.allows(load.upstream()))
-                .mapToInt(this::countedSlots)
+                .mapToDouble(amount)
                 .sum();
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
@@ -25,6 +25,7 @@
     private final Releases present = new Releases(PRESENT_WINDOW_MILLIS);
     private final Releases usual = new Releases(USUAL_WINDOW_MILLIS);
     private final MinimumReleaseRate minReleaseRate;
+    private long noneWaitingAt = Long.MIN_VALUE / 2;
 
     /** Creates an estimate without releases, with the minimum release rate that is assumed. */
     WaitEstimate(MinimumReleaseRate minReleaseRate) {
@@ -47,7 +48,26 @@
     long millis(QueuedRequest queued, double ahead, long now) {
         Predicate<String> allowed = queued.terms()::allowsDomain;
         double rate = Math.max(present.perSecond(allowed, now), usual.perSecond(allowed, now));
-        return (long) ((ahead + 1) * 1_000 / Math.max(minReleaseRate.perSecond(queued, now), rate));
+        return (long) ((ahead + 1) * 1_000 / Math.max(leastRate(queued, now), rate));
+    }
+
+    /** Records that no request waits. */
+    void recordNoneWaiting(long now) {
+        noneWaitingAt = now;
+    }
+
+    /**
+     * Returns the least rate to assume. For a stream it adds to the present releases those to be expected for the part of the
+     * present period in which none waited: then slots were free, so that few releases don't show how many there can be.
+     */
+    private double leastRate(QueuedRequest queued, long now) {
+        double least = minReleaseRate.perSecond(queued, now);
+        if (queued.isPlainCall()) {
+            return least;
+        }
+        double waitingShare = Math.min(1, (double) (now - noneWaitingAt) / PRESENT_WINDOW_MILLIS);
+        double expected = present.perSecond(queued.terms()::allowsDomain, now) + least * (1 - waitingShare);
+        return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), Math.min(least, expected));
     }
 
     /**
