--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
@@ -37,8 +37,8 @@
     }
 
     /** Returns how long answered requests hold their slots in milliseconds, or an assumed time until that is known. */
-    double holdMillisOr(double assumedMillis) {
-        return staleness.holdMillisOr(assumedMillis);
+    double holdMillisOr(boolean plainCalls, double assumedMillis) {
+        return staleness.holdMillisOr(plainCalls, assumedMillis);
     }
 
     /** Returns for how long slots count as taken while no request runs there. */
