--- a/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
@@ -94,6 +94,22 @@
         assertThat(offer(2, NOW + 50)).isEqualTo(2);
     }
 
+    /** Guards against plain calls that are refused where an entry has granted all slots by itself, without a release so far. */
+    @Test
+    void callsWaitWhereNoneHasEndedYet() {
+        fill(NOW);
+        for (int number = 0; number < 6; number++) {
+            QueuedRequest call = new QueuedRequest(
+                    "call",
+                    0,
+                    NOW,
+                    NOW + 500,
+                    VersionRule.Any.INSTANCE,
+                    new QueuedRequest.Requirements(0, 0, 0, NOW + 500, NOW + 4_000));
+            assertThat(dispatcher.offer(call, NOW)).isInstanceOf(Decision.Queued.class);
+        }
+    }
+
     /** Guards against callers who wait for slots of streams that hang, as their usual time has long passed. */
     @Test
     void requestsDoNotWaitForStreamsThatHang() {
