Replay a held registration without dropping what came after it

Cause: a registration that an owner held could be handled after newer requests of its entry; what a registration doesn't list is dropped, so those requests waited until their deadlines. An owner that got its tables and its view with one reply handled the tables before it knew which queues it owns, and held everything for up to 25 ms more. Change: a held registration only adds permits, a later one of the entry replaces it, and the view decides about held messages too. A request that expires at a node which isn't the owner is refused with that reason.

--- a/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
+++ b/node/src/main/java/org/radishspur/node/control/DeferredPermits.java
@@ -65,6 +65,11 @@
         registrations.replaceAll((key, registration) -> registration.without(id));
     }
 
+    /** Removes the registration of an entry for a pool, as a later one has been handled. */
+    void removeRegistration(String node, String pool) {
+        registrations.remove(new RegistrationKey(pool, node));
+    }
+
     /** Removes all messages of a process of an entry. */
     void drop(ClusterView.Member entry) {
         requests.keySet().removeIf(id -> id.node().equals(entry.node()) && id.incarnation() == entry.incarnation());
--- a/node/src/main/java/org/radishspur/node/control/NodeCore.java
+++ b/node/src/main/java/org/radishspur/node/control/NodeCore.java
@@ -358,8 +358,9 @@
         }
         reply.view().filter(newer -> newer.isLaterThan(view)).ifPresent(newer -> {
             view = newer;
-            ownerService.onView(newer);
+            // Chooses the owners of queues first, as the owner service decides by them.
             permitService.onView(newer);
+            ownerService.onView(newer);
         });
         if (reply.auxiliaryRevision() != auxiliaryRevision) {
             auxiliaryRevision = reply.auxiliaryRevision();
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -97,7 +97,7 @@
     /** Handles the messages about which these tables decide; registrations first, as they show which slots are taken. */
     private void resumeDeferred() {
         deferred.removeRegistrations(tables, reporter::isOwner)
-                .forEach(held -> onRegister(held.node(), held.register()));
+                .forEach(held -> register(findOrCreatePool(held.register().pool()), held.node(), held.register()));
         deferred.removeDecided(tables, reporter::isOwner)
                 .forEach(held -> onPermitRequest(
                         held.node(),
@@ -109,6 +109,7 @@
         entryMembers.clear();
         entryMembers.addAll(view.entries());
         dropLostEntries();
+        resumeDeferred();
         requestDecision();
     }
 
@@ -192,7 +193,7 @@
         OwnedPool owned = findOrCreatePool(request.pool());
         if (owned == null) {
             if (!DeferredPermits.mayBecomeKnown(request, tables) || !deferred.defer(node, request, loop.nowMillis())) {
-                refuseUnknownPool(node, request);
+                refuseDeferred(node, request);
             }
             return;
         }
@@ -200,7 +201,7 @@
         requestDecision();
     }
 
-    private void refuseUnknownPool(String node, PeerMessage.PermitAcquire request) {
+    private void refuseDeferred(String node, PeerMessage.PermitAcquire request) {
         sender.send(
                 node,
                 new PeerMessage.PermitRefused(
@@ -208,7 +209,9 @@
                         request.id(),
                         Refusal.notRun(
                                 RefusalReason.NO_UPSTREAM,
-                                "The owner of the pool's queue does not have the pool in its tables.",
+                                tables.pool(request.pool()).isEmpty()
+                                        ? "The owner of the pool's queue does not have the pool in its tables."
+                                        : "The node does not own the pool's queue.",
                                 UNKNOWN_POOL_RETRY_MILLIS)));
     }
 
@@ -259,15 +262,21 @@
             deferred.defer(node, register, loop.nowMillis());
             return;
         }
-        owned.scheduler.readmitEntry(node, register.incarnation());
+        deferred.removeRegistration(node, register.pool());
+        register(owned, node, register);
         Set<PermitId> listed = new HashSet<>(register.waiting());
+        register.inUse().forEach(permit -> listed.add(permit.request().id()));
+        owned.scheduler.reconcile(node, register.incarnation(), listed, RECONCILE_GRACE_MICROS, loop.nowMicros());
+        requestDecision();
+    }
+
+    /** Records the permits that an entry uses. What the entry doesn't list stays, as the registration may be an old one. */
+    private void register(OwnedPool owned, String node, PeerMessage.PermitRegister register) {
+        owned.scheduler.readmitEntry(node, register.incarnation());
         for (PeerMessage.PermitInUse permit : register.inUse()) {
-            PermitId id = permit.request().id();
-            listed.add(id);
             owned.scheduler.registerInFlight(requestOf(permit.request()), permit.upstream(), loop.nowMicros());
-            owned.scheduler.silenceReported(id, permit.silent(), loop.nowMicros());
+            owned.scheduler.silenceReported(permit.request().id(), permit.silent(), loop.nowMicros());
         }
-        owned.scheduler.reconcile(node, register.incarnation(), listed, RECONCILE_GRACE_MICROS, loop.nowMicros());
         owned.registeredNodes.add(node);
         // A node that has just started may get registrations before it has the list of the entries.
         boolean allRegistered = !entryMembers.isEmpty()
@@ -314,10 +323,10 @@
 
     private void runDueTimers() {
         if (deferred.size() > 0) {
-            // This node may have become the owner of a queue since the tables changed.
+            // This node may have become the owner of a queue, as another one is unreachable.
             resumeDeferred();
         }
-        deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseUnknownPool(held.node(), held.message()));
+        deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseDeferred(held.node(), held.message()));
         long now = loop.nowMicros();
         if (ownedPools.values().stream().anyMatch(owned -> owned.scheduler.nextDecisionAt() <= now)) {
             decide();
--- a/node/src/test/java/org/radishspur/node/control/PoolOwnerServiceTest.java
+++ b/node/src/test/java/org/radishspur/node/control/PoolOwnerServiceTest.java
@@ -196,6 +196,21 @@
         assertThat(answer()).isInstanceOf(PeerMessage.PermitGranted.class);
     }
 
+    /** Guards against requests that are dropped by a registration which was sent before them and handled after them. */
+    @Test
+    void heldRegistrationDropsNoLaterRequest() throws InterruptedException {
+        PoolOwnerService owner = owner(LONG_MILLIS);
+        reports.isOwner = false;
+        loop.execute(() -> {
+            owner.onRegister("a", new PeerMessage.PermitRegister("pool", 1, List.of(), List.of()));
+            owner.onTables(WITH_POOL);
+            owner.onPermitRequest("a", request(1));
+            reports.isOwner = true;
+            owner.onView(VIEW_OF_ONE_ENTRY);
+        });
+        assertThat(answer()).isInstanceOf(PeerMessage.PermitGranted.class);
+    }
+
     /** Guards against a request that crashes upstreams and is sent to one more by an owner that got its tables late. */
     @Test
     void crashesThatWereReportedBeforeThePoolWasKnownCount() throws InterruptedException {
