Keep a cut for up to 20 s while an entry receives nothing directly

Cause: a host that is cut off forgot it 3 s after its last failure unless a trial renewed it, and trials need requests that get slots. Change: while it is cut off and no bytes were received directly since the cut was found, the periodic check keeps the failures, for 20 s after the last real one at most; so the next request is one trial, and the others go through other entries. An answered direct request ends that, as before.

--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -26,7 +26,7 @@
      */
     static final long PARTIAL_SILENCE_MILLIS = 1_500;
 
-    /** The time for which a failure counts unless another one renews it, in milliseconds. */
+    /** The time for which a failure counts unless another one renews it or the host is cut off, in milliseconds. */
     static final long FAILURE_MILLIS = 3_000;
 
     /**
@@ -41,6 +41,12 @@
     /** The time without a trial after which a request that can't be sent again is the next trial, in milliseconds. */
     static final long MAX_TRIAL_DELAY_MILLIS = 2_500;
 
+    /**
+     * The time since the last failure for which a cut counts although nothing tries the broken paths, in milliseconds. It
+     * is longer than links are known to be lost for, so that requests after a pause aren't all lost.
+     */
+    static final long MAX_UNTRIED_MILLIS = 20_000;
+
     /** The number of upstreams that have to fail. */
     private static final int MIN_FAILED = 2;
 
@@ -52,6 +58,7 @@
     private final Map<String, Path> paths = new HashMap<>();
     private final Set<String> ended = new HashSet<>();
     private long latestFailureAt = NEVER;
+    private long untriedUntil = NEVER;
     private String trialUpstream = "";
     private long lastTrialAt = NEVER;
     private boolean lastTrialAnswered = true;
@@ -114,7 +121,7 @@
     public void recordLoss(String upstream, long now) {
         if (!ended.contains(upstream)) {
             pathTo(upstream).loss.record(now);
-            latestFailureAt = now;
+            recordFailure(now);
         }
         endFailedTrial(upstream, now);
     }
@@ -128,7 +135,7 @@
     public void recordConnectFailure(String upstream, long now) {
         if (!ended.contains(upstream)) {
             pathTo(upstream).connectFailure.record(now);
-            latestFailureAt = now;
+            recordFailure(now);
         }
         endFailedTrial(upstream, now);
     }
@@ -140,10 +147,30 @@
         }
         trialUpstream = "";
         if (isCutOff(now)) {
-            paths.values().forEach(path -> {
-                path.loss.renew(now);
-                path.connectFailure.renew(now);
-            });
+            renewFailures(now);
+        }
+    }
+
+    private void recordFailure(long now) {
+        latestFailureAt = now;
+        untriedUntil = now + MAX_UNTRIED_MILLIS;
+    }
+
+    private void renewFailures(long now) {
+        paths.values().forEach(path -> {
+            path.loss.renew(now);
+            path.connectFailure.renew(now);
+        });
+    }
+
+    /** Keeps what is known of broken paths for longer where nothing has been received directly since the cut was found. */
+    private void keepUntried(long now) {
+        long since = cutOffSince(now, Path::failedSince);
+        if (since > BEFORE_ALL
+                && now < untriedUntil
+                && paths.values().stream().noneMatch(path -> path.answeredAt > since + CONFIRMATION_MILLIS)) {
+            latestFailureAt = now;
+            renewFailures(now);
         }
     }
 
@@ -193,6 +220,7 @@
      * @return their addresses.
      */
     public Set<String> findSilent(long now) {
+        keepUntried(now);
         Path trial = paths.getOrDefault(trialUpstream, Path.UNKNOWN);
         // Requests from before the trial may still wait on the same path.
         if (trial.isSilent(SILENCE_MILLIS, now) && now - lastTrialAt > SILENCE_MILLIS) {
@@ -210,7 +238,7 @@
             return Set.of();
         }
         silent.forEach(upstream -> pathTo(upstream).loss.record(now));
-        latestFailureAt = now;
+        recordFailure(now);
         return silent;
     }
 
