Count no negative number of requests for the release rate

An end without a recorded start makes the count of an upstream negative, and the rate of the pool was lowered by it. It counts as 0 now; MinimumReleaseRateTest .areNotLoweredByUnknownEnds fails without this. Whether such ends occur wasn't looked for.

MinimumReleaseRateTest.areFewForStreamsOfWhichNothingIsKnown could not fail, as nothing was in progress; three streams are now. The comment on the least rate said that reports show the slots that streams hold; it counts the requests of this scheduler for streams and its share of the slots for calls.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -464,7 +464,8 @@
      * longer than usual, as at an upstream that hangs, are taken to go on for as long.
      */
     double ownReleasesPerSecond(double usualHoldMillis, long now) {
-        return ownRequests.count() * 1_000 / Math.max(usualHoldMillis, ownRequests.meanAgeMillis(now));
+        // An end without a recorded start makes the count negative.
+        return Math.max(0, ownRequests.count()) * 1_000 / Math.max(usualHoldMillis, ownRequests.meanAgeMillis(now));
     }
 
     long lastSentAt() {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -352,8 +352,9 @@
      * Returns the minimum rate, in slots per second, at which slots are released to this scheduler while all are taken.
      *
      * <p>Each slot is released once in the time for which requests hold it. Until that time is known, it is assumed to be the
-     * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. Streams run
-     * for so long that the slots which they hold are known from reports; a call may hold one for less than a report takes.
+     * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. For a call
+     * this scheduler's share of all slots is counted, as a call may hold one for less than a report takes. For a stream the
+     * requests are counted that this scheduler has in progress itself; those of others aren't, as others take the slots.
      */
     double minReleasesPerSecond(QueuedRequest queued, long now) {
         double holdMillis = Math.max(1, capacity.holdMillisOr(queued.isPlainCall(), queued.longestHoldMillis()));
--- a/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
@@ -91,6 +91,15 @@
                 .isEqualTo(2);
     }
 
+    /** Guards against too low a rate after an end is reported for which no start was recorded. */
+    @Test
+    void areNotLoweredByUnknownEnds() {
+        runStreams(3);
+        recordHolds(100);
+        pool.loads().stream().skip(1).forEach(load -> load.recordEnd("unknown"));
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
+    }
+
     private void runStreams(int count) {
         UpstreamLoad upstream = pool.loads().iterator().next();
         for (int stream = 0; stream < count; stream++) {
@@ -107,6 +116,7 @@
     /** Guards against streams that wait for slots which are held for seconds. */
     @Test
     void areFewForStreamsOfWhichNothingIsKnown() {
+        runStreams(3);
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
         assertThat(MinimumReleaseRate.DEFAULT.perSecond(request(100, 40, TARGET_MILLIS), NOW))
                 .isEqualTo(2);
