Take the release rate from requests of the same kind

Cause: in a pool that serves plain calls and streams, one average of the holding time stood for both. After a hundred calls of 60 ms each stream in progress counted as released within 60 ms, and streams waited for slots that other streams held. Change: one average per kind for the least release rate; the common one stays for the spacing of grants and for unreported releases. Result: MinimumReleaseRateTest.areFewForStreamsWhereOnlyCallsHaveEnded and .areByTheHoldingTimeOfTheSameKind fail with the common average and pass with one per kind. Not measured under load.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -147,7 +147,7 @@
      */
     public void recordCompletion(QueuedRequest queued, long millis) {
         slotValues.recordHold(queued.requirements().tier(), millis);
-        upstreams.recordHold(millis);
+        upstreams.recordHold(queued.isPlainCall(), millis);
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
@@ -23,10 +23,14 @@
     private static final long MIN_CALLS_FOR_RELEASE_RATE = 10;
 
     private final MovingAverage holdMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
+    private final MovingAverage callHoldMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
+    private final MovingAverage streamHoldMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
 
-    /** Records how long an answered request held its slot. */
-    void recordHold(long millis) {
-        holdMillis.add(Math.max(1, millis));
+    /** Records how long an answered plain call or stream held its slot. */
+    void recordHold(boolean plainCall, long millis) {
+        long held = Math.max(1, millis);
+        holdMillis.add(held);
+        (plainCall ? callHoldMillis : streamHoldMillis).add(held);
     }
 
     /**
@@ -52,14 +56,15 @@
     }
 
     /**
-     * Returns how long answered requests of the pool hold their slots, in milliseconds; streams count as well.
+     * Returns how long answered plain calls or streams of the pool hold their slots, in milliseconds.
      *
-     * @param plainCalls whether the time is to be used for plain calls.
-     * @param assumedMillis the time to assume until enough requests have ended.
+     * @param plainCalls whether to return the time of plain calls, rather than that of streams.
+     * @param assumedMillis the time to assume until enough of them have ended.
      */
     double holdMillisOr(boolean plainCalls, double assumedMillis) {
+        MovingAverage average = plainCalls ? callHoldMillis : streamHoldMillis;
         long minSamples = plainCalls ? MIN_CALLS_FOR_RELEASE_RATE : MIN_HOLD_SAMPLES;
-        return holdMillis.samples() >= minSamples ? holdMillis.value() : assumedMillis;
+        return average.samples() >= minSamples ? average.value() : assumedMillis;
     }
 
     private boolean isHoldKnown() {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
@@ -31,12 +31,12 @@
         return schedulerCount;
     }
 
-    /** Records how long an answered request held its slot. */
-    void recordHold(long millis) {
-        staleness.recordHold(millis);
+    /** Records how long an answered plain call or stream held its slot. */
+    void recordHold(boolean plainCall, long millis) {
+        staleness.recordHold(plainCall, millis);
     }
 
-    /** Returns how long answered requests hold their slots in milliseconds, or an assumed time until that is known. */
+    /** Returns how long answered plain calls or streams hold their slots in milliseconds, or an assumed time until that is known. */
     double holdMillisOr(boolean plainCalls, double assumedMillis) {
         return staleness.holdMillisOr(plainCalls, assumedMillis);
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -55,9 +55,9 @@
         this.choice = new LeastCostChoice(self, ownDomain, capacity);
     }
 
-    /** Records how long an answered request held its slot. */
-    void recordHold(long millis) {
-        capacity.recordHold(millis);
+    /** Records how long an answered plain call or stream held its slot. */
+    void recordHold(boolean plainCall, long millis) {
+        capacity.recordHold(plainCall, millis);
     }
 
     /**
@@ -351,7 +351,7 @@
     /**
      * Returns the minimum rate, in slots per second, at which slots are released to this scheduler while all are taken.
      *
-     * <p>Each slot is released once in the time for which requests hold it. Until that time is known, it is assumed to be the
+     * <p>Each slot is released once in the time for which requests of the same kind hold it. Until that time is known, it is assumed to be the
      * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. For a call
      * this scheduler's share of all slots is counted, as a call may hold one for less than a report takes. For a stream the
      * requests are counted that this scheduler has in progress itself; those of others aren't, as others take the slots.
--- a/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
@@ -51,9 +51,7 @@
     /** Guards against calls that are refused at the start of a burst, by the few releases of the quiet time before. */
     @Test
     void areOfTheOwnSlotsWithinTheTimeOfACallOnceItIsKnown() {
-        for (int call = 0; call < 10; call++) {
-            pool.recordHold(60);
-        }
+        recordHoldsOfCalls(10);
         assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
     }
 
@@ -109,10 +107,34 @@
 
     private void recordHolds(int count) {
         for (int stream = 0; stream < count; stream++) {
-            pool.recordHold(600);
+            pool.recordHold(false, 600);
+        }
+    }
+
+    private void recordHoldsOfCalls(int count) {
+        for (int call = 0; call < count; call++) {
+            pool.recordHold(true, 60);
         }
     }
 
+    /** Guards against streams that wait for slots which other streams hold, by the holding time of plain calls. */
+    @Test
+    void areFewForStreamsWhereOnlyCallsHaveEnded() {
+        recordHoldsOfCalls(100);
+        runStreams(3);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
+    /** Guards against estimates that change with the share of plain calls in a pool which serves both kinds. */
+    @Test
+    void areByTheHoldingTimeOfTheSameKind() {
+        runStreams(3);
+        recordHolds(100);
+        recordHoldsOfCalls(100);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
+        assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
+    }
+
     /** Guards against streams that wait for slots which are held for seconds. */
     @Test
     void areFewForStreamsOfWhichNothingIsKnown() {
