Record where requests arrive that none waits

Cause: the estimate of a wait recorded that none waits where the queue was empty. It is also asked for requests that have just expired and were removed, so that streams which had waited in vain counted as none waiting, and their callers were asked to retry at once (150 ms) rather than by the releases counted. Change: PoolDispatcher.offer records it before the estimate. The comment said that slots are free then; all may be taken, at the start of a burst. That the whole queue is looked at, not only competing requests, is stated as a limit. Result: FewReleasesTest.requestsThatWaitedInVainShowThatSomeWaited gets 150 ms before and 500 ms after. Not measured under load.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -39,6 +39,17 @@
         waits.recordRelease(upstream, now);
     }
 
+    /**
+     * Records that a request arrives, which isn't in the queue yet. This must precede the estimate of its wait.
+     *
+     * @param now the current time in milliseconds.
+     */
+    public void recordArrival(long now) {
+        if (requests.isEmpty()) {
+            waits.recordNoneWaiting(now);
+        }
+    }
+
     /**
      * Estimates how long a request would wait for a slot, from the requests ahead of it that may take the same slots, and
      * from the present or the usual rate at which such slots are released.
@@ -48,9 +59,6 @@
      * @return the time in milliseconds.
      */
     public long expectedWaitMillis(QueuedRequest queued, long now) {
-        if (requests.isEmpty()) {
-            waits.recordNoneWaiting(now);
-        }
         double ahead = requests.headSet(queued, false).stream()
                 .filter(queued::competesWith)
                 .mapToDouble(other -> waits.shareOfSlots(queued, other, now))
--- a/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/PoolDispatcher.java
@@ -77,6 +77,7 @@
      * @return the decision; a granted request is in progress from now on.
      */
     public Decision offer(QueuedRequest queued, long now) {
+        queue.recordArrival(now);
         slotValues.addTier(queued.requirements().tier());
         prepare(queued);
         queue.assignPosition(queued, slotValues.valueFor(queued));
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
@@ -51,14 +51,17 @@
         return (long) ((ahead + 1) * 1_000 / Math.max(leastRate(queued, now), rate));
     }
 
-    /** Records that no request waits. */
+    /** Records that no request waited when one arrived. */
     void recordNoneWaiting(long now) {
         noneWaitingAt = now;
     }
 
     /**
      * Returns the least rate to assume. For a stream it adds to the present releases those to be expected for the part of the
-     * present period in which none waited: then slots were free, so that few releases don't show how many there can be.
+     * present period in which none waited: until then there was no overload, so that few releases don't show how many there can
+     * be. At the start of a burst the queue is empty though all slots are taken.
+     *
+     * <p>The whole queue is looked at: a request that waits for other slots counts as waiting too.
      */
     private double leastRate(QueuedRequest queued, long now) {
         double least = minReleaseRate.perSecond(queued, now);
--- a/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
@@ -110,6 +110,19 @@
         }
     }
 
+    /** Guards against callers who are asked to retry at once although others have just waited in vain. */
+    @Test
+    void requestsThatWaitedInVainShowThatSomeWaited() {
+        completeEarlierStreams();
+        fill(NOW);
+        List<Decision> decisions = dispatcher.dispatchQueued(NOW + TARGET_MILLIS);
+        assertThat(decisions)
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        Decision.Refused.class,
+                        refused -> assertThat(refused.retryAfterMillis()).isEqualTo(500));
+    }
+
     /** Guards against callers who wait for slots of streams that hang, as their usual time has long passed. */
     @Test
     void requestsDoNotWaitForStreamsThatHang() {
