Leave out upstreams without new requests from the release rate

Cause: the least release rate for streams counted the requests in progress at all upstreams in service, silent, ejected and refusing ones too. Streams waited for slots there, until the age of the requests made the rate fall. Change: it counts the upstreams that choose takes for usable; those that have said that they leave aren't counted either while others may serve. Result: with all upstreams silent at 2.1, 2.5 and 3 holding times, fewer than three of 200 streams wait (FewReleasesTest.requestsDoNotWaitForUpstreamsThat AreSilent); this and two tests of MinimumReleaseRateTest fail without the change. FewReleasesTest.fill now returns the request that waits; its check is as before. Not measured under load beyond these tests.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 
 import org.radishspur.decision.dispatch.UpstreamLoad.Timeliness;
@@ -354,20 +353,23 @@
      * <p>Each slot is released once in the time for which requests of the same kind hold it. Until that time is known, it is assumed to be the
      * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. For a call
      * this scheduler's share of all slots is counted, as a call may hold one for less than a report takes. For a stream the
-     * requests are counted that this scheduler has in progress itself; those of others aren't, as others take the slots.
+     * requests are counted that this scheduler has in progress itself; those of others aren't, as others take the slots. It
+     * may not use the slots of upstreams that are silent, ejected or turn it away, even once these are released.
      */
     double minReleasesPerSecond(QueuedRequest queued, long now) {
         double holdMillis = Math.max(1, capacity.holdMillisOr(queued.isPlainCall(), queued.longestHoldMillis()));
         double expected = queued.isPlainCall()
-                ? sumFor(queued, now, capacity::countedSlots) / capacity.schedulerCount() * 1_000 / holdMillis
-                : sumFor(queued, now, load -> load.ownReleasesPerSecond(holdMillis, now));
+                ? slotsFor(queued, now) * 1_000 / holdMillis / capacity.schedulerCount()
+                : usable(queued, now).stream()
+                        .mapToDouble(load -> load.ownReleasesPerSecond(holdMillis, now))
+                        .sum();
         return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), expected);
     }
 
-    private double sumFor(QueuedRequest queued, long now, ToDoubleFunction<UpstreamLoad> amount) {
+    private double slotsFor(QueuedRequest queued, long now) {
         return loads.values().stream()
                 .filter(load -> isInService(load, now) && queued.allows(load.upstream()))
-                .mapToDouble(amount)
+                .mapToInt(capacity::countedSlots)
                 .sum();
     }
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.decision.dispatch.PoolDispatcher.Decision;
 import org.radishspur.model.catalogue.Upstream;
 
@@ -42,11 +44,15 @@
         }
     }
 
-    private void fill(long now) {
-        while (dispatcher.offer(stream(now), now) instanceof Decision.Granted granted) {
+    /** Takes all slots, and returns the first request that waits. */
+    private QueuedRequest fill(long now) {
+        Decision decision = dispatcher.offer(stream(now), now);
+        while (decision instanceof Decision.Granted granted) {
             running.add(granted);
+            decision = dispatcher.offer(stream(now), now);
         }
         assertThat(running).hasSize(UPSTREAMS * SLOTS);
+        return decision.queued();
     }
 
     private int offer(int count, long now) {
@@ -123,6 +129,24 @@
                         refused -> assertThat(refused.retryAfterMillis()).isEqualTo(500));
     }
 
+    /** Guards against callers who wait for slots of upstreams that have fallen silent, before their streams are old. */
+    @ParameterizedTest
+    @ValueSource(doubles = {2.1, 2.5, 3})
+    void requestsDoNotWaitForUpstreamsThatAreSilent(double holdingTimes) {
+        completeEarlierStreams();
+        answerEarlierStreams();
+        dispatcher.withdraw(fill(NOW));
+        long later = NOW + (long) (holdingTimes * HOLD_MILLIS);
+        assertThat(dispatcher.upstreams().loads()).allMatch(load -> load.isSilent(later));
+        assertThat(offer(200, later)).isLessThan(3);
+    }
+
+    private void answerEarlierStreams() {
+        for (UpstreamLoad load : dispatcher.upstreams().loads()) {
+            load.recordFirstByte("earlier", 200, 50, NOW - HOLD_MILLIS);
+        }
+    }
+
     /** Guards against callers who wait for slots of streams that hang, as their usual time has long passed. */
     @Test
     void requestsDoNotWaitForStreamsThatHang() {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
@@ -98,6 +98,29 @@
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
     }
 
+    /** Guards against streams that wait for slots at an upstream which gets none of them. */
+    @Test
+    void areNotOfAnUpstreamThatTurnsRequestsAway() {
+        runStreams(3);
+        recordHolds(100);
+        UpstreamLoad upstream = pool.loads().iterator().next();
+        upstream.recordRefusal(NOW - 1_000);
+        upstream.recordRefusal(NOW);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
+    /** Guards against the same at an upstream that fails. */
+    @Test
+    void areNotOfAnUpstreamThatIsEjected() {
+        runStreams(3);
+        recordHolds(100);
+        UpstreamLoad upstream = pool.loads().iterator().next();
+        while (!upstream.isEjected(NOW)) {
+            upstream.recordOutcome(false, 0, NOW);
+        }
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
     private void runStreams(int count) {
         UpstreamLoad upstream = pool.loads().iterator().next();
         for (int stream = 0; stream < count; stream++) {
