--- a/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
@@ -51,9 +51,7 @@
     /** Guards against calls that are refused at the start of a burst, by the few releases of the quiet time before. */
     @Test
     void areOfTheOwnSlotsWithinTheTimeOfACallOnceItIsKnown() {
-        for (int call = 0; call < 10; call++) {
-            pool.recordHold(60);
-        }
+        recordHoldsOfCalls(10);
         assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
     }
 
@@ -91,6 +89,38 @@
                 .isEqualTo(2);
     }
 
+    /** Guards against too low a rate after an end is reported for which no start was recorded. */
+    @Test
+    void areNotLoweredByUnknownEnds() {
+        runStreams(3);
+        recordHolds(100);
+        pool.loads().stream().skip(1).forEach(load -> load.recordEnd("unknown"));
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
+    }
+
+    /** Guards against streams that wait for slots at an upstream which gets none of them. */
+    @Test
+    void areNotOfAnUpstreamThatTurnsRequestsAway() {
+        runStreams(3);
+        recordHolds(100);
+        UpstreamLoad upstream = pool.loads().iterator().next();
+        upstream.recordRefusal(NOW - 1_000);
+        upstream.recordRefusal(NOW);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
+    /** Guards against the same at an upstream that fails. */
+    @Test
+    void areNotOfAnUpstreamThatIsEjected() {
+        runStreams(3);
+        recordHolds(100);
+        UpstreamLoad upstream = pool.loads().iterator().next();
+        while (!upstream.isEjected(NOW)) {
+            upstream.recordOutcome(false, 0, NOW);
+        }
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
     private void runStreams(int count) {
         UpstreamLoad upstream = pool.loads().iterator().next();
         for (int stream = 0; stream < count; stream++) {
@@ -100,13 +130,38 @@
 
     private void recordHolds(int count) {
         for (int stream = 0; stream < count; stream++) {
-            pool.recordHold(600);
+            pool.recordHold(false, 600);
         }
     }
 
+    private void recordHoldsOfCalls(int count) {
+        for (int call = 0; call < count; call++) {
+            pool.recordHold(true, 60);
+        }
+    }
+
+    /** Guards against streams that wait for slots which other streams hold, by the holding time of plain calls. */
+    @Test
+    void areFewForStreamsWhereOnlyCallsHaveEnded() {
+        recordHoldsOfCalls(100);
+        runStreams(3);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
+    }
+
+    /** Guards against estimates that change with the share of plain calls in a pool which serves both kinds. */
+    @Test
+    void areByTheHoldingTimeOfTheSameKind() {
+        runStreams(3);
+        recordHolds(100);
+        recordHoldsOfCalls(100);
+        assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
+        assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
+    }
+
     /** Guards against streams that wait for slots which are held for seconds. */
     @Test
     void areFewForStreamsOfWhichNothingIsKnown() {
+        runStreams(3);
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
         assertThat(MinimumReleaseRate.DEFAULT.perSecond(request(100, 40, TARGET_MILLIS), NOW))
                 .isEqualTo(2);
