Discard the parts of a body from the beginning of a request's end

Cause: since the reader of bodies was split off, parts were discarded only once its memory was released, the last step of the end of a request. A part that is read within the end (reading is resumed in it) and makes the body too large wrote a second response. A connection of the operating system doesn't read inside of that call, so it was not seen in service. Change: BodyReader asks whether the request has ended, as the code before the split did; its own flag is gone. Result: SlowReadersTest.areDiscardedWhileTheRequestEnds received 413 and 503 before, 503 now.

--- a/node/src/main/java/org/radishspur/node/entry/BodyReader.java
+++ b/node/src/main/java/org/radishspur/node/entry/BodyReader.java
@@ -20,7 +20,6 @@
     private final RequestBody body;
     private boolean complete;
     private boolean admitted;
-    private boolean released;
     private Optional<BodyAdmission.Waiting> waitingForMemory = Optional.empty();
 
     BodyReader(EntryExchange exchange, EntryServices services, CallerResponse response, HttpRequest request) {
@@ -94,7 +93,7 @@
     /** Adds a part of the body and releases it; parts that come after the end of the request are discarded. */
     void add(HttpContent content) {
         try {
-            if (released) {
+            if (exchange.isDone()) {
                 complete |= content instanceof LastHttpContent;
                 return;
             }
@@ -134,7 +133,6 @@
 
     /** Releases the bytes and their memory, once. */
     void release() {
-        released = true;
         body.release();
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -451,6 +451,11 @@
         }
     }
 
+    /** Returns whether the request has ended; its response may still be to be written. */
+    boolean isDone() {
+        return done;
+    }
+
     HttpRequest request() {
         return request;
     }
--- a/node/src/test/java/org/radishspur/node/entry/SlowReadersTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlowReadersTest.java
@@ -5,12 +5,18 @@
 import java.util.Optional;
 import java.util.Random;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpResponse;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.RequestKind;
 import org.radishspur.node.entry.EntryFixture.FakeExchange;
 import org.radishspur.node.entry.EntryFixture.ReceivedResponse;
@@ -318,6 +324,31 @@
             }
         }
 
+        /** Guards against a second response to a request when a part of its body is read while the request ends. */
+        @Test
+        void areDiscardedWhileTheRequestEnds() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 1, new HeldBytes(100_000))) {
+                PacedChannel caller = entry.connectOther();
+                entry.sendHead(caller, BODY_BYTES);
+                int tooMany = (int) CallerLimits.DEFAULTS.maxBodyBytes() + 1;
+                caller.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+                    /** {@inheritDoc} */
+                    @Override
+                    public void read(ChannelHandlerContext context) {
+                        context.pipeline().remove(this);
+                        caller.pipeline()
+                                .fireChannelRead(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[tooMany])));
+                    }
+                });
+                entry.elapse(BodyAdmission.MAX_WAIT_MILLIS + 1);
+                List<HttpResponse> heads = caller.outboundMessages().stream()
+                        .filter(HttpResponse.class::isInstance)
+                        .map(HttpResponse.class::cast)
+                        .toList();
+                assertThat(heads).extracting(head -> head.status().code()).containsExactly(REFUSED);
+            }
+        }
+
         /** Guards against memory that stays reserved for a body which its caller never sends. */
         @Test
         void areNotAwaitedBeyondTheDeadline() {
