Name what is asked of a second attempt apart from the first

RequestAttempts.isMade is hasAttempt; hasSecond, isHedged and hasPendingSecond are isSecondRequested, isSecondSent and isSecondPending; Hedge.isMade is isRequested, its isMadeBy is isSecond as in RequestAttempts. Comments: when an attempt may be withdrawn, how the connections for messages differ from others, and a broken line in SlotClient.

--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -329,7 +329,7 @@
     /** Sends the request to another upstream: by the second attempt that is being made, or by a new one. */
     void retry(String reason) {
         log.retried(reason, attempts.upstreamName(), slotRequests.count());
-        if (attempts.hasPendingSecond()) {
+        if (attempts.isSecondPending()) {
             slotRequests.add();
             attempts.takePendingSecond();
             return;
@@ -343,7 +343,7 @@
         if (done) {
             return;
         }
-        if (attempts.isMade() || runs.arePossible()) {
+        if (attempts.hasAttempt() || runs.arePossible()) {
             attempts.endAtDeadline();
             fail(EndReason.TIMEOUT, "timeout");
         } else {
--- a/node/src/main/java/org/radishspur/node/entry/Hedge.java
+++ b/node/src/main/java/org/radishspur/node/entry/Hedge.java
@@ -103,7 +103,7 @@
 
     /** Returns whether the second attempt has to wait before it is sent. */
     boolean isHeld(UpstreamAttempt candidate) {
-        return held && isMadeBy(candidate);
+        return held && isSecond(candidate);
     }
 
     /** Records that the second attempt was sent, so that it may be kept. */
@@ -114,7 +114,7 @@
     }
 
     /** Returns whether an attempt is the second one. */
-    boolean isMadeBy(UpstreamAttempt candidate) {
+    boolean isSecond(UpstreamAttempt candidate) {
         return attempt != null && attempt == candidate;
     }
 
@@ -129,7 +129,7 @@
     }
 
     /** Returns whether a second attempt was requested and has not ended. */
-    boolean isMade() {
+    boolean isRequested() {
         return state != State.NONE;
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -73,22 +73,22 @@
     }
 
     /** Returns whether there is an attempt, rather than only the wait for a slot. */
-    boolean isMade() {
+    boolean hasAttempt() {
         return attempt != null;
     }
 
-    /** Returns whether a second attempt is being made or running, which may go on when the first one ends. */
-    boolean hasSecond() {
-        return hedge.isMade();
+    /** Returns whether a second attempt was requested and has not ended; it may go on when the first one ends. */
+    boolean isSecondRequested() {
+        return hedge.isRequested();
     }
 
     /** Returns whether an attempt is the second one. */
     boolean isSecond(UpstreamAttempt candidate) {
-        return hedge.isMadeBy(candidate);
+        return hedge.isSecond(candidate);
     }
 
-    /** Returns whether two attempts have been sent, so that neither may end the request alone. */
-    boolean isHedged() {
+    /** Returns whether a second attempt was sent and has not ended, so that neither may end the request alone. */
+    boolean isSecondSent() {
         return hedge.isRunning();
     }
 
@@ -100,7 +100,7 @@
     /** Counts the request as possibly run, since it is being sent. */
     void onSent(UpstreamAttempt sent) {
         runs.onSent();
-        if (hedge.isMadeBy(sent)) {
+        if (hedge.isSecond(sent)) {
             hedge.onSent();
         }
     }
@@ -114,7 +114,7 @@
 
     /** Keeps the attempt that continues the response, and cancels the other one. */
     void keep(UpstreamAttempt continuing) {
-        if (hedge.isMadeBy(continuing)) {
+        if (hedge.isSecond(continuing)) {
             UpstreamAttempt silent = attempt;
             attempt = hedge.takeRunning().orElseThrow();
             silent.abandon();
@@ -125,7 +125,7 @@
 
     /** Goes on with the other attempt after one has ended, and returns whether there is one. */
     boolean continueWithout(UpstreamAttempt ended, String cause) {
-        if (hedge.isMadeBy(ended)) {
+        if (hedge.isSecond(ended)) {
             hedge.onFailed(cause);
             return true;
         }
@@ -145,7 +145,7 @@
     }
 
     /** Returns whether a second attempt is being made and was not sent yet. */
-    boolean hasPendingSecond() {
+    boolean isSecondPending() {
         return hedge.isPending();
     }
 
@@ -159,9 +159,12 @@
         attempt = connecting;
     }
 
-    /** Returns whether an attempt may still be withdrawn: a second one that isn't answered, or the only one. */
+    /**
+     * Returns whether an attempt may still be withdrawn: a second one that isn't answered, or a first one whose response
+     * hasn't begun.
+     */
     boolean mayBeWithdrawn() {
-        return attempt != null && hedge.isUnanswered() && (attempt.isUnanswered() || hedge.isMade());
+        return attempt != null && hedge.isUnanswered() && (attempt.isUnanswered() || hedge.isRequested());
     }
 
     /** Withdraws the unanswered attempts, and returns whether these were all. */
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -199,8 +199,7 @@
             return;
         }
         // The scheduler's view is older or newer than this entry's, or its build supports no terms of requests; the
-        // entry
-        // decides where it sends requests.
+        // entry decides where it sends requests.
         localScheduler.report(LOCAL_ENTRY, slot.id(), new SlotReport.Ended(SlotOutcome.UNUSED), now);
         release(slot.scheduler(), slot.id());
         if (slot.decline(granted.upstream()) < MAX_DECLINED_GRANTS) {
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -215,7 +215,7 @@
         caller.attempts().onProgress(this);
         if (!isEventStream()) {
             buffered = Unpooled.buffer();
-        } else if (!caller.attempts().isHedged()) {
+        } else if (!caller.attempts().isSecondSent()) {
             writeHead();
         }
     }
@@ -227,7 +227,7 @@
 
     private void onFailure() {
         boolean serverError = responseHead.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        if (caller.response().isHeadWritten() || caller.attempts().isHedged()) {
+        if (caller.response().isHeadWritten() || caller.attempts().isSecondSent()) {
             // An error text after the head and some events from an earlier upstream would make the truncated response
             // look complete. Where another attempt goes on, the response may still be a success.
             endAnswered(!serverError);
@@ -427,7 +427,7 @@
 
     private void endNotRun() {
         // The second attempt is charged to no quota, so the charge of this one has to stay.
-        SlotOutcome notRun = caller.attempts().hasSecond() ? SlotOutcome.ABANDONED : SlotOutcome.NOT_RUN;
+        SlotOutcome notRun = caller.attempts().isSecondRequested() ? SlotOutcome.ABANDONED : SlotOutcome.NOT_RUN;
         end(kind == ResponseKind.WRONG_INSTANCE ? SlotOutcome.REPLACED : notRun);
         caller.onNotRun(this, kind == ResponseKind.NOT_RUN ? "not-run" : "wrong-instance", true);
     }
--- a/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
+++ b/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
@@ -49,7 +49,8 @@
     }
 
     /**
-     * Starts to connect to another process of the system, for messages that are sent without waiting for earlier ones.
+     * Starts to connect; unlike with {@link #connect}, the connection reads automatically, and the caller sets how much may
+     * wait to be sent.
      *
      * @param address the host and port.
      * @param group the event loops of which one serves the connection.
