--- a/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
+++ b/decision/src/main/java/org/radishspur/decision/crash/CrashGuard.java
@@ -79,8 +79,9 @@
     }
 
     /**
-     * Records that an upstream is being checked because a request has lost its connection to it. A check takes long while
-     * the machine is short of processor or the host counts as cut off, and the request may have ended the upstream.
+     * Records that an upstream is being checked because a request has lost its connection to it. Until the check ends,
+     * {@link #admit} treats the upstream as possibly ended by the request, because a check may take longer than a second on
+     * a busy host or one that is cut off.
      *
      * @param request the signatures of the request.
      * @param upstream the hash code of the upstream's run.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AdmissionQueue.java
@@ -40,7 +40,8 @@
     }
 
     /**
-     * Records that a request arrives, which isn't in the queue yet. This must precede the estimate of its wait.
+     * Records the arrival of a request that isn't queued yet. This must precede the estimate of its wait, which depends on
+     * whether the queue was empty.
      *
      * @param now the current time in milliseconds.
      */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/AnswerTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/AnswerTimes.java
@@ -14,12 +14,15 @@
  */
 final class AnswerTimes {
     /**
-     * Ratio of the assumed to the expected length of an answer while its request is selective; one answer
-     * in ten is longer than that.
+     * Ratio of the assumed to the expected length of an answer while its request takes only upstreams that are likely to be
+     * on time; one answer in ten is longer than that.
      */
     private static final double EARLY_LENGTH_FACTOR = 2.0;
 
-    /** The same after that; an upstream that is likely to be on time is then better than none. */
+    /**
+     * Ratio of the assumed to the expected length of an answer after that; an upstream that is probably on time is then
+     * better than none.
+     */
     private static final double LATER_LENGTH_FACTOR = 1.15;
 
     /** Times that differ by less than this factor count as equal; load alone makes such a difference. */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/LeastCostChoice.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/LeastCostChoice.java
@@ -79,8 +79,8 @@
         double fastestEventMillis = SpeedThreshold.shortestEventMillis(usable);
         List<UpstreamLoad> free = new ArrayList<>(usable);
         free.removeIf(load -> !capacity.hasFreeSlot(load, queued, now));
-        // One that fails at once always has most free slots.
-        LastResort.INSTANCE.remove(free, load -> load.isEjected(now));
+        // An upstream that fails at once always has most free slots, so that an ejected one would be chosen first.
+        UpstreamFilter.INSTANCE.removeUnlessAll(free, load -> load.isEjected(now));
         List<Candidate> candidates = free.stream()
                 .map(load -> new Candidate(
                         load,
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QueuedRequest.java
@@ -253,8 +253,9 @@
         return (arrivedAfterTarget() ? requirements.endsAt() : requirements.targetAt()) - arrivedAt;
     }
 
-    /** Returns how long the request may hold a slot, where nothing is known about the pool, in milliseconds. */
-    long longestHoldMillis() {
+    /** Returns the time for which the request is assumed to hold a slot until the pool has measured it, in milliseconds: until
+     * its target for a plain call, until its deadline for a stream. */
+    long assumedHoldMillis() {
         return isPlainCall() ? wantedWithinMillis() : requirements.endsAt() - arrivedAt;
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/ReportStaleness.java
@@ -19,7 +19,10 @@
      */
     private static final long MIN_HOLD_SAMPLES = 100;
 
-    /** The same for an estimate of the release rate of plain calls, which differ little in length. */
+    /**
+     * Number of answered plain calls from which their average holding time is used for the release rate; they differ little
+     * in length, so that few are enough.
+     */
     private static final long MIN_CALLS_FOR_RELEASE_RATE = 10;
 
     private final MovingAverage holdMillis = new MovingAverage(HOLD_AVERAGE_WEIGHT);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/RequestsInProgress.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RequestsInProgress.java
@@ -4,7 +4,9 @@
 import java.util.Map;
 
 /**
- * Counts the requests that one scheduler has in progress at one upstream, and how long they have been there.
+ * Counts the requests that one scheduler has in progress at one upstream, and their mean age. Ends are counted also for
+ * requests whose start was not recorded, so that the count may be negative. The age of a request that was sent before its
+ * entry attached to this scheduler counts from the attachment.
  */
 final class RequestsInProgress {
     private final Map<Object, Long> startedAt = new HashMap<>();
--- a/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/SlotCapacity.java
@@ -82,9 +82,9 @@
         if (schedulerCount > 1 && !isOwnDomain(load) && now - load.lastSentAt() < staleness.spacingMillis()) {
             return false;
         }
-        int slots = slots(load) + uncountedSlots(load, queued);
-        int reportedSlots = slots(load) + unreportedReleases(load);
-        int ownShare = load.isEventTimeKnown() ? slots : Math.max(1, reportedSlots / schedulerCount);
+        int slots = slots(load) + probablyFreeSlots(load, queued);
+        int slotsWithReleases = slots(load) + unreportedReleases(load);
+        int ownShare = load.isEventTimeKnown() ? slots : Math.max(1, slotsWithReleases / schedulerCount);
         return load.inProgress() < slots && load.ownInProgress() < ownShare;
     }
 
@@ -93,7 +93,7 @@
     }
 
     /** Returns how many slots of an upstream count as taken although no request runs there, at most as many as it has. */
-    private int uncountedSlots(UpstreamLoad load, QueuedRequest queued) {
+    private int probablyFreeSlots(UpstreamLoad load, QueuedRequest queued) {
         return Math.min(slots(load), unreportedReleases(load) + unusedSlots(load, queued));
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -460,8 +460,11 @@
     }
 
     /**
-     * Returns at which rate slots are likely to be released by the requests of this scheduler. Requests that have run for
-     * longer than usual, as at an upstream that hangs, are taken to go on for as long.
+     * Returns the rate at which the requests of this scheduler are likely to release their slots, in slots per second. If
+     * their mean age exceeds the usual holding time, as at an upstream that hangs, the age is used instead.
+     *
+     * @param usualHoldMillis the average holding time in the pool, in milliseconds.
+     * @param now the current time in milliseconds.
      */
     double ownReleasesPerSecond(double usualHoldMillis, long now) {
         // An end without a recorded start makes the count negative.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamPool.java
@@ -217,7 +217,7 @@
         boolean early = now < queued.selectiveUntil();
         double events = times.assumedEvents(queued, early);
         // Where every remaining upstream was tried before, one of them is better than none.
-        LastResort.INSTANCE.remove(usable, load -> queued.avoids(load.run()));
+        UpstreamFilter.INSTANCE.removeUnlessAll(usable, load -> queued.avoids(load.run()));
         Set<UpstreamLoad> affinityTargets = affinityTargets(queued, now);
         Map<UpstreamLoad, Timeliness> ratings = times.rate(usable, queued, affinityTargets, events, now);
         Timeliness bestTimeliness =
@@ -247,7 +247,7 @@
     private List<UpstreamLoad> usableBeyondReserve(QueuedRequest queued, long now) {
         List<UpstreamLoad> upstreams = usable(queued, now);
         upstreams.removeIf(load -> !load.allowsLimitedRequest(now));
-        LastResort.INSTANCE.remove(upstreams, load -> queued.avoids(load.run()));
+        UpstreamFilter.INSTANCE.removeUnlessAll(upstreams, load -> queued.avoids(load.run()));
         return upstreams;
     }
 
@@ -350,23 +350,26 @@
     /**
      * Returns the minimum rate, in slots per second, at which slots are released to this scheduler while all are taken.
      *
-     * <p>Each slot is released once in the time for which requests of the same kind hold it. Until that time is known, it is assumed to be the
-     * time within which the caller wants the answer of a plain call, and the time until the deadline of a stream. For a call
-     * this scheduler's share of all slots is counted, as a call may hold one for less than a report takes. For a stream the
-     * requests are counted that this scheduler has in progress itself; those of others aren't, as others take the slots. It
-     * may not use the slots of upstreams that are silent, ejected or turn it away, even once these are released.
+     * <p>For plain calls: this scheduler's share of all slots, each released once in the average holding time of calls. All
+     * slots count, because a call may hold one for less time than a report takes.
+     *
+     * <p>For streams: the requests that this scheduler itself has in progress at upstreams that the request may use now, each
+     * released once in the average holding time of streams. Slots that other schedulers have taken are left out, because
+     * those use them again.
+     *
+     * <p>Until the holding time is known, {@link QueuedRequest#assumedHoldMillis()} stands for it.
      */
     double minReleasesPerSecond(QueuedRequest queued, long now) {
-        double holdMillis = Math.max(1, capacity.holdMillisOr(queued.isPlainCall(), queued.longestHoldMillis()));
+        double holdMillis = Math.max(1, capacity.holdMillisOr(queued.isPlainCall(), queued.assumedHoldMillis()));
         double expected = queued.isPlainCall()
-                ? slotsFor(queued, now) * 1_000 / holdMillis / capacity.schedulerCount()
+                ? slotsFor(queued, now) * 1_000.0 / holdMillis / capacity.schedulerCount()
                 : usable(queued, now).stream()
                         .mapToDouble(load -> load.ownReleasesPerSecond(holdMillis, now))
                         .sum();
         return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), expected);
     }
 
-    private double slotsFor(QueuedRequest queued, long now) {
+    private int slotsFor(QueuedRequest queued, long now) {
         return loads.values().stream()
                 .filter(load -> isInService(load, now) && queued.allows(load.upstream()))
                 .mapToInt(capacity::countedSlots)
@@ -411,7 +414,7 @@
                 ejected += load.isEjected(now) ? 1 : 0;
             }
         }
-        LastResort.INSTANCE.remove(candidates, UpstreamLoad::isLeaving);
+        UpstreamFilter.INSTANCE.removeUnlessAll(candidates, UpstreamLoad::isLeaving);
         boolean appliesEjections = ejected <= inService * MAX_EJECTED_SHARE;
         candidates.removeIf(load ->
                 load.isSilent(now) || appliesEjections && load.isEjected(now) || turnsAwayUntil(load, queued) > now);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WaitEstimate.java
@@ -48,7 +48,7 @@
     long millis(QueuedRequest queued, double ahead, long now) {
         Predicate<String> allowed = queued.terms()::allowsDomain;
         double rate = Math.max(present.perSecond(allowed, now), usual.perSecond(allowed, now));
-        return (long) ((ahead + 1) * 1_000 / Math.max(leastRate(queued, now), rate));
+        return (long) ((ahead + 1) * 1_000 / Math.max(minReleasesPerSecond(queued, now), rate));
     }
 
     /** Records that no request waited when one arrived. */
@@ -57,20 +57,22 @@
     }
 
     /**
-     * Returns the least rate to assume. For a stream it adds to the present releases those to be expected for the part of the
-     * present period in which none waited: until then there was no overload, so that few releases don't show how many there can
-     * be. At the start of a burst the queue is empty though all slots are taken.
+     * Returns the minimum release rate to assume, in slots per second. For a stream it is the rate of the last second plus the
+     * assumed rate, which is reduced linearly to 0 over the second after the last arrival that found the queue empty; it is at
+     * most the assumed rate. Until then there was no overload, so that few releases don't show how many there can be: at the
+     * start of a burst the queue is empty though all slots are taken.
      *
-     * <p>The whole queue is looked at: a request that waits for other slots counts as waiting too.
+     * <p>All releases of that second are counted, also those from before that arrival. A request that waits for other slots
+     * counts as waiting too.
      */
-    private double leastRate(QueuedRequest queued, long now) {
-        double least = minReleaseRate.perSecond(queued, now);
+    private double minReleasesPerSecond(QueuedRequest queued, long now) {
+        double assumed = minReleaseRate.perSecond(queued, now);
         if (queued.isPlainCall()) {
-            return least;
+            return assumed;
         }
-        double waitingShare = Math.min(1, (double) (now - noneWaitingAt) / PRESENT_WINDOW_MILLIS);
-        double expected = present.perSecond(queued.terms()::allowsDomain, now) + least * (1 - waitingShare);
-        return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), Math.min(least, expected));
+        double shareSinceEmpty = Math.min(1, (double) (now - noneWaitingAt) / PRESENT_WINDOW_MILLIS);
+        double expected = present.perSecond(queued.terms()::allowsDomain, now) + assumed * (1 - shareSinceEmpty);
+        return Math.max(MinimumReleaseRate.DEFAULT.perSecond(queued, now), Math.min(assumed, expected));
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -42,8 +42,9 @@
     static final long MAX_TRIAL_DELAY_MILLIS = 2_500;
 
     /**
-     * The time since the last failure for which a cut counts although nothing tries the broken paths, in milliseconds. It
-     * is longer than links are known to be lost for, so that requests after a pause aren't all lost.
+     * The maximum time since the last failure for which the host stays cut off while no request tries a path, in
+     * milliseconds. It is longer than network failures usually last; with a shorter time the first requests after a pause
+     * would all be sent on broken paths.
      */
     static final long MAX_UNTRIED_MILLIS = 20_000;
 
@@ -163,7 +164,7 @@
         });
     }
 
-    /** Keeps what is known of broken paths for longer where nothing has been received directly since the cut was found. */
+    /** Renews the failures while the host is cut off, no request tries a path and no upstream has answered since the cut was found. */
     private void keepUntried(long now) {
         long since = cutOffSince(now, Path::failedSince);
         if (since > BEFORE_ALL
@@ -214,7 +215,8 @@
     }
 
     /**
-     * Finds upstreams that have fallen silent together, and counts them as failed.
+     * Finds upstreams that have fallen silent together, and counts them as failed. It also extends a cut during which no
+     * request has tried a path, so that it has to be called regularly.
      *
      * @param now the current time in milliseconds.
      * @return their addresses.
--- a/decision/src/main/java/org/radishspur/decision/upstream/Ejection.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/Ejection.java
@@ -40,7 +40,7 @@
         return consecutiveFailures;
     }
 
-    /** Begins an ejection. */
+    /** Begins an ejection at a time in microseconds. */
     void begin(boolean asUnreachable, long now) {
         unreachable = asUnreachable;
         long duration = options.firstEjectionMicros() << Math.min(consecutiveEjections, Integer.SIZE / 2);
--- a/decision/src/main/java/org/radishspur/decision/upstream/InFlightRequest.java
+++ b/decision/src/main/java/org/radishspur/decision/upstream/InFlightRequest.java
@@ -3,7 +3,8 @@
 import org.radishspur.decision.permit.PermitRequest;
 
 /**
- * A request in flight.
+ * Records the state of one request that an upstream runs: whether its prompt is processed, whether the upstream is silent
+ * on it, and whether it is overdue.
  */
 public final class InFlightRequest {
     private final PermitRequest request;
@@ -67,7 +68,7 @@
     /**
      * Returns whether the request has become overdue since the last call. Returns true at most once.
      *
-     * @param factor from how many times its expected time on the request is overdue.
+     * @param factor the multiple of the expected time from which the request is overdue.
      * @param now the current time in microseconds.
      * @return whether it has become overdue.
      */
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashFleetPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashFleetPropertyTest.java
@@ -11,10 +11,12 @@
 
 class CrashFleetPropertyTest {
     private static final int MAX_ENDS = 8;
+    /** The number of simulated fleets with slow checks, each with a seed of its own. */
     private static final int SLOW_FLEETS = 200;
+    /** The maximum time of a check, in milliseconds. */
     private static final int MAX_CHECK_MILLIS = 1_000;
 
-    /** Almost all of eight upstreams end, once each, where requests go on to be sent during slow checks. */
+    /** The maximum mean number of ended upstreams. Without refusals during checks almost all eight end. */
     private static final double MAX_MEAN_ENDS = 6;
 
     private static final int ENDS_BEFORE_WINDOW = 5;
--- a/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
+++ b/decision/src/test/java/org/radishspur/decision/crash/CrashGuardTest.java
@@ -90,6 +90,7 @@
             assertThat(isRefused(7L)).isFalse();
         }
 
+        /** Guards against a part that stays refused after a check has shown that its upstream runs. */
         @Test
         void allowThePartAgainOnceAnUpstreamIsFoundRunning() {
             lose(PART);
--- a/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/FewReleasesTest.java
@@ -118,7 +118,7 @@
 
     /** Guards against callers who are asked to retry at once although others have just waited in vain. */
     @Test
-    void requestsThatWaitedInVainShowThatSomeWaited() {
+    void refusalAfterAWaitStatesTheWaitOfALastingOverload() {
         completeEarlierStreams();
         fill(NOW);
         List<Decision> decisions = dispatcher.dispatchQueued(NOW + TARGET_MILLIS);
--- a/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/MinimumReleaseRateTest.java
@@ -63,9 +63,9 @@
 
     /** Guards against streams that are refused at the start of a burst, some moments before slots come free. */
     @Test
-    void areOfTheOwnSlotsWithinTheTimeOfAStreamOnceItIsKnown() {
+    void areOfTheStreamsInProgressOnceTheirTimeIsKnown() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         assertThat(perSecond(request(0, 40, TARGET_MILLIS))).isEqualTo(5);
         assertThat(perSecond(request(100, 0, TARGET_MILLIS))).isEqualTo(5);
     }
@@ -74,7 +74,7 @@
     @Test
     void areFewForStreamsOfWhichFewHaveEnded() {
         runStreams(3);
-        recordHolds(99);
+        recordHoldsOfStreams(99);
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
     }
 
@@ -82,7 +82,7 @@
     @Test
     void areFewForStreamsThatRunForLongerThanUsual() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         assertThat(pool.minReleasesPerSecond(request(100, 40, TARGET_MILLIS), NOW + 750))
                 .isEqualTo(4);
         assertThat(pool.minReleasesPerSecond(request(100, 40, TARGET_MILLIS), NOW + 5_000))
@@ -93,27 +93,27 @@
     @Test
     void areNotLoweredByUnknownEnds() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         pool.loads().stream().skip(1).forEach(load -> load.recordEnd("unknown"));
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
     }
 
     /** Guards against streams that wait for slots at an upstream which gets none of them. */
     @Test
-    void areNotOfAnUpstreamThatTurnsRequestsAway() {
+    void leaveOutAnUpstreamThatTurnsRequestsAway() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         UpstreamLoad upstream = pool.loads().iterator().next();
         upstream.recordRefusal(NOW - 1_000);
         upstream.recordRefusal(NOW);
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(2);
     }
 
-    /** Guards against the same at an upstream that fails. */
+    /** Guards against streams that wait for slots at an ejected upstream, which gets no new request. */
     @Test
-    void areNotOfAnUpstreamThatIsEjected() {
+    void leaveOutAnEjectedUpstream() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         UpstreamLoad upstream = pool.loads().iterator().next();
         while (!upstream.isEjected(NOW)) {
             upstream.recordOutcome(false, 0, NOW);
@@ -128,7 +128,7 @@
         }
     }
 
-    private void recordHolds(int count) {
+    private void recordHoldsOfStreams(int count) {
         for (int stream = 0; stream < count; stream++) {
             pool.recordHold(false, 600);
         }
@@ -152,7 +152,7 @@
     @Test
     void areByTheHoldingTimeOfTheSameKind() {
         runStreams(3);
-        recordHolds(100);
+        recordHoldsOfStreams(100);
         recordHoldsOfCalls(100);
         assertThat(perSecond(request(100, 40, TARGET_MILLIS))).isEqualTo(5);
         assertThat(perSecond(request(0, 0, TARGET_MILLIS))).isEqualTo(50);
--- a/decision/src/test/java/org/radishspur/decision/slot/BurstAfterIdleTimeTest.java
+++ b/decision/src/test/java/org/radishspur/decision/slot/BurstAfterIdleTimeTest.java
@@ -10,7 +10,9 @@
  */
 class BurstAfterIdleTimeTest {
     private static final double USUAL_REQUESTS_PER_SECOND = 300;
+    /** Four times the 430 requests a second that the engines can do. */
     private static final double BURST_REQUESTS_PER_SECOND = 1_720;
+
     private static final int BURSTS = 3;
 
     /** Guards against refusals at the start of a burst, though slots come free within the wait. */
--- a/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
+++ b/node/src/main/java/org/radishspur/node/control/PoolOwnerService.java
@@ -94,7 +94,10 @@
         resumeDeferred();
     }
 
-    /** Handles the messages about which these tables decide; registrations first, as they show which slots are taken. */
+    /**
+     * Handles the held messages that the tables and the ownership of queues now decide. Registrations come first, because
+     * they show which slots are taken.
+     */
     private void resumeDeferred() {
         deferred.removeRegistrations(tables, reporter::isOwner)
                 .forEach(held -> register(findOrCreatePool(held.register().pool()), held.node(), held.register()));
@@ -193,15 +196,17 @@
         OwnedPool owned = findOrCreatePool(request.pool());
         if (owned == null) {
             if (!DeferredPermits.mayBecomeKnown(request, tables) || !deferred.defer(node, request, loop.nowMillis())) {
-                refuseDeferred(node, request);
+                refuseUnowned(node, request);
             }
             return;
         }
+        // Not checked for the owner: the view of the entry may be newer than the one of this node.
         owned.scheduler.submit(requestOf(request), loop.nowMicros());
         requestDecision();
     }
 
-    private void refuseDeferred(String node, PeerMessage.PermitAcquire request) {
+    /** Refuses a request, as not run, because this node has no queue for its pool. */
+    private void refuseUnowned(String node, PeerMessage.PermitAcquire request) {
         sender.send(
                 node,
                 new PeerMessage.PermitRefused(
@@ -326,7 +331,7 @@
             // This node may have become the owner of a queue, as another one is unreachable.
             resumeDeferred();
         }
-        deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseDeferred(held.node(), held.message()));
+        deferred.removeExpired(loop.nowMillis()).forEach(held -> refuseUnowned(held.node(), held.message()));
         long now = loop.nowMicros();
         if (ownedPools.values().stream().anyMatch(owned -> owned.scheduler.nextDecisionAt() <= now)) {
             decide();
--- a/node/src/main/java/org/radishspur/node/entry/BodyReader.java
+++ b/node/src/main/java/org/radishspur/node/entry/BodyReader.java
@@ -43,7 +43,7 @@
         return body.tryReserve(services.limits().maxBodyBytes());
     }
 
-    /** Reads the body on, now that there is memory for it. */
+    /** Continues with the body, for which memory is reserved now. */
     private void onAdmitted() {
         admitted = true;
         endWaitForMemory();
--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -10,10 +10,10 @@
  */
 final class RequestAttempts {
     /**
-     * The time without a byte from which on an attempt on a broken path is not expected to go on, in milliseconds. A slot
-     * that is released sooner isn't counted when the upstream was only silent.
+     * The time without a byte after which the slot of an attempt on a broken path is released, in milliseconds. If it were
+     * released sooner, a request that an upstream still runs after a short silence would no longer count as in progress.
      */
-    private static final long MAX_SOUND_SILENCE_MILLIS = 3_000;
+    private static final long RELEASE_AFTER_SILENCE_MILLIS = 3_000;
 
     private final EntryExchange exchange;
     private final EntryServices services;
@@ -66,7 +66,7 @@
         if (attempt.beginSilence()) {
             log.silent(upstreamName(), attempt.silentMillis(now), pathBroken, runs.verdict());
         }
-        if (pathBroken && attempt.silentMillis(now) > MAX_SOUND_SILENCE_MILLIS) {
+        if (pathBroken && attempt.silentMillis(now) > RELEASE_AFTER_SILENCE_MILLIS) {
             attempt.releaseSlot();
         }
         hedge.request(pathBroken, now);
--- a/node/src/main/java/org/radishspur/node/entry/RequestRouting.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestRouting.java
@@ -115,7 +115,7 @@
                 && isInAllowedRegion(upstream);
     }
 
-    /** Returns whether an upstream lies in a region that the request may reach, by the settings of now. */
+    /** Returns whether an upstream lies in a region that the request may reach, by the current settings. */
     private boolean isInAllowedRegion(UpstreamLoad upstream) {
         return routed.hasAllowedDomain(services.regions())
                 && routed.terms(services.regions())
