--- a/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
+++ b/decision/src/main/java/org/radishspur/decision/path/DirectPaths.java
@@ -26,7 +26,7 @@
      */
     static final long PARTIAL_SILENCE_MILLIS = 1_500;
 
-    /** The time for which a failure counts unless another one renews it or the host is cut off, in milliseconds. */
+    /** The time for which a failure counts unless another one renews it, in milliseconds. */
     static final long FAILURE_MILLIS = 3_000;
 
     /**
@@ -41,13 +41,6 @@
     /** The time without a trial after which a request that can't be sent again is the next trial, in milliseconds. */
     static final long MAX_TRIAL_DELAY_MILLIS = 2_500;
 
-    /**
-     * The maximum time since the last failure for which the host stays cut off while no request tries a path, in
-     * milliseconds. It is longer than network failures usually last; with a shorter time the first requests after a pause
-     * would all be sent on broken paths.
-     */
-    static final long MAX_UNTRIED_MILLIS = 20_000;
-
     /** The number of upstreams that have to fail. */
     private static final int MIN_FAILED = 2;
 
@@ -59,7 +52,6 @@
     private final Map<String, Path> paths = new HashMap<>();
     private final Set<String> ended = new HashSet<>();
     private long latestFailureAt = NEVER;
-    private long untriedUntil = NEVER;
     private String trialUpstream = "";
     private long lastTrialAt = NEVER;
     private boolean lastTrialAnswered = true;
@@ -122,7 +114,7 @@
     public void recordLoss(String upstream, long now) {
         if (!ended.contains(upstream)) {
             pathTo(upstream).loss.record(now);
-            recordFailure(now);
+            latestFailureAt = now;
         }
         endFailedTrial(upstream, now);
     }
@@ -136,7 +128,7 @@
     public void recordConnectFailure(String upstream, long now) {
         if (!ended.contains(upstream)) {
             pathTo(upstream).connectFailure.record(now);
-            recordFailure(now);
+            latestFailureAt = now;
         }
         endFailedTrial(upstream, now);
     }
@@ -148,30 +140,10 @@
         }
         trialUpstream = "";
         if (isCutOff(now)) {
-            renewFailures(now);
-        }
-    }
-
-    private void recordFailure(long now) {
-        latestFailureAt = now;
-        untriedUntil = now + MAX_UNTRIED_MILLIS;
-    }
-
-    private void renewFailures(long now) {
-        paths.values().forEach(path -> {
-            path.loss.renew(now);
-            path.connectFailure.renew(now);
-        });
-    }
-
-    /** Renews the failures while the host is cut off, no request tries a path and no upstream has answered since the cut was found. */
-    private void keepUntried(long now) {
-        long since = cutOffSince(now, Path::failedSince);
-        if (since > BEFORE_ALL
-                && now < untriedUntil
-                && paths.values().stream().noneMatch(path -> path.answeredAt > since + CONFIRMATION_MILLIS)) {
-            latestFailureAt = now;
-            renewFailures(now);
+            paths.values().forEach(path -> {
+                path.loss.renew(now);
+                path.connectFailure.renew(now);
+            });
         }
     }
 
@@ -215,14 +187,12 @@
     }
 
     /**
-     * Finds upstreams that have fallen silent together, and counts them as failed. It also extends a cut during which no
-     * request has tried a path, so that it has to be called regularly.
+     * Finds upstreams that have fallen silent together, and counts them as failed.
      *
      * @param now the current time in milliseconds.
      * @return their addresses.
      */
     public Set<String> findSilent(long now) {
-        keepUntried(now);
         Path trial = paths.getOrDefault(trialUpstream, Path.UNKNOWN);
         // Requests from before the trial may still wait on the same path.
         if (trial.isSilent(SILENCE_MILLIS, now) && now - lastTrialAt > SILENCE_MILLIS) {
@@ -240,7 +210,7 @@
             return Set.of();
         }
         silent.forEach(upstream -> pathTo(upstream).loss.record(now));
-        recordFailure(now);
+        latestFailureAt = now;
         return silent;
     }
 
--- a/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
+++ b/decision/src/test/java/org/radishspur/decision/path/DirectPathsTest.java
@@ -293,41 +293,6 @@
             }
         }
 
-        private void passWithChecks(long millis) {
-            for (long until = now + millis; now < until; pass(50)) {
-                paths.findSilent(now);
-            }
-        }
-
-        /** Guards against requests that are all lost after a pause, such as one without a scheduler, during the cut. */
-        @Test
-        void staysClosedWhileNothingIsSent() {
-            cutOff();
-            passWithChecks(3 * DirectPaths.FAILURE_MILLIS);
-            assertThat(UPSTREAMS).allMatch(upstream -> paths.isBroken(upstream, now));
-            assertThat(paths.takeTrial("a", true, now)).isTrue();
-            assertThat(paths.takeTrial("b", true, now)).isFalse();
-        }
-
-        /** Guards against a host without requests that counts as cut off for good. */
-        @Test
-        void opensInTheEndWhereNothingIsSent() {
-            cutOff();
-            passWithChecks(DirectPaths.MAX_UNTRIED_MILLIS + DirectPaths.FAILURE_MILLIS);
-            assertThat(paths.isCutOff(now)).isFalse();
-        }
-
-        /** Guards against a cut that is kept although a trial has shown that a path works again. */
-        @Test
-        void opensAfterATrialThatIsAnsweredWhereNothingElseIsSent() {
-            cutOff();
-            passWithChecks(DirectPaths.FAILURE_MILLIS);
-            assertThat(paths.takeTrial("a", true, now)).isTrue();
-            answer("a");
-            passWithChecks(DirectPaths.FAILURE_MILLIS);
-            assertThat(paths.isCutOff(now)).isFalse();
-        }
-
         /** Guards against trials that count as failed at once because older requests hang on the same path. */
         @Test
         void isNotBarredByRequestsThatHang() {
