Log what a rollout was compared with

A version that was completed although each of its answers was bad had the cause GOOD in the log, without the counts of the other versions, whether times were compared, and how much of the period was over; so a lack of evidence couldn't be told from evidence of another time. ROLLOUT now has otherAnswers, otherFailures, otherUnanswered, slowness, timedUpstreams and elapsedPercent.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamTimes.java
@@ -136,6 +136,19 @@
         return strongest;
     }
 
+    /**
+     * Returns the number of upstreams of the version under trial with a response.
+     *
+     * @return the number of upstreams.
+     */
+    public int trialUpstreams() {
+        return (int) counts.keySet().stream()
+                .filter(Cell::trial)
+                .mapToInt(Cell::upstream)
+                .distinct()
+                .count();
+    }
+
     /** Returns the sorted logarithms of the times of each upstream. */
     private List<double[]> octavesByUpstream(boolean trial, Measure measure) {
         Map<Integer, List<Double>> values = new HashMap<>();
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.group;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,8 @@
     /** The time after which a new leader has the reports of the entries, in milliseconds. */
     private static final long REPORT_MILLIS = 1_000;
 
+    private static final double PERCENT = 100;
+
     private final ControlLoop loop;
     private final ReplicaRunner replica;
     private final EventLog events;
@@ -85,27 +88,29 @@
         boolean hasReports = loop.nowMillis() - leaderSince >= REPORT_MILLIS;
         double share = hasReports ? (double) elapsed / Math.max(1, rollout.periodMillis()) : 0;
         // While all requests move to the version, its upstreams are busier than the others.
-        Evidence slowness = rollout.stage() == RolloutStage.RUNNING ? slowness(rollout) : Evidence.NONE;
+        UpstreamTimes times = times(rollout);
+        Evidence slowness = rollout.stage() == RolloutStage.RUNNING ? times.slowness() : Evidence.NONE;
         Finding finding = RolloutEvaluator.INSTANCE.evaluate(outcomesByRoute.values(), slowness, share);
+        State state = new State(outcomesByRoute.values(), slowness, times.trialUpstreams(), share);
         if (finding.isBad()) {
-            advance(rollout, RolloutStage.ROLLED_BACK, outcomesByRoute, finding.name());
+            advance(rollout, RolloutStage.ROLLED_BACK, finding.name(), state);
         } else if (finding == Finding.GOOD && rollout.stage() == RolloutStage.RUNNING) {
             movingSince.put(name, loop.nowMillis());
-            advance(rollout, RolloutStage.MOVING, outcomesByRoute, finding.name());
+            advance(rollout, RolloutStage.MOVING, finding.name(), state);
         } else if (rollout.stage() == RolloutStage.MOVING
                 && loop.nowMillis() - movingSince.computeIfAbsent(name, key -> loop.nowMillis()) > MOVE_MILLIS) {
-            advance(rollout, RolloutStage.COMPLETED, outcomesByRoute, "MOVED");
+            advance(rollout, RolloutStage.COMPLETED, "MOVED", state);
         }
     }
 
-    private Evidence slowness(Rollout rollout) {
+    private UpstreamTimes times(Rollout rollout) {
         UpstreamTimes times = new UpstreamTimes();
         for (Report report : reportsByEntry.values()) {
             report.times().stream()
                     .filter(each -> isOf(rollout, each.pool(), each.rolloutStartedAtMillis()))
                     .forEach(each -> times.addAll(each.times()));
         }
-        return times.slowness();
+        return times;
     }
 
     /** Returns whether a report belongs to a rollout, and not to an earlier one of the same pool. */
@@ -113,21 +118,23 @@
         return pool.equals(rollout.pool()) && startedAtMillis == rollout.startedAtMillis();
     }
 
-    private void advance(
-            Rollout rollout, RolloutStage stage, Map<String, RouteOutcomes> outcomesByRoute, String cause) {
-        OutcomeCounts trial = OutcomeCounts.NONE;
-        for (RouteOutcomes route : outcomesByRoute.values()) {
-            trial = trial.plus(route.trial());
-        }
+    private void advance(Rollout rollout, RolloutStage stage, String cause, State state) {
+        RouteOutcomes sum = state.sum();
         events.emit(
                 EventCode.ROLLOUT,
                 rollout.pool(),
                 rollout.target(),
                 stage,
-                trial.answers(),
-                trial.failures(),
-                trial.unanswered(),
-                cause);
+                sum.trial().answers(),
+                sum.trial().failures(),
+                sum.trial().unanswered(),
+                cause,
+                sum.others().answers(),
+                sum.others().failures(),
+                sum.others().unanswered(),
+                state.slowness(),
+                state.timedUpstreams(),
+                Math.round(PERCENT * state.elapsed()));
         replica.propose(
                 new ControlCommand.AdvanceRollout(rollout.pool(), rollout.target(), stage, System.currentTimeMillis()),
                 outcome -> {});
@@ -158,4 +165,20 @@
      * @param times the times that it has measured.
      */
     private record Report(List<VersionCounts> counts, List<RolloutTimes> times) {}
+
+    /**
+     * The evidence on which a rollout moves on.
+     *
+     * @param routes the outcomes on each route.
+     * @param slowness whether the target version is slower.
+     * @param timedUpstreams the number of its upstreams whose times are known.
+     * @param elapsed the share of the period that has passed.
+     */
+    private record State(Collection<RouteOutcomes> routes, Evidence slowness, int timedUpstreams, double elapsed) {
+        RouteOutcomes sum() {
+            return routes.stream()
+                    .reduce(RouteOutcomes::plus)
+                    .orElse(new RouteOutcomes(OutcomeCounts.NONE, OutcomeCounts.NONE));
+        }
+    }
 }
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -32,8 +32,25 @@
     MEMBER(false, "candidate", "replaced", "started"),
     /** The platform's host list could not be read. */
     LIST_FAILED(false, "cause"),
-    /** A rollout moves on to another stage. */
-    ROLLOUT(false, "pool", "target", "stage", "answers", "failures", "unanswered", "cause"),
+    /**
+     * A rollout moves on to another stage. The line states what the target version and the others gave to requests, and
+     * whether the times of the target version's upstreams show that it is slower.
+     */
+    ROLLOUT(
+            false,
+            "pool",
+            "target",
+            "stage",
+            "answers",
+            "failures",
+            "unanswered",
+            "cause",
+            "otherAnswers",
+            "otherFailures",
+            "otherUnanswered",
+            "slowness",
+            "timedUpstreams",
+            "elapsedPercent"),
     /** A scheduler has stopped sending requests to a failure domain, or sends them again. */
     EVACUATION(false, "failureDomain", "state", "inProgress"),
     /** An operator's call was answered. */
