Give the decisions on rollouts a package of their own

RolloutEvaluator and UpstreamTimes stood among some thirty classes that dispatch requests; more is to be added to them.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/RolloutEvaluator.java
@@ -1,4 +1,4 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.rollout;
 
 import java.util.Collection;
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/RolloutEvaluatorTest.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/RolloutEvaluatorTest.java
@@ -1,12 +1,12 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.rollout;
 
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.radishspur.decision.dispatch.RolloutEvaluator.Finding;
-import org.radishspur.decision.dispatch.RolloutEvaluator.OutcomeCounts;
-import org.radishspur.decision.dispatch.RolloutEvaluator.RouteOutcomes;
-import org.radishspur.decision.dispatch.UpstreamTimes.Evidence;
+import org.radishspur.decision.rollout.RolloutEvaluator.Finding;
+import org.radishspur.decision.rollout.RolloutEvaluator.OutcomeCounts;
+import org.radishspur.decision.rollout.RolloutEvaluator.RouteOutcomes;
+import org.radishspur.decision.rollout.UpstreamTimes.Evidence;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/UpstreamTimesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/UpstreamTimesTest.java
@@ -1,11 +1,11 @@
-package org.radishspur.decision.dispatch;
+package org.radishspur.decision.rollout;
 
 import java.util.Random;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.radishspur.decision.dispatch.UpstreamTimes.Evidence;
-import org.radishspur.decision.dispatch.UpstreamTimes.Measure;
+import org.radishspur.decision.rollout.UpstreamTimes.Evidence;
+import org.radishspur.decision.rollout.UpstreamTimes.Measure;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionCounters.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
-import org.radishspur.decision.dispatch.UpstreamTimes;
+import org.radishspur.decision.rollout.UpstreamTimes;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.fleet.FleetMessage.RolloutTimes;
 import org.radishspur.node.fleet.FleetMessage.VersionCounts;
--- a/node/src/main/java/org/radishspur/node/entry/VersionEvidence.java
+++ b/node/src/main/java/org/radishspur/node/entry/VersionEvidence.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
-import org.radishspur.decision.dispatch.UpstreamTimes;
+import org.radishspur.decision.rollout.UpstreamTimes;
 import org.radishspur.model.catalogue.Upstream;
 import org.radishspur.node.entry.VersionCounters.Outcome;
 import org.radishspur.node.upstream.UpstreamProbe;
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -191,7 +191,7 @@
      *
      * @param pool the pool.
      * @param rolloutStartedAtMillis the start of the rollout, in milliseconds since the epoch.
-     * @param times the times, as {@link org.radishspur.decision.dispatch.UpstreamTimes#toArray()} returns them.
+     * @param times the times, as {@link org.radishspur.decision.rollout.UpstreamTimes#toArray()} returns them.
      */
     record RolloutTimes(String pool, long rolloutStartedAtMillis, int[] times) {}
 
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Map;
 
-import org.radishspur.decision.dispatch.RolloutEvaluator;
-import org.radishspur.decision.dispatch.RolloutEvaluator.Finding;
-import org.radishspur.decision.dispatch.RolloutEvaluator.OutcomeCounts;
-import org.radishspur.decision.dispatch.RolloutEvaluator.RouteOutcomes;
-import org.radishspur.decision.dispatch.UpstreamTimes;
-import org.radishspur.decision.dispatch.UpstreamTimes.Evidence;
+import org.radishspur.decision.rollout.RolloutEvaluator;
+import org.radishspur.decision.rollout.RolloutEvaluator.Finding;
+import org.radishspur.decision.rollout.RolloutEvaluator.OutcomeCounts;
+import org.radishspur.decision.rollout.RolloutEvaluator.RouteOutcomes;
+import org.radishspur.decision.rollout.UpstreamTimes;
+import org.radishspur.decision.rollout.UpstreamTimes.Evidence;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaRunner;
 import org.radishspur.node.fleet.FleetMessage.RolloutTimes;
