Suspect a version whose only upstream is several times slower

Now one upstream is compared too. It can only be suspected, as it may be of an unknown kind; the density of unknown kinds grows the fewer upstreams are known, where one constant fitted eight. What is suspected prolongs the trial and is then rolled back, as before.

--- a/decision/src/main/java/org/radishspur/decision/rollout/UpstreamTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/UpstreamTimes.java
@@ -26,11 +26,12 @@
     /** The number of responses from which the usual time of an upstream of the other versions is known. */
     private static final int MIN_RESPONSES_OF_OTHERS = 3;
 
-    /** The number of upstreams of the version under trial, and of their responses, from which usual times are compared. */
-    private static final int MIN_TRIAL_UPSTREAMS = 2;
-
+    /** The number of responses of the version under trial from which usual times are compared. */
     private static final int MIN_TRIAL_RESPONSES = 6;
 
+    /** The number of its upstreams from which usual times prove anything; a single one may be of an unknown kind. */
+    private static final int MIN_PROVING_UPSTREAMS = 2;
+
     /** The smallest and largest ratio of times by which a slow version is looked for, in octaves, and the step. */
     private static final double MIN_SHIFT_OCTAVES = 1;
 
@@ -40,8 +41,16 @@
     /** The standard deviation of the usual times of equal upstreams, in octaves. */
     private static final double USUAL_DEVIATION_OCTAVES = 0.25;
 
-    /** The probability density, per octave, of an upstream unlike any that is known. */
-    private static final double UNKNOWN_DENSITY = 0.006;
+    /**
+     * The probability density, per octave, of an upstream unlike the only one that is known; some one in three upstreams is
+     * of a kind that is several times slower.
+     */
+    private static final double UNKNOWN_DENSITY_BESIDE_ONE = 0.07;
+
+    /** The factor by which each further known upstream lowers that density: about the part of upstreams of the usual kind. */
+    private static final double UNKNOWN_DENSITY_FACTOR = 0.7;
+
+    private static final double MIN_UNKNOWN_DENSITY = 0.006;
 
     /** The logarithms of the likelihood ratio from which a slow version is suspected and proven: 1 in 10, 1 in 150. */
     private static final double SUSPECTED_LOG_RATIO = Math.log(10);
@@ -129,7 +138,10 @@
         for (Measure measure : Measure.values()) {
             List<double[]> trial = octavesByUpstream(true, measure);
             List<double[]> others = octavesByUpstream(false, measure);
-            Evidence ofShift = Evidence.of(shiftLogRatio(trial, others), SUSPECTED_LOG_RATIO, PROVEN_LOG_RATIO);
+            Evidence ofShift = Evidence.of(
+                    shiftLogRatio(trial, others),
+                    SUSPECTED_LOG_RATIO,
+                    trial.size() < MIN_PROVING_UPSTREAMS ? Double.POSITIVE_INFINITY : PROVEN_LOG_RATIO);
             Evidence ofShare = Evidence.of(slowShareExcess(trial, others), SUSPECTED_DEVIATIONS, PROVEN_DEVIATIONS);
             strongest = strongest.or(ofShift).or(ofShare);
         }
@@ -174,7 +186,7 @@
         List<double[]> others = all.stream()
                 .filter(octaves -> octaves.length >= MIN_RESPONSES_OF_OTHERS)
                 .toList();
-        if (others.isEmpty() || trial.size() < MIN_TRIAL_UPSTREAMS || count(trial) < MIN_TRIAL_RESPONSES) {
+        if (others.isEmpty() || count(trial) < MIN_TRIAL_RESPONSES) {
             return 0;
         }
         double[] usual = others.stream().mapToDouble(UpstreamTimes::median).toArray();
@@ -203,7 +215,8 @@
         for (double each : usual) {
             sum += Math.exp(-(octaves - each) * (octaves - each) / (2 * variance));
         }
-        return sum / usual.length / Math.sqrt(2 * Math.PI * variance) + UNKNOWN_DENSITY;
+        double unknown = UNKNOWN_DENSITY_BESIDE_ONE * Math.pow(UNKNOWN_DENSITY_FACTOR, usual.length - 1);
+        return sum / usual.length / Math.sqrt(2 * Math.PI * variance) + Math.max(MIN_UNKNOWN_DENSITY, unknown);
     }
 
     private static double varianceWithin(List<double[]> upstreams) {
--- a/decision/src/test/java/org/radishspur/decision/rollout/UpstreamTimesTest.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/UpstreamTimesTest.java
@@ -25,6 +25,13 @@
     private static final double SLOW_KIND = 4.4;
 
     private static final double EVENT_MILLIS = 14;
+    private static final double PLAIN_MILLIS = 60;
+
+    /** The standard deviation of the logarithm of the time of plain calls. */
+    private static final double PLAIN_DEVIATION = 0.5;
+
+    /** The number of responses that one upstream under trial gives in 10 s at 20 requests a second. */
+    private static final int FEW_RESPONSES = 14;
 
     private static double kind(Random random) {
         return random.nextInt(3) == 0 ? SLOW_KIND : 1;
@@ -80,6 +87,51 @@
         }
     }
 
+    /** Adds responses of one upstream, which vary as those of plain calls do. */
+    private static void addPlain(
+            UpstreamTimes times, int upstream, boolean trial, int responses, double millis, long seed) {
+        Random random = new Random(seed);
+        for (int number = 0; number < responses; number++) {
+            times.add(upstream, trial, Measure.FIRST_BYTE, millis * Math.exp(PLAIN_DEVIATION * random.nextGaussian()));
+        }
+    }
+
+    /** Returns how often a version with one upstream is suspected beside a number of old upstreams of one kind. */
+    private static int countSuspectedAlone(int oldUpstreams, double factor) {
+        int suspected = 0;
+        for (int draw = 0; draw < DRAWS; draw++) {
+            UpstreamTimes times = new UpstreamTimes();
+            for (int upstream = 0; upstream < oldUpstreams; upstream++) {
+                addPlain(times, upstream, false, NEW_RESPONSES, PLAIN_MILLIS, 1_000L * draw + upstream);
+            }
+            addPlain(times, NEW_UPSTREAMS, true, FEW_RESPONSES, factor * PLAIN_MILLIS, -draw - 1);
+            suspected += times.slowness() == Evidence.SUSPECTED ? 1 : 0;
+        }
+        return suspected;
+    }
+
+    /** Guards against a version that is completed because its only upstream is compared with nothing. */
+    @Nested
+    class OnlyUpstream {
+        @Test
+        void isSuspectedIfItIsFourTimesSlower() {
+            for (int oldUpstreams : new int[] {1, 2, 3}) {
+                assertThat(countSuspectedAlone(oldUpstreams, 4))
+                        .as("beside " + oldUpstreams)
+                        .isGreaterThan(DRAWS * 9 / 10);
+            }
+        }
+
+        @Test
+        void isRarelySuspectedIfItIsAsFast() {
+            for (int oldUpstreams : new int[] {1, 2, 3}) {
+                assertThat(countSuspectedAlone(oldUpstreams, 1))
+                        .as("beside " + oldUpstreams)
+                        .isLessThanOrEqualTo(DRAWS * 4 / 100);
+            }
+        }
+    }
+
     private static void assertRarelySuspected(int upstreams, int responses) {
         String name = upstreams + " upstreams, " + responses + " responses";
         assertThat(count(Evidence.PROVEN, upstreams, responses, 0, 1)).as(name).isLessThanOrEqualTo(DRAWS / 100);
