Complete a version only on evidence that it is sound

Callers' requests moved for good to versions that fail: a rollout compared the sums since its start with those of the other versions, and whatever that couldn't tell ended as GOOD.

Class: absence of evidence counts as evidence, and evidence of one time is compared with that of another.

The leader divides the trial into windows; those in which the others fail more, or are slower, than usual are no evidence. A version is good if its undisturbed outcomes are more likely from a sound one than from one that fails a fifth; if there are too few, or a disturbance lasts, what was usual before decides. Failures count by a likelihood ratio in place of a margin, which is too small for few answers.

--- a/decision/src/main/java/org/radishspur/decision/rollout/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/RolloutEvaluator.java
@@ -1,10 +1,12 @@
 package org.radishspur.decision.rollout;
 
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Decides whether a version under trial is good, by comparing its answers with those of the other versions, route by
- * route.
+ * route. A version is good only if its outcomes are more likely from a sound version than from a faulty one; a lack of
+ * evidence is no evidence that it is sound.
  */
 public enum RolloutEvaluator {
     /** The only instance; it is stateless. */
@@ -13,11 +15,8 @@
     /** Number of failures of the trial version from which its failure share counts. */
     private static final long MIN_FAILURES = 3;
 
-    /**
-     * Excess of the trial version's failure share over that of the others that is accepted; a fault in one of ten
-     * requests is detected.
-     */
-    private static final double FAILURE_SHARE_MARGIN = 0.08;
+    /** Excess of the trial version's share of bad outcomes over that of the others that is accepted. */
+    private static final double SHARE_MARGIN = 0.08;
 
     /** Number of unanswered requests of the trial version from which their share counts; one silence makes a few. */
     private static final long MIN_UNANSWERED = 5;
@@ -25,64 +24,116 @@
     /** Ratio of the trial version's share of unanswered requests to that of the others that is accepted. */
     private static final double UNANSWERED_FACTOR = 2;
 
+    /** The logarithm of the likelihood ratio from which a higher share of failures is no chance. */
+    private static final double PROVEN_LOG_RATIO = 6.5;
+
+    /** The same for unanswered requests, of which one silence makes several at once. */
+    private static final double PROVEN_LOG_RATIO_OF_UNANSWERED = 12;
+
+    /** The share of requests that a version fails that must be told from a sound one before requests move. */
+    private static final double FAULTY_SHARE = 0.2;
+
+    /** The logarithm of the likelihood ratio from which a version may be such a one. */
+    private static final double SUSPECTED_LOG_RATIO = Math.log(3);
+
     /** Share of the period after which the trial ends; the rest is for moving the requests. */
     private static final double TRIAL_SHARE = 0.8;
 
-    /** Share of the period until which the trial goes on while the version may be slower. */
+    /** Share of the period until which the trial goes on while the version may be bad. */
     private static final double PROLONGED_TRIAL_SHARE = 0.9;
 
     /** Number of answers that the trial version needs before requests move to it. */
     private static final long MIN_ANSWERS = 10;
 
+    private static final OutcomeTest FAILURES = new OutcomeTest(
+            RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::failures, OutcomeCounts::answers);
+    private static final OutcomeTest UNANSWERED = new OutcomeTest(
+            RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::unanswered, OutcomeCounts::requests);
+    private static final OutcomeTest BAD =
+            new OutcomeTest(RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::bad, OutcomeCounts::requests);
+    private static final OutcomeTest BAD_BY_USUAL =
+            new OutcomeTest(RouteOutcomes::trial, RouteOutcomes::before, OutcomeCounts::bad, OutcomeCounts::requests);
+
     /**
      * Decides whether the trial version is good or bad, or whether it is too early to decide.
      *
-     * @param routes the outcomes on each route.
-     * @param slowness the evidence that its upstreams are slower than those of the other versions.
+     * @param evidence what the trial has shown so far.
      * @param elapsed the share of the period that has passed, from 0 to 1.
      * @return the finding.
      */
-    public Finding evaluate(Collection<RouteOutcomes> routes, UpstreamTimes.Evidence slowness, double elapsed) {
-        long answers = 0;
-        for (RouteOutcomes outcomes : routes) {
-            answers += outcomes.trial().answers();
-            if (isFailing(outcomes)) {
-                return Finding.FAILING;
-            }
-            if (isUnanswering(outcomes)) {
-                return Finding.UNANSWERING;
-            }
+    public Finding evaluate(TrialEvidence evidence, double elapsed) {
+        if (isFailing(evidence.all()) || isFailing(evidence.undisturbed()) || isFailing(evidence.recent())) {
+            return Finding.FAILING;
+        }
+        if (isUnanswering(evidence.all()) || isUnanswering(evidence.undisturbed())) {
+            return Finding.UNANSWERING;
         }
-        if (slowness == UpstreamTimes.Evidence.PROVEN) {
+        if (evidence.slowness() == UpstreamTimes.Evidence.PROVEN) {
             return Finding.SLOW;
         }
         if (elapsed < TRIAL_SHARE) {
             return Finding.UNDECIDED;
         }
-        if (answers < MIN_ANSWERS) {
+        if (answers(evidence.all()) < MIN_ANSWERS) {
             return Finding.TOO_FEW_ANSWERS;
         }
-        if (slowness == UpstreamTimes.Evidence.SUSPECTED) {
+        if (evidence.slowness() == UpstreamTimes.Evidence.SUSPECTED) {
             return elapsed < PROLONGED_TRIAL_SHARE ? Finding.UNDECIDED : Finding.PROBABLY_SLOW;
         }
+        if (mayBeFailing(evidence)) {
+            return elapsed < PROLONGED_TRIAL_SHARE ? Finding.UNDECIDED : Finding.PROBABLY_FAILING;
+        }
         return Finding.GOOD;
     }
 
-    private static boolean isFailing(RouteOutcomes outcomes) {
-        OutcomeCounts trial = outcomes.trial();
-        return trial.failures() >= MIN_FAILURES
-                && trial.failureShare() > outcomes.others().failureShare() + FAILURE_SHARE_MARGIN;
+    private static long answers(Collection<RouteOutcomes> routes) {
+        return routes.stream().mapToLong(route -> route.trial().answers()).sum();
+    }
+
+    /** Returns whether the trial version fails more than the others, on one route or on all together. */
+    private static boolean isFailing(Collection<RouteOutcomes> routes) {
+        return isFailingOn(routes)
+                || routes.size() > 1 && routes.stream().anyMatch(route -> isFailingOn(List.of(route)));
+    }
+
+    private static boolean isFailingOn(Collection<RouteOutcomes> routes) {
+        return FAILURES.bad(routes) >= MIN_FAILURES
+                && FAILURES.excess(routes) > SHARE_MARGIN
+                && FAILURES.certainty(routes) >= PROVEN_LOG_RATIO;
     }
 
     /**
      * Returns whether the trial version leaves requests unanswered. Sound upstreams may be silent for a second and are
      * then given up as well, those of all versions alike.
      */
-    private static boolean isUnanswering(RouteOutcomes outcomes) {
-        OutcomeCounts trial = outcomes.trial();
+    private static boolean isUnanswering(Collection<RouteOutcomes> routes) {
+        return routes.stream().anyMatch(RolloutEvaluator::isUnanswering);
+    }
+
+    private static boolean isUnanswering(RouteOutcomes route) {
+        OutcomeCounts trial = route.trial();
+        OutcomeCounts others = route.others();
         return trial.unanswered() >= MIN_UNANSWERED
-                && trial.unansweredShare()
-                        > UNANSWERED_FACTOR * outcomes.others().unansweredShare() + FAILURE_SHARE_MARGIN;
+                && unansweredShare(trial) > UNANSWERED_FACTOR * unansweredShare(others) + SHARE_MARGIN
+                && UNANSWERED.certainty(List.of(route)) >= PROVEN_LOG_RATIO_OF_UNANSWERED;
+    }
+
+    private static double unansweredShare(OutcomeCounts counts) {
+        return counts.unanswered() == 0 ? 0 : (double) counts.unanswered() / counts.requests();
+    }
+
+    /**
+     * Returns whether the outcomes are more likely from a faulty version than from a sound one. What a disturbance may hide
+     * is compared with what was usual before the rollout.
+     */
+    private static boolean mayBeFailing(TrialEvidence evidence) {
+        boolean enough = answers(evidence.undisturbed()) >= MIN_ANSWERS;
+        return isSuspected(enough ? BAD : BAD_BY_USUAL, enough ? evidence.undisturbed() : evidence.all())
+                || isSuspected(BAD_BY_USUAL, evidence.disturbed());
+    }
+
+    private static boolean isSuspected(OutcomeTest test, Collection<RouteOutcomes> routes) {
+        return test.logRatioOfFault(routes, FAULTY_SHARE) > SUSPECTED_LOG_RATIO;
     }
 
     /**
@@ -101,6 +152,8 @@
         SLOW(true),
         /** The version may be slower than the others, and there is no time for more evidence. */
         PROBABLY_SLOW(true),
+        /** The version may fail more often than a sound one, and there is no time for more evidence. */
+        PROBABLY_FAILING(true),
         /** The version has hardly answered. */
         TOO_FEW_ANSWERS(true);
 
@@ -119,52 +172,4 @@
             return bad;
         }
     }
-
-    /**
-     * Holds the outcomes on one route.
-     *
-     * @param trial the outcomes of the version under trial.
-     * @param others the outcomes of the other versions.
-     */
-    public record RouteOutcomes(OutcomeCounts trial, OutcomeCounts others) {
-        /**
-         * Returns the sum of these outcomes and others.
-         *
-         * @param added the outcomes to add.
-         * @return the sum.
-         */
-        public RouteOutcomes plus(RouteOutcomes added) {
-            return new RouteOutcomes(trial.plus(added.trial), others.plus(added.others));
-        }
-    }
-
-    /**
-     * Counts answers and requests without one.
-     *
-     * @param answers the number of answers, including failures.
-     * @param failures the number of failures.
-     * @param unanswered the number of requests that were given up without an answer.
-     */
-    public record OutcomeCounts(long answers, long failures, long unanswered) {
-        /** Has no answers. */
-        public static final OutcomeCounts NONE = new OutcomeCounts(0, 0, 0);
-
-        /**
-         * Returns the sum of these counts and others.
-         *
-         * @param added the counts to add.
-         * @return the sum.
-         */
-        public OutcomeCounts plus(OutcomeCounts added) {
-            return new OutcomeCounts(answers + added.answers, failures + added.failures, unanswered + added.unanswered);
-        }
-
-        double unansweredShare() {
-            return unanswered == 0 ? 0 : (double) unanswered / (answers + unanswered);
-        }
-
-        double failureShare() {
-            return answers == 0 ? 0 : (double) failures / answers;
-        }
-    }
 }
--- a/decision/src/main/java/org/radishspur/decision/rollout/UpstreamTimes.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/UpstreamTimes.java
@@ -112,6 +112,46 @@
         }
     }
 
+    /**
+     * Adds other times.
+     *
+     * @param added the times to add.
+     */
+    public void addAll(UpstreamTimes added) {
+        added.counts.forEach((cell, count) -> counts.merge(cell, count, Integer::sum));
+    }
+
+    /** Returns the times that were added since an earlier state. */
+    UpstreamTimes since(UpstreamTimes earlier) {
+        UpstreamTimes added = new UpstreamTimes();
+        counts.forEach((cell, count) -> {
+            int before = earlier.counts.getOrDefault(cell, 0);
+            if (count > before) {
+                added.counts.put(cell, count - before);
+            }
+        });
+        return added;
+    }
+
+    /** Returns the times of the upstreams of one side, as if they were of the other or of the same side. */
+    UpstreamTimes of(boolean trial, boolean asTrial) {
+        UpstreamTimes selected = new UpstreamTimes();
+        counts.forEach((cell, count) -> {
+            if (cell.trial() == trial) {
+                selected.counts.put(new Cell(cell.upstream(), asTrial, cell.measure(), cell.step()), count);
+            }
+        });
+        return selected;
+    }
+
+    /** Returns the number of responses of the version under trial. */
+    int trialResponses() {
+        return counts.entrySet().stream()
+                .filter(each -> each.getKey().trial())
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
     /**
      * Returns all times in a form for messages.
      *
--- a/decision/src/test/java/org/radishspur/decision/rollout/RolloutEvaluatorTest.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/RolloutEvaluatorTest.java
@@ -4,8 +4,6 @@
 
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.rollout.RolloutEvaluator.Finding;
-import org.radishspur.decision.rollout.RolloutEvaluator.OutcomeCounts;
-import org.radishspur.decision.rollout.RolloutEvaluator.RouteOutcomes;
 import org.radishspur.decision.rollout.UpstreamTimes.Evidence;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,7 +21,8 @@
     }
 
     private static Finding evaluate(List<RouteOutcomes> routes, Evidence slowness, double elapsed) {
-        return RolloutEvaluator.INSTANCE.evaluate(routes, slowness, elapsed);
+        return RolloutEvaluator.INSTANCE.evaluate(
+                new TrialEvidence(routes, routes, routes, List.of(), slowness), elapsed);
     }
 
     @Test
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -59,6 +59,7 @@
      * @param versionCounts the responses that the entry has counted during the current rollouts, by version.
      * @param reach whether the sender reaches upstreams, so that it could relay for others.
      * @param rolloutTimes the response times that the entry has measured during the current rollouts.
+     * @param countsBefore the responses of all versions that the entry has counted in the time before the current rollouts.
      */
     record ViewRequest(
             long nonce,
@@ -69,10 +70,12 @@
             long listReading,
             List<VersionCounts> versionCounts,
             UpstreamReach reach,
-            List<RolloutTimes> rolloutTimes)
+            List<RolloutTimes> rolloutTimes,
+            List<VersionCounts> countsBefore)
             implements FleetMessage {
         /** Replaces what an older build doesn't send. */
         public ViewRequest {
+            countsBefore = countsBefore == null ? List.of() : countsBefore;
             reach = reach == null ? UpstreamReach.NO_RELAY : reach;
             rolloutTimes = rolloutTimes == null ? List.of() : rolloutTimes;
         }
@@ -165,7 +168,7 @@
      * counted from the rollout's start, so that a new leader has all of them at once, and no rollout has those of another.
      *
      * @param pool the pool.
-     * @param version the version.
+     * @param version the version; empty where the counts are those of all versions.
      * @param route the route.
      * @param answers the number of responses, failed ones included.
      * @param failures the number of failed responses.
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -5,14 +5,15 @@
 import java.util.List;
 import java.util.Map;
 
-import org.radishspur.decision.rollout.RolloutEvaluator;
+import org.radishspur.decision.rollout.OutcomeCounts;
 import org.radishspur.decision.rollout.RolloutEvaluator.Finding;
-import org.radishspur.decision.rollout.RolloutEvaluator.OutcomeCounts;
-import org.radishspur.decision.rollout.RolloutEvaluator.RouteOutcomes;
+import org.radishspur.decision.rollout.RolloutTrial;
+import org.radishspur.decision.rollout.RouteOutcomes;
 import org.radishspur.decision.rollout.UpstreamTimes;
 import org.radishspur.decision.rollout.UpstreamTimes.Evidence;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaRunner;
+import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetMessage.RolloutTimes;
 import org.radishspur.node.fleet.FleetMessage.VersionCounts;
 import org.radishspur.node.log.EventCode;
@@ -32,12 +33,6 @@
      */
     private static final long EVALUATION_INTERVAL_MILLIS = 200;
 
-    /**
-     * How long all requests go to the target version before the rollout completes and old upstreams may stop, in
-     * milliseconds.
-     */
-    private static final long MOVE_MILLIS = 600;
-
     /** The time after which a new leader has the reports of the entries, in milliseconds. */
     private static final long REPORT_MILLIS = 1_000;
 
@@ -47,7 +42,7 @@
     private final ReplicaRunner replica;
     private final EventLog events;
     private final Map<String, Report> reportsByEntry = new HashMap<>();
-    private final Map<String, Long> movingSince = new HashMap<>();
+    private final Map<String, RolloutTrial> trialsByPool = new HashMap<>();
     private long leaderSince;
 
     RolloutDriver(ControlLoop loop, ReplicaRunner replica, EventLog events) {
@@ -57,23 +52,26 @@
         loop.repeat(this::evaluate, EVALUATION_INTERVAL_MILLIS);
     }
 
-    /** Records what an entry has counted and measured since the rollouts began. */
-    void record(String entryRun, List<VersionCounts> counts, List<RolloutTimes> times) {
-        if (!counts.isEmpty()) {
-            reportsByEntry.put(entryRun, new Report(counts, times));
+    /** Records what an entry has counted and measured since the rollouts began, and before. */
+    void record(FleetMessage.ViewRequest request) {
+        if (!request.versionCounts().isEmpty() || !request.countsBefore().isEmpty()) {
+            reportsByEntry.put(
+                    request.entry() + '/' + request.incarnation(),
+                    new Report(request.versionCounts(), request.rolloutTimes(), request.countsBefore()));
         }
     }
 
     private void evaluate() {
+        List<Rollout> unfinished = replica.state().catalogue().rollouts().stream()
+                .filter(rollout -> !rollout.stage().isFinal())
+                .toList();
         if (!replica.isLeader()) {
-            movingSince.clear();
+            trialsByPool.clear();
             reportsByEntry.clear();
             leaderSince = loop.nowMillis();
             return;
         }
-        List<Rollout> unfinished = replica.state().catalogue().rollouts().stream()
-                .filter(rollout -> !rollout.stage().isFinal())
-                .toList();
+        trialsByPool.keySet().retainAll(unfinished.stream().map(Rollout::pool).toList());
         unfinished.forEach(this::evaluate);
         if (unfinished.isEmpty()) {
             reportsByEntry.clear();
@@ -81,24 +79,22 @@
     }
 
     private void evaluate(Rollout rollout) {
-        String name = rollout.pool() + '/' + rollout.target();
+        long now = loop.nowMillis();
         Map<String, RouteOutcomes> outcomesByRoute = outcomesByRoute(rollout);
-        long elapsed = System.currentTimeMillis() - rollout.startedAtMillis();
         // A new leader must not take the time without reports for a trial without answers.
-        boolean hasReports = loop.nowMillis() - leaderSince >= REPORT_MILLIS;
-        double share = hasReports ? (double) elapsed / Math.max(1, rollout.periodMillis()) : 0;
-        // While all requests move to the version, its upstreams are busier than the others.
+        boolean hasReports = now - leaderSince >= REPORT_MILLIS;
+        long age = System.currentTimeMillis() - rollout.startedAtMillis();
+        double elapsed = hasReports ? (double) age / Math.max(1, rollout.periodMillis()) : 0;
         UpstreamTimes times = times(rollout);
-        Evidence slowness = rollout.stage() == RolloutStage.RUNNING ? times.slowness() : Evidence.NONE;
-        Finding finding = RolloutEvaluator.INSTANCE.evaluate(outcomesByRoute.values(), slowness, share);
-        State state = new State(outcomesByRoute.values(), slowness, times.trialUpstreams(), share);
+        RolloutTrial trial = trialsByPool.computeIfAbsent(rollout.pool(), key -> new RolloutTrial());
+        boolean moving = rollout.stage() == RolloutStage.MOVING;
+        Finding finding = trial.evaluate(outcomesByRoute, times, elapsed, now, moving);
+        State state = new State(outcomesByRoute.values(), trial.slowness(), times.trialUpstreams(), elapsed);
         if (finding.isBad()) {
             advance(rollout, RolloutStage.ROLLED_BACK, finding.name(), state);
-        } else if (finding == Finding.GOOD && rollout.stage() == RolloutStage.RUNNING) {
-            movingSince.put(name, loop.nowMillis());
+        } else if (finding == Finding.GOOD && !moving) {
             advance(rollout, RolloutStage.MOVING, finding.name(), state);
-        } else if (rollout.stage() == RolloutStage.MOVING
-                && loop.nowMillis() - movingSince.computeIfAbsent(name, key -> loop.nowMillis()) > MOVE_MILLIS) {
+        } else if (moving && trial.isMoved(elapsed, now)) {
             advance(rollout, RolloutStage.COMPLETED, "MOVED", state);
         }
     }
@@ -143,6 +139,12 @@
     private Map<String, RouteOutcomes> outcomesByRoute(Rollout rollout) {
         Map<String, RouteOutcomes> outcomesByRoute = new HashMap<>();
         for (Report report : reportsByEntry.values()) {
+            report.countsBefore().stream()
+                    .filter(count -> isOf(rollout, count.pool(), count.rolloutStartedAtMillis()))
+                    .forEach(count -> outcomesByRoute.merge(
+                            count.route(),
+                            new RouteOutcomes(OutcomeCounts.NONE, OutcomeCounts.NONE, counts(count)),
+                            RouteOutcomes::plus));
             report.counts().stream()
                     .filter(count -> isOf(rollout, count.pool(), count.rolloutStartedAtMillis()))
                     .forEach(count ->
@@ -152,10 +154,13 @@
     }
 
     private static RouteOutcomes outcomes(Rollout rollout, VersionCounts count) {
-        OutcomeCounts counted = new OutcomeCounts(count.answers(), count.failures(), count.unanswered());
         return count.version().equals(rollout.target())
-                ? new RouteOutcomes(counted, OutcomeCounts.NONE)
-                : new RouteOutcomes(OutcomeCounts.NONE, counted);
+                ? new RouteOutcomes(counts(count), OutcomeCounts.NONE)
+                : new RouteOutcomes(OutcomeCounts.NONE, counts(count));
+    }
+
+    private static OutcomeCounts counts(VersionCounts count) {
+        return new OutcomeCounts(count.answers(), count.failures(), count.unanswered());
     }
 
     /**
@@ -163,8 +168,9 @@
      *
      * @param counts the responses that it has counted.
      * @param times the times that it has measured.
+     * @param countsBefore the responses that it had counted before the rollouts.
      */
-    private record Report(List<VersionCounts> counts, List<RolloutTimes> times) {}
+    private record Report(List<VersionCounts> counts, List<RolloutTimes> times, List<VersionCounts> countsBefore) {}
 
     /**
      * The evidence on which a rollout moves on.
@@ -176,9 +182,7 @@
      */
     private record State(Collection<RouteOutcomes> routes, Evidence slowness, int timedUpstreams, double elapsed) {
         RouteOutcomes sum() {
-            return routes.stream()
-                    .reduce(RouteOutcomes::plus)
-                    .orElse(new RouteOutcomes(OutcomeCounts.NONE, OutcomeCounts.NONE));
+            return routes.stream().reduce(RouteOutcomes.NONE, RouteOutcomes::plus);
         }
     }
 }
--- a/node/src/main/java/org/radishspur/node/group/ViewService.java
+++ b/node/src/main/java/org/radishspur/node/group/ViewService.java
@@ -88,8 +88,7 @@
             return;
         }
         if (!request.entry().isEmpty()) {
-            rolloutDriver.record(
-                    request.entry() + '/' + request.incarnation(), request.versionCounts(), request.rolloutTimes());
+            rolloutDriver.record(request);
         }
         pendingReads.addLast(new PendingRead(receivedAt, new ReadListener() {
             @Override
--- a/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
@@ -226,6 +226,7 @@
         }
         List<FleetMessage.VersionCounts> counts = versionCounts.versionCounts();
         List<FleetMessage.RolloutTimes> times = versionCounts.rolloutTimes();
+        List<FleetMessage.VersionCounts> countsBefore = versionCounts.countsBefore();
         for (String address : receivers) {
             long nonce = ++nextNonce;
             requestsSentAt.put(nonce, now);
@@ -240,7 +241,8 @@
                             view.hosts().reading(),
                             counts,
                             reach,
-                            times));
+                            times,
+                            countsBefore));
         }
     }
 
@@ -293,5 +295,14 @@
         default List<FleetMessage.RolloutTimes> rolloutTimes() {
             return List.of();
         }
+
+        /**
+         * Returns the response counts of the time before the rollouts; none by default.
+         *
+         * @return the counts of all versions together, one for each pool with a rollout and route.
+         */
+        default List<FleetMessage.VersionCounts> countsBefore() {
+            return List.of();
+        }
     }
 }
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -82,11 +82,13 @@
     @Test
     void readsViewsWithAndWithoutRelays() {
         FleetMessage.ViewRequest request = new FleetMessage.ViewRequest(
-                1, "entry", 2, 3, 4, 5, List.of(), FleetMessage.UpstreamReach.REACHED, List.of());
+                1, "entry", 2, 3, 4, 5, List.of(), FleetMessage.UpstreamReach.REACHED, List.of(), List.of());
         EarlierViewRequest earlierRequest = new EarlierViewRequest(1, "entry", 2, 3, 4, 5, List.of());
         assertThat(reread(request, EarlierViewRequest.class)).isEqualTo(earlierRequest);
         assertThat(reread(earlierRequest, FleetMessage.ViewRequest.class).reach())
                 .isEqualTo(FleetMessage.UpstreamReach.NO_RELAY);
+        assertThat(reread(earlierRequest, FleetMessage.ViewRequest.class).countsBefore())
+                .isEmpty();
         FleetMessage.ViewResponse response = new FleetMessage.ViewResponse(
                 1, true, "leader", 2, Optional.empty(), List.of(), 3, List.of(), Set.of("a"), List.of("relay"));
         EarlierViewResponse earlierResponse =
--- a/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
+++ b/node/src/test/java/org/radishspur/node/group/DeferredRequestsTest.java
@@ -15,7 +15,7 @@
         deferredRequests.defer(new DeferredRequests.DeferredRequest(
                 new RecordingSender(entry),
                 new FleetMessage.ViewRequest(
-                        nonce, entry, 1, 0, 0, 0, List.of(), FleetMessage.UpstreamReach.NO_RELAY, List.of()),
+                        nonce, entry, 1, 0, 0, 0, List.of(), FleetMessage.UpstreamReach.NO_RELAY, List.of(), List.of()),
                 now));
     }
 
