Pause a trial that costs callers more than it can show

Now the leader names the pools whose trial pauses, and schedulers and entries that schedule by themselves give such a version nothing: while a disturbance lasts from 20 bad answers beside it on, and from 30 requests on where a slow version is suspected only.

An earlier build ignores the new field and goes on as before (EarlierBuildTest).

--- a/decision/src/main/java/org/radishspur/decision/rollout/RolloutTrial.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/RolloutTrial.java
@@ -11,6 +11,15 @@
  * Follows the trial of one version and the move of all requests to it.
  */
 public final class RolloutTrial {
+    /**
+     * The number of bad outcomes beside disturbances from which the trial pauses while a disturbance lasts: they show
+     * nothing, and callers have them all the same.
+     */
+    private static final long MAX_UNCERTAIN_BAD = 20;
+
+    /** The number of requests from which the trial of a version that is suspected to be slow pauses. */
+    private static final long MAX_SUSPECTED_REQUESTS = 30;
+
     /** How long all requests go to the version before old upstreams may stop, in milliseconds, and how many at least. */
     private static final long MOVE_MILLIS = 600;
 
@@ -24,6 +33,7 @@
     private Evidence slowness = Evidence.NONE;
     private Map<String, RouteOutcomes> movedFrom = Map.of();
     private long movingSince = Long.MIN_VALUE;
+    private boolean paused;
 
     /**
      * Evaluates the outcomes so far.
@@ -50,7 +60,11 @@
                 isMoving() ? outcomesOfMove() : history.recent(),
                 history.disturbed(),
                 slowness);
-        return RolloutEvaluator.INSTANCE.evaluate(evidence, elapsed);
+        Finding finding = RolloutEvaluator.INSTANCE.evaluate(evidence, elapsed);
+        boolean uncertain = history.isDisturbed() && history.uncertainBad() >= MAX_UNCERTAIN_BAD;
+        boolean suspected = slowness == Evidence.SUSPECTED && requests(outcomes) >= MAX_SUSPECTED_REQUESTS;
+        paused = uncertain || suspected;
+        return finding;
     }
 
     /** Returns the outcomes since the move began, or none if it began beside a disturbance, which may go on unseen. */
@@ -64,6 +78,15 @@
                 .sum();
     }
 
+    /**
+     * Returns whether the version should get no requests for now, since they cost callers more than they show.
+     *
+     * @return whether the trial pauses.
+     */
+    public boolean isPaused() {
+        return paused;
+    }
+
     /**
      * Returns the latest evidence that the version's upstreams are slower.
      *
--- a/decision/src/main/java/org/radishspur/decision/rollout/TrialHistory.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/TrialHistory.java
@@ -114,6 +114,17 @@
         return difference;
     }
 
+    /** Returns the number of bad outcomes of the version under trial beside disturbances. */
+    long uncertainBad() {
+        return bad(sums) - bad(undisturbed);
+    }
+
+    private static long bad(Map<String, RouteOutcomes> outcomes) {
+        return outcomes.values().stream()
+                .mapToLong(route -> route.trial().bad())
+                .sum();
+    }
+
     /** Returns the outcomes of all undisturbed windows. */
     Collection<RouteOutcomes> undisturbed() {
         return withReference(undisturbed);
--- a/decision/src/test/java/org/radishspur/decision/rollout/RolloutTrialTest.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/RolloutTrialTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.radishspur.decision.rollout.SimulatedRollout.Result;
 import org.radishspur.decision.rollout.SimulatedRollout.Scenario;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -98,6 +99,48 @@
         }
     }
 
+    /** Guards against callers who get bad answers of a version for as long as nothing can be compared. */
+    @Nested
+    class PausedTrial {
+        @Test
+        void keepsABadVersionWithinItsAllowance() {
+            for (double share : new double[] {0.2, 0.3, 0.4}) {
+                Scenario scenario = Scenario.of(MANY_PER_SECOND, LONG_PERIOD_MILLIS, share)
+                        .disturbed(0.7, 200, LONG_PERIOD_MILLIS, true);
+                for (int draw = 0; draw < DRAWS; draw++) {
+                    Result result = SimulatedRollout.play(scenario, draw);
+                    assertThat(result.exposedTooMuch())
+                            .as(scenario + ": " + result)
+                            .isFalse();
+                }
+            }
+        }
+    }
+
+    /** Guards against callers who wait for a slow version whose only upstream can't prove more than it has. */
+    @Nested
+    class SuspectedVersion {
+        private boolean isPausedAfter(int answers) {
+            UpstreamTimes times = new UpstreamTimes();
+            for (int number = 0; number < answers; number++) {
+                times.add(number % 3, false, UpstreamTimes.Measure.FIRST_BYTE, 60);
+                times.add(3, true, UpstreamTimes.Measure.FIRST_BYTE, 240);
+            }
+            OutcomeCounts counts = new OutcomeCounts(answers, 0, 0);
+            RolloutTrial trial = new RolloutTrial();
+            for (long now = 0; now <= 2_000; now += 500) {
+                trial.evaluate(Map.of("route", new RouteOutcomes(counts, counts, counts)), times, 0.2, now, false);
+            }
+            return trial.isPaused();
+        }
+
+        @Test
+        void getsNoMoreRequestsOnceItHasHadEnough() {
+            assertThat(isPausedAfter(12)).isFalse();
+            assertThat(isPausedAfter(36)).isTrue();
+        }
+    }
+
     /** Guards against old upstreams that stop before the new ones have shown what they do with all requests. */
     @Nested
     class Move {
--- a/decision/src/test/java/org/radishspur/decision/rollout/SimulatedRollout.java
+++ b/decision/src/test/java/org/radishspur/decision/rollout/SimulatedRollout.java
@@ -99,7 +99,7 @@
         for (long number = 0; number < count; number++) {
             boolean toTarget =
                     switch (stage) {
-                        case RUNNING -> random.nextDouble() < TRIAL_SHARE;
+                        case RUNNING -> !trial.isPaused() && random.nextDouble() < TRIAL_SHARE;
                         case MOVING, COMPLETED -> true;
                         case ROLLED_BACK -> false;
                     };
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -105,6 +105,7 @@
      * @param controlHosts all control hosts.
      * @param evacuated the failure domains whose upstreams must get no new requests.
      * @param relays the addresses of some entries that relay connections to upstreams.
+     * @param pausedTrials the pools whose version under trial must get no requests for now.
      */
     record ViewResponse(
             long nonce,
@@ -116,10 +117,12 @@
             int entryCount,
             List<ControlHost> controlHosts,
             Set<String> evacuated,
-            List<String> relays)
+            List<String> relays,
+            Set<String> pausedTrials)
             implements FleetMessage {
         /** Replaces what an older build doesn't send. */
         public ViewResponse {
+            pausedTrials = pausedTrials == null ? Set.of() : pausedTrials;
             relays = relays == null ? List.of() : relays;
         }
     }
--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.radishspur.decision.rollout.OutcomeCounts;
 import org.radishspur.decision.rollout.RolloutEvaluator.Finding;
@@ -61,6 +63,14 @@
         }
     }
 
+    /** Returns the pools whose version under trial must get no requests for now. */
+    Set<String> pausedTrials() {
+        return trialsByPool.entrySet().stream()
+                .filter(each -> each.getValue().isPaused())
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     private void evaluate() {
         List<Rollout> unfinished = replica.state().catalogue().rollouts().stream()
                 .filter(rollout -> !rollout.stage().isFinal())
--- a/node/src/main/java/org/radishspur/node/group/ViewService.java
+++ b/node/src/main/java/org/radishspur/node/group/ViewService.java
@@ -84,7 +84,8 @@
                     0,
                     membership.controlHosts(),
                     Set.of(),
-                    List.of()));
+                    List.of(),
+                    Set.of()));
             return;
         }
         if (!request.entry().isEmpty()) {
@@ -164,7 +165,8 @@
                 countEntries(),
                 membership.controlHosts(),
                 state.evacuated(),
-                relays.relaysFor(request.entry(), loop.nowMillis()));
+                relays.relaysFor(request.entry(), loop.nowMillis()),
+                rolloutDriver.pausedTrials());
     }
 
     private int countEntries() {
--- a/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ConfirmedView.java
@@ -24,6 +24,7 @@
  * @param controlHosts the control hosts, each of which runs a scheduler.
  * @param evacuated the failure domains whose upstreams must get no new requests.
  * @param relays the addresses of some entries that relay connections to upstreams.
+ * @param pausedTrials the pools whose version under trial must get no requests for now.
  * @param confirmedAt the time at which the request for the latest confirmation was sent.
  */
 public record ConfirmedView(
@@ -34,10 +35,11 @@
         List<ControlHost> controlHosts,
         Set<String> evacuated,
         List<String> relays,
+        Set<String> pausedTrials,
         Moment confirmedAt) {
     /** The view of a process that has just started; it was never confirmed. */
     public static final ConfirmedView EMPTY = new ConfirmedView(
-            Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Set.of(), List.of(), Moment.LONG_AGO);
+            Optional.empty(), HostList.NONE, List.of(), 0, List.of(), Set.of(), List.of(), Set.of(), Moment.LONG_AGO);
 
     /** Makes immutable copies of the collections. */
     public ConfirmedView {
@@ -45,15 +47,25 @@
         controlHosts = List.copyOf(controlHosts);
         evacuated = Set.copyOf(evacuated);
         relays = List.copyOf(relays);
+        pausedTrials = Set.copyOf(pausedTrials);
     }
 
     ConfirmedView withCatalogue(Catalogue newer) {
         return new ConfirmedView(
-                Optional.of(newer), hosts, rollouts, entryCount, controlHosts, evacuated, relays, confirmedAt);
+                Optional.of(newer),
+                hosts,
+                rollouts,
+                entryCount,
+                controlHosts,
+                evacuated,
+                relays,
+                pausedTrials,
+                confirmedAt);
     }
 
     ConfirmedView withHosts(HostList newer) {
-        return new ConfirmedView(catalogue, newer, rollouts, entryCount, controlHosts, evacuated, relays, confirmedAt);
+        return new ConfirmedView(
+                catalogue, newer, rollouts, entryCount, controlHosts, evacuated, relays, pausedTrials, confirmedAt);
     }
 
     ConfirmedView withResponse(FleetMessage.ViewResponse response, Moment sentAt) {
@@ -65,6 +77,7 @@
                 response.controlHosts(),
                 response.evacuated(),
                 response.relays(),
+                response.pausedTrials(),
                 sentAt);
     }
 
@@ -110,6 +123,7 @@
                 && rollouts.equals(other.rollouts)
                 && controlHosts.equals(other.controlHosts)
                 && evacuated.equals(other.evacuated)
-                && relays.equals(other.relays);
+                && relays.equals(other.relays)
+                && pausedTrials.equals(other.pausedTrials);
     }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
+++ b/node/src/main/java/org/radishspur/node/schedule/PoolSet.java
@@ -191,7 +191,7 @@
             return otherVersions;
         }
         if (rollout.stage() == RolloutStage.RUNNING) {
-            return trialAllowed && targetListed && isTrialDue(pool)
+            return trialAllowed && targetListed && !view.pausedTrials().contains(pool) && isTrialDue(pool)
                     ? new VersionRule.Only(rollout.target())
                     : otherVersions;
         }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -153,6 +153,7 @@
                 List.of(),
                 evacuated,
                 List.of("relay"),
+                Set.of(),
                 confirmedAt));
     }
 
--- a/node/src/test/java/org/radishspur/node/entry/LostSchedulersTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/LostSchedulersTest.java
@@ -99,6 +99,7 @@
                         hosts,
                         Set.of(),
                         List.of(),
+                        Set.of(),
                         Moment.now()),
                 now);
     }
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -64,6 +64,7 @@
                         List.of(new ControlHost(NEAR, "a"), new ControlHost(FAR, "b")),
                         Set.of(),
                         List.of(),
+                        Set.of(),
                         Moment.now()),
                 0);
     }
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -90,12 +90,24 @@
         assertThat(reread(earlierRequest, FleetMessage.ViewRequest.class).countsBefore())
                 .isEmpty();
         FleetMessage.ViewResponse response = new FleetMessage.ViewResponse(
-                1, true, "leader", 2, Optional.empty(), List.of(), 3, List.of(), Set.of("a"), List.of("relay"));
+                1,
+                true,
+                "leader",
+                2,
+                Optional.empty(),
+                List.of(),
+                3,
+                List.of(),
+                Set.of("a"),
+                List.of("relay"),
+                Set.of("paused"));
         EarlierViewResponse earlierResponse =
                 new EarlierViewResponse(1, true, "leader", 2, Optional.empty(), List.of(), 3, List.of(), Set.of("a"));
         assertThat(reread(response, EarlierViewResponse.class)).isEqualTo(earlierResponse);
         assertThat(reread(earlierResponse, FleetMessage.ViewResponse.class).relays())
                 .isEmpty();
+        assertThat(reread(earlierResponse, FleetMessage.ViewResponse.class).pausedTrials())
+                .isEmpty();
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -62,6 +62,7 @@
                         List.of(),
                         Set.of(),
                         List.of(),
+                        Set.of(),
                         Moment.LONG_AGO),
                 others + 1,
                 0);
--- a/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/PoolSetTest.java
@@ -76,6 +76,7 @@
                         controlHosts,
                         Set.of(),
                         List.of(),
+                        Set.of(),
                         Moment.LONG_AGO),
                 controlHosts.size(),
                 0);
@@ -99,6 +100,10 @@
     }
 
     private void applyView(RolloutStage stage, String... versions) {
+        applyView(stage, Set.of(), versions);
+    }
+
+    private void applyView(RolloutStage stage, Set<String> pausedTrials, String... versions) {
         List<Upstream> upstreams = java.util.Arrays.stream(versions)
                 .map(version -> new Upstream(version, 1, "pool", "10.0.0.1:80", "a", version, 4, false, false))
                 .toList();
@@ -111,6 +116,7 @@
                         List.of(),
                         Set.of(),
                         List.of(),
+                        pausedTrials,
                         Moment.LONG_AGO),
                 1,
                 0);
@@ -131,6 +137,17 @@
         assertThat(countAllowed("v2", 1_000)).isBetween(60L, 80L);
     }
 
+    /** Guards against callers who get bad answers of a version long after they have shown what they can. */
+    @Test
+    void givesAVersionNoRequestsWhileItsTrialIsPaused() {
+        applyView(RolloutStage.RUNNING, Set.of("pool"), "v1", "v2");
+        assertThat(countAllowed("v2", 1_000)).isZero();
+        applyView(RolloutStage.RUNNING, Set.of("other"), "v1", "v2");
+        assertThat(countAllowed("v2", 1_000)).isPositive();
+        applyView(RolloutStage.MOVING, Set.of("pool"), "v1", "v2");
+        assertThat(countAllowed("v2", 1_000)).isEqualTo(1_000);
+    }
+
     @Test
     void sendsNoRetryToAVersionUnderTrial() {
         applyView(RolloutStage.RUNNING, "v1", "v2");
