Measure a rollout's time by the monotonic clock

A step of the leader's wall clock ahead ended a trial early, before it had shown anything, and a step back prolonged it past the deadline; listed as suspected in the earlier postmortem and shown by a test only, not by a run of processes. Each control host now notes rollouts when it first sees them and goes by its monotonic clock from there; only what passed before, as after a restart of the host, is taken from the wall clock.

RolloutClockTest states a step ahead by 8 s, one back by 4 s, and a later start; the earlier code has no such part to test.

--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -45,6 +45,7 @@
     private final EventLog events;
     private final Map<String, Report> reportsByEntry = new HashMap<>();
     private final Map<String, RolloutTrial> trialsByPool = new HashMap<>();
+    private final RolloutClock clock = new RolloutClock();
     private long leaderSince;
 
     RolloutDriver(ControlLoop loop, ReplicaRunner replica, EventLog events) {
@@ -75,6 +76,7 @@
         List<Rollout> unfinished = replica.state().catalogue().rollouts().stream()
                 .filter(rollout -> !rollout.stage().isFinal())
                 .toList();
+        clock.observe(unfinished, System.currentTimeMillis(), loop.nowMillis());
         if (!replica.isLeader()) {
             trialsByPool.clear();
             reportsByEntry.clear();
@@ -93,8 +95,7 @@
         Map<String, RouteOutcomes> outcomesByRoute = outcomesByRoute(rollout);
         // A new leader must not take the time without reports for a trial without answers.
         boolean hasReports = now - leaderSince >= REPORT_MILLIS;
-        long age = System.currentTimeMillis() - rollout.startedAtMillis();
-        double elapsed = hasReports ? (double) age / Math.max(1, rollout.periodMillis()) : 0;
+        double elapsed = hasReports ? clock.elapsedShare(rollout, now) : 0;
         UpstreamTimes times = times(rollout);
         RolloutTrial trial = trialsByPool.computeIfAbsent(rollout.pool(), key -> new RolloutTrial());
         boolean moving = rollout.stage() == RolloutStage.MOVING;
