Begin a trial anew where a rollout replaces another of its pool

The leader kept trials by pool: an order with another target while a rollout is in progress would have gone on with the windows of the earlier one, whose sums the new counts are below. Found by reading the change, before it landed; compiled, not run by a test of its own.

--- a/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
+++ b/node/src/main/java/org/radishspur/node/group/RolloutDriver.java
@@ -44,7 +44,7 @@
     private final ReplicaRunner replica;
     private final EventLog events;
     private final Map<String, Report> reportsByEntry = new HashMap<>();
-    private final Map<String, RolloutTrial> trialsByPool = new HashMap<>();
+    private final Map<String, TrialOf> trialsByPool = new HashMap<>();
     private final RolloutClock clock = new RolloutClock();
     private long leaderSince;
 
@@ -67,7 +67,7 @@
     /** Returns the pools whose version under trial must get no requests for now. */
     Set<String> pausedTrials() {
         return trialsByPool.entrySet().stream()
-                .filter(each -> each.getValue().isPaused())
+                .filter(each -> each.getValue().trial().isPaused())
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
     }
@@ -97,7 +97,7 @@
         boolean hasReports = now - leaderSince >= REPORT_MILLIS;
         double elapsed = hasReports ? clock.elapsedShare(rollout, now) : 0;
         UpstreamTimes times = times(rollout);
-        RolloutTrial trial = trialsByPool.computeIfAbsent(rollout.pool(), key -> new RolloutTrial());
+        RolloutTrial trial = trial(rollout);
         boolean moving = rollout.stage() == RolloutStage.MOVING;
         Finding finding = trial.evaluate(outcomesByRoute, times, elapsed, now, moving);
         State state = new State(outcomesByRoute.values(), trial.slowness(), times.trialUpstreams(), elapsed);
@@ -110,6 +110,17 @@
         }
     }
 
+    /** Returns the trial of a rollout; one that replaces another of its pool begins anew. */
+    private RolloutTrial trial(Rollout rollout) {
+        return trialsByPool
+                .compute(
+                        rollout.pool(),
+                        (pool, known) -> known != null && known.startedAtMillis() == rollout.startedAtMillis()
+                                ? known
+                                : new TrialOf(rollout.startedAtMillis(), new RolloutTrial()))
+                .trial();
+    }
+
     private UpstreamTimes times(Rollout rollout) {
         UpstreamTimes times = new UpstreamTimes();
         for (Report report : reportsByEntry.values()) {
@@ -174,6 +185,14 @@
         return new OutcomeCounts(count.answers(), count.failures(), count.unanswered());
     }
 
+    /**
+     * The trial of one rollout of a pool.
+     *
+     * @param startedAtMillis the start of the rollout, in milliseconds since the epoch.
+     * @param trial its trial.
+     */
+    private record TrialOf(long startedAtMillis, RolloutTrial trial) {}
+
     /**
      * Holds the latest report of one run of an entry.
      *
