--- a/decision/src/main/java/org/radishspur/decision/rollout/OutcomeTest.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/OutcomeComparison.java
@@ -8,7 +8,7 @@
  * Compares the share of bad outcomes among some requests with that among others, route by route, since routes may differ
  * much in their usual shares.
  */
-final class OutcomeTest {
+final class OutcomeComparison {
     /** The outcomes that are assumed for a route of which nothing is known, and the bad part of them. */
     private static final double ASSUMED_REQUESTS = 10;
 
@@ -30,7 +30,7 @@
      * @param bad counts the bad outcomes.
      * @param all counts all outcomes.
      */
-    OutcomeTest(
+    OutcomeComparison(
             Function<RouteOutcomes, OutcomeCounts> tested,
             Function<RouteOutcomes, OutcomeCounts> reference,
             ToLongFunction<OutcomeCounts> bad,
--- a/decision/src/main/java/org/radishspur/decision/rollout/RolloutEvaluator.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/RolloutEvaluator.java
@@ -45,14 +45,14 @@
     /** Number of answers that the trial version needs before requests move to it. */
     private static final long MIN_ANSWERS = 10;
 
-    private static final OutcomeTest FAILURES = new OutcomeTest(
+    private static final OutcomeComparison FAILURES = new OutcomeComparison(
             RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::failures, OutcomeCounts::answers);
-    private static final OutcomeTest UNANSWERED = new OutcomeTest(
+    private static final OutcomeComparison UNANSWERED = new OutcomeComparison(
             RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::unanswered, OutcomeCounts::requests);
-    private static final OutcomeTest BAD =
-            new OutcomeTest(RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::bad, OutcomeCounts::requests);
-    private static final OutcomeTest BAD_BY_USUAL =
-            new OutcomeTest(RouteOutcomes::trial, RouteOutcomes::before, OutcomeCounts::bad, OutcomeCounts::requests);
+    private static final OutcomeComparison BAD = new OutcomeComparison(
+            RouteOutcomes::trial, RouteOutcomes::others, OutcomeCounts::bad, OutcomeCounts::requests);
+    private static final OutcomeComparison BAD_BY_USUAL = new OutcomeComparison(
+            RouteOutcomes::trial, RouteOutcomes::before, OutcomeCounts::bad, OutcomeCounts::requests);
 
     /**
      * Decides whether the trial version is good or bad, or whether it is too early to decide.
@@ -132,8 +132,8 @@
                 || isSuspected(BAD_BY_USUAL, evidence.disturbed());
     }
 
-    private static boolean isSuspected(OutcomeTest test, Collection<RouteOutcomes> routes) {
-        return test.logRatioOfFault(routes, FAULTY_SHARE) > SUSPECTED_LOG_RATIO;
+    private static boolean isSuspected(OutcomeComparison comparison, Collection<RouteOutcomes> routes) {
+        return comparison.logRatioOfFault(routes, FAULTY_SHARE) > SUSPECTED_LOG_RATIO;
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/rollout/TrialHistory.java
+++ b/decision/src/main/java/org/radishspur/decision/rollout/TrialHistory.java
@@ -30,8 +30,8 @@
     /** The logarithm of the likelihood ratio that shows a disturbance. */
     private static final double DISTURBANCE_LOG_RATIO = 5;
 
-    private static final OutcomeTest DISTURBANCE =
-            new OutcomeTest(RouteOutcomes::others, RouteOutcomes::before, OutcomeCounts::bad, OutcomeCounts::requests);
+    private static final OutcomeComparison DISTURBANCE = new OutcomeComparison(
+            RouteOutcomes::others, RouteOutcomes::before, OutcomeCounts::bad, OutcomeCounts::requests);
 
     private final Deque<Map<String, RouteOutcomes>> recentWindows = new ArrayDeque<>();
     private final Map<String, RouteOutcomes> undisturbed = new HashMap<>();
