--- /dev/null
+++ b/review/harness/Restarts.java
@@ -0,0 +1,63 @@
+/** The platform's part in restarts: a process that has ended is started again after a short delay. */
+final class Restarts implements AutoCloseable {
+    private static final long DELAY_MILLIS = 500;
+
+    private final Fleet fleet;
+    private final Record record;
+    private final Thread thread = new Thread(this::watch, "restarts");
+    private volatile boolean closed;
+    private volatile int ended;
+
+    Restarts(Fleet fleet, Record record) {
+        this.fleet = fleet;
+        this.record = record;
+        thread.setDaemon(true);
+    }
+
+    void begin() {
+        thread.start();
+    }
+
+    /** Returns how many processes have ended by themselves so far. */
+    int ended() {
+        return ended;
+    }
+
+    /** Kills all control processes at the same moment, and starts them again. */
+    synchronized void killAll() {
+        fleet.controls.forEach(control -> control.signal("KILL"));
+        fleet.controls.forEach(Fleet.Program::await);
+        Fleet.sleep(DELAY_MILLIS);
+        fleet.controls.forEach(control -> control.start(false));
+    }
+
+    private void watch() {
+        while (!closed) {
+            check();
+            Fleet.sleep(50);
+        }
+    }
+
+    private synchronized void check() {
+        for (Fleet.Program program : fleet.controls) {
+            restart(program);
+        }
+        for (Fleet.Program program : fleet.entries) {
+            restart(program);
+        }
+    }
+
+    private void restart(Fleet.Program program) {
+        if (!closed && !program.isAlive()) {
+            ended++;
+            record.add(program.name + " has ended by itself with exit code " + program.exitCode());
+            Fleet.sleep(DELAY_MILLIS);
+            program.start(false);
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        closed = true;
+    }
+}
