--- a/review/harness/Restarts.java
+++ b/review/harness/Restarts.java
@@ -1,3 +1,6 @@
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
 /** The platform's part in restarts: a process that has ended is started again after a short delay. */
 final class Restarts implements AutoCloseable {
     private static final long DELAY_MILLIS = 500;
@@ -7,6 +10,7 @@
     private final Thread thread = new Thread(this::watch, "restarts");
     private volatile boolean closed;
     private volatile int ended;
+    private final Map<String, Integer> endedByName = new ConcurrentHashMap<>();
 
     Restarts(Fleet fleet, Record record) {
         this.fleet = fleet;
@@ -23,6 +27,13 @@
         return ended;
     }
 
+    /** Returns on how many control machines the process has ended by itself at least a number of times. */
+    long controlMachinesWithEnds(int times) {
+        return fleet.controls.stream()
+                .filter(control -> endedByName.getOrDefault(control.name, 0) >= times)
+                .count();
+    }
+
     /** Kills all control processes at the same moment, and starts them again. */
     synchronized void killAll() {
         fleet.controls.forEach(control -> control.signal("KILL"));
@@ -50,6 +61,7 @@
     private void restart(Fleet.Program program) {
         if (!closed && !program.isAlive()) {
             ended++;
+            endedByName.merge(program.name, 1, Integer::sum);
             record.add(program.name + " has ended by itself with exit code " + program.exitCode());
             Fleet.sleep(DELAY_MILLIS);
             program.start(false);
