--- a/review/harness/LargeManifestCase.java
+++ b/review/harness/LargeManifestCase.java
@@ -33,7 +33,7 @@
     /** A fault of the day: processes that end by themselves so often on half of the core. */
     private static final int FAULT_ENDS = 3;
 
-    private static final long MAX_SECONDS = 75;
+    private static final long MAX_SECONDS = 55;
     private static final Pattern VERSION = Pattern.compile("^\\{\"version\":(\\d+),");
 
     private LargeManifestCase() {}
