--- a/review/harness/JournalCase.java
+++ b/review/harness/JournalCase.java
@@ -23,9 +23,12 @@
 
     private static final int CHANGES_A_ROUND = 46;
     private static final int ORDERS_IN_PROGRESS = 4;
-    private static final int ROUNDS = 16;
+    private static final int ROUNDS = 30;
     private static final int ACK_MILLIS = 4_000;
 
+    /** No round begins later than this. */
+    private static final double MAX_SECONDS = 85;
+
     /** recoveryS of the installation is 12; what was acknowledged is asked for until well after it. */
     private static final int READ_BACK_MILLIS = 16_000;
 
@@ -58,7 +61,7 @@
                 return NOT_RUN;
             }
             long version = 1;
-            for (int round = 1; round <= ROUNDS; round++) {
+            for (int round = 1; round <= ROUNDS && record.seconds() < MAX_SECONDS; round++) {
                 List<Future<?>> sent = new ArrayList<>();
                 for (int change = 0; change < CHANGES_A_ROUND; change++) {
                     long next = ++version;
