Log each sending of a request with its connection, and responses that are discarded

Two sendings of one request couldn't be told apart in the logs: SENT was written for a sample only and named no connection, and a response of another request that was discarded left no trace at all.

SENT is now also written for each sending after the first, with its number and the connection with the exchange on it; RETRIED names the connection of the sending that has ended; ANSWERED is also written for requests that were sent more than once and states the connection and whether the request had been written as a whole; EXTRA_RESPONSE and the counter answers.extra state what was discarded in place of the answer that was due. No decision changes.

--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -37,6 +37,14 @@
      */
     ResponseKind classify(HttpResponse response, String requestId);
 
+    /**
+     * Decodes which request an upstream's response belongs to.
+     *
+     * @param response the head of the response.
+     * @return the caller's identifier of the request, empty where the response doesn't state it.
+     */
+    String decodeRequestId(HttpResponse response);
+
     /**
      * Decodes how many requests an upstream takes from all hosts together, as it states in a response.
      *
--- a/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryExchange.java
@@ -402,8 +402,8 @@
         response.end(deadline.responseMillis());
     }
 
-    void logAnswered(int status, UpstreamLoad upstream, long longestPauseMillis, ResponseEnd end, int restBytes) {
-        log.answered(status, upstream.upstream().id(), firstMillis, longestPauseMillis, end, restBytes);
+    void logAnswered(UpstreamAttempt answered, int status, ResponseEnd end) {
+        log.answered(answered, status, firstMillis, end);
     }
 
     /** Ends the request with a response that states that it has not run, unless it may have run. */
--- a/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryMetrics.java
@@ -34,6 +34,11 @@
         registry.counter("requests.retried." + reason).inc();
     }
 
+    /** Counts a response of another request that arrived where that of a request was due. */
+    void countExtraResponse() {
+        registry.counter("answers.extra").inc();
+    }
+
     /** Counts a request whose upstream has sent nothing for some time. */
     void countSilent() {
         registry.counter("requests.silent").inc();
--- a/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
+++ b/node/src/main/java/org/radishspur/node/entry/ExchangeLog.java
@@ -101,17 +101,26 @@
 
     void retried(String reason, String upstream, int attempt) {
         services.metrics().countRetried(reason);
-        services.events().emitForRequest(EventCode.RETRIED, requestId(), reason, upstream, attempt, elapsedMillis());
+        services.events()
+                .emitForRequest(
+                        EventCode.RETRIED,
+                        requestId(),
+                        reason,
+                        upstream,
+                        attempt,
+                        elapsedMillis(),
+                        exchange.attempts().connectionName());
     }
 
-    void answered(
-            int status, String upstream, long firstMillis, long longestPauseMillis, ResponseEnd end, int restBytes) {
+    void answered(UpstreamAttempt answered, int status, long firstMillis, ResponseEnd end) {
         services.metrics().recordAnswered(firstMillis, elapsedMillis());
         boolean endUncertain = end == ResponseEnd.CONNECTION_CLOSED;
         if (endUncertain) {
             services.metrics().countEndedByClose();
         }
+        int sendings = exchange.attempts().sendings();
         if (endUncertain
+                || sendings > 1
                 || status >= HttpResponseStatus.BAD_REQUEST.code()
                 || services.events().isSampled(requestId())) {
             services.events()
@@ -119,17 +128,20 @@
                             EventCode.ANSWERED,
                             requestId(),
                             status,
-                            upstream,
+                            answered.upstream().upstream().id(),
                             firstMillis,
                             elapsedMillis(),
-                            longestPauseMillis,
+                            answered.longestPauseMillis(),
                             eventCount(),
                             exchange.head().promptTokens(),
                             exchange.head().expectedOutputTokens(),
                             rank(),
                             exchange.isCallerRetry(),
                             end.name(),
-                            restBytes);
+                            answered.restBytes(),
+                            sendings,
+                            answered.connectionName(),
+                            answered.isRequestWritten());
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -208,6 +208,16 @@
         return Optional.ofNullable(attempt).map(UpstreamAttempt::upstream);
     }
 
+    /** Returns how often the request was sent. */
+    int sendings() {
+        return runs.sendings();
+    }
+
+    /** Returns the name of the connection of the current attempt, or an empty text where there is none. */
+    String connectionName() {
+        return attempt == null ? "" : attempt.connectionName();
+    }
+
     /** Returns the identifier of the upstream of the current attempt, or an empty text where there is none. */
     String upstreamName() {
         return upstream().map(upstream -> upstream.upstream().id()).orElse("");
--- a/node/src/main/java/org/radishspur/node/entry/RequestRuns.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestRuns.java
@@ -15,6 +15,7 @@
     private final EntryServices services;
     private final CrashCheck crashCheck;
     private int possibleRuns;
+    private int sendings;
 
     RequestRuns(EntryExchange exchange, EntryServices services, CrashCheck crashCheck) {
         this.exchange = exchange;
@@ -25,6 +26,12 @@
     /** Counts the request as possibly run, since it is being sent. */
     void onSent() {
         possibleRuns++;
+        sendings++;
+    }
+
+    /** Returns how often the request was sent. */
+    int sendings() {
+        return sendings;
     }
 
     /** Takes back a run, since the upstream is certain not to have run the request. */
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -50,6 +50,7 @@
     private final HeldBytes.Share held;
     private final AttemptTimes times = new AttemptTimes();
     private UpstreamExchange exchange;
+    private String connectionName = "";
     private Phase phase = Phase.CONNECTING;
     private HttpResponse responseHead;
     private ResponseKind kind;
@@ -87,6 +88,25 @@
         return upstream;
     }
 
+    /** Returns the name of the connection and of the exchange on it, or an empty text where nothing was sent. */
+    String connectionName() {
+        return connectionName;
+    }
+
+    /** Returns whether all bytes of the request have been passed to the connection's socket. */
+    boolean isRequestWritten() {
+        return exchange.isRequestWritten();
+    }
+
+    long longestPauseMillis() {
+        return times.longestPauseMillis();
+    }
+
+    /** Returns the number of bytes after the last complete event. */
+    int restBytes() {
+        return splitter.restBytes();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onConnected() {
@@ -115,6 +135,7 @@
         }
         phase = Phase.RUNNING;
         times.recordSent(EntryServices.now());
+        connectionName = exchange.name();
         splitter = new EventSplitter(caller.lastEventId());
         resumed = caller.eventCount() > 0;
         caller.attempts().onSent(this);
@@ -134,7 +155,8 @@
     }
 
     private void logSent() {
-        if (services.events().isSampled(caller.head().requestId())) {
+        int sending = caller.attempts().sendings();
+        if (sending > 1 || services.events().isSampled(caller.head().requestId())) {
             services.events()
                     .emitForRequest(
                             EventCode.SENT,
@@ -143,7 +165,9 @@
                             upstream.inProgress(),
                             times.sentAt() - caller.arrivedAt(),
                             caller.remainingMillis(),
-                            services.view().revision());
+                            services.view().revision(),
+                            sending,
+                            connectionName);
         }
     }
 
@@ -182,6 +206,7 @@
         }
         kind = services.dialect().classify(response, caller.head().requestId());
         if (kind == ResponseKind.OTHER_REQUEST) {
+            logExtraResponse(response);
             exchange.skipResponse();
             return;
         }
@@ -211,6 +236,18 @@
         }
     }
 
+    private void logExtraResponse(HttpResponse response) {
+        services.metrics().countExtraResponse();
+        services.events()
+                .emitForRequest(
+                        EventCode.EXTRA_RESPONSE,
+                        caller.head().requestId(),
+                        upstream.upstream().id(),
+                        connectionName,
+                        services.dialect().decodeRequestId(response),
+                        response.status().code());
+    }
+
     private void onSuccess() {
         caller.attempts().onProgress(this);
         if (!isEventStream()) {
@@ -399,8 +436,7 @@
             caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - times.sentAt());
         }
         endComplete(succeeded);
-        caller.logAnswered(
-                responseHead.status().code(), upstream, times.longestPauseMillis(), end, splitter.restBytes());
+        caller.logAnswered(this, responseHead.status().code(), end);
         if (isEventStream()) {
             writeHead();
             caller.response().writeContent(caller.route().resumable() ? splitter.takeRest() : Unpooled.EMPTY_BUFFER);
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -55,8 +55,11 @@
     EVACUATION(false, "failureDomain", "state", "inProgress"),
     /** An operator's call was answered. */
     OPERATOR(false, "call", "status", "revision", "millis"),
-    /** A request was sent to an upstream; logged for a sample of the requests only. */
-    SENT(true, "upstream", "inProgress", "waitedMillis", "deadlineMillis", "revision"),
+    /**
+     * A request was sent to an upstream; logged for a sample of the requests, and for each sending after the first. The
+     * connection is named with the exchange on it.
+     */
+    SENT(true, "upstream", "inProgress", "waitedMillis", "deadlineMillis", "revision", "sending", "connection"),
     /** The system refused a request that has not run. */
     REFUSED(
             true,
@@ -101,11 +104,18 @@
      * place of the first.
      */
     HEDGED(true, "state", "upstream", "first", "cause", "events", "millis"),
-    /** A request is retried at another upstream. */
-    RETRIED(true, "reason", "upstream", "attempt", "millis"),
+    /** A request is retried, mostly at another upstream. The connection is that of the sending that has ended. */
+    RETRIED(true, "reason", "upstream", "attempt", "millis", "connection"),
+    /**
+     * A response of another request arrived where that of this one was due, and was discarded. The line states the request
+     * that it names.
+     */
+    EXTRA_RESPONSE(true, "upstream", "connection", "of", "status"),
     /**
      * An answer was forwarded to its end; logged for errors, for answers whose end only the close of the connection
-     * shows, and for a sample of the others. The rest is the number of bytes after the last complete event.
+     * shows, for requests that were sent more than once, and for a sample of the others. The rest is the number of bytes
+     * after the last complete event. The line also states on which connection the answer came, and whether the request had
+     * been written as a whole.
      */
     ANSWERED(
             true,
@@ -120,7 +130,10 @@
             "rank",
             "returning",
             "end",
-            "restBytes"),
+            "restBytes",
+            "sendings",
+            "connection",
+            "written"),
     /** A caller disconnected before its answer was complete. */
     LEFT(true, "upstream", "millis", "events", "promptTokens", "expectedTokens", "rank", "returning"),
     /** This entry is cut off from upstreams, or reaches them again; others may relay for it. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -31,6 +31,8 @@
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
 
     private final UpstreamConnections connections;
+    private final int number;
+    private int exchanges;
     private Target target;
     private Channel channel;
     private UpstreamListener listener;
@@ -38,6 +40,7 @@
     private ResponseEnd responseEnd = ResponseEnd.STATED;
     private boolean unanswered;
     private boolean requestComplete;
+    private boolean requestWritten;
     private boolean responseComplete;
     private boolean reusable;
     private boolean skippingResponse;
@@ -45,9 +48,10 @@
     private boolean wasPaused;
     private long maxIdleMillis;
 
-    UpstreamConnection(UpstreamConnections connections, Target target) {
+    UpstreamConnection(UpstreamConnections connections, int number, Target target) {
         super(false);
         this.connections = connections;
+        this.number = number;
         this.target = target;
     }
 
@@ -55,7 +59,9 @@
     void begin(Channel connected, UpstreamListener receiver) {
         channel = connected;
         listener = receiver;
+        exchanges++;
         requestComplete = false;
+        requestWritten = false;
         responseComplete = false;
         reusable = true;
         skippingResponse = false;
@@ -74,8 +80,13 @@
                 connections.paths().recordSent(target.address());
             }
         }
-        requestComplete |= part instanceof LastHttpContent;
-        return channel.writeAndFlush(part);
+        boolean last = part instanceof LastHttpContent;
+        requestComplete |= last;
+        ChannelFuture written = channel.writeAndFlush(part);
+        if (last) {
+            written.addListener(future -> requestWritten = future.isSuccess());
+        }
+        return written;
     }
 
     /** {@inheritDoc} */
@@ -115,6 +126,18 @@
         return !target.relayed();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return (isDirect() ? "" : "r") + number + '.' + exchanges;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean isRequestWritten() {
+        return requestWritten;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void abort() {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -38,6 +38,7 @@
     private Optional<RecvByteBufAllocator> readSizes = Optional.empty();
     private final Map<String, Deque<Idle>> directIdle = new HashMap<>();
     private final Map<String, Deque<Idle>> relayedIdle = new HashMap<>();
+    private int connectionCount;
 
     /**
      * Creates an empty set of direct connections.
@@ -107,7 +108,8 @@
             loop.execute(listener::onConnected);
             return connection;
         }
-        UpstreamConnection connection = new UpstreamConnection(this, new Target(address, !directAllowed && relayable));
+        Target target = new Target(address, !directAllowed && relayable);
+        UpstreamConnection connection = new UpstreamConnection(this, ++connectionCount, target);
         if (directAllowed) {
             connectDirectly(connection, listener, relayable);
         } else if (!relayable) {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -40,6 +40,25 @@
         return true;
     }
 
+    /**
+     * Returns a name of the connection and of the exchange on it, by which a log tells apart the sendings of one request.
+     *
+     * @return the number of the connection at its traffic thread and that of the exchange on it, as in {@code 7.3}; the
+     *     number of a relayed connection begins with an {@code r}.
+     */
+    default String name() {
+        return "";
+    }
+
+    /**
+     * Returns whether all bytes of the request have been passed to the socket of the connection.
+     *
+     * @return whether none of them waits to be written.
+     */
+    default boolean isRequestWritten() {
+        return true;
+    }
+
     /** Aborts the exchange and closes the connection; the listener is not invoked again. */
     void abort();
 
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -599,6 +599,12 @@
             headers.set(RESUME_AFTER, forward.resumeAfter());
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public String decodeRequestId(HttpResponse response) {
+            return "request";
+        }
+
         /** {@inheritDoc} */
         @Override
         public RequestLimit decodeLimit(HttpResponse response) {
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -37,7 +37,7 @@
     void connect() {
         channel = new PacedChannel();
         UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
-        connection = new UpstreamConnection(connections, new UpstreamConnections.Target("127.0.0.1:1", false));
+        connection = new UpstreamConnection(connections, 1, new UpstreamConnections.Target("127.0.0.1:1", false));
         channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
         connection.begin(channel, listener);
     }
