Show three ways in which a response reaches the wrong request, or half of one counts as whole

- bytes that arrive in one read behind a response are handed to the request that takes the connection while the response is being completed, before that request is written; the connection is closed then, and the request waits in vain;
- an interim response (1xx) ends the exchange, so that the connection goes back to the idle ones while the final response is still to come;
- a response without a length whose connection is reset while the request is still being written counts as ended in order: the write fails, and the close after it looks like any other.

--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -26,18 +26,20 @@
  * Receives the bytes of responses as an upstream sends them, and closes or resets the connection after them.
  */
 class UpstreamConnectionTest {
+    private static final String UPSTREAM = "127.0.0.1:1";
     private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
 
     private final RecordingListener listener = new RecordingListener();
     private final RecordingPaths paths = new RecordingPaths();
     private PacedChannel channel;
+    private UpstreamConnections connections;
     private UpstreamConnection connection;
 
     @BeforeEach
     void connect() {
         channel = new PacedChannel();
-        UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
-        connection = new UpstreamConnection(connections, 1, new UpstreamConnections.Target("127.0.0.1:1", false));
+        connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
+        connection = new UpstreamConnection(connections, 1, new UpstreamConnections.Target(UPSTREAM, false));
         channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
         connection.begin(channel, listener);
     }
@@ -57,8 +59,6 @@
 
     @Nested
     class BrokenPath {
-        private static final String UPSTREAM = "127.0.0.1:1";
-
         /** A path that is broken, while a host relays; a test fails if that host's address is used. */
         private final class Broken implements UpstreamPaths {
             /** {@inheritDoc} */
@@ -83,8 +83,8 @@
         /** Guards against a body that is sent through a host in a region that the request must not reach. */
         @Test
         void isNotPassedByARequestThatMustNotBeRelayed() {
-            UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
-            connections.open(UPSTREAM, listener, false, false);
+            UpstreamConnections broken = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
+            broken.open(UPSTREAM, listener, false, false);
             channel.runPendingTasks();
             assertThat(listener.connectFailures).isEqualTo(1);
         }
@@ -172,6 +172,40 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    @Nested
+    class HandOver {
+        private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+        private static final String EXTRA = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nextra";
+
+        private final RecordingListener next = new RecordingListener();
+
+        /**
+         * Guards against a response that is taken for that of the next request on the connection, which hasn't been sent: that
+         * request would never get its own.
+         */
+        @Test
+        void givesTheNextRequestNoBytesFromBeforeItWasSent() {
+            request(HttpMethod.GET);
+            listener.onComplete = () -> connections.open(UPSTREAM, next);
+            receive(RESPONSE + EXTRA);
+            channel.runPendingTasks();
+            assertThat(listener.body.toString()).isEqualTo("body");
+            assertThat(next.body.toString()).isEmpty();
+            assertThat(next.end).isNull();
+        }
+
+        /** Guards against a connection that carries the next request while the final response to the last one is still due. */
+        @Test
+        void doesNotTakePlaceAfterAnInterimResponse() {
+            request(HttpMethod.GET);
+            receive("HTTP/1.1 103 Early Hints\r\n\r\n");
+            assertThat(listener.end).isNull();
+            receive(RESPONSE);
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+            assertThat(listener.body.toString()).isEqualTo("body");
+        }
+    }
+
     @Nested
     class LongBody {
         private static final int BODY_BYTES = 1_000_000;
@@ -287,6 +321,7 @@
     /** Records what the listener of an exchange receives. */
     private static final class RecordingListener implements UpstreamListener {
         private final StringBuilder body = new StringBuilder();
+        private Runnable onComplete = () -> {};
         private ResponseEnd end;
         private boolean lost;
         private int connectFailures;
@@ -314,6 +349,7 @@
         @Override
         public void onResponseComplete(ResponseEnd responseEnd) {
             end = responseEnd;
+            onComplete.run();
         }
 
         @Override
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -2,20 +2,26 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,12 +29,15 @@
 import org.radishspur.node.relay.RelayMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Connects to upstreams on the loopback address.
  */
 class UpstreamConnectionsTest {
     private static final long LIMIT_SECONDS = 20;
+    private static final int SMALL_WINDOW_BYTES = 16 << 10;
+    private static final int LONG_BODY_BYTES = 8 << 20;
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -60,6 +69,36 @@
         }
     }
 
+    /**
+     * Guards against half of a response that its caller gets as a whole one: it has no length, and its connection is reset
+     * while the request is still being written.
+     */
+    @Test
+    void takesNoResetForTheEndOfAResponseWhileTheRequestIsBeingWritten() throws Exception {
+        try (ServerSocket upstream = new ServerSocket()) {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Exchange exchange = new Exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
+            CompletableFuture.runAsync(() -> answerHalfAndReset(upstream, exchange.begun));
+            exchange.open("127.0.0.1:" + upstream.getLocalPort());
+            assertThatThrownBy(() -> exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                    .isInstanceOf(ExecutionException.class)
+                    .hasCauseInstanceOf(IOException.class);
+        }
+    }
+
+    /** Reads the beginning of a long request, answers with half of a body without a length, and resets the connection. */
+    private static void answerHalfAndReset(ServerSocket upstream, CompletableFuture<Void> received) {
+        try (Socket accepted = upstream.accept()) {
+            accepted.getInputStream().readNBytes(SMALL_WINDOW_BYTES);
+            accepted.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
+            received.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            accepted.setSoLinger(true, 0);
+        } catch (IOException | InterruptedException | ExecutionException | TimeoutException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private static String refusingAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return "127.0.0.1:" + socket.getLocalPort();
@@ -109,11 +148,18 @@
     /** Sends one request and receives its response. */
     private final class Exchange implements UpstreamListener {
         private final CompletableFuture<String> body = new CompletableFuture<>();
+        private final CompletableFuture<Void> begun = new CompletableFuture<>();
+        private final int requestBytes;
         private final UpstreamConnections connections;
         private final StringBuilder received = new StringBuilder();
         private UpstreamExchange exchange;
 
         Exchange(UpstreamPaths paths) {
+            this(paths, 0);
+        }
+
+        Exchange(UpstreamPaths paths, int requestBytes) {
+            this.requestBytes = requestBytes;
             connections = new UpstreamConnections(loops.next(), 1_000, 1_000, paths);
         }
 
@@ -123,7 +169,10 @@
 
         @Override
         public void onConnected() {
-            exchange.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/record"));
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/record", Unpooled.wrappedBuffer(new byte[requestBytes]));
+            HttpUtil.setContentLength(request, requestBytes);
+            PacedRequest.write(exchange, request);
             exchange.read();
         }
 
@@ -139,6 +188,7 @@
         public void onContent(ByteBuf content) {
             received.append(content.toString(StandardCharsets.US_ASCII));
             content.release();
+            begun.complete(null);
         }
 
         @Override
