Send each request once on a connection, so that its identifier names one sending

What callers saw: a success where the upstream had answered this sending with a failure, or a failure where it had answered with a success; an unsafe request that ran twice, or was refused as not run and had run. On the path of permits: the answer to another caller's request.

Cause: a response was matched by the identifier of the request, which is the same each time that the request is sent, and a request could be sent again on the connection that it was on before. The late copy of a response to the first sending was then taken for the response to the second one, the connection went back to the idle ones with an answer still to come, and a third sending there got the answer to the second. On the path of permits nothing was matched at all.

Change: UpstreamConnections knows the identity of each request. A connection remembers by hashes which requests it has carried, and carries none a second time, so that on each connection an identifier names one sending; the first response that states it is that sending's, and each later one is a copy. After a response that states no request the connection is closed, since a copy of it couldn't be told from anything; requests without an identifier get connections of their own. The check stands at the connection, for both programs, relayed connections, retries and second attempts; it is no longer the caller's dialect that compares identifiers.

The response of a test in UpstreamConnectionTest names its request now, as one that doesn't no longer keeps its connection.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -34,7 +34,9 @@
 import org.radishspur.node.control.PermitListener;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.peer.PeerMessage.ControlResult;
+import org.radishspur.node.upstream.RequestIdentity;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -541,8 +543,9 @@
                 upstream = grantedUpstream;
                 address = grantedAddress;
                 dispatchedNanos = System.nanoTime();
-                upstreamExchange =
-                        services.connections(context.channel().eventLoop()).open(address, this);
+                RequestIdentity identity = new RequestIdentity(UpstreamHeaders.REQUEST, id.text());
+                upstreamExchange = services.connections(context.channel().eventLoop())
+                        .open(new UpstreamCall(address, identity), this);
             });
         }
 
@@ -597,6 +600,12 @@
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void onExtraResponse(HttpResponse response) {
+            services.metrics().countExtraAnswer();
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onResponseHead(HttpResponse response) {
--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.radishspur.model.catalogue.RequestLimit;
+import org.radishspur.node.upstream.RequestIdentity;
 
 /**
  * Decodes callers' requests and upstreams' responses, and encodes the parameters that the system adds to a request.
@@ -29,21 +30,20 @@
     void rewriteHeaders(HttpHeaders headers, ForwardParameters parameters);
 
     /**
-     * Classifies an upstream's response by its head.
+     * Returns by what the response to a request is told from others.
      *
-     * @param response the head.
-     * @param requestId the caller's identifier of the request.
-     * @return the kind of the response.
+     * @param requestId the caller's identifier of the request, empty where it is missing.
+     * @return the identity of the request.
      */
-    ResponseKind classify(HttpResponse response, String requestId);
+    RequestIdentity identify(String requestId);
 
     /**
-     * Decodes which request an upstream's response belongs to.
+     * Classifies an upstream's response by its head.
      *
-     * @param response the head of the response.
-     * @return the caller's identifier of the request, empty where the response doesn't state it.
+     * @param response the head, which states the identifier of the request or none.
+     * @return the kind of the response.
      */
-    String decodeRequestId(HttpResponse response);
+    ResponseKind classify(HttpResponse response);
 
     /**
      * Decodes how many requests an upstream takes from all hosts together, as it states in a response.
@@ -130,8 +130,6 @@
         NOT_RUN,
         /** Another instance than the expected one answered at this address; it has not run the request. */
         WRONG_INSTANCE,
-        /** The response belongs to another request. */
-        OTHER_REQUEST,
         /** The response can't be the one that the upstream meant to send; the request may have run. */
         INVALID
     }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -20,6 +20,7 @@
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.upstream.PacedRequest;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -81,7 +82,12 @@
      * @param trialAllowed whether the request may try a broken path again.
      */
     void start(boolean trialAllowed) {
-        exchange = services.exchanges().open(upstream.upstream().address(), this, trialAllowed, caller.mayBeRelayed());
+        UpstreamCall call = new UpstreamCall(
+                upstream.upstream().address(),
+                services.dialect().identify(caller.head().requestId()),
+                trialAllowed,
+                caller.mayBeRelayed());
+        exchange = services.exchanges().open(call, this);
     }
 
     UpstreamLoad upstream() {
@@ -198,18 +204,28 @@
         caller.onNotRun(this, "connect-failed", false);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onExtraResponse(HttpResponse response) {
+        String requestId = caller.head().requestId();
+        services.metrics().countExtraResponse();
+        services.events()
+                .emitForRequest(
+                        EventCode.EXTRA_RESPONSE,
+                        requestId,
+                        upstream.upstream().id(),
+                        connectionName,
+                        services.dialect().identify(requestId).statedBy(response),
+                        response.status().code());
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onResponseHead(HttpResponse response) {
         if (phase != Phase.RUNNING) {
             return;
         }
-        kind = services.dialect().classify(response, caller.head().requestId());
-        if (kind == ResponseKind.OTHER_REQUEST) {
-            logExtraResponse(response);
-            exchange.skipResponse();
-            return;
-        }
+        kind = services.dialect().classify(response);
         long now = EntryServices.now();
         times.recordHead(now);
         responseHead = response;
@@ -236,18 +252,6 @@
         }
     }
 
-    private void logExtraResponse(HttpResponse response) {
-        services.metrics().countExtraResponse();
-        services.events()
-                .emitForRequest(
-                        EventCode.EXTRA_RESPONSE,
-                        caller.head().requestId(),
-                        upstream.upstream().id(),
-                        connectionName,
-                        services.dialect().decodeRequestId(response),
-                        response.status().code());
-    }
-
     private void onSuccess() {
         caller.attempts().onProgress(this);
         if (!isEventStream()) {
--- a/node/src/main/java/org/radishspur/node/group/HostListReader.java
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -26,7 +26,9 @@
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
 import org.radishspur.node.settings.HostPort;
+import org.radishspur.node.upstream.RequestIdentity;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamConnections;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -199,7 +201,7 @@
 
         void start() {
             timeout = transport.schedule(() -> fail("no answer in time"), PAGE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            exchange = connections.open(address.toString(), this);
+            exchange = connections.open(new UpstreamCall(address.toString(), RequestIdentity.NONE), this);
         }
 
         /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/radishspur/node/metrics/NodeMetrics.java
@@ -22,6 +22,7 @@
     private final Counter answered = registry.counter("requests.answered");
     private final Counter replayed = registry.counter("requests.replayed");
     private final Counter truncated = registry.counter("requests.truncated");
+    private final Counter extraAnswers = registry.counter("answers.extra");
     private final Counter silent = registry.counter("requests.silent");
     private final Counter localOnlyClaims = registry.counter("claims.local-only");
     private final Counter retriesOverBudget = registry.counter("retries.over-budget");
@@ -99,6 +100,11 @@
         truncated.inc();
     }
 
+    /** Counts an answer to another request that an upstream sent where the one to a request was due. */
+    public void countExtraAnswer() {
+        extraAnswers.inc();
+    }
+
     /** Counts a silence of an upstream that lasts longer than the time allowed. */
     public void countSilent() {
         silent.inc();
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.upstream;
 
 import java.net.ProtocolException;
+import java.nio.channels.ClosedChannelException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -22,7 +24,9 @@
 /**
  * A connection to an upstream, which carries one exchange at a time.
  *
- * <p>A connection whose exchange did not end cleanly is closed, so that a late response can't reach another caller.
+ * <p>An upstream may send a response a second time, where the response to a later request is due, and only the identifier of
+ * the request tells them apart. So that it always does, a connection carries each request once only, and no further one
+ * after a response without an identifier. A connection whose exchange did not end cleanly is closed.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamExchange {
     private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
@@ -32,18 +36,19 @@
 
     private final UpstreamConnections connections;
     private final int number;
+    private final SentRequests sentRequests = new SentRequests();
     private int exchanges;
     private Target target;
     private Channel channel;
     private UpstreamListener listener;
+    private RequestIdentity identity = RequestIdentity.NONE;
     private HttpMethod method = HttpMethod.GET;
+    private Phase phase = Phase.UNSENT;
     private ResponseEnd responseEnd = ResponseEnd.STATED;
     private boolean unanswered;
     private boolean requestComplete;
     private boolean requestWritten;
-    private boolean responseComplete;
     private boolean reusable;
-    private boolean skippingResponse;
     private boolean paused;
     private boolean wasPaused;
     private long maxIdleMillis;
@@ -55,16 +60,26 @@
         this.target = target;
     }
 
+    /** Adds the handlers of a connection to a new channel. */
+    void install(Channel connected) {
+        connected.pipeline().addLast(new HttpClientCodec()).addLast(this);
+    }
+
+    /** Returns whether the response to a request could be told from all others on this connection. */
+    boolean mayCarry(RequestIdentity request) {
+        return request.isStated() && !sentRequests.mayContain(request);
+    }
+
     /** Starts an exchange on a new or idle connection. */
-    void begin(Channel connected, UpstreamListener receiver) {
+    void begin(Channel connected, RequestIdentity request, UpstreamListener receiver) {
         channel = connected;
+        identity = request;
         listener = receiver;
         exchanges++;
+        phase = Phase.UNSENT;
         requestComplete = false;
         requestWritten = false;
-        responseComplete = false;
         reusable = true;
-        skippingResponse = false;
         paused = false;
         wasPaused = false;
         maxIdleMillis = Long.MAX_VALUE;
@@ -75,6 +90,8 @@
     public ChannelFuture write(HttpObject part) {
         if (part instanceof HttpRequest request) {
             method = request.method();
+            phase = Phase.AWAITING_RESPONSE;
+            sentRequests.add(identity);
             unanswered = true;
             if (isDirect()) {
                 connections.paths().recordSent(target.address());
@@ -113,13 +130,6 @@
         }
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void skipResponse() {
-        skippingResponse = true;
-        reusable = false;
-    }
-
     /** {@inheritDoc} */
     @Override
     public boolean isDirect() {
@@ -152,7 +162,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         connections.remove(target, this);
-        fail(new java.nio.channels.ClosedChannelException());
+        fail(new ClosedChannelException());
     }
 
     /** {@inheritDoc} */
@@ -176,36 +186,66 @@
         if (unanswered && isDirect() && context.channel().isActive()) {
             connections.paths().recordBytes(target.address());
         }
-        if (listener == null || part.decoderResult().isFailure()) {
+        if (listener == null) {
+            ReferenceCountUtil.release(part);
+            context.close();
+        } else if (part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
             failMalformed();
             context.close();
-            return;
+        } else {
+            receive(part);
         }
+    }
+
+    private void receive(HttpObject part) {
         if (part instanceof HttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;
-            }
-            responseEnd = ResponseEnd.of(method, response);
-            reusable &= HttpUtil.isKeepAlive(response) && responseEnd == ResponseEnd.STATED;
-            maxIdleMillis = keepAliveMillis(response);
-            listener.onResponseHead(response);
+            receiveHead(response);
         }
         if (part instanceof HttpContent content) {
-            boolean last = part instanceof LastHttpContent;
-            if (listener != null && !skippingResponse) {
-                listener.onContent(content.content());
-            } else {
-                content.release();
-            }
-            if (last && skippingResponse) {
-                skippingResponse = false;
-            } else if (last && listener != null) {
-                complete();
-            }
+            receiveContent(content);
         }
     }
 
+    private void receiveHead(HttpResponse response) {
+        if (identity.ownerOf(response) == RequestIdentity.Owner.OTHER_REQUEST) {
+            phase = Phase.SKIPPING;
+            reusable = false;
+            listener.onExtraResponse(response);
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        phase = Phase.RECEIVING;
+        responseEnd = ResponseEnd.of(method, response);
+        reusable &= HttpUtil.isKeepAlive(response)
+                && responseEnd == ResponseEnd.STATED
+                && identity.ownerOf(response) == RequestIdentity.Owner.THIS_REQUEST
+                && !sentRequests.isFull();
+        maxIdleMillis = keepAliveMillis(response);
+        listener.onResponseHead(response);
+    }
+
+    private void receiveContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (phase == Phase.SKIPPING) {
+            content.release();
+            phase = last ? Phase.AWAITING_RESPONSE : Phase.SKIPPING;
+            return;
+        }
+        if (listener == null) {
+            content.release();
+            return;
+        }
+        listener.onContent(content.content());
+        if (!last || listener == null) {
+            return;
+        }
+        recordEnded();
+        endExchange();
+    }
+
     /**
      * Returns how long the idle connection may be reused, in milliseconds: the stated Keep-Alive timeout less a margin.
      */
@@ -216,13 +256,11 @@
                 : Long.MAX_VALUE;
     }
 
-    /** Ends the exchange, and keeps the connection for reuse where request and response are complete. */
-    private void complete() {
-        responseComplete = true;
-        recordEnded();
+    /** Ends the exchange after a complete response, and keeps the connection for reuse where that is safe. */
+    private void endExchange() {
         UpstreamListener receiver = listener;
         listener = null;
-        if (requestComplete && responseComplete && reusable) {
+        if (requestComplete && reusable) {
             connections.returnIdle(target, this, channel, maxIdleMillis);
         } else {
             channel.close();
@@ -243,9 +281,7 @@
         UpstreamListener receiver = listener;
         listener = null;
         recordEnded();
-        if (receiver != null) {
-            receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
-        }
+        receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
     }
 
     private void fail(Throwable cause) {
@@ -273,4 +309,16 @@
     void setTarget(Target newTarget) {
         target = newTarget;
     }
+
+    /** The phases of an exchange. */
+    private enum Phase {
+        /** Nothing was sent, so that no response can be due. */
+        UNSENT,
+        /** The request is being sent or was sent, and the head of its response is due. */
+        AWAITING_RESPONSE,
+        /** A response to another request is discarded. */
+        SKIPPING,
+        /** The body of the response is due. */
+        RECEIVING
+    }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -1,8 +1,10 @@
 package org.radishspur.node.upstream;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +15,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.radishspur.node.relay.RelayDialer;
 import org.radishspur.node.relay.RelayMessage;
 import org.radishspur.node.transport.ClientSocket;
@@ -79,43 +80,32 @@
 
     /** {@inheritDoc} */
     @Override
-    public UpstreamExchange open(String address, UpstreamListener listener) {
-        return open(address, listener, false);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
-        return open(address, listener, repeatable, true);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
+    public UpstreamExchange open(UpstreamCall call, UpstreamListener listener) {
+        String address = call.address();
         Target direct = new Target(address, false);
         if (paths.isBroken(address)) {
             closeIdle(direct);
         }
-        Optional<Idle> kept = takeIdle(direct);
+        Optional<Idle> kept = takeIdle(direct, call.identity());
         boolean directAllowed =
-                kept.isPresent() || !paths.isBrokenForNew(address) || paths.takeTrial(address, repeatable);
-        if (kept.isEmpty() && !directAllowed && relayable) {
-            kept = takeIdle(new Target(address, true));
+                kept.isPresent() || !paths.isBrokenForNew(address) || paths.takeTrial(address, call.repeatable());
+        if (kept.isEmpty() && !directAllowed && call.relayable()) {
+            kept = takeIdle(new Target(address, true), call.identity());
         }
         if (kept.isPresent()) {
             UpstreamConnection connection = kept.get().connection();
-            connection.begin(kept.get().channel(), listener);
+            connection.begin(kept.get().channel(), call.identity(), listener);
             loop.execute(listener::onConnected);
             return connection;
         }
-        Target target = new Target(address, !directAllowed && relayable);
+        Target target = new Target(address, !directAllowed && call.relayable());
         UpstreamConnection connection = new UpstreamConnection(this, ++connectionCount, target);
         if (directAllowed) {
-            connectDirectly(connection, listener, relayable);
-        } else if (!relayable) {
+            connectDirectly(connection, call, listener);
+        } else if (!call.relayable()) {
             loop.execute(listener::onConnectFailed);
         } else {
-            connectThroughRelay(connection, listener, paths.relays());
+            connectThroughRelay(connection, call, listener);
         }
         return connection;
     }
@@ -125,16 +115,23 @@
         return target.relayed() ? relayedIdle : directIdle;
     }
 
-    private Optional<Idle> takeIdle(Target target) {
+    /** Takes the connection that became idle last and may carry a request, and closes those that were idle too long. */
+    private Optional<Idle> takeIdle(Target target, RequestIdentity request) {
         Deque<Idle> candidates = idle(target).getOrDefault(target.address(), new ArrayDeque<>());
-        while (!candidates.isEmpty()) {
-            Idle candidate = candidates.removeLast();
-            if (candidate.channel().isActive() && System.nanoTime() < candidate.keepUntilNanos()) {
-                return Optional.of(candidate);
+        List<Idle> unusable = new ArrayList<>();
+        Optional<Idle> taken = Optional.empty();
+        for (Iterator<Idle> newestFirst = candidates.descendingIterator(); taken.isEmpty() && newestFirst.hasNext(); ) {
+            Idle candidate = newestFirst.next();
+            if (!candidate.channel().isActive() || System.nanoTime() >= candidate.keepUntilNanos()) {
+                newestFirst.remove();
+                unusable.add(candidate);
+            } else if (candidate.connection().mayCarry(request)) {
+                newestFirst.remove();
+                taken = Optional.of(candidate);
             }
-            candidate.channel().close();
         }
-        return Optional.empty();
+        unusable.forEach(each -> each.channel().close());
+        return taken;
     }
 
     private void closeIdle(Target target) {
@@ -169,8 +166,8 @@
         return paths;
     }
 
-    private void connectDirectly(UpstreamConnection connection, UpstreamListener listener, boolean relayable) {
-        String address = connection.target().address();
+    private void connectDirectly(UpstreamConnection connection, UpstreamCall call, UpstreamListener listener) {
+        String address = call.address();
         ClientSocket.INSTANCE
                 .connect(address, loop, connectMillis, channel -> {
                     readSizes.ifPresent(channel.config()::setRecvByteBufAllocator);
@@ -178,13 +175,13 @@
                 .addListener((ChannelFuture future) -> {
                     if (future.isSuccess()) {
                         paths.recordConnected(address);
-                        begin(connection, future.channel(), listener);
+                        begin(connection, future.channel(), call, listener);
                         return;
                     }
                     paths.recordConnectFailure(address);
-                    if (relayable && paths.isBrokenForNew(address)) {
+                    if (call.relayable() && paths.isBrokenForNew(address)) {
                         connection.setTarget(new Target(address, true));
-                        connectThroughRelay(connection, listener, paths.relays());
+                        connectThroughRelay(connection, call, listener);
                     } else {
                         listener.onConnectFailed();
                     }
@@ -192,28 +189,28 @@
     }
 
     /**
-     * Adds the handler to a new channel and begins the exchange. Netty adds a handler to one channel only, so it must not be
+     * Adds the handlers to a new channel and begins the exchange. Netty adds a handler to one channel only, so it must not be
      * added to the direct channel before that is connected: the relayed one may be used instead.
      */
-    private static void begin(UpstreamConnection connection, Channel channel, UpstreamListener listener) {
-        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
-        connection.begin(channel, listener);
+    private static void begin(
+            UpstreamConnection connection, Channel channel, UpstreamCall call, UpstreamListener listener) {
+        connection.install(channel);
+        connection.begin(channel, call.identity(), listener);
         listener.onConnected();
     }
 
     /** Connects through one of some hosts. Where the upstream refuses these as well, it is itself at fault. */
-    private void connectThroughRelay(UpstreamConnection connection, UpstreamListener listener, List<String> relays) {
-        String address = connection.target().address();
-        dialer.dial(relays, address, new RelayDialer.Listener() {
+    private void connectThroughRelay(UpstreamConnection connection, UpstreamCall call, UpstreamListener listener) {
+        dialer.dial(paths.relays(), call.address(), new RelayDialer.Listener() {
             @Override
             public void onOpened(Channel channel) {
-                begin(connection, channel, listener);
+                begin(connection, channel, call, listener);
             }
 
             @Override
             public void onFailed(RelayMessage.Result result) {
                 if (result == RelayMessage.Result.REFUSED) {
-                    paths.recordUpstreamDown(address);
+                    paths.recordUpstreamDown(call.address());
                 }
                 listener.onConnectFailed();
             }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -22,15 +22,6 @@
     /** Notes that no read is requested for a while, so that silence until the next read shows nothing. */
     default void pauseReading() {}
 
-    /**
-     * Discards the response whose head has just been received and waits for the next one, after which the connection is
-     * closed.
-     *
-     * <p>This handles an upstream that responds to a request twice: the second copy arrives where the response to the
-     * next request on the connection is expected, and must not reach its caller.
-     */
-    void skipResponse();
-
     /**
      * Returns whether the exchange is on a direct connection, and not on one through another host.
      *
@@ -69,36 +60,10 @@
         /**
          * Starts an exchange.
          *
-         * @param address the host and port of the upstream.
+         * @param call what the exchange is for.
          * @param listener the listener of the exchange.
          * @return the exchange, to which nothing may be written before {@link UpstreamListener#onConnected()}.
          */
-        UpstreamExchange open(String address, UpstreamListener listener);
-
-        /**
-         * Starts an exchange, which may try a path that was broken.
-         *
-         * @param address the host and port of the upstream.
-         * @param listener the listener of the exchange.
-         * @param repeatable whether the request may run more than once, so that a failed trial does no harm.
-         * @return the exchange, as above.
-         */
-        default UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable) {
-            return open(address, listener);
-        }
-
-        /**
-         * Starts an exchange, which may try a path that was broken or avoid it.
-         *
-         * @param address the host and port of the upstream.
-         * @param listener the listener of the exchange.
-         * @param repeatable whether the request may run more than once, so that a failed trial does no harm.
-         * @param relayable whether the request may pass through another host; a factory that never does so ignores it.
-         * @return the exchange, as above.
-         */
-        default UpstreamExchange open(
-                String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
-            return open(address, listener, repeatable);
-        }
+        UpstreamExchange open(UpstreamCall call, UpstreamListener listener);
     }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamListener.java
@@ -13,6 +13,14 @@
     /** Invoked when no connection could be established, so that no byte can have reached the upstream. */
     void onConnectFailed();
 
+    /**
+     * Invoked when the head of a response to another request has been received, which is discarded. An upstream may send
+     * one where the response to this request is due.
+     *
+     * @param response the status and the headers.
+     */
+    default void onExtraResponse(HttpResponse response) {}
+
     /**
      * Invoked when the head of the response has been received.
      *
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -49,7 +49,9 @@
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.ProcessSettingsFixture;
 import org.radishspur.node.upstream.PacedChannel;
+import org.radishspur.node.upstream.RequestIdentity;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
 import org.radishspur.node.upstream.UpstreamProbe;
@@ -414,14 +416,8 @@
     private final class FakeFactory implements UpstreamExchange.Factory {
         /** {@inheritDoc} */
         @Override
-        public UpstreamExchange open(String address, UpstreamListener listener) {
-            return EntryFixture.this.open(address, listener, true);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
-            return EntryFixture.this.open(address, listener, relayable);
+        public UpstreamExchange open(UpstreamCall call, UpstreamListener listener) {
+            return EntryFixture.this.open(call.address(), listener, call.relayable());
         }
     }
 
@@ -566,10 +562,6 @@
             reads++;
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public void skipResponse() {}
-
         /** {@inheritDoc} */
         @Override
         public void abort() {
@@ -601,8 +593,8 @@
 
         /** {@inheritDoc} */
         @Override
-        public String decodeRequestId(HttpResponse response) {
-            return "request";
+        public RequestIdentity identify(String requestId) {
+            return new RequestIdentity("request", requestId);
         }
 
         /** {@inheritDoc} */
@@ -625,7 +617,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public ResponseKind classify(HttpResponse response, String request) {
+        public ResponseKind classify(HttpResponse response) {
             int status = response.status().code();
             if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
                 return ResponseKind.NOT_RUN;
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -40,8 +39,8 @@
         channel = new PacedChannel();
         connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
         connection = new UpstreamConnection(connections, 1, new UpstreamConnections.Target(UPSTREAM, false));
-        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
-        connection.begin(channel, listener);
+        connection.install(channel);
+        connection.begin(channel, identity("r1"), listener);
     }
 
     @AfterEach
@@ -49,6 +48,10 @@
         channel.finishAndReleaseAll();
     }
 
+    private static RequestIdentity identity(String id) {
+        return new RequestIdentity("Id", id);
+    }
+
     private void request(HttpMethod method) {
         connection.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
     }
@@ -84,7 +87,7 @@
         @Test
         void isNotPassedByARequestThatMustNotBeRelayed() {
             UpstreamConnections broken = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
-            broken.open(UPSTREAM, listener, false, false);
+            broken.open(new UpstreamCall(UPSTREAM, identity("r1"), false, false), listener);
             channel.runPendingTasks();
             assertThat(listener.connectFailures).isEqualTo(1);
         }
@@ -174,7 +177,7 @@
 
     @Nested
     class HandOver {
-        private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+        private static final String RESPONSE = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody";
         private static final String EXTRA = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nextra";
 
         private final RecordingListener next = new RecordingListener();
@@ -186,7 +189,7 @@
         @Test
         void givesTheNextRequestNoBytesFromBeforeItWasSent() {
             request(HttpMethod.GET);
-            listener.onComplete = () -> connections.open(UPSTREAM, next);
+            listener.onComplete = () -> connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
             receive(RESPONSE + EXTRA);
             channel.runPendingTasks();
             assertThat(listener.body.toString()).isEqualTo("body");
@@ -249,7 +252,7 @@
                 part.release();
             }
             assertThat(written.skipBytes(written.readableBytes() - BODY_BYTES)).isEqualTo(numbered());
-            receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            receive("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
             assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
             assertThat(channel.isActive()).isTrue();
         }
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -14,15 +14,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.radishspur.node.peer.PeerCodec;
@@ -47,6 +41,11 @@
         loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
+    private RecordedExchange exchange(UpstreamPaths paths, int requestBytes) {
+        EventLoop loop = loops.next();
+        return new RecordedExchange(loop, new UpstreamConnections(loop, 1_000, 1_000, paths), "r1", 1, requestBytes);
+    }
+
     private static byte[] frame(RelayMessage message) {
         ByteBuf encoded = PeerCodec.encode(message, RelayMessage.class);
         byte[] bytes = ByteBufUtil.getBytes(encoded);
@@ -63,7 +62,7 @@
         String refusing = refusingAddress();
         try (ServerSocket relay = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture.runAsync(() -> answer(relay));
-            Exchange exchange = new Exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()));
+            RecordedExchange exchange = exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()), 0);
             exchange.open(refusing);
             assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("ok");
         }
@@ -78,7 +77,7 @@
         try (ServerSocket upstream = new ServerSocket()) {
             upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
             upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            Exchange exchange = new Exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
+            RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
             CompletableFuture.runAsync(() -> answerHalfAndReset(upstream, exchange.begun));
             exchange.open("127.0.0.1:" + upstream.getLocalPort());
             assertThatThrownBy(() -> exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS))
@@ -144,66 +143,4 @@
             failed = true;
         }
     }
-
-    /** Sends one request and receives its response. */
-    private final class Exchange implements UpstreamListener {
-        private final CompletableFuture<String> body = new CompletableFuture<>();
-        private final CompletableFuture<Void> begun = new CompletableFuture<>();
-        private final int requestBytes;
-        private final UpstreamConnections connections;
-        private final StringBuilder received = new StringBuilder();
-        private UpstreamExchange exchange;
-
-        Exchange(UpstreamPaths paths) {
-            this(paths, 0);
-        }
-
-        Exchange(UpstreamPaths paths, int requestBytes) {
-            this.requestBytes = requestBytes;
-            connections = new UpstreamConnections(loops.next(), 1_000, 1_000, paths);
-        }
-
-        void open(String address) {
-            loops.next().execute(() -> exchange = connections.open(address, this, true));
-        }
-
-        @Override
-        public void onConnected() {
-            FullHttpRequest request = new DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/record", Unpooled.wrappedBuffer(new byte[requestBytes]));
-            HttpUtil.setContentLength(request, requestBytes);
-            PacedRequest.write(exchange, request);
-            exchange.read();
-        }
-
-        @Override
-        public void onConnectFailed() {
-            body.completeExceptionally(new IOException("no connection"));
-        }
-
-        @Override
-        public void onResponseHead(HttpResponse response) {}
-
-        @Override
-        public void onContent(ByteBuf content) {
-            received.append(content.toString(StandardCharsets.US_ASCII));
-            content.release();
-            begun.complete(null);
-        }
-
-        @Override
-        public void onReadComplete() {
-            exchange.read();
-        }
-
-        @Override
-        public void onResponseComplete(ResponseEnd end) {
-            body.complete(received.toString());
-        }
-
-        @Override
-        public void onConnectionLost(Throwable cause) {
-            body.completeExceptionally(cause);
-        }
-    }
 }
--- a/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
+++ b/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
@@ -184,10 +184,13 @@
      * Answers the requests of one connection.
      */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private String identifier = "";
+
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             String body = request.content().toString(StandardCharsets.UTF_8);
+            identifier = request.headers().get(UpstreamHeaders.REQUEST, "");
             if (draining.get()) {
                 sendDrainingRefusal(context);
                 return;
@@ -207,6 +210,7 @@
                 context.executor().schedule(() -> sendServiceAnswer(context, name, body), delay, TimeUnit.MICROSECONDS);
             } else {
                 HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                identify(head);
                 head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
                 HttpUtil.setTransferEncodingChunked(head, true);
                 head.headers().setInt(UpstreamHeaders.LOAD_RUNNING, runningRequests.incrementAndGet());
@@ -216,6 +220,11 @@
             }
         }
 
+        /** Repeats the identifier of the request, so that its response is told from others. */
+        private void identify(HttpResponse response) {
+            response.headers().set(UpstreamHeaders.REQUEST, identifier);
+        }
+
         private void streamTokens(ChannelHandlerContext context, String name, String body, int index, int tokens) {
             if (!context.channel().isActive()) {
                 runningRequests.decrementAndGet();
@@ -257,6 +266,7 @@
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.OK,
                     Unpooled.copiedBuffer(serviceAnswer(body), StandardCharsets.UTF_8));
+            identify(response);
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             response.headers()
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
@@ -267,6 +277,7 @@
         private void sendFailure(ChannelHandlerContext context) {
             FullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+            identify(response);
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
             context.writeAndFlush(response);
         }
@@ -274,6 +285,7 @@
         private void sendDrainingRefusal(ChannelHandlerContext context) {
             FullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            identify(response);
             response.headers().set(UpstreamHeaders.ADMISSION, UpstreamHeaders.ADMISSION_DRAINING);
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
