Hand a connection over only after the read that completed its response

What callers saw: a request that timed out without a response (504), although its upstream was sound; on the path of permits, where phases were not checked, it could have got the bytes that an upstream had sent behind another response.

Cause: the connection went back to the idle ones inside the read that completed its response. Ending the response frees a slot, which may start the next request on that very connection before the rest of the read is decoded: those bytes met a request that had not been written. The connection was closed then without an event for that request, which was written to the closed connection and waited until its deadline.

Change: an exchange has phases. The response ends with the read that completes it; what else that read holds closes the connection. Bytes that arrive before a request was written end its exchange as lost, and the entry then takes another connection at no cost, since nothing was sent. The path of permits does so too where an idle connection closes before the request is written; it waited in vain before.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -706,7 +706,10 @@
         /** {@inheritDoc} */
         @Override
         public void onConnectionLost(Throwable cause) {
-            if (attempt == this && stage == Stage.RUNNING) {
+            if (attempt == this && stage == Stage.CONNECTING) {
+                // An idle connection was closed before the request was written to it.
+                retryOrRefuse(RetryReason.CONNECT_FAILED, Ending.UNUSED);
+            } else if (attempt == this && stage == Stage.RUNNING) {
                 abandon(
                         Refusal.outcomeUnknown(RefusalReason.UPSTREAM_FAILED, "The connection to the upstream broke."),
                         Ending.CONNECTION_LOST);
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -25,8 +25,9 @@
  * A connection to an upstream, which carries one exchange at a time.
  *
  * <p>An upstream may send a response a second time, where the response to a later request is due, and only the identifier of
- * the request tells them apart. So that it always does, a connection carries each request once only, and no further one
- * after a response without an identifier. A connection whose exchange did not end cleanly is closed.
+ * the request tells them apart. So that it always does, a connection carries each request once only, carries no further one
+ * after a response without an identifier, and goes back to the idle ones only when the read that has completed a response
+ * holds nothing else. A connection whose exchange did not end cleanly is closed.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamExchange {
     private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
@@ -175,7 +176,12 @@
     /** {@inheritDoc} */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (listener != null) {
+        if (listener == null) {
+            return;
+        }
+        if (phase == Phase.COMPLETE) {
+            endExchange();
+        } else {
             listener.onReadComplete();
         }
     }
@@ -189,6 +195,13 @@
         if (listener == null) {
             ReferenceCountUtil.release(part);
             context.close();
+        } else if (phase == Phase.COMPLETE) {
+            ReferenceCountUtil.release(part);
+            reusable = false;
+        } else if (phase == Phase.UNSENT) {
+            ReferenceCountUtil.release(part);
+            fail(new ProtocolException("bytes from the upstream before the request"));
+            context.close();
         } else if (part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
             failMalformed();
@@ -242,8 +255,8 @@
         if (!last || listener == null) {
             return;
         }
+        phase = Phase.COMPLETE;
         recordEnded();
-        endExchange();
     }
 
     /**
@@ -260,7 +273,7 @@
     private void endExchange() {
         UpstreamListener receiver = listener;
         listener = null;
-        if (requestComplete && reusable) {
+        if (requestComplete && reusable && channel.isActive()) {
             connections.returnIdle(target, this, channel, maxIdleMillis);
         } else {
             channel.close();
@@ -284,7 +297,13 @@
         receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
     }
 
+    /** Ends the exchange without a response, unless that is complete. */
     private void fail(Throwable cause) {
+        if (listener != null && phase == Phase.COMPLETE) {
+            reusable = false;
+            endExchange();
+            return;
+        }
         UpstreamListener receiver = listener;
         listener = null;
         // An upstream may cut off a response that remains unread.
@@ -319,6 +338,8 @@
         /** A response to another request is discarded. */
         SKIPPING,
         /** The body of the response is due. */
-        RECEIVING
+        RECEIVING,
+        /** The response is complete; the current read may hold more. */
+        COMPLETE
     }
 }
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -197,6 +197,29 @@
             assertThat(next.end).isNull();
         }
 
+        /** Guards against bytes on an idle connection that are taken for the response to a request which isn't sent yet. */
+        @Test
+        void endsWhereBytesComeBeforeTheNextRequest() {
+            request(HttpMethod.GET);
+            receive(RESPONSE);
+            connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
+            receive(EXTRA);
+            assertThat(next.body.toString()).isEmpty();
+            assertThat(next.lost).isTrue();
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        @Test
+        void givesTheNextRequestItsResponseOnTheSameConnection() {
+            request(HttpMethod.GET);
+            receive(RESPONSE);
+            UpstreamExchange exchange = connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
+            exchange.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+            receive(RESPONSE.replace("r1", "r2").replace("body", "next"));
+            assertThat(next.body.toString()).isEqualTo("next");
+            assertThat(next.end).isEqualTo(ResponseEnd.STATED);
+        }
+
         /** Guards against a connection that carries the next request while the final response to the last one is still due. */
         @Test
         void doesNotTakePlaceAfterAnInterimResponse() {
