Wait for the final response after an interim one

What callers saw: with an upstream that sends an interim response (1xx, for instance early hints), no response until the deadline (504).

Cause: the decoder ends an interim response like any other, and that end was taken for the end of the exchange. The connection went back to the idle ones while the final response was still to come, the same fault of design as that of a late copy: an answer that is owed.

No upstream of the users' is known to send interim responses.

Change: interim responses are discarded up to their end, and the head of the final one stays due.

--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -228,6 +228,7 @@
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            phase = Phase.SKIPPING;
             return;
         }
         phase = Phase.RECEIVING;
@@ -335,7 +336,7 @@
         UNSENT,
         /** The request is being sent or was sent, and the head of its response is due. */
         AWAITING_RESPONSE,
-        /** A response to another request is discarded. */
+        /** A response that isn't the final one of this request is discarded. */
         SKIPPING,
         /** The body of the response is due. */
         RECEIVING,
