Take the end of a connection for that of a response only where it was closed in order

What callers saw: half of a response as a whole success, with the upstream's signature, where the response had no length and its connection was reset while the request was still being written.

Cause: the close of a connection was taken for an orderly one unless an error had been seen before. A reset that meets a pending write shows as a failed write only: the transport closes the channel, no error reaches the handlers, and the decoder ends the response.

Change: proof is wanted. Connections to upstreams report that the other end has shut down its output; only after that does the close end a response. A relaying host passes that on as the message it has for it, and no longer for any close without an error. In UpstreamConnectionTest the responses that end with their connection are now ended by that event, as the bare close of the channel is just what must not count, and one more test says so; the responses that are cut before their stated end are cut by an orderly end too.

The change of the relay is by reading.

--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.settings.HostPort;
@@ -151,11 +152,10 @@
                 return;
             }
             ClientSocket.INSTANCE
-                    .connect(
-                            target,
-                            loop,
-                            connectMillis,
-                            connected -> connected.pipeline().addLast(new UpstreamSide()))
+                    .connect(target, loop, connectMillis, connected -> {
+                        connected.config().setAllowHalfClosure(true);
+                        connected.pipeline().addLast(new UpstreamSide());
+                    })
                     .addListener((ChannelFuture future) -> onConnected(target, future));
         }
 
@@ -203,7 +203,7 @@
 
         /** Handles the connection to the upstream. */
         private final class UpstreamSide extends ChannelInboundHandlerAdapter {
-            private boolean lost;
+            private boolean ended;
 
             /** {@inheritDoc} */
             @Override
@@ -231,20 +231,26 @@
                 host.config().setAutoRead(context.channel().isWritable());
             }
 
+            /** Passes on that the upstream has closed the connection in order, which a close alone doesn't show. */
+            @Override
+            public void userEventTriggered(ChannelHandlerContext context, Object event) {
+                if (event instanceof ChannelInputShutdownEvent) {
+                    ended = true;
+                    host.writeAndFlush(new RelayMessage.End()).addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+
             /** {@inheritDoc} */
             @Override
             public void channelInactive(ChannelHandlerContext context) {
-                if (lost) {
+                if (!ended) {
                     host.close();
-                } else {
-                    host.writeAndFlush(new RelayMessage.End()).addListener(ChannelFutureListener.CLOSE);
                 }
             }
 
             /** {@inheritDoc} */
             @Override
             public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                lost = true;
                 context.close();
             }
         }
--- a/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
  * Lets the handlers behind it use a connection to a relaying host as if it were one to the upstream.
@@ -61,6 +62,7 @@
             source.fireChannelRead(Unpooled.wrappedBuffer(data.bytes()));
         } else if (message instanceof RelayMessage.End && state == State.OPEN) {
             state = State.ENDED;
+            source.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
             source.close();
         }
     }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -50,6 +50,7 @@
     private boolean requestComplete;
     private boolean requestWritten;
     private boolean reusable;
+    private boolean inputEnded;
     private boolean paused;
     private boolean wasPaused;
     private long maxIdleMillis;
@@ -63,7 +64,11 @@
 
     /** Adds the handlers of a connection to a new channel. */
     void install(Channel connected) {
-        connected.pipeline().addLast(new HttpClientCodec()).addLast(this);
+        connected
+                .pipeline()
+                .addLast(new InputEndHandler(() -> inputEnded = true))
+                .addLast(new HttpClientCodec())
+                .addLast(this);
     }
 
     /** Returns whether the response to a request could be told from all others on this connection. */
@@ -256,6 +261,10 @@
         if (!last || listener == null) {
             return;
         }
+        if (responseEnd == ResponseEnd.CONNECTION_CLOSED && !inputEnded) {
+            fail(new ClosedChannelException());
+            return;
+        }
         phase = Phase.COMPLETE;
         recordEnded();
     }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -170,6 +170,7 @@
         String address = call.address();
         ClientSocket.INSTANCE
                 .connect(address, loop, connectMillis, channel -> {
+                    channel.config().setAllowHalfClosure(true);
                     readSizes.ifPresent(channel.config()::setRecvByteBufAllocator);
                 })
                 .addListener((ChannelFuture future) -> {
--- a/node/src/test/java/org/radishspur/node/relay/RelayTest.java
+++ b/node/src/test/java/org/radishspur/node/relay/RelayTest.java
@@ -42,6 +42,8 @@
 class RelayTest {
     private static final long CONNECT_MILLIS = 1_000;
     private static final long LIMIT_SECONDS = 20;
+    private static final int SMALL_WINDOW_BYTES = 16 << 10;
+    private static final int LONG_BODY_BYTES = 16 << 20;
 
     /** How long a sound upstream may send nothing, in milliseconds. */
     private static final long SILENCE_MILLIS = 1_300;
@@ -211,6 +213,21 @@
             assertThat(received.lost).isTrue();
         }
 
+        /** Guards against half a response that looks complete, as its reset shows at the relaying host as a failed write only. */
+        @Test
+        void reportsAResetWhileTheRequestIsBeingWrittenAsALoss() throws IOException {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            connect(relay(true));
+            channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+            readExactly(SMALL_WINDOW_BYTES);
+            upstreamSide.getOutputStream().write("half".getBytes(StandardCharsets.US_ASCII));
+            get(received.begun);
+            upstreamSide.setSoLinger(true, 0);
+            upstreamSide.close();
+            get(received.ended);
+            assertThat(received.lost).isTrue();
+        }
+
         /** Guards against a response without a length that looks complete although the relaying host has ended. */
         @Test
         void reportsTheEndOfTheRelayingHostAsALoss() throws IOException {
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -60,6 +61,12 @@
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
+    /** Lets the upstream close the connection in order. */
+    private void closeInOrder() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        channel.runPendingTasks();
+    }
+
     @Nested
     class BrokenPath {
         /** A path that is broken, while a host relays; a test fails if that host's address is used. */
@@ -131,12 +138,22 @@
             request(HttpMethod.GET);
             receive(response);
             assertThat(listener.end).isNull();
-            channel.close();
+            closeInOrder();
             assertThat(listener.end).isEqualTo(ResponseEnd.CONNECTION_CLOSED);
             assertThat(listener.body.toString()).isEqualTo("body");
             assertThat(listener.lost).isFalse();
         }
 
+        /** Guards against a response that ends with its connection and seems complete although nothing shows its end. */
+        @Test
+        void isMissingAfterACloseThatWasNotInOrder() {
+            request(HttpMethod.GET);
+            receive(UNFRAMED);
+            channel.close();
+            assertThat(listener.end).isNull();
+            assertThat(listener.lost).isTrue();
+        }
+
         /** Guards against a response that seems complete although its connection closed before its stated end. */
         @ParameterizedTest
         @ValueSource(
@@ -149,7 +166,7 @@
         void isMissing(String response) {
             request(HttpMethod.GET);
             receive(response);
-            channel.close();
+            closeInOrder();
             assertThat(listener.end).isNull();
             assertThat(listener.lost).isTrue();
         }
