Read a response that is discarded no further than it is worth

What callers saw: nothing yet, by reading. A rejection whose body never ends kept its request until the deadline (504), although its head says that nothing ran; a failure response without end was read for as long as its upstream sent, after the request had been sent again; and where a caller left while the rest of a rejection was due, its connection was neither read nor closed any more.

Cause: the rest of a discarded response was read without a bound, so that its connection could be reused, and an attempt that was abandoned meanwhile left the connection to nobody.

Change: after 64 KiB the connection is closed and the attempt ends as after the whole response; an abandoned attempt closes its connection always.

Evidence: the three tests of UpstreamAttemptTest.DiscardedResponse failed before.

--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -36,6 +36,9 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /** The maximum size of a response that is discarded so that its connection may be reused, in bytes. */
+    private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
@@ -64,6 +67,7 @@
     private EventSplitter splitter;
     private boolean resumed;
     private int sentBodyBytes;
+    private int discardedBytes;
 
     UpstreamAttempt(EntryExchange caller, EntryServices services, UpstreamSlot slot) {
         this.caller = caller;
@@ -294,6 +298,9 @@
     @Override
     public void onContent(ByteBuf content) {
         try {
+            if (phase == Phase.DRAINING) {
+                discard(content.readableBytes());
+            }
             if (phase != Phase.RUNNING || responseHead == null) {
                 return;
             }
@@ -308,6 +315,15 @@
         }
     }
 
+    /** Counts a part of a response that is discarded, and closes the connection where the response doesn't end. */
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            exchange.abort();
+            onConnectionLost(new ProtocolException("a discarded response has no end"));
+        }
+    }
+
     /** Writes the part of a stream to the caller: complete events only, if another upstream may resume the stream. */
     private void writeEvents(ByteBuf content) {
         long eventsBefore = splitter.eventCount();
@@ -609,7 +625,6 @@
         if (phase == Phase.ENDED) {
             return;
         }
-        boolean draining = phase == Phase.DRAINING;
         if (isStalled(EntryServices.now()) && !isPathBroken()) {
             // Otherwise a version that never answers would have no failures.
             evidence.recordUnanswered();
@@ -619,7 +634,7 @@
             recordEventTimes();
         }
         end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
-        if (!draining && exchange != null) {
+        if (exchange != null) {
             exchange.abort();
         }
     }
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -320,6 +320,53 @@
         }
     }
 
+    @Nested
+    class DiscardedResponse {
+        /** Guards against a connection that nobody reads or closes any more, as its request has ended within a rejection. */
+        @Test
+        void isNotLeftUnreadWhenItsCallerLeaves() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(503);
+                entry.disconnectCaller();
+                assertThat(entry.exchange(0).isAborted()).isTrue();
+            }
+        }
+
+        /** Guards against a failure response without end that is read for as long as its upstream sends. */
+        @Test
+        void isNotReadWithoutEnd() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(500);
+                entry.exchange(1).sendHead(200);
+                for (int part = 0; part < 20 && !entry.exchange(0).isAborted(); part++) {
+                    entry.exchange(0).sendBody("error".repeat(1_000));
+                }
+                assertThat(entry.exchange(0).isAborted()).isTrue();
+                entry.exchange(1).sendBody("done");
+                entry.exchange(1).complete();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, "done", true));
+            }
+        }
+
+        /** Guards against a request that waits until its deadline for the end of a rejection. */
+        @Test
+        void endsTheAttemptWhereItHasNoEnd() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(503);
+                for (int part = 0; part < 20 && !entry.exchange(0).isAborted(); part++) {
+                    entry.exchange(0).sendBody("full".repeat(1_000));
+                }
+                entry.exchange(1).sendHead(200);
+                entry.exchange(1).sendBody("done");
+                entry.exchange(1).complete();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, "done", true));
+            }
+        }
+    }
+
     @Nested
     class FailureResponse {
         @Test
