Read the host list entry by entry, so that one that can't be read takes no other

Seen: while an entry of another program with control bytes stood in the platform's list, each reading failed.

Cause: a page was parsed as one JSON text, and single entries were looked at afterwards.

Change: PlatformHostListPage splits a page into the texts of its entries, by its syntax where only bytes inside texts are at fault, by the commas in front of objects otherwise; each entry is read by itself, nested values passed over. An entry with bytes that are no UTF-8, an address that can't be, or a version or remaining cold time of another type names no upstream either. Pages above 1 MB or 10,000 entries are rejected. What can't be told apart (an entry that holds the end of a list and the beginning of another one) is written down; where a page has no end that can be found, the last complete list holds. host-list.skipped-entries and LIST_SKIPPED name skipped entries, the latter when they change; host-list.age-millis is the age of the last complete reading.

Evidence: failed before: PlatformHostListFuzzTest, two tests of PlatformHostListTest (control bytes; nested 900 deep, which took a stack of 256 KB), ForeignListEntryTest on processes. Not tested: the limit of 1 MB in HostListReader.

--- a/node/src/main/java/org/radishspur/node/dialect/HostListDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/HostListDialect.java
@@ -18,7 +18,7 @@
     String pagePath(Optional<String> page);
 
     /**
-     * Decodes a page. Entries that can't be decoded are left out.
+     * Decodes a page. An entry that can't be decoded names no upstream, whatever it holds, and the others hold.
      *
      * @param body the body of the answer.
      * @return the decoded page.
@@ -30,7 +30,8 @@
      * Holds one page of the list.
      *
      * @param upstreams the upstreams on it.
+     * @param skipped its other entries.
      * @param nextPage the token of the next page, or nothing on the last page.
      */
-    record Page(List<Upstream> upstreams, Optional<String> nextPage) {}
+    record Page(List<Upstream> upstreams, SkippedEntries skipped, Optional<String> nextPage) {}
 }
--- a/node/src/main/java/org/radishspur/node/group/ControlMetrics.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlMetrics.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.group;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -11,15 +12,29 @@
  * host list and view requests. Any thread may read them.
  */
 final class ControlMetrics {
+    private static final long NEVER_READ = -1;
+
     private final MetricRegistry registry = new MetricRegistry();
     private volatile boolean leading;
     private volatile long term;
     private volatile long revision;
+    private volatile long skippedEntries;
+    private volatile long listReadAtMillis;
 
-    ControlMetrics() {
+    /**
+     * Creates the metrics.
+     *
+     * @param nowMillis the monotonic clock, by which no point in time is 0, in milliseconds.
+     */
+    ControlMetrics(LongSupplier nowMillis) {
         registry.register("control.leading", (Gauge<Integer>) () -> leading ? 1 : 0);
         registry.register("control.term", (Gauge<Long>) () -> term);
         registry.register("catalogue.revision", (Gauge<Long>) () -> revision);
+        registry.register("host-list.skipped-entries", (Gauge<Long>) () -> skippedEntries);
+        registry.register("host-list.age-millis", (Gauge<Long>) () -> {
+            long readAt = listReadAtMillis;
+            return readAt == 0 ? NEVER_READ : nowMillis.getAsLong() - readAt;
+        });
     }
 
     MetricRegistry registry() {
@@ -38,7 +53,9 @@
         registry.timer("operators.call").update(millis, TimeUnit.MILLISECONDS);
     }
 
-    void recordListRead() {
+    void recordListRead(long skipped, long nowMillis) {
+        skippedEntries = skipped;
+        listReadAtMillis = nowMillis;
         registry.counter("host-list.readings").inc();
     }
 
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -85,7 +85,7 @@
     private final EventLog events;
     private final ControlLoop loop = new ControlLoop();
     private final EventLoopGroup transportThreads = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ControlMetrics metrics = new ControlMetrics();
+    private final ControlMetrics metrics = new ControlMetrics(loop::nowMillis);
     private final FleetLinks links;
     private final ReplicaRunner replica;
     private final MembershipManager membership;
--- a/node/src/main/java/org/radishspur/node/group/HostListReader.java
+++ b/node/src/main/java/org/radishspur/node/group/HostListReader.java
@@ -22,6 +22,7 @@
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.control.ReplicaRunner;
 import org.radishspur.node.dialect.HostListDialect;
+import org.radishspur.node.dialect.SkippedEntries;
 import org.radishspur.node.fleet.HostList;
 import org.radishspur.node.log.EventCode;
 import org.radishspur.node.log.EventLog;
@@ -51,6 +52,9 @@
      */
     private static final int MAX_PAGES = 1_000;
 
+    /** The maximum size of a page, in bytes; 20 KB for each of 50 hosts. It bounds the memory for a reading. */
+    private static final int MAX_PAGE_BYTES = 1 << 20;
+
     /** The maximum age at which a list that was read before this replica led is still published, in milliseconds. */
     private static final long MAX_PREFETCHED_AGE_MILLIS = READ_INTERVAL_MILLIS;
 
@@ -63,7 +67,7 @@
     private final HostListDialect dialect;
     private final HostPort address;
     private final EventLog events;
-    private final ControlMetrics metrics;
+    private final HostListLog log;
     private final UpstreamConnections connections;
     private HostList latest = HostList.NONE;
     private List<Upstream> prefetched = List.of();
@@ -79,13 +83,13 @@
             HostPort address,
             EventLog events,
             ControlMetrics metrics) {
-        this.metrics = metrics;
         this.loop = loop;
         this.transport = transport;
         this.replica = replica;
         this.dialect = dialect;
         this.address = address;
         this.events = events;
+        this.log = new HostListLog(events, metrics, loop::nowMillis);
         this.connections = new UpstreamConnections(transport, CONNECT_TIMEOUT_MILLIS, KEEP_ALIVE_MILLIS);
         loop.repeat(this::readIfLeading, READ_INTERVAL_MILLIS);
     }
@@ -124,16 +128,16 @@
     private void read() {
         if (!readInProgress) {
             readInProgress = true;
-            readPage(Optional.empty(), new ArrayList<>(), 1);
+            readPage(Optional.empty(), new Reading(), 1);
         }
     }
 
-    private void readPage(Optional<String> page, List<Upstream> collected, int pageNumber) {
+    private void readPage(Optional<String> page, Reading reading, int pageNumber) {
         transport.execute(() -> new PageCall(
                         dialect.pagePath(page),
                         body -> loop.execute(() -> {
                             try {
-                                onPage(dialect.decodePage(body), collected, pageNumber);
+                                onPage(dialect.decodePage(body), reading, pageNumber);
                             } catch (RadishspurException exception) {
                                 onFailure(exception.getMessage());
                             }
@@ -141,18 +145,18 @@
                 .start());
     }
 
-    private void onPage(HostListDialect.Page page, List<Upstream> collected, int pageNumber) {
-        collected.addAll(page.upstreams());
+    private void onPage(HostListDialect.Page page, Reading reading, int pageNumber) {
+        reading.add(page);
         if (page.nextPage().isPresent() && pageNumber < MAX_PAGES) {
-            readPage(page.nextPage(), collected, pageNumber + 1);
+            readPage(page.nextPage(), reading, pageNumber + 1);
             return;
         }
         readInProgress = false;
-        metrics.recordListRead();
+        log.record(reading.skipped);
         if (replica.isLeader()) {
-            publish(collected);
+            publish(reading.upstreams);
         } else {
-            prefetched = collected;
+            prefetched = reading.upstreams;
             prefetchedAt = loop.nowMillis();
         }
     }
@@ -169,8 +173,18 @@
 
     private void onFailure(String cause) {
         readInProgress = false;
-        metrics.recordListFailure();
-        events.emit(EventCode.LIST_FAILED, cause);
+        log.recordFailure(cause);
+    }
+
+    /** What the pages of one reading have given so far. */
+    private static final class Reading {
+        private final List<Upstream> upstreams = new ArrayList<>();
+        private SkippedEntries skipped = SkippedEntries.NONE;
+
+        void add(HostListDialect.Page page) {
+            upstreams.addAll(page.upstreams());
+            skipped = skipped.plus(page.skipped());
+        }
     }
 
     /**
@@ -230,7 +244,12 @@
         /** {@inheritDoc} */
         @Override
         public void onContent(ByteBuf content) {
-            body.writeBytes(content);
+            if (!ended && body.readableBytes() + content.readableBytes() > MAX_PAGE_BYTES) {
+                fail("a page that is too large");
+            }
+            if (!ended) {
+                body.writeBytes(content);
+            }
             content.release();
         }
 
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -32,6 +32,8 @@
     MEMBER(false, "candidate", "replaced", "started"),
     /** The platform's host list could not be read. */
     LIST_FAILED(false, "cause"),
+    /** Other entries of the platform's host list than before name no upstream, or none does any more. */
+    LIST_SKIPPED(false, "entries", "excerpts"),
     /**
      * A rollout moves on to another stage. The line states what the target version and the others gave to requests, and
      * whether the times of the target version's upstreams show that it is slower.
