Bound the memory for request bodies on every installation

Seen: 18 callers that each sent 4 MB over three seconds to one entry, on an installation whose settings don't name the contract pressure, caused OutOfMemoryErrors, which closed connections without an answer.

Cause: HeldBytes had no limit without that contract, though it is about readers, and callers that send slowly need none.

Change: bodies are counted and bounded everywhere: without the contract by half of the heap, at most a quarter of what the process may use beside it. What finds no room waits unread for 300 ms and is refused as not run, with 503 and Retry-After; a large body that isn't complete at its deadline is refused, and pipelined requests are read on up to 64 KB, as with the contract before. Responses, pacing and what a request holds beside its body stay uncounted without it.

--- a/node/src/main/java/org/radishspur/node/entry/BodyReader.java
+++ b/node/src/main/java/org/radishspur/node/entry/BodyReader.java
@@ -52,7 +52,7 @@
         }
         if (complete) {
             exchange.onBodyComplete();
-        } else if (services.heldBytes().isLimited() && body.mayBeLarge()) {
+        } else if (body.mayBeLarge()) {
             exchange.onLargeBodyAwaited();
         }
     }
--- a/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontConnection.java
@@ -21,7 +21,7 @@
      */
     private static final int MAX_QUEUED_PARTS = 256;
 
-    /** The maximum size of queued parts, in bytes, from which on the connection isn't read where memory is bounded. */
+    /** The maximum size of queued parts, in bytes, from which on the connection isn't read. */
     private static final int MAX_QUEUED_BYTES = 64 << 10;
 
     private final EntryServices services;
@@ -37,7 +37,7 @@
         this.services = services;
         this.server = server;
         this.idleSince = EntryServices.now();
-        this.queuedBytes = services.heldBytes().share();
+        this.queuedBytes = services.heldBytes().bodyShare();
         this.firstRequest = services.linkLoad().expectRequest();
     }
 
@@ -67,7 +67,7 @@
     private void queue(ChannelHandlerContext context, HttpObject part) {
         queuedParts.addLast(part);
         queuedBytes.set(queuedBytes.bytes() + bytes(part));
-        if (services.heldBytes().isLimited() && queuedBytes.bytes() > MAX_QUEUED_BYTES) {
+        if (queuedBytes.bytes() > MAX_QUEUED_BYTES) {
             context.channel().config().setAutoRead(false);
         }
     }
@@ -76,7 +76,7 @@
         HttpObject part = queuedParts.removeFirst();
         queuedBytes.set(queuedBytes.bytes() - bytes(part));
         boolean waiting = exchange != null && exchange.isWaitingForMemory();
-        if (queuedParts.isEmpty() && services.heldBytes().isLimited() && !waiting) {
+        if (queuedParts.isEmpty() && !waiting) {
             context.channel().config().setAutoRead(true);
         }
         return part;
--- a/node/src/main/java/org/radishspur/node/entry/HeldBytes.java
+++ b/node/src/main/java/org/radishspur/node/entry/HeldBytes.java
@@ -3,8 +3,9 @@
 import org.radishspur.node.settings.PlatformProcessSettings.Memory;
 
 /**
- * Counts all bytes that an entry holds for its callers against one budget: request bodies, and parts of responses that
- * wait for callers. The traffic thread owns it; other threads may call {@link #total()}.
+ * Counts the bytes that an entry holds for its callers against one budget: request bodies and, where callers and upstreams
+ * may read slowly, what else each request holds and parts of responses that wait for callers. The traffic thread owns it;
+ * other threads may call {@link #total()}.
  */
 final class HeldBytes {
     /** The maximum size of one read of a response, in bytes, where the budget is limited. */
@@ -22,6 +23,9 @@
      */
     private static final int PART_OF_HEAP = 4;
 
+    /** The part where only bodies are counted, as responses don't wait then. */
+    private static final int PART_OF_HEAP_FOR_BODIES = 2;
+
     /**
      * The part that the budget takes of what the process may use beside its heap. Responses are held there, where code,
      * stacks, the buffers of sockets and the library's spare blocks take the rest.
@@ -31,9 +35,8 @@
     /** The part of the heap's budget that remains where the settings leave no memory beside the heap. */
     private static final int MIN_PART_OF_BUDGET = 4;
 
-    private static final long UNLIMITED = Long.MAX_VALUE;
-
     private final long budget;
+    private final boolean limited;
     private Runnable roomListener = () -> {};
     private volatile long total;
 
@@ -41,9 +44,11 @@
      * Creates an empty count.
      *
      * @param budget the maximum, in bytes.
+     * @param limited whether all that is held is counted, not bodies only.
      */
-    HeldBytes(long budget) {
+    HeldBytes(long budget, boolean limited) {
         this.budget = budget;
+        this.limited = limited;
     }
 
     /**
@@ -51,29 +56,22 @@
      *
      * @param memory what is known of the memory of the process.
      * @param heapBytes the maximum size of the heap, in bytes.
-     * @return the count, without a limit where readers aren't slow.
+     * @return the count, of bodies only where readers aren't slow.
      */
     static HeldBytes of(Memory memory, long heapBytes) {
-        if (!memory.slowReaders()) {
-            return unlimited();
-        }
-        long ofHeap = heapBytes / PART_OF_HEAP;
+        long ofHeap = heapBytes / (memory.slowReaders() ? PART_OF_HEAP : PART_OF_HEAP_FOR_BODIES);
         if (memory.processBytes() == 0) {
-            return new HeldBytes(ofHeap);
+            return new HeldBytes(ofHeap, memory.slowReaders());
         }
         long besideHeap = Math.max(0, memory.processBytes() - heapBytes) / PART_BESIDE_HEAP;
         // Where the heap may take all of the memory, small requests still have to be served.
-        return new HeldBytes(Math.max(ofHeap / MIN_PART_OF_BUDGET, Math.min(ofHeap, besideHeap)));
+        long budget = Math.max(ofHeap / MIN_PART_OF_BUDGET, Math.min(ofHeap, besideHeap));
+        return new HeldBytes(budget, memory.slowReaders());
     }
 
-    /** Creates a count without a limit. */
-    static HeldBytes unlimited() {
-        return new HeldBytes(UNLIMITED);
-    }
-
-    /** Returns whether there is a limit. */
+    /** Returns whether all that is held is limited, not bodies only, as callers and upstreams may read slowly. */
     boolean isLimited() {
-        return budget < UNLIMITED;
+        return limited;
     }
 
     long budget() {
@@ -84,9 +82,14 @@
         return total;
     }
 
-    /** Returns whether a use may take some more bytes. */
+    /** Returns what a request holds beside its body as far as it is counted, in bytes. */
+    int requestBytes() {
+        return limited ? REQUEST_BYTES : 0;
+    }
+
+    /** Returns whether a use may take some more bytes; always for responses that aren't counted. */
     boolean hasRoom(Use use, long bytes) {
-        return bytes <= budget * use.share - total;
+        return use == Use.READ_AHEAD && !limited || bytes <= budget * use.share - total;
     }
 
     /** Sets what is run after bytes were given back. */
@@ -94,9 +97,14 @@
         roomListener = listener;
     }
 
-    /** Creates a share that holds nothing yet. */
+    /** Creates a share for a response, which holds nothing yet. */
     Share share() {
-        return new Share();
+        return new Share(limited);
+    }
+
+    /** Creates a share for bodies, which are always counted; it holds nothing yet. */
+    Share bodyShare() {
+        return new Share(true);
     }
 
     /** Lists the uses of the budget, each of which leaves some of it to those below. */
@@ -117,9 +125,12 @@
 
     /** What one holder holds. */
     final class Share implements AutoCloseable {
+        private final boolean counted;
         private long bytes;
 
-        private Share() {}
+        private Share(boolean counted) {
+            this.counted = counted;
+        }
 
         long bytes() {
             return bytes;
@@ -127,7 +138,7 @@
 
         /** Sets what the holder holds, within the part of a use, and returns whether there was room for it. */
         boolean trySet(long newBytes, Use use) {
-            boolean fits = newBytes <= bytes || hasRoom(use, newBytes - bytes);
+            boolean fits = !counted || newBytes <= bytes || hasRoom(use, newBytes - bytes);
             if (fits) {
                 set(newBytes);
             }
@@ -138,6 +149,9 @@
         void set(long newBytes) {
             long change = newBytes - bytes;
             bytes = newBytes;
+            if (!counted) {
+                return;
+            }
             total += change;
             if (change < 0) {
                 roomListener.run();
--- a/node/src/main/java/org/radishspur/node/entry/RequestBody.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestBody.java
@@ -16,6 +16,7 @@
     private static final long UNKNOWN = -1;
 
     private final HeldBytes.Share share;
+    private final int requestBytes;
     private final long statedBytes;
     private final boolean chunked;
     private final ByteBuf bytes = Unpooled.buffer(0);
@@ -27,7 +28,8 @@
      * @param request the head of the request, which may state the length of the body.
      */
     RequestBody(HeldBytes held, HttpRequest request) {
-        share = held.share();
+        share = held.bodyShare();
+        requestBytes = held.requestBytes();
         statedBytes = HttpUtil.getContentLength(request, UNKNOWN);
         chunked = HttpUtil.isTransferEncodingChunked(request);
     }
@@ -39,7 +41,7 @@
      */
     boolean tryReserve(long maxBytes) {
         long reserved = Math.max(bytes.capacity(), Math.min(statedBytes, maxBytes));
-        return share.trySet(HeldBytes.REQUEST_BYTES + reserved, useFor(reserved));
+        return share.trySet(requestBytes + reserved, useFor(reserved));
     }
 
     /** Returns whether the body is so large that reading it can be put off. */
@@ -55,7 +57,7 @@
     /** Appends a part, which isn't released, and returns whether there was memory for it. */
     boolean append(ByteBuf content) {
         int capacity = capacityWith(content.readableBytes());
-        long reserved = HeldBytes.REQUEST_BYTES + capacity;
+        long reserved = requestBytes + capacity;
         if (reserved > share.bytes() && !share.trySet(reserved, useFor(capacity))) {
             return false;
         }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -85,7 +85,7 @@
     private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
-        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, HeldBytes.unlimited());
+        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, new HeldBytes(Long.MAX_VALUE, false));
     }
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams, HeldBytes held) {
@@ -93,7 +93,7 @@
     }
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams, Set<String> allowedRegions, RegionMap regions) {
-        this(kind, resumable, upstreams, allowedRegions, regions, HeldBytes.unlimited());
+        this(kind, resumable, upstreams, allowedRegions, regions, new HeldBytes(Long.MAX_VALUE, false));
     }
 
     private EntryFixture(
--- a/node/src/test/java/org/radishspur/node/entry/RequestBodyTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/RequestBodyTest.java
@@ -11,7 +11,7 @@
 class RequestBodyTest {
     private static final int BUDGET = HeldBytes.REQUEST_BYTES + 1_000;
 
-    private final HeldBytes held = new HeldBytes(BUDGET);
+    private final HeldBytes held = new HeldBytes(BUDGET, true);
     private final RequestBody body =
             new RequestBody(held, new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/record"));
 
--- a/node/src/test/java/org/radishspur/node/entry/SlowReadersTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlowReadersTest.java
@@ -37,11 +37,11 @@
     private static final int REFUSED = 503;
 
     private static EntryFixture streaming(int upstreams) {
-        return new EntryFixture(RequestKind.STREAM, false, upstreams, new HeldBytes(BUDGET));
+        return new EntryFixture(RequestKind.STREAM, false, upstreams, new HeldBytes(BUDGET, true));
     }
 
     private static EntryFixture plain(int upstreams) {
-        return new EntryFixture(RequestKind.SAFE, false, upstreams, new HeldBytes(BUDGET));
+        return new EntryFixture(RequestKind.SAFE, false, upstreams, new HeldBytes(BUDGET, true));
     }
 
     private static String event(int number) {
@@ -134,7 +134,7 @@
         @ParameterizedTest
         @ValueSource(booleans = {false, true})
         void isNotTakenForASilentUpstream(boolean readOn) {
-            try (EntryFixture entry = new EntryFixture(RequestKind.STREAM, true, 2, new HeldBytes(BUDGET))) {
+            try (EntryFixture entry = new EntryFixture(RequestKind.STREAM, true, 2, new HeldBytes(BUDGET, true))) {
                 entry.caller().stopTaking();
                 entry.request();
                 entry.exchange(0).sendHead(OK);
@@ -245,9 +245,11 @@
     @Nested
     class LargeBodies {
         /** Guards against bodies that exhaust the memory when many are sent at once. */
-        @Test
-        void areReadWithinTheBudgetAndRefusedTruthfullyBeyondIt() {
-            try (EntryFixture entry = plain(100)) {
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void areReadWithinTheBudgetAndRefusedTruthfullyBeyondIt(boolean slowReaders) {
+            try (EntryFixture entry =
+                    new EntryFixture(RequestKind.SAFE, false, 100, new HeldBytes(BUDGET, slowReaders))) {
                 List<PacedChannel> callers = new ArrayList<>();
                 for (int number = 0; number < 100; number++) {
                     PacedChannel caller = entry.connectOther();
@@ -310,7 +312,7 @@
         /** Guards against a connection whose next request is taken for the body of a refused one. */
         @Test
         void areDiscardedAfterARefusalSoThatTheNextRequestIsServed() {
-            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 1, new HeldBytes(100_000))) {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 1, new HeldBytes(100_000, true))) {
                 PacedChannel caller = entry.connectOther();
                 entry.sendHead(caller, BODY_BYTES);
                 entry.elapse(BodyAdmission.MAX_WAIT_MILLIS + 1);
@@ -327,7 +329,7 @@
         /** Guards against a second response to a request when a part of its body is read while the request ends. */
         @Test
         void areDiscardedWhileTheRequestEnds() {
-            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 1, new HeldBytes(100_000))) {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 1, new HeldBytes(100_000, true))) {
                 PacedChannel caller = entry.connectOther();
                 entry.sendHead(caller, BODY_BYTES);
                 int tooMany = (int) CallerLimits.DEFAULTS.maxBodyBytes() + 1;
@@ -416,7 +418,7 @@
     void budgetIsGivenBackAfterAnyOrderOfEvents(@ForAll long seed, @ForAll boolean stream) {
         Random random = new Random(seed);
         RequestKind kind = stream ? RequestKind.STREAM : RequestKind.SAFE;
-        try (EntryFixture entry = new EntryFixture(kind, stream, 6, new HeldBytes(3_000_000))) {
+        try (EntryFixture entry = new EntryFixture(kind, stream, 6, new HeldBytes(3_000_000, true))) {
             List<PacedChannel> callers = new ArrayList<>();
             for (int step = 0; step < 60; step++) {
                 runRandomStep(entry, callers, random);
