--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -41,6 +40,7 @@
     private final Deque<ClosedJournal> closedJournals = new ArrayDeque<>();
     private final Set<Long> preparedSnapshots = ConcurrentHashMap.newKeySet();
     private HardState hardState = HardState.INITIAL;
+    private LogExtent extent;
     private JournalFile currentJournal;
     private long currentNumber;
     private long currentLength;
@@ -67,22 +67,27 @@
     @Override
     public RecoveredState recover() {
         try {
-            Replay replay = new Replay(Snapshot.initial(Configuration.ofVoters(identity.initialVoters())));
+            JournalReplay replay = new JournalReplay();
             List<Path> files = folder.list(JOURNAL_PREFIX);
             for (int index = 0; index < files.size(); index++) {
                 boolean last = index == files.size() - 1;
                 replayJournal(files.get(index), last, replay);
             }
-            hardState = replay.hardState;
+            hardState = replay.hardState();
+            Snapshot snapshot = replay.snapshotIndex() > 0
+                    ? readSnapshot(replay.snapshotIndex())
+                    : Snapshot.initial(Configuration.ofVoters(identity.initialVoters()));
+            RecoveredState recovered = replay.finish(snapshot);
+            extent = new LogExtent(recovered);
             if (files.isEmpty()) {
                 openJournal(1);
             } else if (currentLength == 0) {
                 // A crash tore the first record of this journal, which repeats the election state. Without the record,
                 // the state would be lost once the earlier journals are deleted, and the replica could vote twice in a
                 // term.
-                appendRecord(new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0));
+                appendElectionState();
             }
-            return replay.finish();
+            return recovered;
         } catch (IOException exception) {
             throw new RadishspurException(
                     ErrorCode.FILE_UNREADABLE, "can't read the log in " + folder.path(), exception);
@@ -109,7 +114,9 @@
                     batch.hardState(),
                     batch.entries(),
                     batch.snapshot().map(Snapshot::lastIndex).orElse(0L),
-                    batch.snapshot().map(Snapshot::lastTerm).orElse(0L)));
+                    batch.snapshot().map(Snapshot::lastTerm).orElse(0L),
+                    extent.lastIndexAfter(batch)));
+            extent.apply(batch);
             batch.snapshot().ifPresent(this::deleteCoveredFiles);
         } catch (IOException exception) {
             throw DiskFaults.translate("can't write to " + folder.path(), exception);
@@ -139,7 +146,7 @@
         }
     }
 
-    private void replayJournal(Path file, boolean last, Replay replay) throws IOException {
+    private void replayJournal(Path file, boolean last, JournalReplay replay) throws IOException {
         byte[] bytes = Files.readAllBytes(file);
         JournalCodec.IntactPrefix intact =
                 JournalCodec.read(bytes, last, file.getFileName().toString());
@@ -170,7 +177,12 @@
         currentHighestIndex = 0;
         currentJournal = journalFactory.open(folder.path().resolve(nameOf(JOURNAL_PREFIX, number)));
         folder.syncFolder();
-        appendRecord(new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0));
+        appendElectionState();
+    }
+
+    private void appendElectionState() throws IOException {
+        appendRecord(
+                new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0, extent.lastIndex()));
     }
 
     private void rollJournal() throws IOException {
@@ -258,63 +270,4 @@
      * @param highestIndex the highest index of its entries, or 0 if it has none.
      */
     private record ClosedJournal(Path path, long highestIndex) {}
-
-    /**
-     * Rebuilds the log by applying the journal records in the order in which they were written.
-     */
-    private final class Replay {
-        private HardState hardState = HardState.INITIAL;
-        private Snapshot baseSnapshot;
-        private long snapshotIndex;
-        private List<LogEntry> entries = new ArrayList<>();
-
-        Replay(Snapshot baseSnapshot) {
-            this.baseSnapshot = baseSnapshot;
-        }
-
-        long apply(JournalRecord record) throws IOException {
-            hardState = record.hardState().orElse(hardState);
-            if (record.snapshotIndex() > 0) {
-                applySnapshotMarker(record.snapshotIndex(), record.snapshotTerm());
-            }
-            long highest = 0;
-            for (LogEntry entry : record.entries()) {
-                while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
-                    entries.remove(entries.size() - 1);
-                }
-                entries.add(entry);
-                highest = Math.max(highest, entry.index());
-            }
-            return highest;
-        }
-
-        /** Keeps the entries after a snapshot only if the log matches it, as the running replica did. */
-        private void applySnapshotMarker(long index, long term) {
-            boolean continues = entries.stream().anyMatch(entry -> entry.index() == index && entry.term() == term);
-            snapshotIndex = index;
-            entries = continues
-                    ? new ArrayList<>(entries.stream()
-                            .filter(entry -> entry.index() > index)
-                            .toList())
-                    : new ArrayList<>();
-        }
-
-        RecoveredState finish() throws IOException {
-            if (snapshotIndex > 0) {
-                baseSnapshot = readSnapshot(snapshotIndex);
-            }
-            List<LogEntry> following = entries.stream()
-                    .filter(entry -> entry.index() > baseSnapshot.lastIndex())
-                    .toList();
-            for (int offset = 0; offset < following.size(); offset++) {
-                if (following.get(offset).index() != baseSnapshot.lastIndex() + 1 + offset) {
-                    throw new RadishspurException(
-                            ErrorCode.LOG_CORRUPT,
-                            "the log has a gap before index "
-                                    + following.get(offset).index());
-                }
-            }
-            return new RecoveredState(hardState, baseSnapshot, following);
-        }
-    }
 }
--- a/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
@@ -22,7 +22,11 @@
     private JournalCodec() {}
 
     static ByteBuffer frame(JournalRecord record) {
-        byte[] payload = MessagePack.INSTANCE.encode(record);
+        return frame(MessagePack.INSTANCE.encode(record));
+    }
+
+    /** Adds the header to an encoded record. */
+    static ByteBuffer frame(byte[] payload) {
         ByteBuffer frame = ByteBuffer.allocate(HEADER_BYTES + payload.length);
         frame.putInt(MAGIC).putInt(payload.length).putInt(checksum(payload, 0, payload.length));
         return frame.put(payload).flip();
--- a/replication/src/main/java/org/radishspur/replication/disk/JournalRecord.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/JournalRecord.java
@@ -14,6 +14,14 @@
  * @param entries the log entries to append; each replaces an earlier entry of the same index and all entries after it.
  * @param snapshotIndex the last index that a completely stored snapshot covers, or 0 if the batch has no snapshot.
  * @param snapshotTerm the term of the entry at that index, or 0.
+ * @param lastIndex the last index of the log once the record is applied, so that the entries behind a snapshot are kept
+ *     or dropped as the running replica did, even if earlier journals are deleted; 0 if the log is empty or if an
+ *     earlier version wrote the record.
  */
 record JournalRecord(
-        String replica, Optional<HardState> hardState, List<LogEntry> entries, long snapshotIndex, long snapshotTerm) {}
+        String replica,
+        Optional<HardState> hardState,
+        List<LogEntry> entries,
+        long snapshotIndex,
+        long snapshotTerm,
+        long lastIndex) {}
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -15,6 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
+import org.radishspur.replication.codec.MessagePack;
 import org.radishspur.replication.raft.Configuration;
 import org.radishspur.replication.raft.HardState;
 import org.radishspur.replication.raft.LogEntry;
@@ -57,6 +61,12 @@
         return new WriteBatch(Optional.of(new HardState(term, votedFor)), List.of(), Optional.empty());
     }
 
+    private static WriteBatch snapshot(long index, long term) {
+        Configuration configuration = Configuration.ofVoters(Set.of("a#founder"));
+        Snapshot snapshot = new Snapshot(index, term, configuration, new byte[] {(byte) index});
+        return new WriteBatch(Optional.empty(), List.of(), Optional.of(snapshot));
+    }
+
     private void write(WriteBatch... batches) {
         try (FileDisk disk = open()) {
             disk.recover();
@@ -124,6 +134,122 @@
         }
     }
 
+    @Nested
+    class AfterTheDeletionOfAJournal {
+        /**
+         * Guards against the loss of synced entries behind a snapshot whose last entry is the last one of the deleted
+         * journal.
+         */
+        @Test
+        void entriesThatFollowTheSnapshotAreRecovered() throws IOException {
+            long next = writeUntilASecondJournalBegins();
+            write(snapshot(next - 2, 1));
+            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(next - 1);
+        }
+
+        /** Guards against a replica that never starts again, as the log seems to have a gap behind such a snapshot. */
+        @Test
+        void entriesAfterTheRecordOfTheSnapshotAreRecovered() throws IOException {
+            long next = writeUntilASecondJournalBegins();
+            write(snapshot(next - 2, 1), entries(1, next, next));
+            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(next - 1, next);
+        }
+
+        /** Guards against uncommitted entries of another log that come back behind the snapshot of a leader. */
+        @Test
+        void entriesThatTheSnapshotReplacedStayDropped() throws IOException {
+            long next = writeUntilASecondJournalBegins();
+            write(snapshot(next - 2, 2));
+            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(recover().entries()).isEmpty();
+            write(entries(2, next - 1, next - 1));
+            assertThat(recover().entries()).extracting(LogEntry::term).containsExactly(2L);
+        }
+
+        /** Writes entries one by one until the second journal has one, and returns the index of the next entry. */
+        private long writeUntilASecondJournalBegins() throws IOException {
+            long next = 1;
+            while (folder.list("journal-").size() < 2) {
+                write(entries(1, next, next));
+                next++;
+            }
+            return next;
+        }
+    }
+
+    /** Logs whose records don't state the last index of the log, and whose earlier journals are deleted. */
+    @Nested
+    class WrittenByAnEarlierVersion {
+        private static final long SNAPSHOT_INDEX = 10;
+
+        /** Guards against a replica that doesn't start with such a log although all its entries are there. */
+        @Test
+        void entriesBeforeAndAfterTheRecordOfTheSnapshotAreRecovered() throws IOException {
+            writeRecords(entries(3, 11, 12), snapshot(SNAPSHOT_INDEX, 3), entries(3, 13, 14));
+            assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(11L, 12L, 13L, 14L);
+            write(entries(3, 15, 15));
+            assertThat(recover().entries()).hasSize(5);
+        }
+
+        /** Guards against an operator who can't see why a replica starts that an earlier version refused to start. */
+        @Test
+        void entriesThatWereDroppedBeforeAreStated() throws IOException {
+            writeRecords(entries(3, 11, 12), snapshot(SNAPSHOT_INDEX, 3), entries(3, 13, 14));
+            assertThat(linesLoggedBy(FileDiskTest.this::recover))
+                    .singleElement()
+                    .asString()
+                    .contains("Entries 11 to 12 were kept");
+        }
+
+        @Test
+        void entriesOfALowerTermThanTheSnapshotAreDropped() throws IOException {
+            writeRecords(entries(2, 11, 12), snapshot(SNAPSHOT_INDEX, 3));
+            assertThat(recover().entries()).isEmpty();
+        }
+
+        @Test
+        void entriesWithADifferentLastEntryOfTheSnapshotAreDropped() throws IOException {
+            writeRecords(entries(2, 1, 12), snapshot(SNAPSHOT_INDEX, 3));
+            assertThat(linesLoggedBy(() -> assertThat(recover().entries()).isEmpty()))
+                    .isEmpty();
+        }
+
+        /** Guards against a log that is taken for complete although a journal in its middle is missing. */
+        @Test
+        void aGapIsReported() throws IOException {
+            writeRecords(entries(3, 11, 12), snapshot(SNAPSHOT_INDEX, 3), entries(3, 14, 14));
+            assertErrorCode(ErrorCode.LOG_CORRUPT, FileDiskTest.this::recover);
+        }
+
+        /** Writes records that have one component less than now into the second journal, without the first one. */
+        private void writeRecords(WriteBatch... batches) throws IOException {
+            for (WriteBatch batch : batches) {
+                if (batch.snapshot().isPresent()) {
+                    writeSnapshotFile(batch.snapshot().get());
+                }
+            }
+            try (JournalFile journal =
+                    new JournalFile.ChannelJournalFile(folder.path().resolve("journal-00000000000000000002"))) {
+                for (WriteBatch batch : batches) {
+                    journal.append(JournalCodec.frame(MessagePack.INSTANCE.encode(new EarlierRecord(
+                            IDENTITY.replica(),
+                            batch.hardState(),
+                            batch.entries(),
+                            batch.snapshot().map(Snapshot::lastIndex).orElse(0L),
+                            batch.snapshot().map(Snapshot::lastTerm).orElse(0L)))));
+                }
+            }
+        }
+
+        private void writeSnapshotFile(Snapshot snapshot) {
+            try (FileDisk disk = open()) {
+                disk.prepareSnapshot(snapshot);
+            }
+        }
+    }
+
     @Nested
     class WithDamage {
         /**
@@ -221,6 +347,49 @@
         }
     }
 
+    /** Returns the messages that the replay logs during an action. */
+    private static List<String> linesLoggedBy(Runnable action) {
+        List<String> lines = new java.util.ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                lines.add(line.getMessage());
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        };
+        Logger logger = Logger.getLogger(JournalReplay.class.getName());
+        logger.addHandler(handler);
+        logger.setUseParentHandlers(false);
+        try {
+            action.run();
+        } finally {
+            logger.removeHandler(handler);
+            logger.setUseParentHandlers(true);
+        }
+        return lines;
+    }
+
+    /**
+     * Has the components that the records of an earlier version had.
+     *
+     * @param replica the identity of the replica.
+     * @param hardState the election state.
+     * @param entries the log entries.
+     * @param snapshotIndex the last index that the snapshot covers.
+     * @param snapshotTerm the term of the entry at that index.
+     */
+    private record EarlierRecord(
+            String replica,
+            Optional<HardState> hardState,
+            List<LogEntry> entries,
+            long snapshotIndex,
+            long snapshotTerm) {}
+
     /**
      * Opens journals whose next append or whose syncs can be made to fail.
      */
