Access the files of the data folder through one interface

Storage has one method for each operation on the folder, and takes the place of JournalFile; FolderStorage is the file system. No change of behaviour.

FileDiskTest is the same but for the class that injects its faults, which implements Storage now. It, ReplicaScheduleTest and the tests of replicas in replication, node and testkit pass.

--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -2,8 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.nio.file.NoSuchFileException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -33,15 +32,14 @@
     private static final long DEFAULT_JOURNAL_BYTES = 16L << 20;
     private static final int KEPT_SNAPSHOTS = 2;
 
-    private final DataFolder folder;
+    private final Storage storage;
     private final Identity identity;
-    private final JournalFile.Factory journalFactory;
     private final long journalBytes;
     private final Deque<ClosedJournal> closedJournals = new ArrayDeque<>();
     private final Set<Long> preparedSnapshots = ConcurrentHashMap.newKeySet();
     private HardState hardState = HardState.INITIAL;
     private LogExtent extent;
-    private JournalFile currentJournal;
+    private Storage.AppendFile currentJournal;
     private long currentNumber;
     private long currentLength;
     private long currentHighestIndex;
@@ -53,13 +51,12 @@
      * @param identity the identity of the folder.
      */
     public FileDisk(DataFolder folder, Identity identity) {
-        this(folder, identity, JournalFile.ChannelJournalFile::new, DEFAULT_JOURNAL_BYTES);
+        this(folder.storage(), identity, DEFAULT_JOURNAL_BYTES);
     }
 
-    FileDisk(DataFolder folder, Identity identity, JournalFile.Factory journalFactory, long journalBytes) {
-        this.folder = folder;
+    FileDisk(Storage storage, Identity identity, long journalBytes) {
+        this.storage = storage;
         this.identity = identity;
-        this.journalFactory = journalFactory;
         this.journalBytes = journalBytes;
     }
 
@@ -68,7 +65,7 @@
     public RecoveredState recover() {
         try {
             JournalReplay replay = new JournalReplay();
-            List<Path> files = folder.list(JOURNAL_PREFIX);
+            List<String> files = storage.list(JOURNAL_PREFIX);
             for (int index = 0; index < files.size(); index++) {
                 boolean last = index == files.size() - 1;
                 replayJournal(files.get(index), last, replay);
@@ -90,7 +87,7 @@
             return recovered;
         } catch (IOException exception) {
             throw new RadishspurException(
-                    ErrorCode.FILE_UNREADABLE, "can't read the log in " + folder.path(), exception);
+                    ErrorCode.FILE_UNREADABLE, "can't read the log in " + storage.location(), exception);
         }
     }
 
@@ -119,7 +116,7 @@
             extent.apply(batch);
             batch.snapshot().ifPresent(this::deleteCoveredFiles);
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't write to " + folder.path(), exception);
+            throw DiskFaults.translate("can't write to " + storage.location(), exception);
         }
     }
 
@@ -130,7 +127,7 @@
             writeSnapshot(snapshot);
             preparedSnapshots.add(snapshot.lastIndex());
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't write to " + folder.path(), exception);
+            throw DiskFaults.translate("can't write to " + storage.location(), exception);
         }
     }
 
@@ -142,32 +139,30 @@
                 currentJournal.close();
             }
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't close the journal in " + folder.path(), exception);
+            throw DiskFaults.translate("can't close the journal in " + storage.location(), exception);
         }
     }
 
-    private void replayJournal(Path file, boolean last, JournalReplay replay) throws IOException {
-        byte[] bytes = Files.readAllBytes(file);
-        JournalCodec.IntactPrefix intact =
-                JournalCodec.read(bytes, last, file.getFileName().toString());
+    private void replayJournal(String name, boolean last, JournalReplay replay) throws IOException {
+        JournalCodec.IntactPrefix intact = JournalCodec.read(storage.read(name), last, name);
         long highest = 0;
         for (JournalRecord record : intact.records()) {
             if (!record.replica().equals(identity.replica())) {
                 throw new RadishspurException(
-                        ErrorCode.FOREIGN_DATA, file.getFileName() + " was written by replica " + record.replica());
+                        ErrorCode.FOREIGN_DATA, name + " was written by replica " + record.replica());
             }
             highest = Math.max(highest, replay.apply(record));
         }
-        long number = numberOf(file, JOURNAL_PREFIX);
+        long number = numberOf(name, JOURNAL_PREFIX);
         if (last) {
             currentNumber = number;
             currentLength = intact.length();
             currentHighestIndex = highest;
-            currentJournal = journalFactory.open(file);
+            currentJournal = storage.open(name);
             currentJournal.truncate(currentLength);
             currentJournal.force();
         } else {
-            closedJournals.add(new ClosedJournal(file, highest));
+            closedJournals.add(new ClosedJournal(name, highest));
         }
     }
 
@@ -175,8 +170,8 @@
         currentNumber = number;
         currentLength = 0;
         currentHighestIndex = 0;
-        currentJournal = journalFactory.open(folder.path().resolve(nameOf(JOURNAL_PREFIX, number)));
-        folder.syncFolder();
+        currentJournal = storage.open(nameOf(JOURNAL_PREFIX, number));
+        storage.sync();
         appendElectionState();
     }
 
@@ -187,8 +182,7 @@
 
     private void rollJournal() throws IOException {
         currentJournal.close();
-        closedJournals.add(
-                new ClosedJournal(folder.path().resolve(nameOf(JOURNAL_PREFIX, currentNumber)), currentHighestIndex));
+        closedJournals.add(new ClosedJournal(nameOf(JOURNAL_PREFIX, currentNumber), currentHighestIndex));
         openJournal(currentNumber + 1);
     }
 
@@ -216,16 +210,12 @@
         checksum.update(payload);
         ByteBuffer file = ByteBuffer.allocate(Long.BYTES + payload.length);
         file.putLong(checksum.getValue()).put(payload);
-        folder.writeAtomically(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex()), file.array());
+        storage.writeAtomically(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex()), file.array());
     }
 
     private Snapshot readSnapshot(long index) throws IOException {
         String name = nameOf(SNAPSHOT_PREFIX, index);
-        Path path = folder.path().resolve(name);
-        if (!Files.exists(path)) {
-            throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is missing");
-        }
-        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+        ByteBuffer file = ByteBuffer.wrap(readSnapshotFile(name));
         java.util.zip.CRC32C checksum = new java.util.zip.CRC32C();
         if (file.remaining() < Long.BYTES) {
             throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is truncated");
@@ -240,17 +230,27 @@
         return MessagePack.INSTANCE.decode(payload, Snapshot.class);
     }
 
+    private byte[] readSnapshotFile(String name) throws IOException {
+        try {
+            return storage.read(name);
+        } catch (NoSuchFileException exception) {
+            throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is missing", exception);
+        }
+    }
+
     private void deleteCoveredFiles(Snapshot snapshot) {
         try {
             while (!closedJournals.isEmpty() && closedJournals.peek().highestIndex() <= snapshot.lastIndex()) {
-                Files.deleteIfExists(closedJournals.remove().path());
+                storage.delete(closedJournals.remove().name());
             }
-            List<Path> snapshots = folder.list(SNAPSHOT_PREFIX);
-            for (Path old : snapshots.subList(0, Math.max(0, snapshots.size() - KEPT_SNAPSHOTS))) {
-                Files.deleteIfExists(old);
+            List<String> snapshots = storage.list(SNAPSHOT_PREFIX).stream()
+                    .filter(name -> !name.endsWith(Storage.TEMPORARY_SUFFIX))
+                    .toList();
+            for (String old : snapshots.subList(0, Math.max(0, snapshots.size() - KEPT_SNAPSHOTS))) {
+                storage.delete(old);
             }
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't delete old files in " + folder.path(), exception);
+            throw DiskFaults.translate("can't delete old files in " + storage.location(), exception);
         }
     }
 
@@ -259,15 +259,15 @@
         return prefix + "0".repeat(NUMBER_DIGITS - digits.length()) + digits;
     }
 
-    private static long numberOf(Path file, String prefix) {
-        return Long.parseLong(file.getFileName().toString().substring(prefix.length()));
+    private static long numberOf(String name, String prefix) {
+        return Long.parseLong(name.substring(prefix.length()));
     }
 
     /**
      * Describes an earlier journal, to which nothing is appended any more.
      *
-     * @param path the file.
+     * @param name the name of the file.
      * @param highestIndex the highest index of its entries, or 0 if it has none.
      */
-    private record ClosedJournal(Path path, long highestIndex) {}
+    private record ClosedJournal(String name, long highestIndex) {}
 }
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -46,7 +46,7 @@
     }
 
     private FileDisk open() {
-        return new FileDisk(folder, IDENTITY, JournalFile.ChannelJournalFile::new, SMALL_JOURNAL_BYTES);
+        return new FileDisk(folder.storage(), IDENTITY, SMALL_JOURNAL_BYTES);
     }
 
     private static WriteBatch entries(long term, long from, long to) {
@@ -82,8 +82,14 @@
         }
     }
 
+    private List<Path> files(String prefix) throws IOException {
+        return folder.storage().list(prefix).stream()
+                .map(folder.path()::resolve)
+                .toList();
+    }
+
     private Path lastJournal() throws IOException {
-        List<Path> journals = folder.list("journal-");
+        List<Path> journals = files("journal-");
         return journals.get(journals.size() - 1);
     }
 
@@ -144,7 +150,7 @@
         void entriesThatFollowTheSnapshotAreRecovered() throws IOException {
             long next = writeUntilASecondJournalBegins();
             write(snapshot(next - 2, 1));
-            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(files("journal-")).hasSize(1);
             assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(next - 1);
         }
 
@@ -153,7 +159,7 @@
         void entriesAfterTheRecordOfTheSnapshotAreRecovered() throws IOException {
             long next = writeUntilASecondJournalBegins();
             write(snapshot(next - 2, 1), entries(1, next, next));
-            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(files("journal-")).hasSize(1);
             assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(next - 1, next);
         }
 
@@ -162,7 +168,7 @@
         void entriesThatTheSnapshotReplacedStayDropped() throws IOException {
             long next = writeUntilASecondJournalBegins();
             write(snapshot(next - 2, 2));
-            assertThat(folder.list("journal-")).hasSize(1);
+            assertThat(files("journal-")).hasSize(1);
             assertThat(recover().entries()).isEmpty();
             write(entries(2, next - 1, next - 1));
             assertThat(recover().entries()).extracting(LogEntry::term).containsExactly(2L);
@@ -171,7 +177,7 @@
         /** Writes entries one by one until the second journal has one, and returns the index of the next entry. */
         private long writeUntilASecondJournalBegins() throws IOException {
             long next = 1;
-            while (folder.list("journal-").size() < 2) {
+            while (files("journal-").size() < 2) {
                 write(entries(1, next, next));
                 next++;
             }
@@ -230,8 +236,7 @@
                     writeSnapshotFile(batch.snapshot().get());
                 }
             }
-            try (JournalFile journal =
-                    new JournalFile.ChannelJournalFile(folder.path().resolve("journal-00000000000000000002"))) {
+            try (Storage.AppendFile journal = folder.storage().open("journal-00000000000000000002")) {
                 for (WriteBatch batch : batches) {
                     journal.append(JournalCodec.frame(MessagePack.INSTANCE.encode(new EarlierRecord(
                             IDENTITY.replica(),
@@ -283,7 +288,7 @@
         void aDamagedSnapshotIsReported() throws IOException {
             Snapshot snapshot = new Snapshot(2, 1, Configuration.ofVoters(Set.of("a#founder")), new byte[50]);
             write(entries(1, 1, 2), new WriteBatch(Optional.empty(), List.of(), Optional.of(snapshot)));
-            Path file = folder.list("snapshot-").get(0);
+            Path file = files("snapshot-").get(0);
             byte[] bytes = Files.readAllBytes(file);
             bytes[bytes.length - 1] ^= 1;
             Files.write(file, bytes);
@@ -294,7 +299,7 @@
         void theJournalOfAnotherReplicaIsReported() throws IOException {
             write(entries(1, 1, 1));
             Identity other = Identity.ofJoiner("cluster", "a", "x");
-            FileDisk disk = new FileDisk(folder, other, JournalFile.ChannelJournalFile::new, SMALL_JOURNAL_BYTES);
+            FileDisk disk = new FileDisk(folder.storage(), other, SMALL_JOURNAL_BYTES);
             assertErrorCode(ErrorCode.FOREIGN_DATA, disk::recover);
         }
     }
@@ -304,8 +309,8 @@
         /** Guards against permanent damage to the log by the partial record that a full disk leaves behind. */
         @Test
         void aBatchCanBeWrittenAgainAfterTheDiskWasFull() {
-            FaultyJournalFactory faulty = new FaultyJournalFactory();
-            try (FileDisk disk = new FileDisk(folder, IDENTITY, faulty::open, SMALL_JOURNAL_BYTES)) {
+            FaultyStorage faulty = new FaultyStorage(folder.storage());
+            try (FileDisk disk = new FileDisk(faulty, IDENTITY, SMALL_JOURNAL_BYTES)) {
                 disk.recover();
                 disk.write(entries(1, 1, 1));
                 faulty.diskFullAtNextAppend = true;
@@ -317,8 +322,8 @@
 
         @Test
         void aFailedSyncIsReported() {
-            FaultyJournalFactory faulty = new FaultyJournalFactory();
-            try (FileDisk disk = new FileDisk(folder, IDENTITY, faulty::open, SMALL_JOURNAL_BYTES)) {
+            FaultyStorage faulty = new FaultyStorage(folder.storage());
+            try (FileDisk disk = new FileDisk(faulty, IDENTITY, SMALL_JOURNAL_BYTES)) {
                 disk.recover();
                 faulty.failSync = true;
                 assertErrorCode(ErrorCode.DISK_FAILED, () -> disk.write(entries(1, 1, 1)));
@@ -391,23 +396,59 @@
             long snapshotTerm) {}
 
     /**
-     * Opens journals whose next append or whose syncs can be made to fail.
+     * Opens files whose next append or whose syncs can be made to fail.
      */
-    private static final class FaultyJournalFactory {
+    private static final class FaultyStorage implements Storage {
+        private final Storage delegate;
         private boolean diskFullAtNextAppend;
         private boolean failSync;
 
-        JournalFile open(Path file) throws IOException {
-            JournalFile delegate = new JournalFile.ChannelJournalFile(file);
-            return new JournalFile() {
+        FaultyStorage(Storage delegate) {
+            this.delegate = delegate;
+        }
+
+        @Override
+        public String location() {
+            return delegate.location();
+        }
+
+        @Override
+        public List<String> list(String prefix) throws IOException {
+            return delegate.list(prefix);
+        }
+
+        @Override
+        public byte[] read(String name) throws IOException {
+            return delegate.read(name);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            delegate.rename(from, to);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            delegate.delete(name);
+        }
+
+        @Override
+        public void sync() throws IOException {
+            delegate.sync();
+        }
+
+        @Override
+        public AppendFile open(String name) throws IOException {
+            AppendFile file = delegate.open(name);
+            return new AppendFile() {
                 @Override
                 public void append(ByteBuffer bytes) throws IOException {
                     if (diskFullAtNextAppend) {
                         diskFullAtNextAppend = false;
-                        delegate.append(bytes.slice(0, bytes.remaining() / 2));
+                        file.append(bytes.slice(0, bytes.remaining() / 2));
                         throw new IOException("No space left on device");
                     }
-                    delegate.append(bytes);
+                    file.append(bytes);
                 }
 
                 @Override
@@ -415,17 +456,17 @@
                     if (failSync) {
                         throw new IOException("Input/output error");
                     }
-                    delegate.force();
+                    file.force();
                 }
 
                 @Override
                 public void truncate(long length) throws IOException {
-                    delegate.truncate(length);
+                    file.truncate(length);
                 }
 
                 @Override
                 public void close() throws IOException {
-                    delegate.close();
+                    file.close();
                 }
             };
         }
@@ -437,7 +478,7 @@
         for (long index = 1; index <= 20; index++) {
             write(entries(7, index, index));
         }
-        List<Path> journals = folder.list("journal-");
+        List<Path> journals = files("journal-");
         assertThat(journals.size()).isGreaterThan(1);
         Path newJournal = journals.get(0).resolveSibling(String.format("journal-%020d", journals.size() + 1));
         Files.write(newJournal, new byte[] {1, 2, 3}, StandardOpenOption.CREATE);
