--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -78,7 +78,12 @@
             extent = new LogExtent(recovered);
             if (files.isEmpty()) {
                 openJournal(1);
-            } else if (currentLength == 0) {
+                return recovered;
+            }
+            // The process may have ended between the creation of the last journal and the sync of the folder. Without
+            // its name, what is written to it would be lost at a power loss.
+            storage.sync();
+            if (currentLength == 0) {
                 // A crash tore the first record of this journal, which repeats the election state. Without the record,
                 // the state would be lost once the earlier journals are deleted, and the replica could vote twice in a
                 // term.
