--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -16,7 +16,6 @@
 import org.radishspur.replication.raft.Configuration;
 import org.radishspur.replication.raft.Disk;
 import org.radishspur.replication.raft.HardState;
-import org.radishspur.replication.raft.LogEntry;
 import org.radishspur.replication.raft.RecoveredState;
 import org.radishspur.replication.raft.Snapshot;
 import org.radishspur.replication.raft.WriteBatch;
@@ -39,10 +38,7 @@
     private final Set<Long> preparedSnapshots = ConcurrentHashMap.newKeySet();
     private HardState hardState = HardState.INITIAL;
     private LogExtent extent;
-    private Storage.AppendFile currentJournal;
-    private long currentNumber;
-    private long currentLength;
-    private long currentHighestIndex;
+    private JournalWriter currentJournal;
 
     /**
      * Creates the disk of a formatted folder; nothing is read before {@link #recover()}.
@@ -77,17 +73,7 @@
             RecoveredState recovered = replay.finish(snapshot);
             extent = new LogExtent(recovered);
             if (files.isEmpty()) {
-                openJournal(1);
-                return recovered;
-            }
-            // The process may have ended between the creation of the last journal and the sync of the folder. Without
-            // its name, what is written to it would be lost at a power loss.
-            storage.sync();
-            if (currentLength == 0) {
-                // A crash tore the first record of this journal, which repeats the election state. Without the record,
-                // the state would be lost once the earlier journals are deleted, and the replica could vote twice in a
-                // term.
-                appendElectionState();
+                currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, 1), 0, 0);
             }
             return recovered;
         } catch (IOException exception) {
@@ -107,17 +93,23 @@
                     && !preparedSnapshots.remove(batch.snapshot().get().lastIndex())) {
                 writeSnapshot(batch.snapshot().get());
             }
-            if (currentLength > journalBytes) {
+            if (currentJournal.length() > journalBytes) {
                 rollJournal();
             }
-            hardState = batch.hardState().orElse(hardState);
-            appendRecord(new JournalRecord(
+            if (currentJournal.length() == 0) {
+                // Without this record, the election state would be lost once the earlier journals are deleted, and the
+                // replica could vote twice in a term.
+                currentJournal.append(new JournalRecord(
+                        identity.replica(), Optional.of(hardState), List.of(), 0, 0, extent.lastIndex()));
+            }
+            currentJournal.append(new JournalRecord(
                     identity.replica(),
                     batch.hardState(),
                     batch.entries(),
                     batch.snapshot().map(Snapshot::lastIndex).orElse(0L),
                     batch.snapshot().map(Snapshot::lastTerm).orElse(0L),
                     extent.lastIndexAfter(batch)));
+            hardState = batch.hardState().orElse(hardState);
             extent.apply(batch);
             batch.snapshot().ifPresent(this::deleteCoveredFiles);
         } catch (IOException exception) {
@@ -158,55 +150,20 @@
             }
             highest = Math.max(highest, replay.apply(record));
         }
-        long number = numberOf(name, JOURNAL_PREFIX);
         if (last) {
-            currentNumber = number;
-            currentLength = intact.length();
-            currentHighestIndex = highest;
-            currentJournal = storage.open(name);
-            currentJournal.truncate(currentLength);
-            currentJournal.force();
+            currentJournal = new JournalWriter(storage, name, intact.length(), highest);
         } else {
             closedJournals.add(new ClosedJournal(name, highest));
         }
     }
 
-    private void openJournal(long number) throws IOException {
-        currentNumber = number;
-        currentLength = 0;
-        currentHighestIndex = 0;
-        currentJournal = storage.open(nameOf(JOURNAL_PREFIX, number));
-        storage.sync();
-        appendElectionState();
-    }
-
-    private void appendElectionState() throws IOException {
-        appendRecord(
-                new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0, extent.lastIndex()));
-    }
-
+    /** Closes the current journal and creates the next one; has no effect if that one can't be created. */
     private void rollJournal() throws IOException {
-        currentJournal.close();
-        closedJournals.add(new ClosedJournal(nameOf(JOURNAL_PREFIX, currentNumber), currentHighestIndex));
-        openJournal(currentNumber + 1);
-    }
-
-    private void appendRecord(JournalRecord record) throws IOException {
-        ByteBuffer frame = JournalCodec.frame(record);
-        int length = frame.remaining();
-        try {
-            currentJournal.append(frame);
-        } catch (IOException exception) {
-            // A full disk can leave a partial record. It is cut off, so that the journal stays intact and the same
-            // batch can be written again once there is space.
-            currentJournal.truncate(currentLength);
-            throw exception;
-        }
-        currentJournal.force();
-        currentLength += length;
-        for (LogEntry entry : record.entries()) {
-            currentHighestIndex = Math.max(currentHighestIndex, entry.index());
-        }
+        JournalWriter closed = currentJournal;
+        long number = numberOf(closed.name(), JOURNAL_PREFIX);
+        currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, number + 1), 0, 0);
+        closedJournals.add(new ClosedJournal(closed.name(), closed.highestIndex()));
+        closed.close();
     }
 
     private void writeSnapshot(Snapshot snapshot) throws IOException {
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -320,6 +320,31 @@
             assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(1L, 2L);
         }
 
+        /**
+         * Guards against a second vote in a term, as the first record of a journal, which repeats the election state,
+         * didn't fit on the disk and earlier journals are deleted.
+         */
+        @Test
+        void aVoteSurvivesIfTheDiskIsFullWhileAJournalIsOpened() throws IOException {
+            FaultyStorage faulty = new FaultyStorage(folder.storage());
+            long next = 1;
+            try (FileDisk disk = new FileDisk(faulty, IDENTITY, SMALL_JOURNAL_BYTES)) {
+                disk.recover();
+                disk.write(vote(7, "c"));
+                while (Files.size(lastJournal()) <= SMALL_JOURNAL_BYTES) {
+                    disk.write(entries(7, next, next));
+                    next++;
+                }
+                WriteBatch first = entries(7, next, next);
+                faulty.diskFullAtNextAppend = true;
+                assertErrorCode(ErrorCode.DISK_FULL, () -> disk.write(first));
+                disk.write(first);
+                disk.write(snapshot(next, 7));
+            }
+            assertThat(files("journal-")).hasSize(1);
+            assertThat(recover().hardState()).isEqualTo(new HardState(7, "c"));
+        }
+
         @Test
         void aFailedSyncIsReported() {
             FaultyStorage faulty = new FaultyStorage(folder.storage());
--- a/replication/src/test/java/org/radishspur/replication/disk/InterruptedDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/InterruptedDiskTest.java
@@ -8,6 +8,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.radishspur.model.error.ErrorCode;
+import org.radishspur.model.error.RadishspurException;
 import org.radishspur.replication.disk.SimulatedStorage.ProcessStopped;
 import org.radishspur.replication.raft.Configuration;
 import org.radishspur.replication.raft.HardState;
@@ -61,15 +63,32 @@
 
     /** Writes all batches, unless the process ends before. */
     private void writeAll(SimulatedStorage storage) {
+        writeAll(storage, () -> {});
+    }
+
+    private void writeAll(SimulatedStorage storage, Runnable afterRecovery) {
         try (FileDisk disk = open(storage)) {
             written = LogModel.of(disk.recover());
+            afterRecovery.run();
             for (WriteBatch batch : batches()) {
-                disk.write(batch);
+                writeOnceThereIsSpace(disk, batch);
                 written = written.after(batch);
             }
         }
     }
 
+    private static void writeOnceThereIsSpace(FileDisk disk, WriteBatch batch) {
+        boolean durable = false;
+        while (!durable) {
+            try {
+                disk.write(batch);
+                durable = true;
+            } catch (RadishspurException exception) {
+                assertThat(exception.code()).isEqualTo(ErrorCode.DISK_FULL);
+            }
+        }
+    }
+
     private long countOperations() {
         SimulatedStorage storage = new SimulatedStorage(new Random(0));
         writeAll(storage);
@@ -111,4 +130,30 @@
             }
         }
     }
+
+    @Nested
+    class OnAFullDisk {
+        private static final int MOST_FAILURES = 6;
+
+        /**
+         * Guards against a replica that votes twice in a term, as a journal that couldn't be opened at first has no
+         * election state and earlier journals are deleted.
+         */
+        @Test
+        void nothingIsLostWhereverSpaceRunsOut() {
+            for (long operations = 0; operations < countOperations(); operations++) {
+                for (int failures = 1; failures <= MOST_FAILURES; failures++) {
+                    SimulatedStorage storage = new SimulatedStorage(new Random(operations));
+                    long operationsUntilFull = operations;
+                    int failedOperations = failures;
+                    writeAll(storage, () -> storage.fillAfter(operationsUntilFull, failedOperations));
+                    storage.loseAllUnsynced();
+                    LogModel actual = recover(storage);
+                    assertThat(actual.matches(written))
+                            .as("%d failures after %d: expected %s, was %s", failures, operations, written, actual)
+                            .isTrue();
+                }
+            }
+        }
+    }
 }
