--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -29,7 +29,7 @@
     private static final String JOURNAL_PREFIX = "journal-";
     private static final String SNAPSHOT_PREFIX = "snapshot-";
     private static final long DEFAULT_JOURNAL_BYTES = 16L << 20;
-    private static final int KEPT_SNAPSHOTS = 2;
+    private static final int KEPT_EARLIER_SNAPSHOTS = 1;
 
     private final Storage storage;
     private final Identity identity;
@@ -72,6 +72,7 @@
                     : Snapshot.initial(Configuration.ofVoters(identity.initialVoters()));
             RecoveredState recovered = replay.finish(snapshot);
             extent = new LogExtent(recovered);
+            deleteUnusedSnapshots(snapshot.lastIndex());
             if (files.isEmpty()) {
                 currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, 1), 0, 0);
             }
@@ -205,17 +206,27 @@
             while (!closedJournals.isEmpty() && closedJournals.peek().highestIndex() <= snapshot.lastIndex()) {
                 storage.delete(closedJournals.remove().name());
             }
-            List<String> snapshots = storage.list(SNAPSHOT_PREFIX).stream()
+            List<String> earlier = storage.list(SNAPSHOT_PREFIX).stream()
+                    .filter(name -> name.compareTo(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex())) < 0)
                     .filter(name -> !name.endsWith(Storage.TEMPORARY_SUFFIX))
                     .toList();
-            for (String old : snapshots.subList(0, Math.max(0, snapshots.size() - KEPT_SNAPSHOTS))) {
-                storage.delete(old);
+            for (String name : earlier.subList(0, Math.max(0, earlier.size() - KEPT_EARLIER_SNAPSHOTS))) {
+                storage.delete(name);
             }
         } catch (IOException exception) {
             throw DiskFaults.translate("can't delete old files in " + storage.location(), exception);
         }
     }
 
+    /** Deletes the snapshots of earlier processes that are incomplete or never took effect. */
+    private void deleteUnusedSnapshots(long indexInEffect) throws IOException {
+        for (String name : storage.list(SNAPSHOT_PREFIX)) {
+            if (name.endsWith(Storage.TEMPORARY_SUFFIX) || numberOf(name, SNAPSHOT_PREFIX) > indexInEffect) {
+                storage.delete(name);
+            }
+        }
+    }
+
     private static String nameOf(String prefix, long number) {
         String digits = Long.toString(number);
         return prefix + "0".repeat(NUMBER_DIGITS - digits.length()) + digits;
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -255,6 +255,40 @@
         }
     }
 
+    @Nested
+    class WithSnapshotsOfEndedProcesses {
+        /**
+         * Guards against a replica that never starts again, as the files of newer snapshots, which never took effect,
+         * are kept in place of the one in effect.
+         */
+        @Test
+        void theSnapshotInEffectIsKept() {
+            write(entries(1, 1, 10));
+            prepareSnapshotAndEnd(9);
+            prepareSnapshotAndEnd(10);
+            write(snapshot(8, 1));
+            assertThat(recover().snapshot().lastIndex()).isEqualTo(8);
+        }
+
+        /** Guards against a disk that fills with snapshots that never took effect or were never complete. */
+        @Test
+        void filesThatAreNotInEffectAreDeleted() throws IOException {
+            write(entries(1, 1, 10), snapshot(8, 1));
+            prepareSnapshotAndEnd(9);
+            Path incomplete = folder.path().resolve("snapshot-00000000000000000010.tmp");
+            Files.write(incomplete, new byte[] {1, 2, 3});
+            recover();
+            assertThat(files("snapshot-")).containsExactly(folder.path().resolve("snapshot-00000000000000000008"));
+        }
+
+        private void prepareSnapshotAndEnd(long index) {
+            try (FileDisk disk = open()) {
+                disk.recover();
+                disk.prepareSnapshot(snapshot(index, 1).snapshot().orElseThrow());
+            }
+        }
+    }
+
     @Nested
     class WithDamage {
         /**
