Discard a torn record of whose header only the first field was written

What operators could have seen: a control process that ends at each start with "can't decode a JournalRecord" after a power loss; not seen so far, found by a property over files whose unsynced blocks are missing.

Cause: where a block boundary follows the magic number and the next block was not written, the header states a length of zero and a checksum of zero, which is the checksum of no bytes. This counted as an intact record.

Change: a record has at least one byte.

--- a/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
@@ -84,8 +84,8 @@
         int magic = header.getInt();
         int length = header.getInt();
         int checksum = header.getInt();
-        boolean fits =
-                length >= 0 && length <= MAXIMUM_RECORD_BYTES && length <= bytes.length - position - HEADER_BYTES;
+        // No record is empty, but a torn header can look like that of an empty one: zeros are their checksum.
+        boolean fits = length > 0 && length <= MAXIMUM_RECORD_BYTES && length <= bytes.length - position - HEADER_BYTES;
         if (magic != MAGIC || !fits || checksum(bytes, position + HEADER_BYTES, length) != checksum) {
             return -1;
         }
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -307,6 +307,24 @@
             }
         }
 
+        /**
+         * Guards against a control host that refuses to start after a power failure that left a block of zeros in place
+         * of the end of a record, of its header too.
+         */
+        @Test
+        void aLastRecordThatEndsInZerosIsDiscarded() throws IOException {
+            write(vote(3, "b"), entries(3, 1, 1));
+            byte[] intact = Files.readAllBytes(lastJournal());
+            write(entries(3, 2, 2));
+            byte[] longer = Files.readAllBytes(lastJournal());
+            for (int length = intact.length; length < longer.length; length++) {
+                Files.write(
+                        lastJournal(), java.util.Arrays.copyOf(java.util.Arrays.copyOf(longer, length), longer.length));
+                assertThat(recover().entries()).hasSize(1);
+                assertThat(recover().hardState()).isEqualTo(new HardState(3, "b"));
+            }
+        }
+
         /** Guards against the loss of an accepted edit because a replica votes after it has truncated a damaged log. */
         @Test
         void damageBeforeTheLastRecordIsReportedAndNothingIsTruncated() throws IOException {
