Ignore journals that came back at a power loss before a deleted one

Cause: deletions aren't synced, and a power loss can undo the deletion of one

Change: recovery reads the journals after the last missing number only. Journals are deleted in order, so that all before a missing one are covered.

Evidence: aJournalBeforeADeletedOneIsIgnored failed before (gap before index 13) and passes now, as do the other tests of the disk.

--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -62,7 +62,11 @@
         try {
             JournalReplay replay = new JournalReplay();
             List<String> files = storage.list(JOURNAL_PREFIX);
-            for (int index = 0; index < files.size(); index++) {
+            int first = indexAfterLastGap(files);
+            for (String name : files.subList(0, first)) {
+                closedJournals.add(new ClosedJournal(name, 0));
+            }
+            for (int index = first; index < files.size(); index++) {
                 boolean last = index == files.size() - 1;
                 replayJournal(files.get(index), last, replay);
             }
@@ -141,6 +145,21 @@
         }
     }
 
+    /**
+     * Returns the index of the first journal from which on no number is missing. Journals are deleted in order, so that
+     * those before a missing one were deleted too, and came back at a power loss. The snapshot covers their entries,
+     * which later journals may have replaced.
+     */
+    private static int indexAfterLastGap(List<String> journals) {
+        int first = Math.max(0, journals.size() - 1);
+        while (first > 0
+                && numberOf(journals.get(first - 1), JOURNAL_PREFIX)
+                        == numberOf(journals.get(first), JOURNAL_PREFIX) - 1) {
+            first--;
+        }
+        return first;
+    }
+
     private void replayJournal(String name, boolean last, JournalReplay replay) throws IOException {
         JournalCodec.IntactPrefix intact = JournalCodec.read(storage.read(name), last, name);
         long highest = 0;
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -222,6 +222,17 @@
                     .isEmpty();
         }
 
+        /**
+         * Guards against a replica that doesn't start after a power loss that undid the deletion of one journal, but not
+         * of the one after it, which replaced its entries.
+         */
+        @Test
+        void aJournalBeforeADeletedOneIsIgnored() throws IOException {
+            writeRecords(1, entries(2, 1, 10));
+            writeRecords(3, entries(3, 11, 12), snapshot(SNAPSHOT_INDEX, 3), entries(3, 13, 14));
+            assertThat(recover().entries()).extracting(LogEntry::index).containsExactly(11L, 12L, 13L, 14L);
+        }
+
         /** Guards against a log that is taken for complete although a journal in its middle is missing. */
         @Test
         void aGapIsReported() throws IOException {
@@ -231,12 +242,16 @@
 
         /** Writes records that have one component less than now into the second journal, without the first one. */
         private void writeRecords(WriteBatch... batches) throws IOException {
+            writeRecords(2, batches);
+        }
+
+        private void writeRecords(int number, WriteBatch... batches) throws IOException {
             for (WriteBatch batch : batches) {
                 if (batch.snapshot().isPresent()) {
                     writeSnapshotFile(batch.snapshot().get());
                 }
             }
-            try (Storage.AppendFile journal = folder.storage().open("journal-00000000000000000002")) {
+            try (Storage.AppendFile journal = folder.storage().open(String.format("journal-%020d", number))) {
                 for (WriteBatch batch : batches) {
                     journal.append(JournalCodec.frame(MessagePack.INSTANCE.encode(new EarlierRecord(
                             IDENTITY.replica(),
@@ -456,22 +471,6 @@
         return lines;
     }
 
-    /**
-     * Has the components that the records of an earlier version had.
-     *
-     * @param replica the identity of the replica.
-     * @param hardState the election state.
-     * @param entries the log entries.
-     * @param snapshotIndex the last index that the snapshot covers.
-     * @param snapshotTerm the term of the entry at that index.
-     */
-    private record EarlierRecord(
-            String replica,
-            Optional<HardState> hardState,
-            List<LogEntry> entries,
-            long snapshotIndex,
-            long snapshotTerm) {}
-
     /**
      * Opens files whose next append or whose syncs can be made to fail.
      */
