Check the log on disk against random ends of its process at each operation

At a power loss, what wasn't synced is present, missing or torn by blocks, and each change of the folder is kept or lost independently. The disk may be full for some operations. After each start, the disk must hold each acknowledged batch and no other than the one in progress. One property rewrites the journals as the version before would have written them.

--- a/replication/src/test/java/org/radishspur/replication/disk/SimulatedStorage.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/SimulatedStorage.java
@@ -18,7 +18,8 @@
  * each block of a file that was written since the file's last sync is present, missing or filled with zeros.
  */
 final class SimulatedStorage implements Storage {
-    private static final int BLOCK_BYTES = 512;
+    private static final int SMALLEST_BLOCK_BYTES = 4;
+    private static final int BLOCK_SIZES = 8;
 
     private final Random random;
     private Map<String, Content> files = new TreeMap<>();
@@ -78,6 +79,14 @@
         files = new TreeMap<>(durableFiles);
     }
 
+    /** Replaces the content of a file, as another program would, and syncs it. */
+    void replace(String name, byte[] bytes) {
+        Content content = files.get(name);
+        content.truncate(0);
+        content.append(bytes, bytes.length);
+        content.sync();
+    }
+
     @Override
     public String location() {
         return "memory";
@@ -222,10 +231,12 @@
                         default -> unchanged + random.nextInt(longest - unchanged + 1);
                     };
             boolean mixed = random.nextBoolean();
+            // Blocks smaller than those of disks end within a header more often.
+            int blockBytes = SMALLEST_BLOCK_BYTES << random.nextInt(BLOCK_SIZES);
             boolean present = random.nextBoolean();
             byte[] result = Arrays.copyOf(bytes, newLength);
             for (int position = unchanged; position < newLength; position++) {
-                boolean atBlock = position == unchanged || position % BLOCK_BYTES == 0;
+                boolean atBlock = position == unchanged || position % blockBytes == 0;
                 present = mixed && atBlock ? random.nextBoolean() : present;
                 if (present) {
                     result[position] = position < length ? bytes[position] : 0;
