--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -27,6 +27,7 @@
 public final class FileDisk implements Disk {
     private static final int NUMBER_DIGITS = 20;
     private static final String JOURNAL_PREFIX = "journal-";
+    private static final long FIRST_JOURNAL = 1;
     private static final String SNAPSHOT_PREFIX = "snapshot-";
     private static final long DEFAULT_JOURNAL_BYTES = 16L << 20;
     private static final int KEPT_EARLIER_SNAPSHOTS = 1;
@@ -70,6 +71,12 @@
                 boolean last = index == files.size() - 1;
                 replayJournal(files.get(index), last, replay);
             }
+            if (!files.isEmpty()
+                    && numberOf(files.get(first), JOURNAL_PREFIX) > FIRST_JOURNAL
+                    && replay.snapshotIndex() == 0) {
+                throw new RadishspurException(
+                        ErrorCode.LOG_CORRUPT, "no snapshot covers the journals before " + files.get(first));
+            }
             hardState = replay.hardState();
             Snapshot snapshot = replay.snapshotIndex() > 0
                     ? readSnapshot(replay.snapshotIndex())
@@ -78,7 +85,7 @@
             extent = new LogExtent(recovered);
             deleteUnusedSnapshots(snapshot.lastIndex());
             if (files.isEmpty()) {
-                currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, 1), 0, 0);
+                currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, FIRST_JOURNAL), 0, 0);
             }
             return recovered;
         } catch (IOException exception) {
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -240,6 +240,17 @@
             assertErrorCode(ErrorCode.LOG_CORRUPT, FileDiskTest.this::recover);
         }
 
+        /**
+         * Guards against a log that is taken for empty although a damaged folder has lost a journal that no snapshot
+         * covers.
+         */
+        @Test
+        void aMissingJournalThatNoSnapshotCoversIsReported() throws IOException {
+            writeRecords(1, entries(2, 1, 10));
+            writeRecords(3, vote(3, "b"));
+            assertErrorCode(ErrorCode.LOG_CORRUPT, FileDiskTest.this::recover);
+        }
+
         /** Writes records that have one component less than now into the second journal, without the first one. */
         private void writeRecords(WriteBatch... batches) throws IOException {
             writeRecords(2, batches);
