--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.nio.file.NoSuchFileException;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -18,7 +16,6 @@
 import org.radishspur.replication.raft.Configuration;
 import org.radishspur.replication.raft.Disk;
 import org.radishspur.replication.raft.HardState;
-import org.radishspur.replication.raft.LogEntry;
 import org.radishspur.replication.raft.RecoveredState;
 import org.radishspur.replication.raft.Snapshot;
 import org.radishspur.replication.raft.WriteBatch;
@@ -30,21 +27,19 @@
 public final class FileDisk implements Disk {
     private static final int NUMBER_DIGITS = 20;
     private static final String JOURNAL_PREFIX = "journal-";
+    private static final long FIRST_JOURNAL = 1;
     private static final String SNAPSHOT_PREFIX = "snapshot-";
     private static final long DEFAULT_JOURNAL_BYTES = 16L << 20;
-    private static final int KEPT_SNAPSHOTS = 2;
+    private static final int KEPT_EARLIER_SNAPSHOTS = 1;
 
-    private final DataFolder folder;
+    private final Storage storage;
     private final Identity identity;
-    private final JournalFile.Factory journalFactory;
     private final long journalBytes;
     private final Deque<ClosedJournal> closedJournals = new ArrayDeque<>();
     private final Set<Long> preparedSnapshots = ConcurrentHashMap.newKeySet();
     private HardState hardState = HardState.INITIAL;
-    private JournalFile currentJournal;
-    private long currentNumber;
-    private long currentLength;
-    private long currentHighestIndex;
+    private LogExtent extent;
+    private JournalWriter currentJournal;
 
     /**
      * Creates the disk of a formatted folder; nothing is read before {@link #recover()}.
@@ -53,13 +48,12 @@
      * @param identity the identity of the folder.
      */
     public FileDisk(DataFolder folder, Identity identity) {
-        this(folder, identity, JournalFile.ChannelJournalFile::new, DEFAULT_JOURNAL_BYTES);
+        this(folder.storage(), identity, DEFAULT_JOURNAL_BYTES);
     }
 
-    FileDisk(DataFolder folder, Identity identity, JournalFile.Factory journalFactory, long journalBytes) {
-        this.folder = folder;
+    FileDisk(Storage storage, Identity identity, long journalBytes) {
+        this.storage = storage;
         this.identity = identity;
-        this.journalFactory = journalFactory;
         this.journalBytes = journalBytes;
     }
 
@@ -67,25 +61,36 @@
     @Override
     public RecoveredState recover() {
         try {
-            Replay replay = new Replay(Snapshot.initial(Configuration.ofVoters(identity.initialVoters())));
-            List<Path> files = folder.list(JOURNAL_PREFIX);
-            for (int index = 0; index < files.size(); index++) {
+            JournalReplay replay = new JournalReplay();
+            List<String> files = storage.list(JOURNAL_PREFIX);
+            int first = indexAfterLastGap(files);
+            for (String name : files.subList(0, first)) {
+                closedJournals.add(new ClosedJournal(name, 0));
+            }
+            for (int index = first; index < files.size(); index++) {
                 boolean last = index == files.size() - 1;
                 replayJournal(files.get(index), last, replay);
             }
-            hardState = replay.hardState;
+            if (!files.isEmpty()
+                    && numberOf(files.get(first), JOURNAL_PREFIX) > FIRST_JOURNAL
+                    && replay.snapshotIndex() == 0) {
+                throw new RadishspurException(
+                        ErrorCode.LOG_CORRUPT, "no snapshot covers the journals before " + files.get(first));
+            }
+            hardState = replay.hardState();
+            Snapshot snapshot = replay.snapshotIndex() > 0
+                    ? readSnapshot(replay.snapshotIndex())
+                    : Snapshot.initial(Configuration.ofVoters(identity.initialVoters()));
+            RecoveredState recovered = replay.finish(snapshot);
+            extent = new LogExtent(recovered);
+            deleteUnusedSnapshots(snapshot.lastIndex());
             if (files.isEmpty()) {
-                openJournal(1);
-            } else if (currentLength == 0) {
-                // A crash tore the first record of this journal, which repeats the election state. Without the record,
-                // the state would be lost once the earlier journals are deleted, and the replica could vote twice in a
-                // term.
-                appendRecord(new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0));
+                currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, FIRST_JOURNAL), 0, 0);
             }
-            return replay.finish();
+            return recovered;
         } catch (IOException exception) {
             throw new RadishspurException(
-                    ErrorCode.FILE_UNREADABLE, "can't read the log in " + folder.path(), exception);
+                    ErrorCode.FILE_UNREADABLE, "can't read the log in " + storage.location(), exception);
         }
     }
 
@@ -100,19 +105,27 @@
                     && !preparedSnapshots.remove(batch.snapshot().get().lastIndex())) {
                 writeSnapshot(batch.snapshot().get());
             }
-            if (currentLength > journalBytes) {
+            if (currentJournal.length() > journalBytes) {
                 rollJournal();
             }
-            hardState = batch.hardState().orElse(hardState);
-            appendRecord(new JournalRecord(
+            if (currentJournal.length() == 0) {
+                // Without this record, the election state would be lost once the earlier journals are deleted, and the
+                // replica could vote twice in a term.
+                currentJournal.append(new JournalRecord(
+                        identity.replica(), Optional.of(hardState), List.of(), 0, 0, extent.lastIndex()));
+            }
+            currentJournal.append(new JournalRecord(
                     identity.replica(),
                     batch.hardState(),
                     batch.entries(),
                     batch.snapshot().map(Snapshot::lastIndex).orElse(0L),
-                    batch.snapshot().map(Snapshot::lastTerm).orElse(0L)));
+                    batch.snapshot().map(Snapshot::lastTerm).orElse(0L),
+                    extent.lastIndexAfter(batch)));
+            hardState = batch.hardState().orElse(hardState);
+            extent.apply(batch);
             batch.snapshot().ifPresent(this::deleteCoveredFiles);
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't write to " + folder.path(), exception);
+            throw DiskFaults.translate("can't write to " + storage.location(), exception);
         }
     }
 
@@ -123,7 +136,7 @@
             writeSnapshot(snapshot);
             preparedSnapshots.add(snapshot.lastIndex());
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't write to " + folder.path(), exception);
+            throw DiskFaults.translate("can't write to " + storage.location(), exception);
         }
     }
 
@@ -135,67 +148,49 @@
                 currentJournal.close();
             }
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't close the journal in " + folder.path(), exception);
+            throw DiskFaults.translate("can't close the journal in " + storage.location(), exception);
         }
     }
 
-    private void replayJournal(Path file, boolean last, Replay replay) throws IOException {
-        byte[] bytes = Files.readAllBytes(file);
-        JournalCodec.IntactPrefix intact =
-                JournalCodec.read(bytes, last, file.getFileName().toString());
+    /**
+     * Returns the index of the first journal from which on no number is missing. Journals are deleted in order, so that
+     * those before a missing one were deleted too, and came back at a power loss. The snapshot covers their entries,
+     * which later journals may have replaced.
+     */
+    private static int indexAfterLastGap(List<String> journals) {
+        int first = Math.max(0, journals.size() - 1);
+        while (first > 0
+                && numberOf(journals.get(first - 1), JOURNAL_PREFIX)
+                        == numberOf(journals.get(first), JOURNAL_PREFIX) - 1) {
+            first--;
+        }
+        return first;
+    }
+
+    private void replayJournal(String name, boolean last, JournalReplay replay) throws IOException {
+        JournalCodec.IntactPrefix intact = JournalCodec.read(storage.read(name), last, name);
         long highest = 0;
         for (JournalRecord record : intact.records()) {
             if (!record.replica().equals(identity.replica())) {
                 throw new RadishspurException(
-                        ErrorCode.FOREIGN_DATA, file.getFileName() + " was written by replica " + record.replica());
+                        ErrorCode.FOREIGN_DATA, name + " was written by replica " + record.replica());
             }
             highest = Math.max(highest, replay.apply(record));
         }
-        long number = numberOf(file, JOURNAL_PREFIX);
         if (last) {
-            currentNumber = number;
-            currentLength = intact.length();
-            currentHighestIndex = highest;
-            currentJournal = journalFactory.open(file);
-            currentJournal.truncate(currentLength);
-            currentJournal.force();
+            currentJournal = new JournalWriter(storage, name, intact.length(), highest);
         } else {
-            closedJournals.add(new ClosedJournal(file, highest));
+            closedJournals.add(new ClosedJournal(name, highest));
         }
     }
 
-    private void openJournal(long number) throws IOException {
-        currentNumber = number;
-        currentLength = 0;
-        currentHighestIndex = 0;
-        currentJournal = journalFactory.open(folder.path().resolve(nameOf(JOURNAL_PREFIX, number)));
-        folder.syncFolder();
-        appendRecord(new JournalRecord(identity.replica(), Optional.of(hardState), List.of(), 0, 0));
-    }
-
+    /** Closes the current journal and creates the next one; has no effect if that one can't be created. */
     private void rollJournal() throws IOException {
-        currentJournal.close();
-        closedJournals.add(
-                new ClosedJournal(folder.path().resolve(nameOf(JOURNAL_PREFIX, currentNumber)), currentHighestIndex));
-        openJournal(currentNumber + 1);
-    }
-
-    private void appendRecord(JournalRecord record) throws IOException {
-        ByteBuffer frame = JournalCodec.frame(record);
-        int length = frame.remaining();
-        try {
-            currentJournal.append(frame);
-        } catch (IOException exception) {
-            // A full disk can leave a partial record. It is cut off, so that the journal stays intact and the same
-            // batch can be written again once there is space.
-            currentJournal.truncate(currentLength);
-            throw exception;
-        }
-        currentJournal.force();
-        currentLength += length;
-        for (LogEntry entry : record.entries()) {
-            currentHighestIndex = Math.max(currentHighestIndex, entry.index());
-        }
+        JournalWriter closed = currentJournal;
+        long number = numberOf(closed.name(), JOURNAL_PREFIX);
+        currentJournal = new JournalWriter(storage, nameOf(JOURNAL_PREFIX, number + 1), 0, 0);
+        closedJournals.add(new ClosedJournal(closed.name(), closed.highestIndex()));
+        closed.close();
     }
 
     private void writeSnapshot(Snapshot snapshot) throws IOException {
@@ -204,16 +199,12 @@
         checksum.update(payload);
         ByteBuffer file = ByteBuffer.allocate(Long.BYTES + payload.length);
         file.putLong(checksum.getValue()).put(payload);
-        folder.writeAtomically(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex()), file.array());
+        storage.writeAtomically(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex()), file.array());
     }
 
     private Snapshot readSnapshot(long index) throws IOException {
         String name = nameOf(SNAPSHOT_PREFIX, index);
-        Path path = folder.path().resolve(name);
-        if (!Files.exists(path)) {
-            throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is missing");
-        }
-        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+        ByteBuffer file = ByteBuffer.wrap(readSnapshotFile(name));
         java.util.zip.CRC32C checksum = new java.util.zip.CRC32C();
         if (file.remaining() < Long.BYTES) {
             throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is truncated");
@@ -228,17 +219,37 @@
         return MessagePack.INSTANCE.decode(payload, Snapshot.class);
     }
 
+    private byte[] readSnapshotFile(String name) throws IOException {
+        try {
+            return storage.read(name);
+        } catch (NoSuchFileException exception) {
+            throw new RadishspurException(ErrorCode.LOG_CORRUPT, name + " is missing", exception);
+        }
+    }
+
     private void deleteCoveredFiles(Snapshot snapshot) {
         try {
             while (!closedJournals.isEmpty() && closedJournals.peek().highestIndex() <= snapshot.lastIndex()) {
-                Files.deleteIfExists(closedJournals.remove().path());
+                storage.delete(closedJournals.remove().name());
             }
-            List<Path> snapshots = folder.list(SNAPSHOT_PREFIX);
-            for (Path old : snapshots.subList(0, Math.max(0, snapshots.size() - KEPT_SNAPSHOTS))) {
-                Files.deleteIfExists(old);
+            List<String> earlier = storage.list(SNAPSHOT_PREFIX).stream()
+                    .filter(name -> name.compareTo(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex())) < 0)
+                    .filter(name -> !name.endsWith(Storage.TEMPORARY_SUFFIX))
+                    .toList();
+            for (String name : earlier.subList(0, Math.max(0, earlier.size() - KEPT_EARLIER_SNAPSHOTS))) {
+                storage.delete(name);
             }
         } catch (IOException exception) {
-            throw DiskFaults.translate("can't delete old files in " + folder.path(), exception);
+            throw DiskFaults.translate("can't delete old files in " + storage.location(), exception);
+        }
+    }
+
+    /** Deletes the snapshots of earlier processes that are incomplete or never took effect. */
+    private void deleteUnusedSnapshots(long indexInEffect) throws IOException {
+        for (String name : storage.list(SNAPSHOT_PREFIX)) {
+            if (name.endsWith(Storage.TEMPORARY_SUFFIX) || numberOf(name, SNAPSHOT_PREFIX) > indexInEffect) {
+                storage.delete(name);
+            }
         }
     }
 
@@ -247,74 +258,15 @@
         return prefix + "0".repeat(NUMBER_DIGITS - digits.length()) + digits;
     }
 
-    private static long numberOf(Path file, String prefix) {
-        return Long.parseLong(file.getFileName().toString().substring(prefix.length()));
+    private static long numberOf(String name, String prefix) {
+        return Long.parseLong(name.substring(prefix.length()));
     }
 
     /**
      * Describes an earlier journal, to which nothing is appended any more.
      *
-     * @param path the file.
+     * @param name the name of the file.
      * @param highestIndex the highest index of its entries, or 0 if it has none.
      */
-    private record ClosedJournal(Path path, long highestIndex) {}
-
-    /**
-     * Rebuilds the log by applying the journal records in the order in which they were written.
-     */
-    private final class Replay {
-        private HardState hardState = HardState.INITIAL;
-        private Snapshot baseSnapshot;
-        private long snapshotIndex;
-        private List<LogEntry> entries = new ArrayList<>();
-
-        Replay(Snapshot baseSnapshot) {
-            this.baseSnapshot = baseSnapshot;
-        }
-
-        long apply(JournalRecord record) throws IOException {
-            hardState = record.hardState().orElse(hardState);
-            if (record.snapshotIndex() > 0) {
-                applySnapshotMarker(record.snapshotIndex(), record.snapshotTerm());
-            }
-            long highest = 0;
-            for (LogEntry entry : record.entries()) {
-                while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
-                    entries.remove(entries.size() - 1);
-                }
-                entries.add(entry);
-                highest = Math.max(highest, entry.index());
-            }
-            return highest;
-        }
-
-        /** Keeps the entries after a snapshot only if the log matches it, as the running replica did. */
-        private void applySnapshotMarker(long index, long term) {
-            boolean continues = entries.stream().anyMatch(entry -> entry.index() == index && entry.term() == term);
-            snapshotIndex = index;
-            entries = continues
-                    ? new ArrayList<>(entries.stream()
-                            .filter(entry -> entry.index() > index)
-                            .toList())
-                    : new ArrayList<>();
-        }
-
-        RecoveredState finish() throws IOException {
-            if (snapshotIndex > 0) {
-                baseSnapshot = readSnapshot(snapshotIndex);
-            }
-            List<LogEntry> following = entries.stream()
-                    .filter(entry -> entry.index() > baseSnapshot.lastIndex())
-                    .toList();
-            for (int offset = 0; offset < following.size(); offset++) {
-                if (following.get(offset).index() != baseSnapshot.lastIndex() + 1 + offset) {
-                    throw new RadishspurException(
-                            ErrorCode.LOG_CORRUPT,
-                            "the log has a gap before index "
-                                    + following.get(offset).index());
-                }
-            }
-            return new RecoveredState(hardState, baseSnapshot, following);
-        }
-    }
+    private record ClosedJournal(String name, long highestIndex) {}
 }
