Read nested JSON without recursion, up to a stated depth

Seen: a PUT /config with some 700 or more opening brackets got no answer and ended the control leader with a StackOverflowError; its resending ended the next one.

Cause: trees were built by recursion, which needs more stack at the 1,000 levels that the parser allows than the 256 KB of a control thread.

Change: the tree is built with a stack of open containers. The depth stays bounded by 1,000, now stated, so that each document that is in a log can still be read; a deeper one is refused as malformed.

--- a/model/src/main/java/org/radishspur/model/codec/Json.java
+++ b/model/src/main/java/org/radishspur/model/codec/Json.java
@@ -10,16 +10,13 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
 
@@ -30,7 +27,13 @@
     /** The only instance; it is thread-safe. */
     INSTANCE;
 
-    private final JsonFactory factory = new JsonFactory();
+    /** The maximum depth of nested values; earlier versions accepted documents up to this depth. */
+    public static final int MAX_DEPTH = 1_000;
+
+    private final JsonFactory factory = JsonFactory.builder()
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+            .build();
 
     /**
      * Parses a text into a record.
@@ -56,11 +59,11 @@
      * @param text the JSON text.
      * @param errorCode the code of the error that is thrown for a malformed text.
      * @return the root of the tree, a missing node if the text is empty.
-     * @throws RadishspurException if the text is malformed.
+     * @throws RadishspurException if the text is malformed or nested too deeply.
      */
     public JsonNode readTree(String text, ErrorCode errorCode) {
         try (JsonParser parser = factory.createParser(text)) {
-            return parser.nextToken() == null ? MissingNode.getInstance() : tree(parser);
+            return parser.nextToken() == null ? MissingNode.getInstance() : JsonTrees.read(parser);
         } catch (JsonProcessingException exception) {
             throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
         } catch (IOException exception) {
@@ -68,48 +71,6 @@
         }
     }
 
-    /** Reads the value that starts at the current token. */
-    private static JsonNode tree(JsonParser parser) throws IOException {
-        JsonNodeFactory nodes = JsonNodeFactory.instance;
-        return switch (parser.currentToken()) {
-            case START_OBJECT -> object(parser);
-            case START_ARRAY -> array(parser);
-            case VALUE_STRING -> nodes.textNode(parser.getText());
-            case VALUE_NUMBER_INT -> integer(parser);
-            case VALUE_NUMBER_FLOAT -> nodes.numberNode(parser.getDoubleValue());
-            case VALUE_TRUE -> nodes.booleanNode(true);
-            case VALUE_FALSE -> nodes.booleanNode(false);
-            default -> nodes.nullNode();
-        };
-    }
-
-    private static JsonNode integer(JsonParser parser) throws IOException {
-        JsonNodeFactory nodes = JsonNodeFactory.instance;
-        return switch (parser.getNumberType()) {
-            case INT -> nodes.numberNode(parser.getIntValue());
-            case LONG -> nodes.numberNode(parser.getLongValue());
-            default -> nodes.numberNode(parser.getBigIntegerValue());
-        };
-    }
-
-    private static JsonNode object(JsonParser parser) throws IOException {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String name = parser.currentName();
-            parser.nextToken();
-            object.set(name, tree(parser));
-        }
-        return object;
-    }
-
-    private static JsonNode array(JsonParser parser) throws IOException {
-        ArrayNode array = JsonNodeFactory.instance.arrayNode();
-        while (parser.nextToken() != JsonToken.END_ARRAY) {
-            array.add(tree(parser));
-        }
-        return array;
-    }
-
     /**
      * Converts a tree to a record.
      *
--- a/model/src/test/java/org/radishspur/model/codec/JsonTest.java
+++ b/model/src/test/java/org/radishspur/model/codec/JsonTest.java
@@ -1,10 +1,13 @@
 package org.radishspur.model.codec;
 
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
 
@@ -64,6 +67,52 @@
         }
     }
 
+    @Nested
+    class NestedTexts {
+        /** The stack of a control thread in bytes, as in the deploy file. */
+        private static final long STACK_BYTES = 256 << 10;
+
+        /** Guards against nested brackets that exhaust the stack of the control thread, which ends the process. */
+        @ParameterizedTest
+        @ValueSource(ints = {1, 500, 700, 1_000})
+        void areReadOnASmallStackUpToTheMaximumDepth(int depth) throws InterruptedException {
+            assertThat(resultOnASmallStack("[".repeat(depth) + "]".repeat(depth)))
+                    .isInstanceOf(JsonNode.class);
+            assertThat(resultOnASmallStack("{\"a\":".repeat(depth) + 1 + "}".repeat(depth)))
+                    .isInstanceOf(JsonNode.class);
+        }
+
+        /** Guards against nested brackets that exhaust the stack of the control thread, which ends the process. */
+        @ParameterizedTest
+        @ValueSource(ints = {1_001, 5_000, 100_000, 6 << 20})
+        void areRefusedOnASmallStackBeyondIt(int depth) throws InterruptedException {
+            assertThat(resultOnASmallStack("[".repeat(depth))).isInstanceOf(RadishspurException.class);
+            assertThat(resultOnASmallStack("{\"version\":20,\"x\":" + "[".repeat(depth)))
+                    .isInstanceOf(RadishspurException.class);
+            assertThat(resultOnASmallStack("[".repeat(depth) + "]".repeat(depth)))
+                    .isInstanceOf(RadishspurException.class);
+        }
+
+        /** Returns the tree, or what was thrown instead. */
+        private Object resultOnASmallStack(String text) throws InterruptedException {
+            AtomicReference<Object> result = new AtomicReference<>();
+            Thread reader = new Thread(
+                    null,
+                    () -> {
+                        try {
+                            result.set(tree(text));
+                        } catch (RadishspurException | StackOverflowError failure) {
+                            result.set(failure);
+                        }
+                    },
+                    "reader",
+                    STACK_BYTES);
+            reader.start();
+            reader.join();
+            return result.get();
+        }
+    }
+
     @Test
     void writesMapsInTheOrderOfTheirKeys() {
         assertThat(Json.INSTANCE.write(java.util.Map.of("b", 1, "a", 2))).isEqualTo("{\"a\":2,\"b\":1}");
