Refuse text behind the object of a JSON document

Seen: a PUT /config with a letter, a bracket or a second object behind its JSON object was acknowledged, put in force and read back with that text.

Cause: the reader stopped at the end of the first value.

Change: what follows the value has to be space, for trees and for records alike: operators' calls, the host list, settings, administrators' calls. Entries and schedulers still read a document that the control hosts have accepted by its beginning, as the log may hold one that an earlier version has let through.

--- a/model/src/main/java/org/radishspur/model/codec/Json.java
+++ b/model/src/main/java/org/radishspur/model/codec/Json.java
@@ -54,16 +54,37 @@
     }
 
     /**
-     * Parses a text into a tree.
+     * Parses a text that holds one value into a tree.
      *
      * @param text the JSON text.
      * @param errorCode the code of the error that is thrown for a malformed text.
      * @return the root of the tree, a missing node if the text is empty.
-     * @throws RadishspurException if the text is malformed or nested too deeply.
+     * @throws RadishspurException if the text is malformed, nested too deeply or goes on after the value.
      */
     public JsonNode readTree(String text, ErrorCode errorCode) {
+        return readTree(text, true, errorCode);
+    }
+
+    /**
+     * Parses the value at the beginning of a text into a tree. Earlier versions accepted documents that go on after the
+     * value, and the log may still hold one.
+     *
+     * @param text the JSON text.
+     * @param errorCode the code of the error that is thrown for a malformed text.
+     * @return the root of the tree, a missing node if the text is empty.
+     * @throws RadishspurException if the value is malformed or nested too deeply.
+     */
+    public JsonNode readLeadingTree(String text, ErrorCode errorCode) {
+        return readTree(text, false, errorCode);
+    }
+
+    private JsonNode readTree(String text, boolean whole, ErrorCode errorCode) {
         try (JsonParser parser = factory.createParser(text)) {
-            return parser.nextToken() == null ? MissingNode.getInstance() : JsonTrees.read(parser);
+            JsonNode root = parser.nextToken() == null ? MissingNode.getInstance() : JsonTrees.read(parser);
+            if (whole && parser.nextToken() != null) {
+                throw new RadishspurException(errorCode, "there is more text after the value");
+            }
+            return root;
         } catch (JsonProcessingException exception) {
             throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
         } catch (IOException exception) {
@@ -145,6 +166,7 @@
     private static final class LazyMapper {
         static final ObjectMapper INSTANCE = JsonMapper.builder()
                 .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
                 .build();
     }
--- a/model/src/test/java/org/radishspur/model/codec/JsonTest.java
+++ b/model/src/test/java/org/radishspur/model/codec/JsonTest.java
@@ -113,6 +113,32 @@
         }
     }
 
+    @Nested
+    class TextsBehindTheValue {
+        /** Guards against documents that are accepted although only their beginning was read. */
+        @ParameterizedTest
+        @ValueSource(strings = {"x", "]", "}", "{}", "{\"version\":8}", ",", "0", "null", "\u0000", "\"", "//"})
+        void areRefused(String more) {
+            assertThatThrownBy(() -> tree("{\"version\":7}" + more)).isInstanceOf(RadishspurException.class);
+            assertThatThrownBy(() -> tree("{\"version\":7}\n " + more)).isInstanceOf(RadishspurException.class);
+            assertThatThrownBy(() -> Json.INSTANCE.read("{\"version\":7}" + more, Map.class, ErrorCode.TABLE_INVALID))
+                    .isInstanceOf(RadishspurException.class);
+        }
+
+        @Test
+        void mayBeSpace() {
+            assertThat(tree(" {\"version\":7} \r\n\t").path("version").asInt()).isEqualTo(7);
+        }
+
+        /** Guards against logs of earlier versions that can't be read any more. */
+        @ParameterizedTest
+        @ValueSource(strings = {"", "x", "]", "{}", "{\"version\":8}"})
+        void areIgnoredInDocumentsOfEarlierVersions(String more) {
+            JsonNode tree = Json.INSTANCE.readLeadingTree("{\"version\":7}" + more, ErrorCode.TABLE_INVALID);
+            assertThat(tree.path("version").asInt()).isEqualTo(7);
+        }
+    }
+
     @Test
     void writesMapsInTheOrderOfTheirKeys() {
         assertThat(Json.INSTANCE.write(java.util.Map.of("b", 1, "a", 2))).isEqualTo("{\"a\":2,\"b\":1}");
--- a/node/src/main/java/org/radishspur/node/dialect/OperatorDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/OperatorDialect.java
@@ -21,14 +21,23 @@
     Call decodeCall(String method, String path, String body);
 
     /**
-     * Decodes a catalogue document.
+     * Decodes a catalogue document that an operator publishes.
      *
      * @param text the document.
      * @return the catalogue.
-     * @throws org.radishspur.model.error.RadishspurException if the text isn't a catalogue document.
+     * @throws org.radishspur.model.error.RadishspurException if the text isn't a catalogue document and nothing else.
      */
     Catalogue decodeCatalogue(String text);
 
+    /**
+     * Decodes a catalogue document that the control hosts have accepted, perhaps when they ran a less strict version.
+     *
+     * @param text the document.
+     * @return the catalogue.
+     * @throws org.radishspur.model.error.RadishspurException if the text doesn't begin with a catalogue document.
+     */
+    Catalogue decodeAcceptedCatalogue(String text);
+
     /**
      * Encodes the state of a rollout.
      *
--- a/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
+++ b/node/src/main/java/org/radishspur/node/schedule/ViewPoller.java
@@ -154,7 +154,7 @@
         if (document.revision() <= view.revision()) {
             return;
         }
-        Catalogue catalogue = dialect.decodeCatalogue(document.text().text());
+        Catalogue catalogue = dialect.decodeAcceptedCatalogue(document.text().text());
         view = view.withCatalogue(catalogue);
         events.emit(
                 EventCode.CATALOGUE,
