Bound what a replica keeps of the log in memory by bytes

Seen: after some 25 changes of a catalogue of 2 MB the control processes ended with OutOfMemoryErrors, and again at each start.

Entries under way are sent again only after the time that a slow link needs for them. Byte arrays are encoded without a copy.

The schedules of ReplicaScheduleTest now reach the limits as well.

--- a/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetServer.java
@@ -21,7 +21,7 @@
  * Accepts connections from other processes of the platform.
  */
 public final class FleetServer implements Child {
-    /** The maximum size of a frame in bytes; four catalogues of the maximum size that operators may send fit easily. */
+    /** The maximum size of a frame in bytes; a catalogue of the maximum size fits easily. */
     static final int MAX_FRAME_BYTES = 32 << 20;
 
     /**
--- a/node/src/main/java/org/radishspur/node/group/ControlProcess.java
+++ b/node/src/main/java/org/radishspur/node/group/ControlProcess.java
@@ -30,6 +30,7 @@
 import org.radishspur.replication.control.ControlReplica;
 import org.radishspur.replication.disk.DataFolder;
 import org.radishspur.replication.disk.Identity;
+import org.radishspur.replication.raft.LogLimits;
 import org.radishspur.replication.raft.RaftOptions;
 import org.radishspur.replication.raft.Role;
 import org.radishspur.replication.state.StateOptions;
@@ -50,10 +51,7 @@
     /** No leases: a majority confirms every read, because on a suspended host an expired lease can still seem valid. */
     private static final long LEASE_MILLIS = 0;
 
-    /**
-     * The maximum number of log entries in a message; each may hold a catalogue, and four of the maximum size fit a
-     * frame.
-     */
+    /** The maximum number of log entries in a message. */
     private static final int ENTRIES_PER_MESSAGE = 4;
 
     private static final int SNAPSHOT_CHUNK_BYTES = 1 << 20;
@@ -68,6 +66,12 @@
      */
     private static final int ENTRIES_PER_SNAPSHOT = 40;
 
+    /**
+     * The limits on the size of log entries, so that a control host with 64 MB of heap can hold the log beside the
+     * catalogue, which may have a twelfth of that and is kept several times.
+     */
+    private static final LogLimits LOG_LIMITS = new LogLimits(1 << 20, 4 << 20, 2 << 20, 4 << 20, 14 << 20);
+
     private static final int MAX_PENDING_PROPOSALS = 1_000;
 
     /**
@@ -124,7 +128,8 @@
                                 LEASE_MILLIS,
                                 ENTRIES_PER_MESSAGE,
                                 SNAPSHOT_CHUNK_BYTES,
-                                TRAILING_ENTRIES),
+                                TRAILING_ENTRIES,
+                                LOG_LIMITS),
                         StateOptions.DEFAULTS,
                         ENTRIES_PER_SNAPSHOT,
                         MAX_PENDING_PROPOSALS),
--- a/replication/src/main/java/org/radishspur/replication/codec/Format.java
+++ b/replication/src/main/java/org/radishspur/replication/codec/Format.java
@@ -131,7 +131,7 @@
         BYTES(byte[].class, byte[].class) {
             @Override
             public void write(Object value, MessagePacker packer) throws IOException {
-                packer.packBinaryHeader(((byte[]) value).length).writePayload((byte[]) value);
+                packer.packBinaryHeader(((byte[]) value).length).addPayload((byte[]) value);
             }
 
             @Override
--- a/replication/src/main/java/org/radishspur/replication/control/ControlReplica.java
+++ b/replication/src/main/java/org/radishspur/replication/control/ControlReplica.java
@@ -38,6 +38,7 @@
     private final AppliedListener appliedListener;
     private final TreeMap<Long, PendingProposal> pending = new TreeMap<>();
     private long appliedSinceSnapshot;
+    private long appliedBytesSinceSnapshot;
     private boolean snapshotInProgress;
     private long lastApplied;
 
@@ -91,13 +92,16 @@
      */
     public void propose(ControlCommand command, ProposalOutcome.Listener listener, long now) {
         if (pending.size() >= options.maximumPending() || !writer.hasSpace()) {
-            listener.onOutcome(
-                    core.role() == Role.LEADER
-                            ? new ProposalOutcome.Busy()
-                            : new ProposalOutcome.NotLeader(core.leader()));
+            listener.onOutcome(refusal());
             return;
         }
-        OptionalLong index = core.propose(MessagePack.INSTANCE.encode(command, ControlCommand.class), now);
+        byte[] encoded = MessagePack.INSTANCE.encode(command, ControlCommand.class);
+        // Guards against a log that grows beyond the memory while snapshots or writes take long.
+        if (core.bytesInMemory() + encoded.length > options.raft().limits().totalBytes()) {
+            listener.onOutcome(refusal());
+            return;
+        }
+        OptionalLong index = core.propose(encoded, now);
         if (index.isEmpty()) {
             listener.onOutcome(new ProposalOutcome.NotLeader(core.leader()));
             return;
@@ -105,6 +109,10 @@
         pending.put(index.getAsLong(), new PendingProposal(core.term(), listener));
     }
 
+    private ProposalOutcome refusal() {
+        return core.role() == Role.LEADER ? new ProposalOutcome.Busy() : new ProposalOutcome.NotLeader(core.leader());
+    }
+
     /**
      * Starts the replacement of a lost replica by a new one, or the addition of a new replica.
      *
@@ -172,6 +180,7 @@
         for (LogEntry entry : committed) {
             lastApplied = entry.index();
             appliedSinceSnapshot++;
+            appliedBytesSinceSnapshot += entry.size();
             if (entry.payload() instanceof LogEntry.Payload.Command command) {
                 var answer = state.apply(MessagePack.INSTANCE.decode(command.bytes(), ControlCommand.class));
                 PendingProposal proposal = pending.remove(entry.index());
@@ -199,17 +208,20 @@
     }
 
     /**
-     * Starts a snapshot once enough entries have been applied since the last one. A larger state requires more entries,
-     * so that the cost of snapshots per entry stays the same. Only a quick copy of the state is made on the control
+     * Starts a snapshot once enough entries have been applied since the last one, or entries of enough bytes. A larger
+     * state requires more entries, so that the cost of snapshots per entry stays the same. Only a quick copy of the state is made on the control
      * thread: encoding and storing it there would delay heartbeats long enough to cause an election.
      */
     private void takeSnapshotIfDue() {
         long requiredEntries =
                 Math.max(options.entriesPerSnapshot(), state.claims().size());
-        if (appliedSinceSnapshot < requiredEntries || snapshotInProgress) {
+        boolean due = appliedSinceSnapshot >= requiredEntries
+                || appliedBytesSinceSnapshot >= options.raft().limits().snapshotBytes();
+        if (!due || snapshotInProgress) {
             return;
         }
         appliedSinceSnapshot = 0;
+        appliedBytesSinceSnapshot = 0;
         snapshotInProgress = true;
         Snapshot metadata = core.snapshotWithoutState(lastApplied);
         ControlState.Image image = state.image();
--- a/replication/src/main/java/org/radishspur/replication/control/ProposalOutcome.java
+++ b/replication/src/main/java/org/radishspur/replication/control/ProposalOutcome.java
@@ -28,8 +28,8 @@
     record InDoubt() implements ProposalOutcome {}
 
     /**
-     * Reports that the command was not appended to the log, because too many proposals are pending or the disk is
-     * nearly full.
+     * Reports that the command was not appended to the log, because too many proposals are pending, the log takes too
+     * much memory or the disk is nearly full.
      */
     record Busy() implements ProposalOutcome {}
 
--- a/replication/src/main/java/org/radishspur/replication/raft/LogEntry.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/LogEntry.java
@@ -8,6 +8,17 @@
  * @param payload the content of the entry.
  */
 public record LogEntry(long index, long term, Payload payload) {
+    /** The approximate size of an entry without the bytes of its command. */
+    private static final int OVERHEAD_BYTES = 64;
+
+    /**
+     * Returns the approximate size of the entry in memory.
+     *
+     * @return the size in bytes.
+     */
+    public long size() {
+        return OVERHEAD_BYTES + (payload instanceof Payload.Command command ? command.bytes().length : 0);
+    }
 
     /**
      * Represents the content of an entry.
--- a/replication/src/main/java/org/radishspur/replication/raft/LogSender.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/LogSender.java
@@ -8,6 +8,12 @@
  * Sends the leader's log to another replica: the entries that it lacks, the snapshot where they are compacted, or heartbeats.
  */
 final class LogSender {
+    /**
+     * The speed of a link, in bytes per millisecond, that is taken into account before entries are sent again. Entries that
+     * are still under way would otherwise fill the memory with their copies.
+     */
+    private static final long SLOW_LINK_BYTES_PER_MILLI = 2_000;
+
     private final RaftOptions options;
     private final RaftLog log;
     private final PendingEffects effects;
@@ -20,8 +26,8 @@
 
     /** Sends what the peer lacks, or a heartbeat; what it hasn't acknowledged for long is sent again. */
     void sendDue(String peer, Progress state, Leadership leader) {
-        if (state.unacknowledgedSince > 0
-                && leader.clock() - state.unacknowledgedSince > options.electionTimeoutMillis()) {
+        long patience = options.electionTimeoutMillis() + unacknowledgedBytes(state) / SLOW_LINK_BYTES_PER_MILLI;
+        if (state.unacknowledgedSince > 0 && leader.clock() - state.unacknowledgedSince > patience) {
             state.unacknowledgedSince = 0;
             state.nextIndex = state.matchIndex + 1;
         }
@@ -30,24 +36,39 @@
         }
     }
 
-    /** Sends the peer the entries or the snapshot that it lacks; returns whether it lacks any. */
+    /** Sends the peer entries or a part of the snapshot that it lacks; returns whether anything was due. */
     boolean sendEntries(String peer, Progress state, Leadership leader) {
         if (state.nextIndex < log.firstIndex()) {
             sendSnapshotChunk(peer, state, leader);
             return true;
         }
-        List<LogEntry> entries = log.slice(state.nextIndex, options.maximumEntriesPerMessage());
+        LogLimits limits = options.limits();
+        List<LogEntry> entries = log.slice(state.nextIndex, options.maximumEntriesPerMessage(), limits.messageBytes());
         if (entries.isEmpty()) {
             return false;
         }
+        long last = state.nextIndex + entries.size() - 1;
+        long unacknowledged = unacknowledgedBytes(state);
+        if (unacknowledged > 0
+                && unacknowledged + log.bytesBetween(state.nextIndex - 1, last) > limits.unacknowledgedBytes()) {
+            return false;
+        }
         sendAppend(peer, state.nextIndex - 1, entries, leader);
-        state.nextIndex += entries.size();
         if (state.unacknowledgedSince == 0) {
             state.unacknowledgedSince = leader.clock();
+            state.unacknowledgedFrom = state.nextIndex;
         }
+        state.nextIndex = last + 1;
         return true;
     }
 
+    /** Returns the size of the entries that were sent to a peer and that it hasn't acknowledged. */
+    private long unacknowledgedBytes(Progress state) {
+        return state.unacknowledgedSince == 0
+                ? 0
+                : log.bytesBetween(Math.max(state.matchIndex, state.unacknowledgedFrom - 1), state.nextIndex - 1);
+    }
+
     private void sendHeartbeat(String peer, Progress state, Leadership leader) {
         long previous = Math.max(state.nextIndex - 1, log.firstIndex() - 1);
         sendAppend(peer, previous, List.of(), leader);
--- a/replication/src/main/java/org/radishspur/replication/raft/Progress.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/Progress.java
@@ -19,6 +19,9 @@
     /** Since when entries or a chunk of a snapshot wait for a reply, or 0 if nothing does. */
     long unacknowledgedSince;
 
+    /** The index of the first entry that waits for a reply; meaningless if nothing does. */
+    long unacknowledgedFrom;
+
     /**
      * The snapshot that is being sent to the replica, if any. Its transfer is completed even when a newer snapshot
      * exists: if it started again with each new snapshot, it might never complete.
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftCore.java
@@ -35,6 +35,9 @@
     private long appliedIndex;
     private long persistedIndex;
 
+    /** The size of the entries that were handed over to the disk and aren't durable yet. */
+    private long unwrittenBytes;
+
     /** When the latest message of a leader was accepted, in milliseconds of the monotonic clock. */
     private long leaderContactAt;
 
@@ -44,6 +47,7 @@
     private long firstIndexAsLeader;
 
     private boolean transferring;
+    private boolean snapshotInProgress;
 
     /** The monotonic clock in milliseconds when this replica, as leader, last sent heartbeats or got a reply. */
     private long leaderClock;
@@ -170,6 +174,7 @@
      */
     public void onWritePersisted(WriteBatch batch, long startedAt, long now) {
         election.recordWrite(now - startedAt);
+        unwrittenBytes -= sizeOf(batch);
         batch.hardState().filter(hardState::equals).ifPresent(durable -> onHardStateDurable(now));
         if (!batch.entries().isEmpty()) {
             LogEntry last = batch.entries().get(batch.entries().size() - 1);
@@ -184,12 +189,14 @@
     }
 
     /**
-     * Returns a snapshot of the log up to an applied entry that does not contain the state yet.
+     * Returns a snapshot of the log up to an applied entry that does not contain the state yet. Until it is put into
+     * effect, a follower accepts no entries that make its log too large.
      *
      * @param index the index of the last applied entry that the snapshot covers.
      * @return the snapshot with an empty state.
      */
     public Snapshot snapshotWithoutState(long index) {
+        snapshotInProgress = true;
         return new Snapshot(index, log.termAt(index), log.configurationAt(index), new byte[0]);
     }
 
@@ -201,6 +208,7 @@
      *     aren't applied yet.
      */
     public void compact(Snapshot newSnapshot) {
+        snapshotInProgress = false;
         if (newSnapshot.lastIndex() <= log.snapshot().lastIndex() || newSnapshot.lastIndex() > appliedIndex) {
             return;
         }
@@ -208,7 +216,9 @@
         long oldestNeededIndex = role == Role.LEADER
                 ? followers.oldestNeededIndex(index, log.firstIndex(), leaderClock)
                 : Long.MAX_VALUE;
-        log.compact(newSnapshot, Math.min(index - options.trailingEntries(), oldestNeededIndex));
+        long firstWithinLimit = log.firstIndexWithin(index, options.limits().trailingBytes());
+        long discardUpTo = Math.min(index - options.trailingEntries(), oldestNeededIndex);
+        log.compact(newSnapshot, Math.max(discardUpTo, firstWithinLimit));
         effects.write(newSnapshot);
     }
 
@@ -248,7 +258,13 @@
                 committed.add(log.get(appliedIndex));
             }
         }
-        return effects.take(committed);
+        Effects taken = effects.take(committed);
+        unwrittenBytes += sizeOf(taken.write());
+        return taken;
+    }
+
+    private static long sizeOf(WriteBatch batch) {
+        return batch.entries().stream().mapToLong(LogEntry::size).sum();
     }
 
     /**
@@ -354,6 +370,16 @@
         return log.firstIndex();
     }
 
+    /**
+     * Returns the size of what this replica keeps of the log in memory: the entries that aren't discarded, or those that wait
+     * for the disk if they are more.
+     *
+     * @return the size in bytes.
+     */
+    public long bytesInMemory() {
+        return Math.max(log.bytes(), unwrittenBytes);
+    }
+
     /**
      * Returns an entry that is still in the log.
      *
@@ -535,10 +561,13 @@
             replyAfterWrite(from, false, firstIndexOfTerm(request.previousIndex()), request.sentAt());
             return;
         }
+        long matched = request.previousIndex();
         for (LogEntry entry : request.entries()) {
-            acceptEntry(entry);
+            if (!acceptEntry(entry)) {
+                break;
+            }
+            matched = entry.index();
         }
-        long matched = request.previousIndex() + request.entries().size();
         commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
         if (hardStateDurable) {
             // Replies without waiting for the write, so that a leader doesn't step down while disks are slow. Only
@@ -562,13 +591,14 @@
         return true;
     }
 
-    private void acceptEntry(LogEntry entry) {
+    /** Appends an entry of the leader unless the log contains it; returns whether the log contains it then. */
+    private boolean acceptEntry(LogEntry entry) {
         if (entry.index() < log.firstIndex()) {
-            return;
+            return true;
         }
         if (entry.index() <= log.lastIndex()) {
             if (log.termAt(entry.index()) == entry.term()) {
-                return;
+                return true;
             }
             if (entry.index() <= commitIndex) {
                 throw new IllegalStateException("leader sent another entry for the committed index " + entry.index());
@@ -577,8 +607,13 @@
             effects.discardEntriesFrom(entry.index());
             persistedIndex = Math.min(persistedIndex, entry.index() - 1);
         }
+        // While a snapshot is made, the log can't be compacted; the leader sends the entry again.
+        if (snapshotInProgress && log.bytes() + entry.size() > options.limits().totalBytes()) {
+            return false;
+        }
         log.append(entry);
         effects.write(entry);
+        return true;
     }
 
     private long firstIndexOfTerm(long index) {
--- a/replication/src/main/java/org/radishspur/replication/raft/RaftLog.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/RaftLog.java
@@ -9,10 +9,15 @@
  */
 final class RaftLog {
     private final List<LogEntry> entries = new ArrayList<>();
+
+    /** The size of all entries up to each one, counted from the first entry that this object has held. */
+    private final List<Long> sizes = new ArrayList<>();
+
     private final TreeMap<Long, Configuration> configurations = new TreeMap<>();
     private Snapshot snapshot;
     private long baseIndex;
     private long baseTerm;
+    private long baseSize;
 
     RaftLog(Snapshot snapshot, List<LogEntry> recovered) {
         this.snapshot = snapshot;
@@ -50,17 +55,45 @@
         return entries.get((int) (index - baseIndex - 1));
     }
 
-    List<LogEntry> slice(long from, int limit) {
+    /** Returns some entries from an index on, at least one if there is any. */
+    List<LogEntry> slice(long from, int limit, long maximumBytes) {
         int begin = (int) (from - baseIndex - 1);
         int end = Math.min(entries.size(), begin + limit);
+        while (end > begin + 1 && bytesBetween(from - 1, baseIndex + end) > maximumBytes) {
+            end--;
+        }
         return begin >= end ? List.of() : List.copyOf(entries.subList(begin, end));
     }
 
+    /** Returns the size of the entries in memory. */
+    long bytes() {
+        return bytesBetween(baseIndex, lastIndex());
+    }
+
+    /** Returns the size of the entries after one index and up to another one, as far as the log contains them. */
+    long bytesBetween(long after, long upTo) {
+        return sizeUpTo(Math.min(upTo, lastIndex())) - sizeUpTo(Math.min(after, lastIndex()));
+    }
+
+    private long sizeUpTo(long index) {
+        return index <= baseIndex ? baseSize : sizes.get((int) (index - baseIndex - 1));
+    }
+
+    /** Returns the lowest index such that the entries after it and up to another index have a size at most. */
+    long firstIndexWithin(long upTo, long maximumBytes) {
+        long index = upTo;
+        while (index > baseIndex && bytesBetween(index - 1, upTo) <= maximumBytes) {
+            index--;
+        }
+        return index;
+    }
+
     void append(LogEntry entry) {
         if (entry.index() != lastIndex() + 1) {
             throw new IllegalStateException(
                     "can't append entry " + entry.index() + " to a log that ends at " + lastIndex());
         }
+        sizes.add(sizeUpTo(lastIndex()) + entry.size());
         entries.add(entry);
         if (entry.payload() instanceof LogEntry.Payload.ConfigurationChange change) {
             configurations.put(entry.index(), change.configuration());
@@ -69,6 +102,7 @@
 
     void truncateFrom(long index) {
         entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        sizes.subList((int) (index - baseIndex - 1), sizes.size()).clear();
         configurations.tailMap(index, true).clear();
     }
 
@@ -91,7 +125,9 @@
         snapshot = newSnapshot;
         long newBaseIndex = Math.max(baseIndex, Math.min(newSnapshot.lastIndex(), discardUpTo));
         long newBaseTerm = termAt(newBaseIndex);
+        baseSize = sizeUpTo(newBaseIndex);
         entries.subList(0, (int) (newBaseIndex - baseIndex)).clear();
+        sizes.subList(0, (int) (newBaseIndex - baseIndex)).clear();
         Configuration baseConfiguration = configurationAt(newBaseIndex);
         configurations.headMap(newBaseIndex, true).clear();
         configurations.put(newBaseIndex, baseConfiguration);
@@ -102,8 +138,11 @@
     /** Installs a snapshot from the leader; the entries after it are kept only if the log contains its last entry. */
     void install(Snapshot received) {
         boolean continues = termAt(received.lastIndex()) == received.lastTerm();
-        List<LogEntry> kept = continues ? slice(received.lastIndex() + 1, Integer.MAX_VALUE / 2) : List.of();
+        List<LogEntry> kept =
+                continues ? slice(received.lastIndex() + 1, Integer.MAX_VALUE / 2, Long.MAX_VALUE) : List.of();
         entries.clear();
+        sizes.clear();
+        baseSize = 0;
         configurations.clear();
         snapshot = received;
         baseIndex = received.lastIndex();
--- a/testkit/src/main/java/org/radishspur/testkit/schedule/SimulatedReplica.java
+++ b/testkit/src/main/java/org/radishspur/testkit/schedule/SimulatedReplica.java
@@ -9,6 +9,7 @@
 
 import org.radishspur.replication.control.ControlReplica;
 import org.radishspur.replication.raft.Configuration;
+import org.radishspur.replication.raft.LogLimits;
 import org.radishspur.replication.raft.RaftMessage;
 import org.radishspur.replication.raft.RaftOptions;
 import org.radishspur.replication.raft.Snapshot;
@@ -24,6 +25,9 @@
     private static final int MAXIMUM_PENDING_PROPOSALS = 1_000;
     private static final int TRAILING_ENTRIES = 10;
     private static final int SNAPSHOT_PART_BYTES = 8_000;
+    /** Small enough that the entries of a schedule reach them. */
+    private static final LogLimits LOG_LIMITS = new LogLimits(1_000, 4_000, 1_500, 6_000, 200_000);
+
     /** The clock's rate differs from that of virtual time by this share at most. */
     private static final double MAXIMUM_CLOCK_DRIFT = 0.04;
 
@@ -125,7 +129,7 @@
 
     /** Returns the Raft options for a read lease of the given number of milliseconds, or for none if 0. */
     static RaftOptions optionsWithLease(long leaseMillis) {
-        return new RaftOptions(50, 300, leaseMillis, 16, SNAPSHOT_PART_BYTES, TRAILING_ENTRIES);
+        return new RaftOptions(50, 300, leaseMillis, 16, SNAPSHOT_PART_BYTES, TRAILING_ENTRIES, LOG_LIMITS);
     }
 
     void freeze() {
