Decode long lists of a catalogue without a tree of the whole document

Seen: a control process needs eight times the size of a catalogue, and much more for one of many short values, to check it; so does its scheduler, and each entry.

Evidence: JsonTest.ObjectsWithLongLists.

--- a/model/src/main/java/org/radishspur/model/catalogue/Catalogue.java
+++ b/model/src/main/java/org/radishspur/model/catalogue/Catalogue.java
@@ -23,7 +23,6 @@
     private final Map<String, OrganisationRule> organisations = new HashMap<>();
     private final Map<String, OrganisationRule> organisationsByKey = new HashMap<>();
     private final Map<String, List<RouteRule>> routesByHost = new HashMap<>();
-    private final Set<String> hostAndPathPrefixes = new HashSet<>();
     private final CallerLimits limits;
     private final List<TableFault> faults = new ArrayList<>();
 
@@ -47,7 +46,8 @@
         this.limits = limits;
         pools.forEach(this::addPool);
         organisations.forEach(this::addOrganisation);
-        routes.forEach(this::addRoute);
+        Set<String> hostAndPathPrefixes = new HashSet<>();
+        routes.forEach(route -> addRoute(route, hostAndPathPrefixes));
         routesByHost
                 .values()
                 .forEach(list -> list.sort(Comparator.comparingInt(
@@ -155,7 +155,7 @@
         }
     }
 
-    private void addRoute(RouteRule route) {
+    private void addRoute(RouteRule route, Set<String> hostAndPathPrefixes) {
         String path = "routes." + route.name();
         if (route.timeoutMillis() <= 0) {
             faults.add(new TableFault(path + ".timeout", "must be above 0"));
--- a/model/src/main/java/org/radishspur/model/codec/Json.java
+++ b/model/src/main/java/org/radishspur/model/codec/Json.java
@@ -4,12 +4,14 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -62,29 +64,49 @@
      * @throws RadishspurException if the text is malformed, nested too deeply or goes on after the value.
      */
     public JsonNode readTree(String text, ErrorCode errorCode) {
-        return readTree(text, true, errorCode);
+        try (JsonParser parser = factory.createParser(text)) {
+            JsonNode root = parser.nextToken() == null
+                    ? MissingNode.getInstance()
+                    : JsonTrees.read(parser, JsonBounds.UNBOUNDED.maxTreeValues());
+            if (parser.nextToken() != null) {
+                throw new RadishspurException(errorCode, "there is more text after the value");
+            }
+            return root;
+        } catch (JsonProcessingException exception) {
+            throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
     }
 
     /**
-     * Parses the value at the beginning of a text into a tree. Earlier versions accepted documents that go on after the
-     * value, and the log may still hold one.
+     * Parses an object whose lists may be long. Their elements are passed on one by one, so that a large document needs
+     * little more memory than its text.
      *
      * @param text the JSON text.
+     * @param bounds how much of the text is read and how many values it may hold.
      * @param errorCode the code of the error that is thrown for a malformed text.
-     * @return the root of the tree, a missing node if the text is empty.
-     * @throws RadishspurException if the value is malformed or nested too deeply.
+     * @param fields the names of the fields that the result contains.
+     * @param lists the receivers of the elements, by the names of their fields.
+     * @return the object with the given fields, and with an empty list in place of each list that was passed on; all
+     *     other fields are skipped.
+     * @throws RadishspurException if the text is malformed, holds no object or exceeds the bounds.
      */
-    public JsonNode readLeadingTree(String text, ErrorCode errorCode) {
-        return readTree(text, false, errorCode);
-    }
-
-    private JsonNode readTree(String text, boolean whole, ErrorCode errorCode) {
+    public JsonNode readObject(
+            String text,
+            JsonBounds bounds,
+            ErrorCode errorCode,
+            Set<String> fields,
+            Map<String, JsonListReader> lists) {
         try (JsonParser parser = factory.createParser(text)) {
-            JsonNode root = parser.nextToken() == null ? MissingNode.getInstance() : JsonTrees.read(parser);
-            if (whole && parser.nextToken() != null) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new RadishspurException(errorCode, "must be an object");
+            }
+            JsonNode object = JsonTrees.readObject(parser, bounds, fields, lists);
+            if (bounds.wholeText() && parser.nextToken() != null) {
                 throw new RadishspurException(errorCode, "there is more text after the value");
             }
-            return root;
+            return object;
         } catch (JsonProcessingException exception) {
             throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
         } catch (IOException exception) {
--- a/model/src/main/java/org/radishspur/model/codec/JsonTrees.java
+++ b/model/src/main/java/org/radishspur/model/codec/JsonTrees.java
@@ -3,9 +3,12 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
+import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ContainerNode;
@@ -21,15 +24,62 @@
 
     private JsonTrees() {}
 
+    /**
+     * Reads the object that starts at the current token, and passes on the elements of lists; afterwards its last token
+     * is the current one.
+     */
+    static JsonNode readObject(
+            JsonParser parser, JsonBounds bounds, Set<String> fields, Map<String, JsonListReader> lists)
+            throws IOException {
+        ObjectNode object = NODES.objectNode();
+        int elements = 0;
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            JsonToken token = parser.nextToken();
+            JsonListReader list = lists.get(name);
+            if (list != null && token == JsonToken.START_ARRAY) {
+                object.set(name, NODES.arrayNode());
+                list.onBegin();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    JsonNode element = read(parser, bounds.maxTreeValues());
+                    elements += 1 + countElements(element);
+                    if (elements > bounds.maxListElements()) {
+                        throw new StreamConstraintsException(
+                                "the lists have more than " + bounds.maxListElements() + " elements");
+                    }
+                    list.onElement(element);
+                }
+            } else if (list != null || fields.contains(name)) {
+                object.set(name, read(parser, bounds.maxTreeValues()));
+            } else {
+                parser.skipChildren();
+            }
+        }
+        return object;
+    }
+
+    /** Counts the elements of the lists directly in an object. */
+    private static int countElements(JsonNode node) {
+        int count = 0;
+        for (JsonNode child : node) {
+            count += child.isArray() ? child.size() : 0;
+        }
+        return count;
+    }
+
     /** Reads the value that starts at the current token; afterwards its last token is the current one. */
-    static JsonNode read(JsonParser parser) throws IOException {
+    static JsonNode read(JsonParser parser, int maxValues) throws IOException {
         Deque<ContainerNode<?>> open = new ArrayDeque<>();
         JsonToken token = parser.currentToken();
+        int values = 0;
         while (true) {
             JsonNode complete;
             if (token.isStructEnd()) {
                 complete = open.pop();
             } else {
+                if (++values > maxValues) {
+                    throw new StreamConstraintsException("a value holds more than " + maxValues + " values");
+                }
                 complete = nodeOf(token, parser);
                 attach(complete, open.peek(), parser);
                 if (token.isStructStart()) {
--- a/model/src/test/java/org/radishspur/model/codec/JsonTest.java
+++ b/model/src/test/java/org/radishspur/model/codec/JsonTest.java
@@ -1,6 +1,9 @@
 package org.radishspur.model.codec;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -134,11 +137,80 @@
         @ParameterizedTest
         @ValueSource(strings = {"", "x", "]", "{}", "{\"version\":8}"})
         void areIgnoredInDocumentsOfEarlierVersions(String more) {
-            JsonNode tree = Json.INSTANCE.readLeadingTree("{\"version\":7}" + more, ErrorCode.TABLE_INVALID);
+            JsonNode tree = Json.INSTANCE.readObject(
+                    "{\"version\":7}" + more,
+                    JsonBounds.LEADING_VALUE,
+                    ErrorCode.TABLE_INVALID,
+                    Set.of("version"),
+                    Map.of());
             assertThat(tree.path("version").asInt()).isEqualTo(7);
         }
     }
 
+    @Nested
+    class ObjectsWithLongLists {
+        private static final JsonBounds BOUNDS = new JsonBounds(true, 10, 20);
+
+        private final List<JsonNode> elements = new ArrayList<>();
+
+        private JsonNode read(String text) {
+            JsonListReader list = new JsonListReader() {
+                @Override
+                public void onBegin() {
+                    elements.clear();
+                }
+
+                @Override
+                public void onElement(JsonNode element) {
+                    elements.add(element);
+                }
+            };
+            return Json.INSTANCE.readObject(
+                    text, BOUNDS, ErrorCode.TABLE_INVALID, Set.of("version"), Map.of("list", list));
+        }
+
+        @Test
+        void passTheElementsOn() {
+            JsonNode object = read("{\"version\":7,\"list\":[{\"a\":1},[2],3],\"other\":{\"list\":[4]}}");
+            assertThat(elements).extracting(JsonNode::toString).containsExactly("{\"a\":1}", "[2]", "3");
+            assertThat(object.toString()).isEqualTo("{\"version\":7,\"list\":[]}");
+        }
+
+        @Test
+        void countOnceIfTheirFieldIsRepeated() {
+            read("{\"list\":[1,2],\"list\":[3]}");
+            assertThat(elements).extracting(JsonNode::asInt).containsExactly(3);
+        }
+
+        @Test
+        void keepAFieldThatIsNoList() {
+            assertThat(read("{\"list\":\"text\"}").path("list").isTextual()).isTrue();
+        }
+
+        /** Guards against documents of many short values, which take many times the memory of their text. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "{\"list\":[1,2,3,4,5,6,7,8,9,10,11]}",
+                    "{\"list\":[{\"keys\":[1,2,3,4,5]},{\"keys\":[1,2,3,4,5]}]}",
+                    "{\"version\":[[],[],[],[],[],[],[],[],[],[],[],[],[],[],[],[],[],[],[],[]]}",
+                    "{\"list\":[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]}"
+                })
+        void areRefusedBeyondTheBounds(String text) {
+            assertThatThrownBy(() -> read(text)).isInstanceOf(RadishspurException.class);
+        }
+
+        /** Guards against accepting a document that was truncated in transit as a complete, shorter one. */
+        @Test
+        void areNotReadFromATruncatedDocument() {
+            String whole = "{\"version\":7,\"list\":[{\"name\":\"r\"}],\"other\":[{}]}";
+            for (int length = 0; length < whole.length(); length++) {
+                String truncated = whole.substring(0, length);
+                assertThatThrownBy(() -> read(truncated)).isInstanceOf(RadishspurException.class);
+            }
+        }
+    }
+
     @Test
     void writesMapsInTheOrderOfTheirKeys() {
         assertThat(Json.INSTANCE.write(java.util.Map.of("b", 1, "a", 2))).isEqualTo("{\"a\":2,\"b\":1}");
