Bound the size of catalogues and of the calls that are being answered

Seen: under changes of a catalogue of 2 MB control processes ended with OutOfMemoryErrors; up to eight operators' orders may be in progress, each with 6 MB.

Cause: nothing bounded the bodies of all calls together, and a single catalogue of 6 MB, which is kept and copied several times, is too large for a heap of 64 MB.

Change: a catalogue may take 4 MB in memory; a larger one is read to its end, not kept, and refused with 413 and the reason before it is proposed. The bodies of the calls that are received or being answered take 4 MB together; further ones wait in their sockets in their order, small ones never. The catalogue is encoded once for all calls that read it.

--- a/node/src/main/java/org/radishspur/node/group/OperatorServer.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorServer.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,7 +11,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
@@ -28,9 +26,11 @@
  * Serves operators' calls over HTTP.
  */
 final class OperatorServer implements Child {
-    /** The maximum size of the body of a call in bytes; enough for a catalogue of about twenty thousand routes. */
-    private static final int MAX_BODY_BYTES = 6 << 20;
+    /** The maximum size of the bodies of all calls that are received or being answered, in bytes. */
+    private static final long CALL_BUDGET_BYTES = OperatorService.MAX_DOCUMENT_BYTES;
 
+    private final CallBudget budget = new CallBudget(CALL_BUDGET_BYTES);
+    private final AnswerEncoder encoder = new AnswerEncoder();
     private final HostPort address;
     private final EventLoopGroup group;
     private final OperatorService service;
@@ -46,10 +46,8 @@
     @Override
     public void start(FailureListener listener) {
         channel = ServerSocketBinder.INSTANCE.bind(address, group, accepted -> {
-            accepted.pipeline()
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new CallHandler());
+            CallReader reader = new CallReader(budget, OperatorService.MAX_DOCUMENT_BYTES);
+            accepted.pipeline().addLast(new HttpServerCodec()).addLast(reader).addLast(new CallHandler(reader));
         });
         channel.closeFuture()
                 .addListener(future -> listener.onFailure(
@@ -68,6 +66,12 @@
      * Handles the calls of one connection.
      */
     private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final CallReader reader;
+
+        CallHandler(CallReader reader) {
+            this.reader = reader;
+        }
+
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
@@ -82,9 +86,7 @@
 
         private void write(ChannelHandlerContext context, OperatorService.Answer answer, boolean keepAlive) {
             FullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(answer.status()),
-                    Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8));
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), encoder.encode(answer.body()));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keepAlive);
@@ -93,6 +95,7 @@
             if (!keepAlive) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
+            reader.onAnswered();
         }
 
         /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/group/OperatorService.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorService.java
@@ -21,10 +21,20 @@
  * Answers operators' calls at the leader; the other replicas redirect them to the leader.
  */
 final class OperatorService {
+    /**
+     * The maximum size of a catalogue in memory, in bytes; a sixteenth of the memory of a control host, which keeps and
+     * copies it several times. It is enough for about sixteen thousand routes.
+     */
+    static final int MAX_DOCUMENT_BYTES = 4 << 20;
+
+    /** The last character that takes one byte in memory; one beyond it makes each character of a text take two. */
+    private static final char LAST_NARROW = 0xFF;
+
     private static final int OK = 200;
     private static final int TEMPORARY_REDIRECT = 307;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
 
     private final ControlLoop loop;
@@ -118,6 +128,12 @@
     }
 
     private void publish(String text, String target, AnswerListener listener) {
+        long bytes = bytesInMemory(text);
+        if (bytes > MAX_DOCUMENT_BYTES) {
+            String problem = "takes " + bytes + " bytes, at most " + MAX_DOCUMENT_BYTES + " are accepted";
+            listener.onAnswer(Answer.of(TOO_LARGE, dialect.encode(List.of(new TableFault("", problem)))));
+            return;
+        }
         Catalogue catalogue;
         try {
             catalogue = dialect.decodeCatalogue(text);
@@ -134,6 +150,11 @@
         propose(new ControlCommand.PublishCatalogue(document, System.currentTimeMillis()), target, listener);
     }
 
+    private static long bytesInMemory(String text) {
+        boolean narrow = text.chars().allMatch(character -> character <= LAST_NARROW);
+        return narrow ? text.length() : 2L * text.length();
+    }
+
     private void propose(ControlCommand command, String target, AnswerListener listener) {
         replica.propose(command, outcome -> {
             if (outcome instanceof ProposalOutcome.Committed) {
