End a process whose memory is exhausted without loading a class

Seen: control processes lived on with dead threads and answered nothing ("NoClassDefFoundError thrown from the UncaughtExceptionHandler").

Cause: the handler of uncaught errors, and that of the control thread, logged the failure first, which needs memory and classes; Runtime.halt itself loads java.lang.Shutdown.

An error on a control thread ends the process at once; after an exception no further action runs.

--- a/node/src/main/java/org/radishspur/node/NodeMain.java
+++ b/node/src/main/java/org/radishspur/node/NodeMain.java
@@ -9,6 +9,7 @@
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.settings.NodeSettings;
 import org.radishspur.node.settings.SettingsReader;
+import org.radishspur.node.supervise.ProcessTerminator;
 import org.radishspur.replication.disk.DataFolder;
 import org.radishspur.replication.disk.Identity;
 import picocli.CommandLine;
@@ -42,10 +43,7 @@
      */
     public static void main(String[] arguments) {
         // Otherwise the threads that are still running would keep a failed process alive.
-        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
-            ComponentLog.NODE.error("Thread " + thread.getName() + " failed.", failure);
-            Runtime.getRuntime().halt(EXIT_FAILED);
-        });
+        Thread.setDefaultUncaughtExceptionHandler(ProcessTerminator.INSTANCE);
         int code = new CommandLine(new NodeMain())
                 .setExecutionExceptionHandler((exception, line, parsed) -> {
                     line.getErr().println(exception.getMessage());
--- a/node/src/main/java/org/radishspur/node/control/ControlLoop.java
+++ b/node/src/main/java/org/radishspur/node/control/ControlLoop.java
@@ -1,11 +1,13 @@
 package org.radishspur.node.control;
 
+import java.util.Objects;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.DefaultEventLoop;
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.supervise.Child;
+import org.radishspur.node.supervise.ProcessTerminator;
 
 /**
  * Runs actions one after another on the control thread, the only thread that accesses control state.
@@ -17,18 +19,21 @@
     private final DefaultEventLoop loop;
     private final long startedAtNanos = System.nanoTime();
     private volatile Child.FailureListener listener = cause -> {};
+    private boolean failed;
 
     /**
      * Creates the loop; its thread starts with the first action.
      */
     public ControlLoop() {
+        // Loads the class while there is memory.
+        Objects.requireNonNull(ProcessTerminator.INSTANCE);
         ThreadFactory factory = action -> new Thread(action, "control");
         loop = new DefaultEventLoop(factory);
     }
 
     /**
-     * Sets the listener that is notified when an action throws. The control state may then be inconsistent, so that the
-     * process must end.
+     * Sets the listener that is notified when an action throws. The control state may then be inconsistent, so that no
+     * further action runs, and the process must end. It ends at once if an action throws an error.
      *
      * @param receiver the listener.
      */
@@ -92,11 +97,20 @@
     }
 
     private void run(Runnable action) {
+        if (failed) {
+            return;
+        }
         try {
             action.run();
-        } catch (RuntimeException | Error failure) {
-            ComponentLog.CONTROL.error("An action on the control thread failed.", failure);
-            listener.onFailure(failure);
+        } catch (RuntimeException failure) {
+            failed = true;
+            try {
+                ComponentLog.CONTROL.error("An action on the control thread failed.", failure);
+            } finally {
+                listener.onFailure(failure);
+            }
+        } catch (Error error) {
+            ProcessTerminator.INSTANCE.uncaughtException(Thread.currentThread(), error);
         }
     }
 }
