--- a/model/src/main/java/org/radishspur/model/codec/Json.java
+++ b/model/src/main/java/org/radishspur/model/codec/Json.java
@@ -4,6 +4,7 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.core.JsonFactory;
@@ -11,15 +12,13 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
 
@@ -30,7 +29,13 @@
     /** The only instance; it is thread-safe. */
     INSTANCE;
 
-    private final JsonFactory factory = new JsonFactory();
+    /** The maximum depth of nested values; earlier versions accepted documents up to this depth. */
+    public static final int MAX_DEPTH = 1_000;
+
+    private final JsonFactory factory = JsonFactory.builder()
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+            .build();
 
     /**
      * Parses a text into a record.
@@ -51,16 +56,22 @@
     }
 
     /**
-     * Parses a text into a tree.
+     * Parses a text that holds one value into a tree.
      *
      * @param text the JSON text.
      * @param errorCode the code of the error that is thrown for a malformed text.
      * @return the root of the tree, a missing node if the text is empty.
-     * @throws RadishspurException if the text is malformed.
+     * @throws RadishspurException if the text is malformed, nested too deeply or goes on after the value.
      */
     public JsonNode readTree(String text, ErrorCode errorCode) {
         try (JsonParser parser = factory.createParser(text)) {
-            return parser.nextToken() == null ? MissingNode.getInstance() : tree(parser);
+            JsonNode root = parser.nextToken() == null
+                    ? MissingNode.getInstance()
+                    : JsonTrees.read(parser, JsonBounds.UNBOUNDED.maxTreeValues());
+            if (parser.nextToken() != null) {
+                throw new RadishspurException(errorCode, "there is more text after the value");
+            }
+            return root;
         } catch (JsonProcessingException exception) {
             throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
         } catch (IOException exception) {
@@ -68,46 +79,39 @@
         }
     }
 
-    /** Reads the value that starts at the current token. */
-    private static JsonNode tree(JsonParser parser) throws IOException {
-        JsonNodeFactory nodes = JsonNodeFactory.instance;
-        return switch (parser.currentToken()) {
-            case START_OBJECT -> object(parser);
-            case START_ARRAY -> array(parser);
-            case VALUE_STRING -> nodes.textNode(parser.getText());
-            case VALUE_NUMBER_INT -> integer(parser);
-            case VALUE_NUMBER_FLOAT -> nodes.numberNode(parser.getDoubleValue());
-            case VALUE_TRUE -> nodes.booleanNode(true);
-            case VALUE_FALSE -> nodes.booleanNode(false);
-            default -> nodes.nullNode();
-        };
-    }
-
-    private static JsonNode integer(JsonParser parser) throws IOException {
-        JsonNodeFactory nodes = JsonNodeFactory.instance;
-        return switch (parser.getNumberType()) {
-            case INT -> nodes.numberNode(parser.getIntValue());
-            case LONG -> nodes.numberNode(parser.getLongValue());
-            default -> nodes.numberNode(parser.getBigIntegerValue());
-        };
-    }
-
-    private static JsonNode object(JsonParser parser) throws IOException {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String name = parser.currentName();
-            parser.nextToken();
-            object.set(name, tree(parser));
-        }
-        return object;
-    }
-
-    private static JsonNode array(JsonParser parser) throws IOException {
-        ArrayNode array = JsonNodeFactory.instance.arrayNode();
-        while (parser.nextToken() != JsonToken.END_ARRAY) {
-            array.add(tree(parser));
+    /**
+     * Parses an object whose lists may be long. Their elements are passed on one by one, so that a large document needs
+     * little more memory than its text.
+     *
+     * @param text the JSON text.
+     * @param bounds how much of the text is read and how many values it may hold.
+     * @param errorCode the code of the error that is thrown for a malformed text.
+     * @param fields the names of the fields that the result contains.
+     * @param lists the receivers of the elements, by the names of their fields.
+     * @return the object with the given fields, and with an empty list in place of each list that was passed on; all
+     *     other fields are skipped.
+     * @throws RadishspurException if the text is malformed, holds no object or exceeds the bounds.
+     */
+    public JsonNode readObject(
+            String text,
+            JsonBounds bounds,
+            ErrorCode errorCode,
+            Set<String> fields,
+            Map<String, JsonListReader> lists) {
+        try (JsonParser parser = factory.createParser(text)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new RadishspurException(errorCode, "must be an object");
+            }
+            JsonNode object = JsonTrees.readObject(parser, bounds, fields, lists);
+            if (bounds.wholeText() && parser.nextToken() != null) {
+                throw new RadishspurException(errorCode, "there is more text after the value");
+            }
+            return object;
+        } catch (JsonProcessingException exception) {
+            throw new RadishspurException(errorCode, exception.getOriginalMessage(), exception);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
         }
-        return array;
     }
 
     /**
@@ -184,6 +188,7 @@
     private static final class LazyMapper {
         static final ObjectMapper INSTANCE = JsonMapper.builder()
                 .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
                 .build();
     }
