Show that the beginning of a response is joined with the next one

JoinedResponseTest: the first bytes of a response that its upstream doesn't finish stay in the decoder, whether they come in the read that completed another response, on an idle connection or before or after the next request is written. The decoder goes on with the next response as if it were their continuation: a status line of 200 and the headers, identifier and body of a failure. One sending of a request is enough. Two more: a late copy takes the method of a request from the decoder, so that a response to HEAD never ends, and nothing is decoded after CONNECT. UpstreamAttemptTest: the connection of a failure response whose rest never comes stays open after its request. RepeatedResponseTest: forty requests with one identifier leave forty connections, which the rule that a connection carries each request once has brought.

--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -350,6 +350,20 @@
             }
         }
 
+        /** Guards against a connection that is left open for ever, as the rest of its failure response never comes. */
+        @Test
+        void isNotAwaitedAfterItsRequestHasEnded() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.SAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(500);
+                entry.exchange(1).sendHead(200);
+                entry.exchange(1).sendBody("done");
+                entry.exchange(1).complete();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, "done", true));
+                assertThat(entry.exchange(0).isAborted()).isTrue();
+            }
+        }
+
         /** Guards against a request that waits until its deadline for the end of a rejection. */
         @Test
         void endsTheAttemptWhereItHasNoEnd() {
--- /dev/null
+++ b/node/src/test/java/org/radishspur/node/upstream/JoinedResponseTest.java
@@ -0,0 +1,199 @@
+package org.radishspur.node.upstream;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Receives the first bytes of a response that its upstream doesn't finish, and then the response to another request, each
+ * of which is sent once. The decoder reads both as one head.
+ */
+class JoinedResponseTest {
+    private static final String UPSTREAM = "127.0.0.1:1";
+    private static final String FIRST = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String FAILURE =
+            "HTTP/1.1 500 Internal Server Error\r\nId: r2\r\nContent-Length: 5\r\n\r\nerror";
+
+    private final Receiver first = new Receiver();
+    private final Receiver second = new Receiver();
+    private PacedChannel channel;
+    private UpstreamConnections connections;
+
+    @BeforeEach
+    void sendFirst() {
+        channel = new PacedChannel();
+        connections = new UpstreamConnections(channel.eventLoop(), 1_000, 10_000);
+        UpstreamConnection connection =
+                new UpstreamConnection(connections, 1, new UpstreamConnections.Target(UPSTREAM, false));
+        connection.install(channel);
+        connection.begin(channel, new RequestIdentity("Id", "r1"), first);
+        send(connection, HttpMethod.POST);
+    }
+
+    @AfterEach
+    void release() {
+        channel.finishAndReleaseAll();
+    }
+
+    private static void send(UpstreamExchange exchange, HttpMethod method) {
+        exchange.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
+    }
+
+    private UpstreamExchange openSecond() {
+        return connections.open(new UpstreamCall(UPSTREAM, new RequestIdentity("Id", "r2"), false, false), second);
+    }
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Guards against a failure that is read as a success, since bytes behind an earlier response stay in the decoder. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nDate: now"})
+    void isNotReadFromBytesOfTheReadThatCompletedAnother(String begun) {
+        receive(FIRST + begun);
+        UpstreamExchange exchange = openSecond();
+        channel.runPendingTasks();
+        if (channel.isActive()) {
+            send(exchange, HttpMethod.POST);
+            receive(FAILURE);
+        }
+        assertThat(second.status).isNotEqualTo(200);
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against a failure that is read as a success, since bytes on an idle connection stay in the decoder. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nDate: now"})
+    void isNotReadFromBytesOnAnIdleConnection(String begun) {
+        receive(FIRST);
+        receive(begun);
+        UpstreamExchange exchange = openSecond();
+        channel.runPendingTasks();
+        if (channel.isActive()) {
+            send(exchange, HttpMethod.POST);
+            receive(FAILURE);
+        }
+        assertThat(second.status).isNotEqualTo(200);
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against a failure that is read as a success, since bytes before the request was written are kept. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nDate: now"})
+    void isNotReadFromBytesBeforeTheRequest(String begun) {
+        receive(FIRST);
+        UpstreamExchange exchange = openSecond();
+        receive(begun);
+        if (channel.isActive()) {
+            send(exchange, HttpMethod.POST);
+            receive(FAILURE);
+        }
+        assertThat(second.status).isNotEqualTo(200);
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against a request that fails at a sound upstream, since bytes that are no response precede its own. */
+    @Test
+    void isNotSpoiltByTheEndOfAnother() {
+        receive(FIRST + "junk");
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against a failure that is read as a success, where the begun response comes after the request was written. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nDate: now"})
+    void isNotReadFromTwoHeads(String begun) {
+        receive(FIRST);
+        send(openSecond(), HttpMethod.POST);
+        receive(begun);
+        receive(FAILURE);
+        assertThat(second.status).isNotEqualTo(200);
+    }
+
+    /** Guards against a request that waits until its deadline, since its response is discarded with another's head. */
+    @Test
+    void isNotDiscardedWhereItNamesTwoRequests() {
+        receive(FIRST);
+        send(openSecond(), HttpMethod.POST);
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\nDate: now");
+        receive(FAILURE);
+        assertThat(second.ended).isTrue();
+    }
+
+    /** Guards against a request that waits until its deadline, since a late copy has taken what the decoder knows of it. */
+    @Test
+    void ofTheMethodHeadIsCompleteBehindALateCopy() {
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
+        send(openSecond(), HttpMethod.HEAD);
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
+        receive("HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 7\r\n\r\n");
+        assertThat(second.ended).isTrue();
+    }
+
+    /** Guards against a connection that no longer decodes responses after the method CONNECT and carries the next request. */
+    @Test
+    void isDecodedAfterTheMethodConnect() {
+        receive(FIRST);
+        send(openSecond(), HttpMethod.CONNECT);
+        receive("HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 0\r\n\r\n");
+        Receiver third = new Receiver();
+        UpstreamExchange exchange =
+                connections.open(new UpstreamCall(UPSTREAM, new RequestIdentity("Id", "r3"), false, false), third);
+        channel.runPendingTasks();
+        if (channel.isActive()) {
+            send(exchange, HttpMethod.POST);
+            receive("HTTP/1.1 200 OK\r\nId: r3\r\nContent-Length: 0\r\n\r\n");
+            assertThat(third.ended).isTrue();
+        }
+    }
+
+    /** Records the status of a response, and whether the exchange has ended. */
+    private static final class Receiver implements UpstreamListener {
+        private int status;
+        private boolean ended;
+
+        @Override
+        public void onConnected() {}
+
+        @Override
+        public void onConnectFailed() {
+            ended = true;
+        }
+
+        @Override
+        public void onResponseHead(HttpResponse response) {
+            status = response.status().code();
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            content.release();
+        }
+
+        @Override
+        public void onReadComplete() {}
+
+        @Override
+        public void onResponseComplete(ResponseEnd end) {
+            ended = true;
+        }
+
+        @Override
+        public void onConnectionLost(Throwable cause) {
+            ended = true;
+        }
+    }
+}
--- a/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
@@ -76,6 +76,18 @@
         }
     }
 
+    /** Guards against a caller that gives all of its requests one identifier and fills an upstream with idle connections. */
+    @Test
+    void leavesNoIdleConnectionForEachRequestWithTheSameIdentifier() throws Exception {
+        try (Upstream upstream = new Upstream(0, 0, 1);
+                Caller caller = new Caller(upstream)) {
+            for (int request = 0; request < 40; request++) {
+                caller.send("r1", request);
+            }
+            assertThat(upstream.open.get()).isLessThanOrEqualTo(4);
+        }
+    }
+
     /** Guards against responses that reach another sending, in any order of copies, identifiers and connections. */
     @Property(tries = 25, seed = "79")
     void neverReachesAnotherSending(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) throws Exception {
@@ -132,6 +144,7 @@
     private static final class Upstream implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private final AtomicInteger connections = new AtomicInteger();
+        private final AtomicInteger open = new AtomicInteger();
         private final double repeatedShare;
         private final double unnamedShare;
         private final long seed;
@@ -167,6 +180,7 @@
 
         private void serve(Socket connection, Random random) {
             List<String> earlier = new ArrayList<>();
+            open.incrementAndGet();
             try (connection) {
                 BufferedReader requests = new BufferedReader(
                         new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
@@ -180,6 +194,8 @@
                 }
             } catch (IOException exception) {
                 // The caller has closed the connection.
+            } finally {
+                open.decrementAndGet();
             }
         }
 
