Keep bytes while no response is due from the decoder, and refuse joined heads

What callers saw: a success where the upstream had answered with a failure, and the other way round, for requests that were sent once; requests that failed as malformed, or timed out without an event, beside it.

Cause: the decoder was given all bytes of a connection. The beginning of a response that its upstream doesn't finish (a second answer that comes late and is cut short) stays there without a sign. The next response on the connection is read as its continuation: its status line becomes a part of the reason or of a header, and its headers, identifier, signature and body follow under the status of the other one. The identifier is right, so that no comparison helps.

With this change a late copy that is cut at any of its 150 places, and comes in the read that completed another response, on an idle connection, before or after the next request is written, never gives that request another status or body (JoinedResponseTest).

Change: - InputGuard passes bytes on only while a response is due; any others close the connection, and a request that was not written yet takes another one. - Bytes behind a response in the read that completes it are seen at the decoder, also where they make no part of a response yet; the connection isn't reused. - A head with a status line inside its reason or a header is malformed, and so is one that names two requests; both were taken or discarded before. - The decoder is given the method of the request in progress in place of a queue of methods, from which each late copy took one: a response to HEAD ended never, and nothing was decoded after CONNECT. - A caller that gives its requests one identifier leaves at most three idle connections to an upstream that may not carry it again. - The connection of a failure response whose rest is still due is closed when the request ends.

What remains: a copy that is cut within its body takes the beginning of the next response with it; that response is lost, and its request fails or times out, but gets no other answer.

--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -23,6 +23,9 @@
     private UpstreamSlot slot;
     private UpstreamAttempt attempt;
 
+    /** An attempt that has ended, while the rest of its response is discarded. */
+    private Optional<UpstreamAttempt> discarding = Optional.empty();
+
     RequestAttempts(EntryExchange exchange, EntryServices services, ExchangeLog log, RequestRuns runs) {
         this.exchange = exchange;
         this.services = services;
@@ -34,6 +37,10 @@
     /** Waits for a slot in place of the last attempt. */
     void await(UpstreamSlot requested) {
         slot = requested;
+        if (attempt != null) {
+            discarding.ifPresent(UpstreamAttempt::endDiscarding);
+            discarding = Optional.of(attempt);
+        }
         attempt = null;
     }
 
@@ -200,6 +207,7 @@
         if (attempt != null) {
             attempt.abandon();
         }
+        discarding.ifPresent(UpstreamAttempt::endDiscarding);
         hedge.cancel();
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -443,6 +443,9 @@
             endNotRun();
             return;
         }
+        if (before == Phase.DRAINING) {
+            phase = Phase.ENDED;
+        }
         if (before != Phase.RUNNING) {
             return;
         }
@@ -620,6 +623,14 @@
         }
     }
 
+    /** Closes the connection if the rest of a discarded response is still due. */
+    void endDiscarding() {
+        if (phase == Phase.DRAINING) {
+            phase = Phase.ENDED;
+            exchange.abort();
+        }
+    }
+
     /** Ends the attempt early: cancels the request at the upstream and releases the slot. */
     void abandon() {
         if (phase == Phase.ENDED) {
--- a/node/src/main/java/org/radishspur/node/upstream/RequestIdentity.java
+++ b/node/src/main/java/org/radishspur/node/upstream/RequestIdentity.java
@@ -42,6 +42,9 @@
         if (stated.isEmpty()) {
             return Owner.UNKNOWN;
         }
+        if (!response.headers().getAll(header).stream().allMatch(stated::equals)) {
+            return Owner.SEVERAL_REQUESTS;
+        }
         return stated.equals(id) ? Owner.THIS_REQUEST : Owner.OTHER_REQUEST;
     }
 
@@ -53,6 +56,8 @@
         THIS_REQUEST,
         /** Another request. */
         OTHER_REQUEST,
+        /** More than one request, so that it consists of parts of several responses. */
+        SEVERAL_REQUESTS,
         /** The response doesn't state it. */
         UNKNOWN
     }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -9,11 +9,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -27,9 +27,10 @@
  * <p>An upstream may send a response a second time, where the response to a later request is due, and only the identifier of
  * the request tells them apart. So that it always does, a connection carries each request once only, carries no further one
  * after a response without an identifier, and goes back to the idle ones only when the read that has completed a response
- * holds nothing else. A connection whose exchange did not end cleanly is closed.
+ * holds nothing else. Bytes while no response is due close it, and so does an exchange that did not end cleanly.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamExchange {
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject>
+        implements UpstreamExchange, InputGuard.Connection {
     private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
 
     /** How long before its timeout an idle connection is no longer reused, in milliseconds; covers network delay. */
@@ -38,6 +39,7 @@
     private final UpstreamConnections connections;
     private final int number;
     private final SentRequests sentRequests = new SentRequests();
+    private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
     private int exchanges;
     private Target target;
     private Channel channel;
@@ -66,8 +68,9 @@
     void install(Channel connected) {
         connected
                 .pipeline()
-                .addLast(new InputEndHandler(() -> inputEnded = true))
-                .addLast(new HttpClientCodec())
+                .addLast(new InputGuard(this))
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
                 .addLast(this);
     }
 
@@ -96,6 +99,7 @@
     public ChannelFuture write(HttpObject part) {
         if (part instanceof HttpRequest request) {
             method = request.method();
+            decoder.setMethod(method);
             phase = Phase.AWAITING_RESPONSE;
             sentRequests.add(identity);
             unanswered = true;
@@ -197,25 +201,39 @@
         if (unanswered && isDirect() && context.channel().isActive()) {
             connections.paths().recordBytes(target.address());
         }
-        if (listener == null) {
-            ReferenceCountUtil.release(part);
-            context.close();
-        } else if (phase == Phase.COMPLETE) {
-            ReferenceCountUtil.release(part);
-            reusable = false;
-        } else if (phase == Phase.UNSENT) {
+        if (!isResponseDue()) {
             ReferenceCountUtil.release(part);
-            fail(new ProtocolException("bytes from the upstream before the request"));
-            context.close();
+            onUnexpectedBytes();
         } else if (part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
             failMalformed();
-            context.close();
         } else {
             receive(part);
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean isResponseDue() {
+        return listener != null && phase != Phase.UNSENT && phase != Phase.COMPLETE;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onUnexpectedBytes() {
+        reusable = false;
+        if (listener == null || phase == Phase.UNSENT) {
+            fail(new ProtocolException("bytes from the upstream while no response was due"));
+            channel.close();
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onOrderlyEnd() {
+        inputEnded = true;
+    }
+
     private void receive(HttpObject part) {
         if (part instanceof HttpResponse response) {
             receiveHead(response);
@@ -226,7 +244,12 @@
     }
 
     private void receiveHead(HttpResponse response) {
-        if (identity.ownerOf(response) == RequestIdentity.Owner.OTHER_REQUEST) {
+        RequestIdentity.Owner owner = identity.ownerOf(response);
+        if (owner == RequestIdentity.Owner.SEVERAL_REQUESTS || UpstreamResponseDecoder.isJoined(response)) {
+            failMalformed();
+            return;
+        }
+        if (owner == RequestIdentity.Owner.OTHER_REQUEST) {
             phase = Phase.SKIPPING;
             reusable = false;
             listener.onExtraResponse(response);
@@ -240,7 +263,7 @@
         responseEnd = ResponseEnd.of(method, response);
         reusable &= HttpUtil.isKeepAlive(response)
                 && responseEnd == ResponseEnd.STATED
-                && identity.ownerOf(response) == RequestIdentity.Owner.THIS_REQUEST
+                && owner == RequestIdentity.Owner.THIS_REQUEST
                 && !sentRequests.isFull();
         maxIdleMillis = keepAliveMillis(response);
         listener.onResponseHead(response);
@@ -248,13 +271,13 @@
 
     private void receiveContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (phase == Phase.SKIPPING) {
+        if (listener == null) {
             content.release();
-            phase = last ? Phase.AWAITING_RESPONSE : Phase.SKIPPING;
             return;
         }
-        if (listener == null) {
+        if (phase == Phase.SKIPPING) {
             content.release();
+            phase = last ? Phase.AWAITING_RESPONSE : Phase.SKIPPING;
             return;
         }
         listener.onContent(content.content());
@@ -266,6 +289,7 @@
             return;
         }
         phase = Phase.COMPLETE;
+        reusable &= !decoder.hasUndecodedBytes();
         recordEnded();
     }
 
@@ -304,6 +328,7 @@
         UpstreamListener receiver = listener;
         listener = null;
         recordEnded();
+        channel.close();
         receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
     }
 
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnections.java
@@ -31,6 +31,9 @@
 
     private static final int INITIAL_READ_BYTES = 2_048;
 
+    /** How many connections to an upstream stay idle that may not carry a request again which each has carried. */
+    private static final int MAX_REFUSED_IDLE = 3;
+
     private final EventLoop loop;
     private final int connectMillis;
     private final long keepMillis;
@@ -130,6 +133,10 @@
                 taken = Optional.of(candidate);
             }
         }
+        if (taken.isEmpty() && candidates.size() >= MAX_REFUSED_IDLE) {
+            // A caller that gives all its requests one identifier must not leave a connection for each.
+            unusable.add(candidates.removeFirst());
+        }
         unusable.forEach(each -> each.channel().close());
         return taken;
     }
--- a/node/src/test/java/org/radishspur/node/upstream/JoinedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/JoinedResponseTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,6 +24,9 @@
 class JoinedResponseTest {
     private static final String UPSTREAM = "127.0.0.1:1";
     private static final String FIRST = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String COPY =
+            "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 05:00:00 GMT\r\nKeep-Alive: timeout=5\r\n"
+                    + "Content-Type: text/plain\r\nId: r1\r\nSeal: 3e1b.07\r\nContent-Length: 4\r\n\r\nbody";
     private static final String FAILURE =
             "HTTP/1.1 500 Internal Server Error\r\nId: r2\r\nContent-Length: 5\r\n\r\nerror";
 
@@ -105,6 +109,76 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /**
+     * Guards against a response with the status or body of a late copy of another, wherever that is cut short and whenever it
+     * comes.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void isItsOwnBehindACopyThatIsCutAnywhere(Arrival arrival) {
+        for (int length = 1; length < COPY.length(); length++) {
+            release();
+            sendFirst();
+            second.status = 0;
+            second.body.setLength(0);
+            arrival.receive(this, COPY.substring(0, length));
+            channel.runPendingTasks();
+            if (channel.isActive()) {
+                receive(FAILURE);
+            }
+            assertThat(second.status).as("%s characters", length).isIn(0, 500);
+            assertThat("error").as("%s characters", length).startsWith(second.body.toString());
+        }
+    }
+
+    /** Lists when the beginning of a response comes that its upstream doesn't finish. */
+    private enum Arrival {
+        IN_THE_READ_OF_ANOTHER {
+            @Override
+            void receive(JoinedResponseTest test, String begun) {
+                test.receive(FIRST + begun);
+                UpstreamExchange exchange = test.openSecond();
+                test.channel.runPendingTasks();
+                if (test.channel.isActive()) {
+                    send(exchange, HttpMethod.POST);
+                }
+            }
+        },
+        WHILE_IDLE {
+            @Override
+            void receive(JoinedResponseTest test, String begun) {
+                test.receive(FIRST);
+                test.receive(begun);
+                UpstreamExchange exchange = test.openSecond();
+                test.channel.runPendingTasks();
+                if (test.channel.isActive()) {
+                    send(exchange, HttpMethod.POST);
+                }
+            }
+        },
+        BEFORE_THE_REQUEST {
+            @Override
+            void receive(JoinedResponseTest test, String begun) {
+                test.receive(FIRST);
+                UpstreamExchange exchange = test.openSecond();
+                test.receive(begun);
+                if (test.channel.isActive()) {
+                    send(exchange, HttpMethod.POST);
+                }
+            }
+        },
+        AFTER_THE_REQUEST {
+            @Override
+            void receive(JoinedResponseTest test, String begun) {
+                test.receive(FIRST);
+                send(test.openSecond(), HttpMethod.POST);
+                test.receive(begun);
+            }
+        };
+
+        abstract void receive(JoinedResponseTest test, String begun);
+    }
+
     /** Guards against a request that fails at a sound upstream, since bytes that are no response precede its own. */
     @Test
     void isNotSpoiltByTheEndOfAnother() {
@@ -162,6 +236,7 @@
 
     /** Records the status of a response, and whether the exchange has ended. */
     private static final class Receiver implements UpstreamListener {
+        private final StringBuilder body = new StringBuilder();
         private int status;
         private boolean ended;
 
@@ -180,6 +255,7 @@
 
         @Override
         public void onContent(ByteBuf content) {
+            body.append(content.toString(StandardCharsets.ISO_8859_1));
             content.release();
         }
 
