--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -55,6 +55,7 @@
     private final AttemptTimes times = new AttemptTimes();
     private UpstreamExchange exchange;
     private String connectionName = "";
+    private boolean requestWritten;
     private Phase phase = Phase.CONNECTING;
     private HttpResponse responseHead;
     private ResponseKind kind;
@@ -103,9 +104,9 @@
         return connectionName;
     }
 
-    /** Returns whether all bytes of the request have been passed to the connection's socket. */
+    /** Returns whether all bytes of the request had been passed to the socket when the response was complete. */
     boolean isRequestWritten() {
-        return exchange.isRequestWritten();
+        return requestWritten;
     }
 
     long longestPauseMillis() {
@@ -439,6 +440,7 @@
     @Override
     public void onResponseComplete(ResponseEnd end) {
         Phase before = phase;
+        requestWritten = exchange.isRequestWritten();
         if (before == Phase.DRAINING && (kind == ResponseKind.NOT_RUN || kind == ResponseKind.WRONG_INSTANCE)) {
             endNotRun();
             return;
