--- a/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
@@ -22,7 +22,11 @@
     private JournalCodec() {}
 
     static ByteBuffer frame(JournalRecord record) {
-        byte[] payload = MessagePack.INSTANCE.encode(record);
+        return frame(MessagePack.INSTANCE.encode(record));
+    }
+
+    /** Adds the header to an encoded record. */
+    static ByteBuffer frame(byte[] payload) {
         ByteBuffer frame = ByteBuffer.allocate(HEADER_BYTES + payload.length);
         frame.putInt(MAGIC).putInt(payload.length).putInt(checksum(payload, 0, payload.length));
         return frame.put(payload).flip();
@@ -80,8 +84,8 @@
         int magic = header.getInt();
         int length = header.getInt();
         int checksum = header.getInt();
-        boolean fits =
-                length >= 0 && length <= MAXIMUM_RECORD_BYTES && length <= bytes.length - position - HEADER_BYTES;
+        // No record is empty, but a torn header can look like that of an empty one: zeros are their checksum.
+        boolean fits = length > 0 && length <= MAXIMUM_RECORD_BYTES && length <= bytes.length - position - HEADER_BYTES;
         if (magic != MAGIC || !fits || checksum(bytes, position + HEADER_BYTES, length) != checksum) {
             return -1;
         }
