--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -20,6 +20,7 @@
 import org.radishspur.node.schedule.ConfirmedView;
 import org.radishspur.node.upstream.PacedRequest;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamHeaders;
 import org.radishspur.node.upstream.UpstreamListener;
@@ -35,6 +36,9 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /** The maximum size of a response that is discarded so that its connection may be reused, in bytes. */
+    private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
@@ -50,6 +54,7 @@
     private final HeldBytes.Share held;
     private final AttemptTimes times = new AttemptTimes();
     private UpstreamExchange exchange;
+    private String connectionName = "";
     private Phase phase = Phase.CONNECTING;
     private HttpResponse responseHead;
     private ResponseKind kind;
@@ -62,6 +67,7 @@
     private EventSplitter splitter;
     private boolean resumed;
     private int sentBodyBytes;
+    private int discardedBytes;
 
     UpstreamAttempt(EntryExchange caller, EntryServices services, UpstreamSlot slot) {
         this.caller = caller;
@@ -80,13 +86,37 @@
      * @param trialAllowed whether the request may try a broken path again.
      */
     void start(boolean trialAllowed) {
-        exchange = services.exchanges().open(upstream.upstream().address(), this, trialAllowed, caller.mayBeRelayed());
+        UpstreamCall call = new UpstreamCall(
+                upstream.upstream().address(),
+                services.dialect().identify(caller.head().requestId()),
+                trialAllowed,
+                caller.mayBeRelayed());
+        exchange = services.exchanges().open(call, this);
     }
 
     UpstreamLoad upstream() {
         return upstream;
     }
 
+    /** Returns the name of the connection and of the exchange on it, or an empty text where nothing was sent. */
+    String connectionName() {
+        return connectionName;
+    }
+
+    /** Returns whether all bytes of the request have been passed to the connection's socket. */
+    boolean isRequestWritten() {
+        return exchange.isRequestWritten();
+    }
+
+    long longestPauseMillis() {
+        return times.longestPauseMillis();
+    }
+
+    /** Returns the number of bytes after the last complete event. */
+    int restBytes() {
+        return splitter.restBytes();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onConnected() {
@@ -115,6 +145,7 @@
         }
         phase = Phase.RUNNING;
         times.recordSent(EntryServices.now());
+        connectionName = exchange.name();
         splitter = new EventSplitter(caller.lastEventId());
         resumed = caller.eventCount() > 0;
         caller.attempts().onSent(this);
@@ -134,7 +165,8 @@
     }
 
     private void logSent() {
-        if (services.events().isSampled(caller.head().requestId())) {
+        int sending = caller.attempts().sendings();
+        if (sending > 1 || services.events().isSampled(caller.head().requestId())) {
             services.events()
                     .emitForRequest(
                             EventCode.SENT,
@@ -143,7 +175,9 @@
                             upstream.inProgress(),
                             times.sentAt() - caller.arrivedAt(),
                             caller.remainingMillis(),
-                            services.view().revision());
+                            services.view().revision(),
+                            sending,
+                            connectionName);
         }
     }
 
@@ -174,17 +208,28 @@
         caller.onNotRun(this, "connect-failed", false);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onExtraResponse(HttpResponse response) {
+        String requestId = caller.head().requestId();
+        services.metrics().countExtraResponse();
+        services.events()
+                .emitForRequest(
+                        EventCode.EXTRA_RESPONSE,
+                        requestId,
+                        upstream.upstream().id(),
+                        connectionName,
+                        services.dialect().identify(requestId).statedBy(response),
+                        response.status().code());
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onResponseHead(HttpResponse response) {
         if (phase != Phase.RUNNING) {
             return;
         }
-        kind = services.dialect().classify(response, caller.head().requestId());
-        if (kind == ResponseKind.OTHER_REQUEST) {
-            exchange.skipResponse();
-            return;
-        }
+        kind = services.dialect().classify(response);
         long now = EntryServices.now();
         times.recordHead(now);
         responseHead = response;
@@ -253,6 +298,9 @@
     @Override
     public void onContent(ByteBuf content) {
         try {
+            if (phase == Phase.DRAINING) {
+                discard(content.readableBytes());
+            }
             if (phase != Phase.RUNNING || responseHead == null) {
                 return;
             }
@@ -267,6 +315,15 @@
         }
     }
 
+    /** Counts a part of a response that is discarded, and closes the connection where the response doesn't end. */
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            exchange.abort();
+            onConnectionLost(new ProtocolException("a discarded response has no end"));
+        }
+    }
+
     /** Writes the part of a stream to the caller: complete events only, if another upstream may resume the stream. */
     private void writeEvents(ByteBuf content) {
         long eventsBefore = splitter.eventCount();
@@ -399,8 +456,7 @@
             caller.onResponseComplete(upstream.upstream(), end, EntryServices.now() - times.sentAt());
         }
         endComplete(succeeded);
-        caller.logAnswered(
-                responseHead.status().code(), upstream, times.longestPauseMillis(), end, splitter.restBytes());
+        caller.logAnswered(this, responseHead.status().code(), end);
         if (isEventStream()) {
             writeHead();
             caller.response().writeContent(caller.route().resumable() ? splitter.takeRest() : Unpooled.EMPTY_BUFFER);
@@ -569,7 +625,6 @@
         if (phase == Phase.ENDED) {
             return;
         }
-        boolean draining = phase == Phase.DRAINING;
         if (isStalled(EntryServices.now()) && !isPathBroken()) {
             // Otherwise a version that never answers would have no failures.
             evidence.recordUnanswered();
@@ -579,7 +634,7 @@
             recordEventTimes();
         }
         end(phase == Phase.CONNECTING ? SlotOutcome.UNUSED : SlotOutcome.ABANDONED);
-        if (!draining && exchange != null) {
+        if (exchange != null) {
             exchange.abort();
         }
     }
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -49,7 +49,9 @@
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.settings.ProcessSettingsFixture;
 import org.radishspur.node.upstream.PacedChannel;
+import org.radishspur.node.upstream.RequestIdentity;
 import org.radishspur.node.upstream.ResponseEnd;
+import org.radishspur.node.upstream.UpstreamCall;
 import org.radishspur.node.upstream.UpstreamExchange;
 import org.radishspur.node.upstream.UpstreamListener;
 import org.radishspur.node.upstream.UpstreamProbe;
@@ -85,7 +87,7 @@
     private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams) {
-        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, HeldBytes.unlimited());
+        this(kind, resumable, upstreams, Set.of(), RegionMap.NONE, new HeldBytes(Long.MAX_VALUE, false));
     }
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams, HeldBytes held) {
@@ -93,7 +95,7 @@
     }
 
     EntryFixture(RequestKind kind, boolean resumable, int upstreams, Set<String> allowedRegions, RegionMap regions) {
-        this(kind, resumable, upstreams, allowedRegions, regions, HeldBytes.unlimited());
+        this(kind, resumable, upstreams, allowedRegions, regions, new HeldBytes(Long.MAX_VALUE, false));
     }
 
     private EntryFixture(
@@ -414,14 +416,8 @@
     private final class FakeFactory implements UpstreamExchange.Factory {
         /** {@inheritDoc} */
         @Override
-        public UpstreamExchange open(String address, UpstreamListener listener) {
-            return EntryFixture.this.open(address, listener, true);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public UpstreamExchange open(String address, UpstreamListener listener, boolean repeatable, boolean relayable) {
-            return EntryFixture.this.open(address, listener, relayable);
+        public UpstreamExchange open(UpstreamCall call, UpstreamListener listener) {
+            return EntryFixture.this.open(call.address(), listener, call.relayable());
         }
     }
 
@@ -566,10 +562,6 @@
             reads++;
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public void skipResponse() {}
-
         /** {@inheritDoc} */
         @Override
         public void abort() {
@@ -599,6 +591,12 @@
             headers.set(RESUME_AFTER, forward.resumeAfter());
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public RequestIdentity identify(String requestId) {
+            return new RequestIdentity("request", requestId);
+        }
+
         /** {@inheritDoc} */
         @Override
         public RequestLimit decodeLimit(HttpResponse response) {
@@ -619,7 +617,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public ResponseKind classify(HttpResponse response, String request) {
+        public ResponseKind classify(HttpResponse response) {
             int status = response.status().code();
             if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
                 return ResponseKind.NOT_RUN;
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionTest.java
@@ -6,9 +6,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,20 +26,22 @@
  * Receives the bytes of responses as an upstream sends them, and closes or resets the connection after them.
  */
 class UpstreamConnectionTest {
+    private static final String UPSTREAM = "127.0.0.1:1";
     private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
 
     private final RecordingListener listener = new RecordingListener();
     private final RecordingPaths paths = new RecordingPaths();
     private PacedChannel channel;
+    private UpstreamConnections connections;
     private UpstreamConnection connection;
 
     @BeforeEach
     void connect() {
         channel = new PacedChannel();
-        UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
-        connection = new UpstreamConnection(connections, new UpstreamConnections.Target("127.0.0.1:1", false));
-        channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
-        connection.begin(channel, listener);
+        connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, paths);
+        connection = new UpstreamConnection(connections, 1, new UpstreamConnections.Target(UPSTREAM, false));
+        connection.install(channel);
+        connection.begin(channel, identity("r1"), listener);
     }
 
     @AfterEach
@@ -47,6 +49,10 @@
         channel.finishAndReleaseAll();
     }
 
+    private static RequestIdentity identity(String id) {
+        return new RequestIdentity("Id", id);
+    }
+
     private void request(HttpMethod method) {
         connection.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
     }
@@ -55,10 +61,14 @@
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
+    /** Lets the upstream close the connection in order. */
+    private void closeInOrder() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        channel.runPendingTasks();
+    }
+
     @Nested
     class BrokenPath {
-        private static final String UPSTREAM = "127.0.0.1:1";
-
         /** A path that is broken, while a host relays; a test fails if that host's address is used. */
         private final class Broken implements UpstreamPaths {
             /** {@inheritDoc} */
@@ -83,8 +93,8 @@
         /** Guards against a body that is sent through a host in a region that the request must not reach. */
         @Test
         void isNotPassedByARequestThatMustNotBeRelayed() {
-            UpstreamConnections connections = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
-            connections.open(UPSTREAM, listener, false, false);
+            UpstreamConnections broken = new UpstreamConnections(channel.eventLoop(), 1_000, 1_000, new Broken());
+            broken.open(new UpstreamCall(UPSTREAM, identity("r1"), false, false), listener);
             channel.runPendingTasks();
             assertThat(listener.connectFailures).isEqualTo(1);
         }
@@ -128,12 +138,22 @@
             request(HttpMethod.GET);
             receive(response);
             assertThat(listener.end).isNull();
-            channel.close();
+            closeInOrder();
             assertThat(listener.end).isEqualTo(ResponseEnd.CONNECTION_CLOSED);
             assertThat(listener.body.toString()).isEqualTo("body");
             assertThat(listener.lost).isFalse();
         }
 
+        /** Guards against a response that ends with its connection and seems complete although nothing shows its end. */
+        @Test
+        void isMissingAfterACloseThatWasNotInOrder() {
+            request(HttpMethod.GET);
+            receive(UNFRAMED);
+            channel.close();
+            assertThat(listener.end).isNull();
+            assertThat(listener.lost).isTrue();
+        }
+
         /** Guards against a response that seems complete although its connection closed before its stated end. */
         @ParameterizedTest
         @ValueSource(
@@ -146,7 +166,7 @@
         void isMissing(String response) {
             request(HttpMethod.GET);
             receive(response);
-            channel.close();
+            closeInOrder();
             assertThat(listener.end).isNull();
             assertThat(listener.lost).isTrue();
         }
@@ -172,6 +192,63 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    @Nested
+    class HandOver {
+        private static final String RESPONSE = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody";
+        private static final String EXTRA = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nextra";
+
+        private final RecordingListener next = new RecordingListener();
+
+        /**
+         * Guards against a response that is taken for that of the next request on the connection, which hasn't been sent: that
+         * request would never get its own.
+         */
+        @Test
+        void givesTheNextRequestNoBytesFromBeforeItWasSent() {
+            request(HttpMethod.GET);
+            listener.onComplete = () -> connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
+            receive(RESPONSE + EXTRA);
+            channel.runPendingTasks();
+            assertThat(listener.body.toString()).isEqualTo("body");
+            assertThat(next.body.toString()).isEmpty();
+            assertThat(next.end).isNull();
+        }
+
+        /** Guards against bytes on an idle connection that are taken for the response to a request which isn't sent yet. */
+        @Test
+        void endsWhereBytesComeBeforeTheNextRequest() {
+            request(HttpMethod.GET);
+            receive(RESPONSE);
+            connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
+            receive(EXTRA);
+            assertThat(next.body.toString()).isEmpty();
+            assertThat(next.lost).isTrue();
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        @Test
+        void givesTheNextRequestItsResponseOnTheSameConnection() {
+            request(HttpMethod.GET);
+            receive(RESPONSE);
+            UpstreamExchange exchange = connections.open(new UpstreamCall(UPSTREAM, identity("r2")), next);
+            exchange.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+            receive(RESPONSE.replace("r1", "r2").replace("body", "next"));
+            assertThat(next.body.toString()).isEqualTo("next");
+            assertThat(next.end).isEqualTo(ResponseEnd.STATED);
+        }
+
+        /** Guards against a connection that carries the next request while the final response to the last one is still due. */
+        @Test
+        void doesNotTakePlaceAfterAnInterimResponse() {
+            request(HttpMethod.GET);
+            receive("HTTP/1.1 103 Early Hints\r\n\r\n");
+            assertThat(listener.end).isNull();
+            receive(RESPONSE);
+            assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
+            assertThat(listener.body.toString()).isEqualTo("body");
+        }
+    }
+
     @Nested
     class LongBody {
         private static final int BODY_BYTES = 1_000_000;
@@ -215,7 +292,7 @@
                 part.release();
             }
             assertThat(written.skipBytes(written.readableBytes() - BODY_BYTES)).isEqualTo(numbered());
-            receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            receive("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
             assertThat(listener.end).isEqualTo(ResponseEnd.STATED);
             assertThat(channel.isActive()).isTrue();
         }
@@ -287,6 +364,7 @@
     /** Records what the listener of an exchange receives. */
     private static final class RecordingListener implements UpstreamListener {
         private final StringBuilder body = new StringBuilder();
+        private Runnable onComplete = () -> {};
         private ResponseEnd end;
         private boolean lost;
         private int connectFailures;
@@ -314,6 +392,7 @@
         @Override
         public void onResponseComplete(ResponseEnd responseEnd) {
             end = responseEnd;
+            onComplete.run();
         }
 
         @Override
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -2,33 +2,36 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.relay.RelayMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Connects to upstreams on the loopback address.
  */
 class UpstreamConnectionsTest {
     private static final long LIMIT_SECONDS = 20;
+    private static final int SMALL_WINDOW_BYTES = 16 << 10;
+    private static final int LONG_BODY_BYTES = 8 << 20;
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -38,6 +41,11 @@
         loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
+    private RecordedExchange exchange(UpstreamPaths paths, int requestBytes) {
+        EventLoop loop = loops.next();
+        return new RecordedExchange(loop, new UpstreamConnections(loop, 1_000, 1_000, paths), "r1", 1, requestBytes);
+    }
+
     private static byte[] frame(RelayMessage message) {
         ByteBuf encoded = PeerCodec.encode(message, RelayMessage.class);
         byte[] bytes = ByteBufUtil.getBytes(encoded);
@@ -54,12 +62,42 @@
         String refusing = refusingAddress();
         try (ServerSocket relay = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture.runAsync(() -> answer(relay));
-            Exchange exchange = new Exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()));
+            RecordedExchange exchange = exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()), 0);
             exchange.open(refusing);
             assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("ok");
         }
     }
 
+    /**
+     * Guards against half of a response that its caller gets as a whole one: it has no length, and its connection is reset
+     * while the request is still being written.
+     */
+    @Test
+    void takesNoResetForTheEndOfAResponseWhileTheRequestIsBeingWritten() throws Exception {
+        try (ServerSocket upstream = new ServerSocket()) {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
+            CompletableFuture.runAsync(() -> answerHalfAndReset(upstream, exchange.begun));
+            exchange.open("127.0.0.1:" + upstream.getLocalPort());
+            assertThatThrownBy(() -> exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                    .isInstanceOf(ExecutionException.class)
+                    .hasCauseInstanceOf(IOException.class);
+        }
+    }
+
+    /** Reads the beginning of a long request, answers with half of a body without a length, and resets the connection. */
+    private static void answerHalfAndReset(ServerSocket upstream, CompletableFuture<Void> received) {
+        try (Socket accepted = upstream.accept()) {
+            accepted.getInputStream().readNBytes(SMALL_WINDOW_BYTES);
+            accepted.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
+            received.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            accepted.setSoLinger(true, 0);
+        } catch (IOException | InterruptedException | ExecutionException | TimeoutException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private static String refusingAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return "127.0.0.1:" + socket.getLocalPort();
@@ -105,55 +143,4 @@
             failed = true;
         }
     }
-
-    /** Sends one request and receives its response. */
-    private final class Exchange implements UpstreamListener {
-        private final CompletableFuture<String> body = new CompletableFuture<>();
-        private final UpstreamConnections connections;
-        private final StringBuilder received = new StringBuilder();
-        private UpstreamExchange exchange;
-
-        Exchange(UpstreamPaths paths) {
-            connections = new UpstreamConnections(loops.next(), 1_000, 1_000, paths);
-        }
-
-        void open(String address) {
-            loops.next().execute(() -> exchange = connections.open(address, this, true));
-        }
-
-        @Override
-        public void onConnected() {
-            exchange.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/record"));
-            exchange.read();
-        }
-
-        @Override
-        public void onConnectFailed() {
-            body.completeExceptionally(new IOException("no connection"));
-        }
-
-        @Override
-        public void onResponseHead(HttpResponse response) {}
-
-        @Override
-        public void onContent(ByteBuf content) {
-            received.append(content.toString(StandardCharsets.US_ASCII));
-            content.release();
-        }
-
-        @Override
-        public void onReadComplete() {
-            exchange.read();
-        }
-
-        @Override
-        public void onResponseComplete(ResponseEnd end) {
-            body.complete(received.toString());
-        }
-
-        @Override
-        public void onConnectionLost(Throwable cause) {
-            body.completeExceptionally(cause);
-        }
-    }
 }
