--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -232,9 +232,8 @@
             while (!closedJournals.isEmpty() && closedJournals.peek().highestIndex() <= snapshot.lastIndex()) {
                 storage.delete(closedJournals.remove().name());
             }
-            List<String> earlier = storage.list(SNAPSHOT_PREFIX).stream()
-                    .filter(name -> name.compareTo(nameOf(SNAPSHOT_PREFIX, snapshot.lastIndex())) < 0)
-                    .filter(name -> !name.endsWith(Storage.TEMPORARY_SUFFIX))
+            List<String> earlier = listSnapshots().stream()
+                    .filter(name -> numberOf(name, SNAPSHOT_PREFIX) < snapshot.lastIndex())
                     .toList();
             for (String name : earlier.subList(0, Math.max(0, earlier.size() - KEPT_EARLIER_SNAPSHOTS))) {
                 storage.delete(name);
@@ -247,10 +246,22 @@
     /** Deletes the snapshots of earlier processes that are incomplete or never took effect. */
     private void deleteUnusedSnapshots(long indexInEffect) throws IOException {
         for (String name : storage.list(SNAPSHOT_PREFIX)) {
-            if (name.endsWith(Storage.TEMPORARY_SUFFIX) || numberOf(name, SNAPSHOT_PREFIX) > indexInEffect) {
+            if (name.endsWith(Storage.TEMPORARY_SUFFIX)) {
                 storage.delete(name);
             }
         }
+        for (String name : listSnapshots()) {
+            if (numberOf(name, SNAPSHOT_PREFIX) > indexInEffect) {
+                storage.delete(name);
+            }
+        }
+    }
+
+    /** Returns the names of the complete snapshots, without copies that an operator has made. */
+    private List<String> listSnapshots() throws IOException {
+        return storage.list(SNAPSHOT_PREFIX).stream()
+                .filter(name -> name.length() == SNAPSHOT_PREFIX.length() + NUMBER_DIGITS)
+                .toList();
     }
 
     private static String nameOf(String prefix, long number) {
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -303,8 +303,11 @@
             prepareSnapshotAndEnd(9);
             Path incomplete = folder.path().resolve("snapshot-00000000000000000010.tmp");
             Files.write(incomplete, new byte[] {1, 2, 3});
+            Path copyOfAnOperator = folder.path().resolve("snapshot-00000000000000000008.copy");
+            Files.write(copyOfAnOperator, new byte[] {1, 2, 3});
             recover();
-            assertThat(files("snapshot-")).containsExactly(folder.path().resolve("snapshot-00000000000000000008"));
+            assertThat(files("snapshot-"))
+                    .containsExactly(folder.path().resolve("snapshot-00000000000000000008"), copyOfAnOperator);
         }
 
         private void prepareSnapshotAndEnd(long index) {
