Check catalogues on a thread of their own

Seen: while catalogues of 4 MB were published on a loaded machine, leaders changed with nearly every one, and orders got 503 again and again; once one was not acknowledged within 30 s (LargeCatalogueTest, short routes).

Cause: the control thread decoded the catalogue, which took it 0.4 s, as long as an election timeout, so that its heartbeats came too late.

Change: the catalogue is decoded and checked on a thread of its own, in the order of the orders; only the proposal runs on the control thread.

--- a/node/src/main/java/org/radishspur/node/group/OperatorService.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorService.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
 
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.error.RadishspurException;
@@ -44,6 +46,11 @@
     private final int operatorPort;
     private final EventLog events;
     private final ControlMetrics metrics;
+    private final Executor checker = Executors.newSingleThreadExecutor(action -> {
+        Thread thread = new Thread(action, "catalogue-check");
+        thread.setDaemon(true);
+        return thread;
+    });
 
     OperatorService(
             ControlLoop loop,
@@ -127,27 +134,45 @@
         }
     }
 
+    /**
+     * Checks a catalogue on a thread of its own, as that takes longer than an election timeout for a large one, and
+     * proposes it if it is valid.
+     */
     private void publish(String text, String target, AnswerListener listener) {
+        checker.execute(() -> {
+            Check check = check(text);
+            loop.execute(() -> {
+                if (check.refusal().isPresent()) {
+                    listener.onAnswer(check.refusal().get());
+                } else {
+                    CatalogueState.Document document = new CatalogueState.Document(check.revision(), text);
+                    propose(
+                            new ControlCommand.PublishCatalogue(document, System.currentTimeMillis()),
+                            target,
+                            listener);
+                }
+            });
+        });
+    }
+
+    private Check check(String text) {
         long bytes = bytesInMemory(text);
         if (bytes > MAX_DOCUMENT_BYTES) {
             String problem = "takes " + bytes + " bytes, at most " + MAX_DOCUMENT_BYTES + " are accepted";
-            listener.onAnswer(Answer.of(TOO_LARGE, dialect.encode(List.of(new TableFault("", problem)))));
-            return;
+            return refusal(TOO_LARGE, List.of(new TableFault("", problem)));
         }
-        Catalogue catalogue;
         try {
-            catalogue = dialect.decodeCatalogue(text);
+            Catalogue catalogue = dialect.decodeCatalogue(text);
+            return catalogue.faults().isEmpty()
+                    ? new Check(Optional.empty(), catalogue.revision())
+                    : refusal(BAD_REQUEST, catalogue.faults());
         } catch (RadishspurException exception) {
-            List<TableFault> faults = List.of(new TableFault("", exception.getMessage()));
-            listener.onAnswer(Answer.of(BAD_REQUEST, dialect.encode(faults)));
-            return;
-        }
-        if (!catalogue.faults().isEmpty()) {
-            listener.onAnswer(Answer.of(BAD_REQUEST, dialect.encode(catalogue.faults())));
-            return;
+            return refusal(BAD_REQUEST, List.of(new TableFault("", exception.getMessage())));
         }
-        CatalogueState.Document document = new CatalogueState.Document(catalogue.revision(), text);
-        propose(new ControlCommand.PublishCatalogue(document, System.currentTimeMillis()), target, listener);
+    }
+
+    private Check refusal(int status, List<TableFault> faults) {
+        return new Check(Optional.of(Answer.of(status, dialect.encode(faults))), 0);
     }
 
     private static long bytesInMemory(String text) {
@@ -190,6 +215,14 @@
         return new Answer(TEMPORARY_REDIRECT, "", Optional.of(location));
     }
 
+    /**
+     * The result of the check of a catalogue.
+     *
+     * @param refusal the answer if the catalogue is refused.
+     * @param revision its revision otherwise.
+     */
+    private record Check(Optional<Answer> refusal, long revision) {}
+
     /**
      * Builds an answer from the current state.
      */
