--- a/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
+++ b/node/src/main/java/org/radishspur/node/dialect/CallerDialect.java
@@ -30,7 +30,7 @@
     void rewriteHeaders(HttpHeaders headers, ForwardParameters parameters);
 
     /**
-     * Returns by what the response to a request is told from others.
+     * Returns how the response to a request is distinguished from those to others.
      *
      * @param requestId the caller's identifier of the request, empty where it is missing.
      * @return the identity of the request.
--- a/node/src/main/java/org/radishspur/node/upstream/RequestIdentity.java
+++ b/node/src/main/java/org/radishspur/node/upstream/RequestIdentity.java
@@ -3,13 +3,13 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Tells the response to a request from responses to others, by an identifier that upstreams repeat.
+ * Distinguishes the response to a request from those to others, by an identifier that upstreams repeat.
  *
  * @param header the name of the response header with the identifier.
  * @param id the identifier of the request, empty where it has none.
  */
 public record RequestIdentity(String header, String id) {
-    /** The identity of a request whose response can't be told from others. */
+    /** The identity of a request whose response can't be distinguished from others. */
     public static final RequestIdentity NONE = new RequestIdentity("", "");
 
     /**
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -25,7 +25,7 @@
  * A connection to an upstream, which carries one exchange at a time.
  *
  * <p>An upstream may send a response a second time, where the response to a later request is due, and only the identifier of
- * the request tells them apart. So that it always does, a connection carries each request once only, carries no further one
+ * the request distinguishes them. So that it always does, a connection carries each request once only, carries no further one
  * after a response without an identifier, and goes back to the idle ones only when the read that has completed a response
  * holds nothing else. Bytes while no response is due close it, and so does an exchange that did not end cleanly.
  */
@@ -74,7 +74,7 @@
                 .addLast(this);
     }
 
-    /** Returns whether the response to a request could be told from all others on this connection. */
+    /** Returns whether the response to a request could be distinguished from all others on this connection. */
     boolean mayCarry(RequestIdentity request) {
         return request.isStated() && !sentRequests.mayContain(request);
     }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamExchange.java
@@ -32,7 +32,7 @@
     }
 
     /**
-     * Returns a name of the connection and of the exchange on it, by which a log tells apart the sendings of one request.
+     * Returns a name of the connection and of the exchange on it, by which a log distinguishes the sendings of one request.
      *
      * @return the number of the connection at its traffic thread and that of the exchange on it, as in {@code 7.3}; the
      *     number of a relayed connection begins with an {@code r}.
--- a/node/src/test/java/org/radishspur/node/upstream/RecordedExchange.java
+++ b/node/src/test/java/org/radishspur/node/upstream/RecordedExchange.java
@@ -21,7 +21,7 @@
     /** The header by which upstreams of the tests repeat the identifier of a request. */
     static final String ID_HEADER = "Id";
 
-    /** The header that tells the sendings of one request apart for the upstreams of the tests. */
+    /** The header by which the upstreams of the tests distinguish the sendings of one request. */
     static final String SENDING_HEADER = "Sending";
 
     /** The body of the response, or why there is none. */
--- a/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
@@ -66,7 +66,7 @@
 
     /** Guards against a connection that carries so many requests that what it remembers of them fills the memory. */
     @Test
-    void isToldFromOthersOnAConnectionThatIsReplacedInTime() throws Exception {
+    void isDistinguishedOnAConnectionThatIsReplacedInTime() throws Exception {
         try (Upstream upstream = new Upstream(0, 0, 1);
                 Caller caller = new Caller(upstream)) {
             for (int request = 0; request <= SentRequests.MAX_REQUESTS; request++) {
--- a/replication/src/main/java/org/radishspur/replication/raft/LogSender.java
+++ b/replication/src/main/java/org/radishspur/replication/raft/LogSender.java
@@ -26,8 +26,8 @@
 
     /** Sends what the peer lacks, or a heartbeat; what it hasn't acknowledged for long is sent again. */
     void sendDue(String peer, Progress state, Leadership leader) {
-        long patience = options.electionTimeoutMillis() + unacknowledgedBytes(state) / SLOW_LINK_BYTES_PER_MILLI;
-        if (state.unacknowledgedSince > 0 && leader.clock() - state.unacknowledgedSince > patience) {
+        long resendMillis = options.electionTimeoutMillis() + unacknowledgedBytes(state) / SLOW_LINK_BYTES_PER_MILLI;
+        if (state.unacknowledgedSince > 0 && leader.clock() - state.unacknowledgedSince > resendMillis) {
             state.unacknowledgedSince = 0;
             state.nextIndex = state.matchIndex + 1;
         }
--- a/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
+++ b/testkit/src/main/java/org/radishspur/testkit/upstream/StandInUpstream.java
@@ -220,7 +220,7 @@
             }
         }
 
-        /** Repeats the identifier of the request, so that its response is told from others. */
+        /** Repeats the identifier of the request, so that its response is distinguished from others. */
         private void identify(HttpResponse response) {
             response.headers().set(UpstreamHeaders.REQUEST, identifier);
         }
