--- a/replication/src/main/java/org/radishspur/replication/codec/MessagePack.java
+++ b/replication/src/main/java/org/radishspur/replication/codec/MessagePack.java
@@ -56,7 +56,22 @@
      * @throws RadishspurException if the bytes don't hold a value of this type.
      */
     public <T> T decode(byte[] bytes, Class<T> type) {
-        try (MessageUnpacker unpacker = org.msgpack.core.MessagePack.newDefaultUnpacker(bytes)) {
+        return decode(bytes, 0, bytes.length, type);
+    }
+
+    /**
+     * Decodes a value that lies among other bytes.
+     *
+     * @param bytes the bytes.
+     * @param offset the position of the value in them.
+     * @param length the number of bytes of the value.
+     * @param type the type as which the value was encoded.
+     * @param <T> the type of the value.
+     * @return the value.
+     * @throws RadishspurException if the bytes don't hold a value of this type.
+     */
+    public <T> T decode(byte[] bytes, int offset, int length, Class<T> type) {
+        try (MessageUnpacker unpacker = org.msgpack.core.MessagePack.newDefaultUnpacker(bytes, offset, length)) {
             return type.cast(formats.of(type).read(unpacker));
         } catch (IOException | MessagePackException | IllegalArgumentException exception) {
             throw new RadishspurException(ErrorCode.FRAME_INVALID, "can't decode a " + type.getSimpleName(), exception);
--- a/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/FileDisk.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
@@ -29,7 +30,10 @@
     private static final String JOURNAL_PREFIX = "journal-";
     private static final long FIRST_JOURNAL = 1;
     private static final String SNAPSHOT_PREFIX = "snapshot-";
-    private static final long DEFAULT_JOURNAL_BYTES = 16L << 20;
+
+    /** The size after which a journal is closed, in bytes; a journal is read as a whole when a process starts. */
+    private static final long DEFAULT_JOURNAL_BYTES = 8L << 20;
+
     private static final int KEPT_EARLIER_SNAPSHOTS = 1;
 
     private final Storage storage;
@@ -168,19 +172,18 @@
     }
 
     private void replayJournal(String name, boolean last, JournalReplay replay) throws IOException {
-        JournalCodec.IntactPrefix intact = JournalCodec.read(storage.read(name), last, name);
-        long highest = 0;
-        for (JournalRecord record : intact.records()) {
+        AtomicLong highest = new AtomicLong();
+        long length = JournalCodec.read(storage.read(name), last, name, record -> {
             if (!record.replica().equals(identity.replica())) {
                 throw new RadishspurException(
                         ErrorCode.FOREIGN_DATA, name + " was written by replica " + record.replica());
             }
-            highest = Math.max(highest, replay.apply(record));
-        }
+            highest.accumulateAndGet(replay.apply(record), Math::max);
+        });
         if (last) {
-            currentJournal = new JournalWriter(storage, name, intact.length(), highest);
+            currentJournal = new JournalWriter(storage, name, length, highest.get());
         } else {
-            closedJournals.add(new ClosedJournal(name, highest));
+            closedJournals.add(new ClosedJournal(name, highest.get()));
         }
     }
 
--- a/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
+++ b/replication/src/main/java/org/radishspur/replication/disk/JournalCodec.java
@@ -1,8 +1,7 @@
 package org.radishspur.replication.disk;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
 import org.radishspur.model.error.ErrorCode;
@@ -33,7 +32,8 @@
     }
 
     /**
-     * Reads the intact records at the beginning of a journal.
+     * Reads the intact records at the beginning of a journal, and passes them on one by one, as all of them together may
+     * take much more memory than those that are still needed.
      *
      * <p>Corruption must not be taken for a torn tail. Each batch is one record and is synced before the next one is
      * written, so a crash can tear only the last record. An intact record after a damaged one proves that the damaged
@@ -43,11 +43,11 @@
      * @param bytes the content of the journal.
      * @param last whether this is the latest journal, whose last record may be torn.
      * @param name the name of the file, for error messages.
-     * @return the intact records and their length.
+     * @param receiver receives the records in their order.
+     * @return the length of the intact records with headers, in bytes.
      * @throws RadishspurException if the journal is damaged elsewhere than at a torn tail.
      */
-    static IntactPrefix read(byte[] bytes, boolean last, String name) {
-        List<JournalRecord> records = new ArrayList<>();
+    static long read(byte[] bytes, boolean last, String name, Consumer<JournalRecord> receiver) {
         int position = 0;
         while (position < bytes.length) {
             int length = recordLengthAt(bytes, position);
@@ -58,12 +58,10 @@
                 }
                 break;
             }
-            byte[] payload =
-                    java.util.Arrays.copyOfRange(bytes, position + HEADER_BYTES, position + HEADER_BYTES + length);
-            records.add(MessagePack.INSTANCE.decode(payload, JournalRecord.class));
+            receiver.accept(MessagePack.INSTANCE.decode(bytes, position + HEADER_BYTES, length, JournalRecord.class));
             position += HEADER_BYTES + length;
         }
-        return new IntactPrefix(records, position);
+        return position;
     }
 
     private static boolean hasIntactRecordFrom(byte[] bytes, int from) {
@@ -97,12 +95,4 @@
         checksum.update(bytes, offset, length);
         return (int) checksum.getValue();
     }
-
-    /**
-     * Holds the intact records at the beginning of a journal.
-     *
-     * @param records the records.
-     * @param length their length with headers, in bytes.
-     */
-    record IntactPrefix(List<JournalRecord> records, long length) {}
 }
--- a/replication/src/test/java/org/radishspur/replication/disk/EarlierRecord.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/EarlierRecord.java
@@ -22,9 +22,8 @@
 
     /** Returns the content of a journal as the earlier version would have written it. */
     static byte[] rewrite(byte[] journal, String name) {
-        JournalCodec.IntactPrefix intact = JournalCodec.read(journal, true, name);
         ByteArrayOutputStream rewritten = new ByteArrayOutputStream();
-        for (JournalRecord record : intact.records()) {
+        long length = JournalCodec.read(journal, true, name, record -> {
             EarlierRecord earlier = new EarlierRecord(
                     record.replica(),
                     record.hardState(),
@@ -34,8 +33,8 @@
             byte[] frame =
                     JournalCodec.frame(MessagePack.INSTANCE.encode(earlier)).array();
             rewritten.write(frame, 0, frame.length);
-        }
-        rewritten.write(journal, (int) intact.length(), journal.length - (int) intact.length());
+        });
+        rewritten.write(journal, (int) length, journal.length - (int) length);
         return rewritten.toByteArray();
     }
 }
