--- a/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -54,14 +52,13 @@
     Path folder;
 
     private ProcessCluster cluster;
-    private ServerSocket upstream;
+    private ConnectionServer upstream;
 
     @BeforeEach
     void start() throws IOException {
         cluster = new ProcessCluster(folder, TIMEOUTS);
-        upstream = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        startThread(this::accept);
-        UpstreamRow row = new UpstreamRow("service", "127.0.0.1:" + upstream.getLocalPort(), "a", "plain", false);
+        upstream = new ConnectionServer(this::answer);
+        UpstreamRow row = new UpstreamRow("service", upstream.address(), "a", "plain", false);
         PoolRow pool = new PoolRow("services", PoolKind.SERVICE, List.of(row), 5_000, 1, Map.of());
         cluster.install(pool, ProcessCluster.routeRow("record", "services", true));
     }
@@ -72,44 +69,23 @@
         upstream.close();
     }
 
-    private static void startThread(Runnable action) {
-        Thread thread = new Thread(action, "upstream");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept() {
-        try {
-            while (true) {
-                Socket socket = upstream.accept();
-                startThread(() -> answer(socket));
-            }
-        } catch (IOException exception) {
-            // The test has ended.
-        }
-    }
-
     /** Refuses the first request after a while; sends the answers to the others in parts, then closes. */
-    private void answer(Socket accepted) {
-        try (Socket socket = accepted) {
-            readRequest(socket);
-            OutputStream output = socket.getOutputStream();
-            if (requests.getAndIncrement() == 0) {
-                firstArrived.countDown();
-                pause(REFUSAL_DELAY_MILLIS);
-                write(
-                        output,
-                        "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n" + UpstreamHeaders.ADMISSION
-                                + ": refused\r\n\r\n");
-                return;
-            }
-            write(output, "HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\nConnection: close\r\n\r\n");
-            for (int part = 0; part < PARTS; part++) {
-                pause(PART_INTERVAL_MILLIS);
-                write(output, "x");
-            }
-        } catch (IOException exception) {
-            // The node has closed the connection.
+    private void answer(Socket socket) throws IOException {
+        readRequest(socket);
+        OutputStream output = socket.getOutputStream();
+        if (requests.getAndIncrement() == 0) {
+            firstArrived.countDown();
+            pause(REFUSAL_DELAY_MILLIS);
+            write(
+                    output,
+                    "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n" + UpstreamHeaders.ADMISSION
+                            + ": refused\r\n\r\n");
+            return;
+        }
+        write(output, "HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\nConnection: close\r\n\r\n");
+        for (int part = 0; part < PARTS; part++) {
+            pause(PART_INTERVAL_MILLIS);
+            write(output, "x");
         }
     }
 
--- a/testkit/src/test/java/org/radishspur/testkit/process/RepeatedAnswerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/RepeatedAnswerTest.java
@@ -3,8 +3,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -38,16 +36,15 @@
     Path folder;
 
     private ProcessCluster cluster;
-    private ServerSocket upstream;
+    private ConnectionServer upstream;
     private volatile boolean namesRequests;
     private volatile boolean repeats;
 
     @BeforeEach
     void start() throws IOException {
         cluster = new ProcessCluster(folder);
-        upstream = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        startThread(this::accept);
-        UpstreamRow row = new UpstreamRow("service", "127.0.0.1:" + upstream.getLocalPort(), "a", "plain", false);
+        upstream = new ConnectionServer(this::serve);
+        UpstreamRow row = new UpstreamRow("service", upstream.address(), "a", "plain", false);
         cluster.install(
                 ProcessCluster.poolRow("services", PoolKind.SERVICE, List.of(row)),
                 ProcessCluster.routeRow("record", "services", false));
@@ -59,36 +56,15 @@
         upstream.close();
     }
 
-    private static void startThread(Runnable action) {
-        Thread thread = new Thread(action, "repeating-upstream");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept() {
-        try {
-            while (true) {
-                Socket socket = upstream.accept();
-                connections.incrementAndGet();
-                startThread(() -> serve(socket));
-            }
-        } catch (IOException exception) {
-            // The test has ended.
-        }
-    }
-
     /** Answers each request with its own body. */
-    private void serve(Socket socket) {
-        try (socket) {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            String copy = "";
-            for (String answer = answer(reader); !answer.isEmpty(); answer = answer(reader)) {
-                socket.getOutputStream().write((copy + answer).getBytes(StandardCharsets.ISO_8859_1));
-                copy = repeats ? answer : "";
-            }
-        } catch (IOException exception) {
-            // The node has closed the connection.
+    private void serve(Socket socket) throws IOException {
+        connections.incrementAndGet();
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        String copy = "";
+        for (String answer = answer(reader); !answer.isEmpty(); answer = answer(reader)) {
+            socket.getOutputStream().write((copy + answer).getBytes(StandardCharsets.ISO_8859_1));
+            copy = repeats ? answer : "";
         }
     }
 
