Copy short byte arrays when a message is encoded

Cause: since byte arrays aren't copied, each one ends the packer's buffer, and the next one is begun with 8 KB, which costs more than copying some hundred bytes.

Change: arrays below the size of such a buffer are copied again.

--- a/replication/src/main/java/org/radishspur/replication/codec/Format.java
+++ b/replication/src/main/java/org/radishspur/replication/codec/Format.java
@@ -31,6 +31,9 @@
  * which prolongs the time without a leader when a small host restarts after a failure.
  */
 interface Format {
+    /** The size from which on a byte array isn't copied, in bytes; without a copy, the packer begins a new buffer of this size. */
+    int MIN_UNCOPIED_BYTES = 8 << 10;
+
     /**
      * Writes a value.
      *
@@ -131,7 +134,13 @@
         BYTES(byte[].class, byte[].class) {
             @Override
             public void write(Object value, MessagePacker packer) throws IOException {
-                packer.packBinaryHeader(((byte[]) value).length).addPayload((byte[]) value);
+                byte[] bytes = (byte[]) value;
+                packer.packBinaryHeader(bytes.length);
+                if (bytes.length < MIN_UNCOPIED_BYTES) {
+                    packer.writePayload(bytes);
+                } else {
+                    packer.addPayload(bytes);
+                }
             }
 
             @Override
