--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -174,6 +174,27 @@
             assertThat(recover().entries()).extracting(LogEntry::term).containsExactly(2L);
         }
 
+        /** Guards against an operator who is told to look for an earlier version that has never written to this disk. */
+        @Test
+        void entriesOfThisVersionAreRecoveredWithoutANote() throws IOException {
+            long next = writeUntilASecondJournalBegins();
+            write(snapshot(next - 2, 1));
+            assertThat(linesLoggedBy(() -> assertThat(recover().entries()).hasSize(1)))
+                    .isEmpty();
+        }
+
+        /** Guards against a log that silently ends too early, as a journal is lost that the snapshot doesn't cover. */
+        @Test
+        void aLogThatEndsTooEarlyIsReported() throws IOException {
+            write(entries(1, 1, 4), snapshot(2, 1));
+            Files.delete(lastJournal());
+            try (Storage.AppendFile journal = folder.storage().open(String.format("journal-%020d", 2))) {
+                journal.append(JournalCodec.frame(
+                        new JournalRecord(IDENTITY.replica(), Optional.empty(), List.of(), 2, 1, 4)));
+            }
+            assertErrorCode(ErrorCode.LOG_CORRUPT, FileDiskTest.this::recover);
+        }
+
         /** Writes entries one by one until the second journal has one, and returns the index of the next entry. */
         private long writeUntilASecondJournalBegins() throws IOException {
             long next = 1;
