Hold each part that keeps a response with its sending by a test

Each part of the fixes for late copies and for responses that are reset early was taken out in turn, 19 in all. Seven made no test of the module node fail but for tests of other parts that cover the same bytes:

- a request without an identifier gets a connection of its own
- bytes on an idle connection close it before the next request is sent
- a head that names two requests is malformed
- bytes behind a complete response in the same read end the connection
- a copy that was discarded ends the connection
- an orderly close ends a response without a length, directly and behind a relay; without it such responses were lost, which only tests with processes showed

Each of the new tests fails without its part and passes with it.

--- a/node/src/test/java/org/radishspur/node/upstream/JoinedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/JoinedResponseTest.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.upstream;
 
 import java.nio.charset.StandardCharsets;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -59,8 +60,11 @@
         return connections.open(new UpstreamCall(UPSTREAM, new RequestIdentity("Id", "r2"), false, false), second);
     }
 
-    private void receive(String text) {
-        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    /** Receives buffers in one read. */
+    private void receive(String... buffers) {
+        channel.writeInbound(Stream.of(buffers)
+                .map(text -> Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1))
+                .toArray());
     }
 
     /** Guards against a failure that is read as a success, since bytes behind an earlier response stay in the decoder. */
@@ -94,6 +98,15 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Guards against a request that fails at a sound upstream, as its response is joined with bytes that came before it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nDate: now"})
+    void doesNotFollowBytesOnAnIdleConnection(String begun) {
+        receive(FIRST);
+        receive(begun);
+        assertThat(channel.isActive()).isFalse();
+    }
+
     /** Guards against a failure that is read as a success, since bytes before the request was written are kept. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nDate: now"})
@@ -186,6 +199,33 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Guards against the rest of a late copy that is read as the response to the next request on the connection. */
+    @Test
+    void doesNotFollowACopyThatIsCutWithinItsBody() {
+        receive(FIRST, COPY.substring(0, COPY.length() - 2));
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against further copies on a connection that has shown that its upstream sends responses twice. */
+    @Test
+    void endsTheConnectionBehindACopy() {
+        receive(FIRST);
+        send(openSecond(), HttpMethod.POST);
+        receive(COPY + FAILURE);
+        assertThat(second.status).isEqualTo(500);
+        assertThat(channel.isActive()).isFalse();
+    }
+
+    /** Guards against a success that is made of parts of two responses, whose status lines aren't both in the head. */
+    @Test
+    void isNotPassedOnWhereItNamesTwoRequests() {
+        receive(FIRST);
+        send(openSecond(), HttpMethod.POST);
+        receive("HTTP/1.1 200 OK\r\nId: r2\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(second.status).isZero();
+        assertThat(second.ended).isTrue();
+    }
+
     /** Guards against a failure that is read as a success, where the begun response comes after the request was written. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nDate: now"})
--- a/node/src/test/java/org/radishspur/node/upstream/RecordedExchange.java
+++ b/node/src/test/java/org/radishspur/node/upstream/RecordedExchange.java
@@ -46,8 +46,8 @@
     }
 
     void open(String address) {
-        RequestIdentity identity =
-                new RequestIdentity(ID_HEADER, request.headers().get(ID_HEADER));
+        String id = request.headers().get(ID_HEADER);
+        RequestIdentity identity = id.isEmpty() ? RequestIdentity.NONE : new RequestIdentity(ID_HEADER, id);
         loop.execute(() -> exchange = connections.open(new UpstreamCall(address, identity, true, true), this));
     }
 
--- a/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/RepeatedResponseTest.java
@@ -64,6 +64,16 @@
         }
     }
 
+    /** Guards against the late copy of an earlier response that answers a request which has no identifier to compare. */
+    @Test
+    void isNotTakenForTheResponseToARequestWithoutAnIdentifier() throws Exception {
+        try (Upstream upstream = new Upstream(1, 0, 1);
+                Caller caller = new Caller(upstream)) {
+            assertThat(caller.send("r1", 1)).isEqualTo("answer 1");
+            assertThat(caller.send("", 2)).isEqualTo("answer 2");
+        }
+    }
+
     /** Guards against a connection that carries so many requests that what it remembers of them fills the memory. */
     @Test
     void isDistinguishedOnAConnectionThatIsReplacedInTime() throws Exception {
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -1,6 +1,7 @@
 package org.radishspur.node.upstream;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -32,6 +33,7 @@
     private static final long LIMIT_SECONDS = 20;
     private static final int SMALL_WINDOW_BYTES = 16 << 10;
     private static final int LONG_BODY_BYTES = 8 << 20;
+    private static final String WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\n\r\nwhole";
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -61,7 +63,10 @@
     void usesARelayedConnectionAfterTheDirectOneHasFailed() throws Exception {
         String refusing = refusingAddress();
         try (ServerSocket relay = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            CompletableFuture.runAsync(() -> answer(relay));
+            CompletableFuture.runAsync(() -> relay(
+                    relay,
+                    new RelayMessage.Opened(RelayMessage.Result.CONNECTED),
+                    new RelayMessage.Data(RESPONSE.getBytes(StandardCharsets.US_ASCII))));
             RecordedExchange exchange = exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()), 0);
             exchange.open(refusing);
             assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("ok");
@@ -86,6 +91,45 @@
         }
     }
 
+    /** Guards against a response without a length that is lost although its upstream has sent and closed all in order. */
+    @Test
+    void takesAnOrderlyCloseForTheEndOfAResponse() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, 0);
+            CompletableFuture.runAsync(() -> answerAndClose(upstream));
+            exchange.open("127.0.0.1:" + upstream.getLocalPort());
+            assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("whole");
+        }
+    }
+
+    /** Guards against the same behind a relay, whose host tells of an orderly close in a message. */
+    @Test
+    void takesAnOrderlyCloseBehindARelayForTheEndOfAResponse() throws Exception {
+        String refusing = refusingAddress();
+        try (ServerSocket relay = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture.runAsync(() -> relay(
+                    relay,
+                    new RelayMessage.Opened(RelayMessage.Result.CONNECTED),
+                    new RelayMessage.Data(WITHOUT_LENGTH.getBytes(StandardCharsets.US_ASCII)),
+                    new RelayMessage.End()));
+            RecordedExchange exchange = exchange(new BrokenAfterAFailure("127.0.0.1:" + relay.getLocalPort()), 0);
+            exchange.open(refusing);
+            assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("whole");
+        }
+    }
+
+    /** Reads a request, answers without a length, and closes the connection. */
+    private static void answerAndClose(ServerSocket upstream) {
+        try (Socket accepted = upstream.accept()) {
+            accepted.getInputStream().read(new byte[SMALL_WINDOW_BYTES]);
+            accepted.getOutputStream().write(WITHOUT_LENGTH.getBytes(StandardCharsets.US_ASCII));
+            accepted.shutdownOutput();
+            accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     /** Reads the beginning of a long request, answers with half of a body without a length, and resets the connection. */
     private static void answerHalfAndReset(ServerSocket upstream, CompletableFuture<Void> received) {
         try (Socket accepted = upstream.accept()) {
@@ -104,13 +148,13 @@
         }
     }
 
-    /** Accepts one relayed connection, and answers the request on it. */
-    private static void answer(ServerSocket relay) {
+    /** Accepts one relayed connection, and sends messages on it. */
+    private static void relay(ServerSocket relay, RelayMessage... messages) {
         try (Socket accepted = relay.accept()) {
             accepted.getInputStream().read();
-            accepted.getOutputStream().write(frame(new RelayMessage.Opened(RelayMessage.Result.CONNECTED)));
-            accepted.getOutputStream()
-                    .write(frame(new RelayMessage.Data(RESPONSE.getBytes(StandardCharsets.US_ASCII))));
+            for (RelayMessage message : messages) {
+                accepted.getOutputStream().write(frame(message));
+            }
             while (accepted.getInputStream().read() >= 0) {
                 // Reads on until the other end closes.
             }
