Use one clock for the links of the entry in tests

Cause, in the fixture: losses were recorded at 0 ms of a clock of its own, while the periodic check looks at the links by the process's clock. If the check came due between the cut and the failed connection, 60 ms later, the losses were older than three seconds by that clock and the entry counted as reaching upstreams again. The losses now have times of the same clock.

--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -63,6 +63,10 @@
  */
 final class EntryFixture implements AutoCloseable {
     private static final long DEADLINE_MILLIS = 10_000;
+
+    /** Longer than the time in which other upstreams may show that the links work, in milliseconds. */
+    private static final long LOSS_AGE_MILLIS = 500;
+
     private static final int PART_BYTES = 16 << 10;
     private static final String RESUME_AFTER = "resume-after";
     private static final HostPort UNUSED_ADDRESS = HostPort.parse("127.0.0.1:1");
@@ -78,9 +82,10 @@
     private HostList hosts;
     private final List<Rollout> rollouts;
     private final VersionCounters versionCounters = new VersionCounters();
-    private long linkMillis;
+    private long linkClockOffsetMillis;
     private UpstreamReach reach = UpstreamReach.REACHED;
-    private final LinkMonitor linkMonitor = new LinkMonitor(events, changed -> reach = changed, () -> linkMillis);
+    private final LinkMonitor linkMonitor =
+            new LinkMonitor(events, changed -> reach = changed, () -> EntryServices.now() + linkClockOffsetMillis);
     private boolean connectsAutomatically = true;
     private int checks;
     private int entryCount = 1;
@@ -180,11 +185,15 @@
         connectsAutomatically = false;
     }
 
-    /** Lets this entry find that it has lost its direct connections to all upstreams. */
+    /**
+     * Lets this entry find that it has lost its direct connections to all upstreams. The times are those of the clock, by
+     * which the periodic check looks at the connections too if it comes due meanwhile.
+     */
     void cutOff() {
+        linkClockOffsetMillis = -LOSS_AGE_MILLIS;
         hosts.upstreams().forEach(upstream -> linkMonitor.paths().recordLoss(upstream.address()));
-        linkMillis += 1_000;
-        linkMonitor.check(linkMillis);
+        linkClockOffsetMillis = 0;
+        linkMonitor.check(EntryServices.now());
     }
 
     /** Lets the periodic check run as if a time had passed since the last byte. */
