Send a rejected request on when the rest of its rejection doesn't come

Callers saw: a request whose upstream rejected it, and stalled within the body of the rejection, waited until its deadline and got 504, although the head says that nothing has run and another upstream had a slot.

Cause: the attempt ends with the rejection's last byte, so that the connection may be reused, and nothing bounded that wait but the deadline.

Change: after 200 ms without a byte of a rejection its connection is closed, and the request goes on as after a complete one. Whether it has run is known from the head alone. Second attempts are checked too, as a stalled one kept its request from getting a further one.

Evidence: isNotAwaitedWhereItStalls and isNotLeftAloneByASecondUpstreamWhoseRejectionStalls fail without their line of RequestAttempts.checkSilence each; isAwaitedForAMoment holds that a connection isn't given up within the delay of a link.

--- a/node/src/main/java/org/radishspur/node/entry/AttemptTimes.java
+++ b/node/src/main/java/org/radishspur/node/entry/AttemptTimes.java
@@ -24,6 +24,11 @@
         lastByteAt = now;
     }
 
+    /** Records the arrival of a part of a response that is discarded. */
+    void recordDiscarded(long now) {
+        lastByteAt = now;
+    }
+
     /** Records the arrival of a part of the body, and returns whether it is the first. */
     boolean recordBytes(long now) {
         boolean first = !firstByteReceived;
--- a/node/src/main/java/org/radishspur/node/entry/Hedge.java
+++ b/node/src/main/java/org/radishspur/node/entry/Hedge.java
@@ -200,6 +200,13 @@
         end();
     }
 
+    /** Ends the second attempt if the rest of a rejection doesn't come. */
+    void checkRejection(long now) {
+        if (attempt != null) {
+            attempt.checkRejection(now);
+        }
+    }
+
     void read() {
         if (attempt != null) {
             attempt.read();
--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -63,6 +63,10 @@
      * silent for longer than a sound upstream, so that it doesn't keep the requests of others waiting.
      */
     void checkSilence(long now) {
+        hedge.checkRejection(now);
+        if (attempt != null) {
+            attempt.checkRejection(now);
+        }
         if (attempt == null) {
             return;
         }
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -39,6 +39,9 @@
     /** The maximum size of a response that is discarded so that its connection may be reused, in bytes. */
     private static final int MAX_DISCARDED_BYTES = 64 << 10;
 
+    /** The maximum wait for the rest of a rejection, so that its connection may be reused, in milliseconds. */
+    private static final long MAX_REJECTION_SILENCE_MILLIS = 200;
+
     /** The number of events of a stream after which the event time of a not yet measured upstream is reported early. */
     private static final long EARLY_REPORT_EVENTS = 6;
 
@@ -300,6 +303,7 @@
     public void onContent(ByteBuf content) {
         try {
             if (phase == Phase.DRAINING) {
+                times.recordDiscarded(EntryServices.now());
                 discard(content.readableBytes());
             }
             if (phase != Phase.RUNNING || responseHead == null) {
@@ -441,7 +445,7 @@
     public void onResponseComplete(ResponseEnd end) {
         Phase before = phase;
         requestWritten = exchange.isRequestWritten();
-        if (before == Phase.DRAINING && (kind == ResponseKind.NOT_RUN || kind == ResponseKind.WRONG_INSTANCE)) {
+        if (isRejectionIncomplete()) {
             endNotRun();
             return;
         }
@@ -486,6 +490,19 @@
                 && splitter.isInsideEvent();
     }
 
+    /** Returns whether the response is a rejection whose end is due. */
+    private boolean isRejectionIncomplete() {
+        return phase == Phase.DRAINING && (kind == ResponseKind.NOT_RUN || kind == ResponseKind.WRONG_INSTANCE);
+    }
+
+    /** Ends the attempt if the upstream has rejected the request and doesn't send the rest of the rejection. */
+    void checkRejection(long now) {
+        if (isRejectionIncomplete() && times.silentMillis(now) > MAX_REJECTION_SILENCE_MILLIS) {
+            exchange.abort();
+            endNotRun();
+        }
+    }
+
     private void endNotRun() {
         // The second attempt is charged to no quota, so the charge of this one has to stay.
         SlotOutcome notRun = caller.attempts().isSecondRequested() ? SlotOutcome.ABANDONED : SlotOutcome.NOT_RUN;
@@ -534,7 +551,7 @@
     /** {@inheritDoc} */
     @Override
     public void onConnectionLost(Throwable cause) {
-        if (phase == Phase.DRAINING && (kind == ResponseKind.NOT_RUN || kind == ResponseKind.WRONG_INSTANCE)) {
+        if (isRejectionIncomplete()) {
             endNotRun();
             return;
         }
--- a/node/src/test/java/org/radishspur/node/entry/HedgeTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/HedgeTest.java
@@ -147,6 +147,20 @@
             }
         }
 
+        /** Guards against a request that gets no further attempt, as the rest of a rejection of the second doesn't come. */
+        @Test
+        void isNotLeftAloneByASecondUpstreamWhoseRejectionStalls() {
+            try (EntryFixture entry = streamOfSilentUpstream(3)) {
+                entry.exchange(1).sendHead(503);
+                entry.checkSilenceAfter(2 * SILENCE_MILLIS);
+                assertThat(entry.exchange(1).isAborted()).isTrue();
+                entry.exchange(0).sendHead(OK);
+                entry.exchange(0).sendBody(event(1));
+                entry.exchange(0).complete();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(OK, event(1), true));
+            }
+        }
+
         /** Guards against a request that is lost because no other upstream has a slot. */
         @Test
         void keepsItsRequestWhenThereIsNoOtherUpstream() {
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -322,6 +322,9 @@
 
     @Nested
     class DiscardedResponse {
+        private static final long STALL_MILLIS = 500;
+        private static final long LINK_DELAY_MILLIS = 100;
+
         /** Guards against a connection that nobody reads or closes any more, as its request has ended within a rejection. */
         @Test
         void isNotLeftUnreadWhenItsCallerLeaves() {
@@ -364,6 +367,35 @@
             }
         }
 
+        /** Guards against a request that isn't sent again until its deadline, as the rest of its rejection doesn't come. */
+        @Test
+        void isNotAwaitedWhereItStalls() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(503);
+                entry.exchange(0).sendBody("fu");
+                entry.checkSilenceAfter(STALL_MILLIS);
+                assertThat(entry.exchange(0).isAborted()).isTrue();
+                entry.exchange(1).sendHead(200);
+                entry.exchange(1).sendBody("done");
+                entry.exchange(1).complete();
+                assertThat(entry.received()).isEqualTo(new ReceivedResponse(200, "done", true));
+            }
+        }
+
+        /** Guards against a connection that is closed although the rest of a rejection is about to come. */
+        @Test
+        void isAwaitedForAMoment() {
+            try (EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 2)) {
+                entry.request();
+                entry.exchange(0).sendHead(503);
+                entry.checkSilenceAfter(LINK_DELAY_MILLIS);
+                assertThat(entry.exchange(0).isAborted()).isFalse();
+                entry.exchange(0).complete();
+                assertThat(entry.exchanges()).isEqualTo(2);
+            }
+        }
+
         /** Guards against a request that waits until its deadline for the end of a rejection. */
         @Test
         void endsTheAttemptWhereItHasNoEnd() {
