Leave schedulers that have fallen silent their share of a quota

Cause: a scheduler charges what it admits and what its peers report. A peer that is cut off reports nothing and goes on admitting, and each group of schedulers gave the whole limit away. Nothing tells a peer that is cut off from one that has ended.

Change: the exchange of reports counts how many of the schedulers in the view have reported lately. While some haven't, a limit over a window counts what is admitted as if the silent ones admitted as much for each of theirs, from the beginning of their silence on; what was used before is known to all and counts once. So the groups together stay within the limit. It ends with the first reports, which state the true use. A peer is silent only after it could have reported, so that nothing changes at a start.

What it costs: while a scheduler has ended and isn't back, an organisation gets less than its limit, two thirds with one of three.

Evidence: keepsTheHardLimitWhileSchedulersAreCutOffFromEachOther (200 draws in virtual time, two to four groups) fails without the count of own or of others' use; WindowLimitTest.WhileASchedulerIsSilent and LoadReportExchangeTest.SilentPeers have a test for each further part, each shown to fail without it.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -29,6 +29,7 @@
     private final QuotaCounts counts = new QuotaCounts();
     private long startedAt = NOT_STARTED;
     private long observesFrom = NOT_STARTED;
+    private double reportingShare = 1;
     private final Map<String, UsageLimit> limits = new HashMap<>();
     private final Map<String, Long> ownUse = new HashMap<>();
     private final Map<String, Map<String, PeerUse>> peerUse = new HashMap<>();
@@ -52,6 +53,16 @@
         observesFrom = now;
     }
 
+    /**
+     * Sets how many of the schedulers report their use, so that limits over a window leave room for the others.
+     *
+     * @param reporting the number of schedulers that have reported lately, this one included.
+     * @param all the number of all schedulers.
+     */
+    public void setReporting(int reporting, int all) {
+        reportingShare = Math.min(1, (double) reporting / all);
+    }
+
     /**
      * Charges the cost of a request to the limit of its organisation, if the limit allows it.
      *
@@ -196,7 +207,7 @@
 
     private UsageLimit limitOf(OrganisationRule organisation, long now) {
         UsageLimit limit = limits.computeIfAbsent(organisation.name(), key -> createLimit(organisation, now));
-        limit.refresh(organisation, countSchedulers(organisation, now), now);
+        limit.refresh(organisation, countSchedulers(organisation, now), reportingShare, now);
         return limit;
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
@@ -65,7 +65,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public void refresh(OrganisationRule organisation, int schedulers, long now) {
+    public void refresh(OrganisationRule organisation, int schedulers, double reportingShare, long now) {
         ratePerSecond = organisation.ratePerSecond();
         capacity = organisation.burst() + tolerance.burstAmount();
         double toleratedRate = ratePerSecond * (1 + tolerance.rateShare());
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -15,9 +15,10 @@
      *
      * @param organisation the organisation with its limit.
      * @param schedulers the number of schedulers that admit its requests.
+     * @param reportingShare the share of the schedulers whose use is known, this one included.
      * @param now the current time in milliseconds.
      */
-    void refresh(OrganisationRule organisation, int schedulers, long now);
+    void refresh(OrganisationRule organisation, int schedulers, double reportingShare, long now);
 
     /**
      * Charges a cost if the limit allows it.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
@@ -35,6 +35,21 @@
         return total;
     }
 
+    /** Returns the use that has not expired and was added for a time or later ones. */
+    double totalSince(long since) {
+        double sum = 0;
+        for (long slice = Math.max(sliceAt(since), oldest()); slice <= newest; slice++) {
+            sum += slices[indexOf(slice)];
+        }
+        return sum;
+    }
+
+    /** Removes all use. */
+    void clear() {
+        Arrays.fill(slices, 0);
+        total = 0;
+    }
+
     /** Removes the use that has expired. */
     void advance(long now) {
         long current = sliceAt(now);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -36,6 +36,10 @@
     private final Tolerance tolerance;
     private final QuotaCounts counts;
     private final UsageWindow window;
+
+    /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
+    private final UsageWindow unseen;
+
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
     private final Deque<Scaling> scalings = new ArrayDeque<>();
@@ -43,6 +47,7 @@
     private double limit;
     private double toleratedExcess;
     private double onTimeReserve;
+    private double reportingShare = 1;
 
     /**
      * Creates a limit in which the time before this scheduler started counts as used at the rate of the limit and with
@@ -59,18 +64,22 @@
         this.counts = counts;
         observedFrom = startedAt + tolerance.windowMillis();
         window = new UsageWindow(tolerance.windowMillis(), now);
+        unseen = new UsageWindow(tolerance.windowMillis(), now);
         window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
         window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
     }
 
     /** {@inheritDoc} */
     @Override
-    public void refresh(OrganisationRule organisation, int schedulers, long now) {
+    public void refresh(OrganisationRule organisation, int schedulers, double newReportingShare, long now) {
         window.advance(now);
+        unseen.advance(now);
+        setReportingShare(newReportingShare, now);
         double newLimit = rateOverWindow(organisation) + organisation.burst();
         if (newLimit < limit) {
             // The use before was allowed by the higher limit, so it must not block requests within the lower one.
             window.scale(newLimit / limit);
+            unseen.scale(newLimit / limit);
             scalings.addLast(new Scaling(now, newLimit / limit));
         }
         while (!scalings.isEmpty() && scalings.peekFirst().at() <= now - tolerance.windowMillis()) {
@@ -81,13 +90,33 @@
         onTimeReserve = (organisation.burst() + tolerance.burstAmount()) * ON_TIME_RESERVE_SHARE;
     }
 
+    /**
+     * Sets the share of the schedulers whose use is known. The others may be cut off rather than have ended, and admit
+     * requests as well. Each group that sees only its own members therefore counts its use as if the schedulers outside
+     * used as much for each of theirs; then all groups together stay within the limit.
+     */
+    private void setReportingShare(double share, long now) {
+        if (share >= 1 && reportingShare < 1) {
+            // All report again, so that their use since is known.
+            unseen.clear();
+        } else if (share < 1 && reportingShare >= 1) {
+            long silentSince = now - QuotaLedger.PEER_SILENCE_MILLIS;
+            unseen.addEvenly(unseenFor(window.totalSince(silentSince), share), silentSince, now);
+        }
+        reportingShare = Math.min(1, share);
+    }
+
+    private static double unseenFor(double use, double share) {
+        return use * (1 / Math.min(1, share) - 1);
+    }
+
     /** {@inheritDoc} */
     @Override
     public Optional<Long> tryCharge(double cost, boolean late, long now) {
         boolean small = sizes.isSmall(cost);
         sizes.add(cost);
         // A request that costs more than the limit is admitted when nothing else is in use, or it would never run.
-        double counted = Math.min(cost, limit);
+        double counted = Math.min(cost / reportingShare, limit);
         double excess = use() + counted - limit;
         double missing = excess - maxExcess(late, small, now);
         if (missing > ROUNDING) {
@@ -111,7 +140,7 @@
     }
 
     private double use() {
-        return window.total() + ownWaiting;
+        return window.total() + unseen.total() + ownWaiting / reportingShare;
     }
 
     /** {@inheritDoc} */
@@ -120,6 +149,8 @@
         ownWaiting -= cost;
         window.advance(now);
         window.add(cost, now);
+        unseen.advance(now);
+        unseen.add(unseenFor(cost, reportingShare), now);
     }
 
     /** {@inheritDoc} */
@@ -132,6 +163,7 @@
     @Override
     public void refundStarted(double cost, long startedAt) {
         window.remove(cost * scaleSince(startedAt), startedAt);
+        unseen.remove(unseenFor(cost, reportingShare) * scaleSince(startedAt), startedAt);
     }
 
     /** {@inheritDoc} */
@@ -153,6 +185,7 @@
         long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
         if (started > 0) {
             window.addEvenly(started, previous.reportedAt(), latest.reportedAt());
+            unseen.addEvenly(unseenFor(started, reportingShare), previous.reportedAt(), latest.reportedAt());
         } else {
             window.remove(-started, latest.reportedAt());
         }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -19,12 +20,22 @@
 final class QuotaFleet {
     static final long REPORT_MILLIS = 40;
 
+    /** The time without a report after which a scheduler counts as silent, in milliseconds. */
+    private static final long SILENCE_MILLIS = 900;
+
     private final OrganisationRule rule;
     private final QuotaLedger.Tolerance tolerance;
     private final Random random;
     private final long reportDelayMillis;
     private final double lostReportShare;
     private final QuotaLedger[] ledgers;
+
+    /** The group of each scheduler; those of different groups are cut off from each other. */
+    private final int[] groups;
+
+    /** When each scheduler has last received a report of each other one, by the receiver. */
+    private final long[][] reportedAt;
+
     private int incarnation;
 
     private final PriorityQueue<Waiting> waiting =
@@ -48,6 +59,8 @@
         this.lostReportShare = lostReportShare;
         this.random = random;
         ledgers = new QuotaLedger[schedulers];
+        groups = new int[schedulers];
+        reportedAt = new long[schedulers][schedulers];
         restart();
     }
 
@@ -62,6 +75,18 @@
         reports.clear();
     }
 
+    /** Cuts the schedulers into groups at random, which lose the reports of each other. */
+    void cut(int count) {
+        for (int index = 0; index < groups.length; index++) {
+            groups[index] = random.nextInt(count);
+        }
+    }
+
+    /** Ends the cut. */
+    void join() {
+        Arrays.fill(groups, 0);
+    }
+
     /** Advances by a millisecond. */
     void advance(long now) {
         while (!waiting.isEmpty() && waiting.peek().at <= now) {
@@ -72,6 +97,7 @@
         }
         if (now % REPORT_MILLIS == 0) {
             sendReports(now);
+            countReporting(now);
         }
         while (!reports.isEmpty() && reports.peek().at <= now) {
             deliver(reports.remove(), now);
@@ -92,14 +118,25 @@
             Map<String, Long> use = new HashMap<>(ledgers[from].ownUse());
             Map<String, Long> waitingPart = ledgers[from].ownWaitingUse();
             for (int to = 0; to < ledgers.length; to++) {
-                if (from != to && random.nextDouble() >= lostReportShare) {
+                if (from != to && groups[from] == groups[to] && random.nextDouble() >= lostReportShare) {
                     reports.add(new Report(now + reportDelayMillis, from, to, use, waitingPart));
                 }
             }
         }
     }
 
+    private void countReporting(long now) {
+        for (int to = 0; to < ledgers.length; to++) {
+            int reporting = 1;
+            for (int from = 0; from < ledgers.length; from++) {
+                reporting += from != to && now - reportedAt[to][from] <= SILENCE_MILLIS ? 1 : 0;
+            }
+            ledgers[to].setReporting(reporting, ledgers.length);
+        }
+    }
+
     private void deliver(Report report, long now) {
+        reportedAt[report.to][report.from] = now;
         String peer = report.from + "/" + incarnation;
         report.use.forEach((name, total) ->
                 ledgers[report.to].recordPeerUse(peer, rule, total, report.waiting.getOrDefault(name, 0L), now));
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -34,6 +35,7 @@
     private static final long STALE_AFTER_LOSS_MILLIS = STALE_MILLIS + 5 * QuotaFleet.REPORT_MILLIS;
 
     private static final double FLOOD_FACTOR = 6;
+    private static final long CUT_AT_MILLIS = 15_000;
 
     /** Demand at a usual share of the rate, with floods, and phases in which admitted requests wait. */
     private static final class Demand {
@@ -135,4 +137,39 @@
         }
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
     }
+
+    /**
+     * Guards against a multiple of the hard limit at upstreams, while the schedulers are cut off from each other in groups
+     * and an organisation floods all of them, and against refusals within the limit once they see each other again.
+     */
+    @Property(tries = 200, seed = "4723")
+    void keepsTheHardLimitWhileSchedulersAreCutOffFromEachOther(
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @IntRange(min = 2, max = 4) int groups,
+            @ForAll @LongRange(min = 500, max = 12_000) long cutMillis,
+            @ForAll @LongRange(min = -4_000, max = 8_000) long floodMillis,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet = new QuotaFleet(RULE, TOLERANCE, SCHEDULERS, QuotaFleet.REPORT_MILLIS, 0, random);
+        Demand demand = new Demand(random, usualShare);
+        long joinedAt = CUT_AT_MILLIS + cutMillis;
+        demand.floodFrom(CUT_AT_MILLIS - floodMillis);
+        int refusedWithin = 0;
+        for (long now = 0; now < joinedAt + 2 * WINDOW_MILLIS; now++) {
+            if (now == CUT_AT_MILLIS) {
+                fleet.cut(groups);
+            } else if (now == joinedAt) {
+                fleet.join();
+            }
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                double cost = demand.cost();
+                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
+                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
+                refusedWithin += within && refused && now > joinedAt + WINDOW_MILLIS ? 1 : 0;
+            }
+        }
+        assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
+        assertThat(refusedWithin).isZero();
+    }
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -290,4 +290,78 @@
             assertThat(admit(100, OBSERVED)).isFalse();
         }
     }
+
+    /** One of two schedulers has fallen silent, so that this one may use half of the limit. */
+    @Nested
+    class WhileASchedulerIsSilent {
+        private static final long SILENT = OBSERVED + 2_000;
+
+        @BeforeEach
+        void hearNothing() {
+            ledger.recordPeerUse("peer/1", RULE, 0, OBSERVED);
+            ledger.setReporting(1, 2);
+        }
+
+        /** Guards against a limit that is used twice, as each of two schedulers takes the other for ended. */
+        @Test
+        void leavesTheOtherItsHalf() {
+            for (int count = 0; count < 5; count++) {
+                assertThat(admit(1_000, SILENT)).isTrue();
+            }
+            assertThat(admit(100, SILENT)).isFalse();
+        }
+
+        @Test
+        void countsARequestAsIfTheOtherAdmittedOneToo() {
+            assertThat(admit(2_000, SILENT)).isTrue();
+            assertThat(admit(3_500, SILENT)).isFalse();
+            assertThat(admit(3_000, SILENT)).isTrue();
+        }
+
+        @Test
+        void countsWaitingRequestsAsWell() {
+            assertThat(ledger.tryCharge(RULE, 2_000, false, SILENT)).isEmpty();
+            assertThat(ledger.tryCharge(RULE, 3_500, false, SILENT)).isPresent();
+        }
+
+        @Test
+        void takesBackWhatDidNotRun() {
+            assertThat(admit(5_000, SILENT)).isTrue();
+            ledger.refundGranted(RULE, 5_000, SILENT);
+            assertThat(admit(5_000, SILENT)).isTrue();
+        }
+
+        /** Guards against what both admit before they notice that they no longer hear each other. */
+        @Test
+        void countsTheTimeUntilTheSilenceWasNoticed() {
+            ledger.setReporting(2, 2);
+            assertThat(admit(4_000, SILENT - 600)).isTrue();
+            ledger.setReporting(1, 2);
+            assertThat(admit(1_100, SILENT)).isFalse();
+            assertThat(admit(1_000, SILENT)).isTrue();
+        }
+
+        /** Guards against refusals within the limit because use that the other knew of counts twice. */
+        @Test
+        void countsUseFromBeforeTheSilenceOnce() {
+            ledger.setReporting(2, 2);
+            assertThat(admit(4_000, SILENT - 1_500)).isTrue();
+            ledger.setReporting(1, 2);
+            assertThat(admit(3_000, SILENT)).isTrue();
+        }
+
+        /** Guards against refusals within the limit for a whole window after the cut. */
+        @Test
+        void allowsTheWholeLimitOnceTheOtherReportsAgain() {
+            assertThat(admit(5_000, SILENT)).isTrue();
+            ledger.setReporting(2, 2);
+            assertThat(admit(5_000, SILENT + 100)).isTrue();
+        }
+
+        @Test
+        void scalesWhatItCountsForTheOtherWithALowerLimit() {
+            assertThat(admit(4_000, SILENT)).isTrue();
+            assertThat(admit(ledger, rule(500, 1_000), 500, SILENT)).isTrue();
+        }
+    }
 }
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -82,6 +82,10 @@
     private final PublishRounds publishRounds = new PublishRounds(MIN_ROUND_MILLIS, MAX_MESSAGES_PER_SECOND);
     private final Map<String, Integer> connectionCounts = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
+
+    /** When each peer of the view has last reported or was added, by its address. */
+    private final Map<String, Long> lastHeardAt = new HashMap<>();
+
     private final PauseDetector pauses = new PauseDetector(MIN_ROUND_MILLIS);
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
     private long publishedCrashes;
@@ -109,6 +113,7 @@
      */
     void refresh(List<String> others) {
         publishRounds.setPeers(others);
+        lastHeardAt.keySet().retainAll(others);
         upstreams = upstreamsByDigest();
         limits.setUpstreams(upstreams);
         outcomes.keySet().retainAll(Set.copyOf(upstreams.values()));
@@ -123,6 +128,8 @@
     void publishIfDue(long now) {
         if (!pauses.onFired(now)) {
             removeLostPeers(now);
+            quotas.setReporting(
+                    1 + countReportingPeers(now), 1 + publishRounds.peers().size());
         }
         if (!publishRounds.beginRound(now)) {
             return;
@@ -183,6 +190,7 @@
     boolean onReport(FleetMessage.LoadReport report, Map<String, OrganisationRule> organisations, long now) {
         Peer peer = peers.computeIfAbsent(report.scheduler(), key -> new Peer());
         peer.receivedAt = now;
+        lastHeardAt.replace(report.scheduler().substring(0, report.scheduler().indexOf('/')), now);
         if (peer.loadForgotten) {
             peer.loadForgotten = false;
             peer.counts.forEach((digest, counts) -> recordPeerLoad(report.scheduler(), digest, counts));
@@ -259,6 +267,16 @@
         upstream.recordPeerPendingTokens(scheduler, 0);
     }
 
+    /** Counts the peers that have reported lately, or that were added to the view so lately that they couldn't. */
+    private int countReportingPeers(long now) {
+        long timeoutMillis = publishRounds.peerTimeoutMillis(PEER_TIMEOUT_MILLIS);
+        int reporting = 0;
+        for (String peer : publishRounds.peers()) {
+            reporting += now - lastHeardAt.computeIfAbsent(peer, key -> now) <= timeoutMillis ? 1 : 0;
+        }
+        return reporting;
+    }
+
     private void removeLostPeers(long now) {
         peers.forEach((scheduler, peer) -> {
             if (!peer.loadForgotten && peer.isSilent(publishRounds.peerTimeoutMillis(LOAD_TIMEOUT_MILLIS), now)) {
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -81,6 +82,67 @@
                 Map.of());
     }
 
+    @Nested
+    class SilentPeers {
+        private static final long WINDOW_MILLIS = 8_000;
+        private static final OrganisationRule RULE =
+                new OrganisationRule("organisation", Set.of("key"), 0, 1_000, 2_000, true, 10);
+
+        private long now;
+
+        @BeforeEach
+        void observeAWholeWindow() {
+            applyView(1);
+            hearUntil(WINDOW_MILLIS + 100);
+        }
+
+        private void hearUntil(long end) {
+            for (; now < end; now += TICK_MILLIS) {
+                exchange.onReport(report(true, 0), Map.of("organisation", RULE), now);
+                exchange.publishIfDue(now);
+            }
+        }
+
+        private void hearNothingUntil(long end) {
+            for (; now < end; now += TICK_MILLIS) {
+                exchange.publishIfDue(now);
+            }
+        }
+
+        private boolean admit(double cost) {
+            return quotas.tryCharge(RULE, cost, false, now).isEmpty();
+        }
+
+        /** Guards against a quota that is used twice, as two schedulers that are cut off take each other for ended. */
+        @Test
+        void keepTheirShareOfAQuota() {
+            quotas.observeFrom(0);
+            hearNothingUntil(now + 2_000);
+            assertThat(admit(2_000)).isTrue();
+            assertThat(admit(4_000)).isFalse();
+        }
+
+        /** Guards against refusals within a quota at each start, before the first reports can have come. */
+        @Test
+        void countAsReportingUntilTheyCouldHaveReported() {
+            applyView(2);
+            quotas.observeFrom(0);
+            exchange.publishIfDue(now);
+            assertThat(admit(2_000)).isTrue();
+            assertThat(admit(4_000)).isTrue();
+        }
+
+        /** Guards against refusals within a quota once all schedulers hear each other again. */
+        @Test
+        void leaveTheirShareAgainOnceTheyReport() {
+            quotas.observeFrom(0);
+            hearNothingUntil(now + 2_000);
+            hearUntil(now + 1_000);
+            assertThat(admit(2_000)).isTrue();
+            assertThat(admit(4_000)).isTrue();
+        }
+    }
+
     @Nested
     class Publishing {
         /** Guards against a cost of publishing that grows with the number of schedulers. */
