Give the check of rejections and the arrival of uncounted bytes names of their own

Two methods of AttemptTimes did the same, and the check for silent upstreams asked twice whether there is an attempt.

--- a/node/src/main/java/org/radishspur/node/entry/AttemptTimes.java
+++ b/node/src/main/java/org/radishspur/node/entry/AttemptTimes.java
@@ -20,12 +20,8 @@
         lastByteAt = now;
     }
 
-    void recordHead(long now) {
-        lastByteAt = now;
-    }
-
-    /** Records the arrival of a part of a response that is discarded. */
-    void recordDiscarded(long now) {
+    /** Records the arrival of bytes that end a silence only: a head, or a part of a response that is discarded. */
+    void recordArrival(long now) {
         lastByteAt = now;
     }
 
--- a/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
+++ b/node/src/main/java/org/radishspur/node/entry/RequestAttempts.java
@@ -63,10 +63,7 @@
      * silent for longer than a sound upstream, so that it doesn't keep the requests of others waiting.
      */
     void checkSilence(long now) {
-        hedge.checkRejection(now);
-        if (attempt != null) {
-            attempt.checkRejection(now);
-        }
+        checkRejections(now);
         if (attempt == null) {
             return;
         }
@@ -83,6 +80,14 @@
         hedge.request(pathBroken, now);
     }
 
+    /** Ends the attempts whose upstreams have rejected the request and don't send the rest of the rejection. */
+    private void checkRejections(long now) {
+        hedge.checkRejection(now);
+        if (attempt != null) {
+            attempt.checkRejection(now);
+        }
+    }
+
     /** Returns whether there is an attempt, rather than only the wait for a slot. */
     boolean hasAttempt() {
         return attempt != null;
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -235,7 +235,7 @@
         }
         kind = services.dialect().classify(response);
         long now = EntryServices.now();
-        times.recordHead(now);
+        times.recordArrival(now);
         responseHead = response;
         if (kind != ResponseKind.WRONG_INSTANCE) {
             unreportedLimit = Optional.of(services.dialect().decodeLimit(response));
@@ -303,7 +303,7 @@
     public void onContent(ByteBuf content) {
         try {
             if (phase == Phase.DRAINING) {
-                times.recordDiscarded(EntryServices.now());
+                times.recordArrival(EntryServices.now());
                 discard(content.readableBytes());
             }
             if (phase != Phase.RUNNING || responseHead == null) {
