--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -38,7 +38,7 @@
     private final UsageWindow window;
 
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
-    private final UsageWindow unseen;
+    private final UsageWindow assumed;
 
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
@@ -64,7 +64,7 @@
         this.counts = counts;
         observedFrom = startedAt + tolerance.windowMillis();
         window = new UsageWindow(tolerance.windowMillis(), now);
-        unseen = new UsageWindow(tolerance.windowMillis(), now);
+        assumed = new UsageWindow(tolerance.windowMillis(), now);
         window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
         window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
     }
@@ -73,13 +73,13 @@
     @Override
     public void refresh(OrganisationRule organisation, int schedulers, double newReportingShare, long now) {
         window.advance(now);
-        unseen.advance(now);
+        assumed.advance(now);
         setReportingShare(newReportingShare, now);
         double newLimit = rateOverWindow(organisation) + organisation.burst();
         if (newLimit < limit) {
             // The use before was allowed by the higher limit, so it must not block requests within the lower one.
             window.scale(newLimit / limit);
-            unseen.scale(newLimit / limit);
+            assumed.scale(newLimit / limit);
             scalings.addLast(new Scaling(now, newLimit / limit));
         }
         while (!scalings.isEmpty() && scalings.peekFirst().at() <= now - tolerance.windowMillis()) {
@@ -98,15 +98,15 @@
     private void setReportingShare(double share, long now) {
         if (share >= 1 && reportingShare < 1) {
             // All report again, so that their use since is known.
-            unseen.clear();
+            assumed.clear();
         } else if (share < 1 && reportingShare >= 1) {
             long silentSince = now - QuotaLedger.PEER_SILENCE_MILLIS;
-            unseen.addEvenly(unseenFor(window.totalSince(silentSince), share), silentSince, now);
+            assumed.addEvenly(assumedFor(window.totalSince(silentSince), share), silentSince, now);
         }
         reportingShare = Math.min(1, share);
     }
 
-    private static double unseenFor(double use, double share) {
+    private static double assumedFor(double use, double share) {
         return use * (1 / Math.min(1, share) - 1);
     }
 
@@ -140,7 +140,7 @@
     }
 
     private double use() {
-        return window.total() + unseen.total() + ownWaiting / reportingShare;
+        return window.total() + assumed.total() + ownWaiting / reportingShare;
     }
 
     /** {@inheritDoc} */
@@ -149,8 +149,8 @@
         ownWaiting -= cost;
         window.advance(now);
         window.add(cost, now);
-        unseen.advance(now);
-        unseen.add(unseenFor(cost, reportingShare), now);
+        assumed.advance(now);
+        assumed.add(assumedFor(cost, reportingShare), now);
     }
 
     /** {@inheritDoc} */
@@ -163,7 +163,7 @@
     @Override
     public void refundStarted(double cost, long startedAt) {
         window.remove(cost * scaleSince(startedAt), startedAt);
-        unseen.remove(unseenFor(cost, reportingShare) * scaleSince(startedAt), startedAt);
+        assumed.remove(assumedFor(cost, reportingShare) * scaleSince(startedAt), startedAt);
     }
 
     /** {@inheritDoc} */
@@ -185,7 +185,7 @@
         long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
         if (started > 0) {
             window.addEvenly(started, previous.reportedAt(), latest.reportedAt());
-            unseen.addEvenly(unseenFor(started, reportingShare), previous.reportedAt(), latest.reportedAt());
+            assumed.addEvenly(assumedFor(started, reportingShare), previous.reportedAt(), latest.reportedAt());
         } else {
             window.remove(-started, latest.reportedAt());
         }
