Say report where the field does

Cause: lines of the shares for silent schedulers, and of tests beside them, said hear, and tell, where the project says report.

Change: names and comments only, one private field among them.

Measured: LoadReportExchangeTest, WindowLimitTest, WindowLimitPropertyTest, UpstreamConnectionsTest and FileDiskTest pass; Checkstyle and formatter clean.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -297,7 +297,7 @@
         private static final long SILENT = OBSERVED + 2_000;
 
         @BeforeEach
-        void hearNothing() {
+        void receiveNoReports() {
             ledger.recordPeerUse("peer/1", RULE, 0, OBSERVED);
             ledger.setReporting(1, 2);
         }
@@ -331,7 +331,7 @@
             assertThat(admit(5_000, SILENT)).isTrue();
         }
 
-        /** Guards against what both admit before they notice that they no longer hear each other. */
+        /** Guards against what both admit before they notice that they receive no reports of each other. */
         @Test
         void countsTheTimeUntilTheSilenceWasNoticed() {
             ledger.setReporting(2, 2);
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -84,7 +84,7 @@
     private final Map<String, Peer> peers = new HashMap<>();
 
     /** When each peer of the view has last reported or was added, by its address. */
-    private final Map<String, Long> lastHeardAt = new HashMap<>();
+    private final Map<String, Long> lastReportAt = new HashMap<>();
 
     private final PauseDetector pauses = new PauseDetector(MIN_ROUND_MILLIS);
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
@@ -113,7 +113,7 @@
      */
     void refresh(List<String> others) {
         publishRounds.setPeers(others);
-        lastHeardAt.keySet().retainAll(others);
+        lastReportAt.keySet().retainAll(others);
         upstreams = upstreamsByDigest();
         limits.setUpstreams(upstreams);
         outcomes.keySet().retainAll(Set.copyOf(upstreams.values()));
@@ -190,7 +190,7 @@
     boolean onReport(FleetMessage.LoadReport report, Map<String, OrganisationRule> organisations, long now) {
         Peer peer = peers.computeIfAbsent(report.scheduler(), key -> new Peer());
         peer.receivedAt = now;
-        lastHeardAt.replace(report.scheduler().substring(0, report.scheduler().indexOf('/')), now);
+        lastReportAt.replace(report.scheduler().substring(0, report.scheduler().indexOf('/')), now);
         if (peer.loadForgotten) {
             peer.loadForgotten = false;
             peer.counts.forEach((digest, counts) -> recordPeerLoad(report.scheduler(), digest, counts));
@@ -272,7 +272,7 @@
         long timeoutMillis = publishRounds.peerTimeoutMillis(PEER_TIMEOUT_MILLIS);
         int reporting = 0;
         for (String peer : publishRounds.peers()) {
-            reporting += now - lastHeardAt.computeIfAbsent(peer, key -> now) <= timeoutMillis ? 1 : 0;
+            reporting += now - lastReportAt.computeIfAbsent(peer, key -> now) <= timeoutMillis ? 1 : 0;
         }
         return reporting;
     }
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -93,17 +93,17 @@
         @BeforeEach
         void observeAWholeWindow() {
             applyView(1);
-            hearUntil(WINDOW_MILLIS + 100);
+            receiveReportsUntil(WINDOW_MILLIS + 100);
         }
 
-        private void hearUntil(long end) {
+        private void receiveReportsUntil(long end) {
             for (; now < end; now += TICK_MILLIS) {
                 exchange.onReport(report(true, 0), Map.of("organisation", RULE), now);
                 exchange.publishIfDue(now);
             }
         }
 
-        private void hearNothingUntil(long end) {
+        private void receiveNothingUntil(long end) {
             for (; now < end; now += TICK_MILLIS) {
                 exchange.publishIfDue(now);
             }
@@ -117,7 +117,7 @@
         @Test
         void keepTheirShareOfAQuota() {
             quotas.observeFrom(0);
-            hearNothingUntil(now + 2_000);
+            receiveNothingUntil(now + 2_000);
             assertThat(admit(2_000)).isTrue();
             assertThat(admit(4_000)).isFalse();
         }
@@ -132,12 +132,12 @@
             assertThat(admit(4_000)).isTrue();
         }
 
-        /** Guards against refusals within a quota once all schedulers hear each other again. */
+        /** Guards against refusals within a quota once all schedulers receive reports of each other again. */
         @Test
         void leaveTheirShareAgainOnceTheyReport() {
             quotas.observeFrom(0);
-            hearNothingUntil(now + 2_000);
-            hearUntil(now + 1_000);
+            receiveNothingUntil(now + 2_000);
+            receiveReportsUntil(now + 1_000);
             assertThat(admit(2_000)).isTrue();
             assertThat(admit(4_000)).isTrue();
         }
--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -102,7 +102,7 @@
         }
     }
 
-    /** Guards against the same behind a relay, whose host tells of an orderly close in a message. */
+    /** Guards against the same behind a relay, whose host reports an orderly close by a message. */
     @Test
     void takesAnOrderlyCloseBehindARelayForTheEndOfAResponse() throws Exception {
         String refusing = refusingAddress();
--- a/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
+++ b/replication/src/test/java/org/radishspur/replication/disk/FileDiskTest.java
@@ -174,7 +174,7 @@
             assertThat(recover().entries()).extracting(LogEntry::term).containsExactly(2L);
         }
 
-        /** Guards against an operator who is told to look for an earlier version that has never written to this disk. */
+        /** Guards against a warning about an earlier version where none has written to the disk. */
         @Test
         void entriesOfThisVersionAreRecoveredWithoutANote() throws IOException {
             long next = writeUntilASecondJournalBegins();
