Test half responses by framing and by the end of their connection

Cause: while a request is still being written, only a reset of a response without a length had a test on the level of connections. A length, chunks, a close with bytes unread and a half close had none there.

Change: eight rows of framing and ending in place of that test, which is one of them with the same check; and that an orderly close still ends a response then.

--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -20,6 +19,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.relay.RelayMessage;
 
@@ -73,24 +74,6 @@
         }
     }
 
-    /**
-     * Guards against half of a response that its caller gets as a whole one: it has no length, and its connection is reset
-     * while the request is still being written.
-     */
-    @Test
-    void takesNoResetForTheEndOfAResponseWhileTheRequestIsBeingWritten() throws Exception {
-        try (ServerSocket upstream = new ServerSocket()) {
-            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
-            upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
-            CompletableFuture.runAsync(() -> answerHalfAndReset(upstream, exchange.begun));
-            exchange.open("127.0.0.1:" + upstream.getLocalPort());
-            assertThatThrownBy(() -> exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS))
-                    .isInstanceOf(ExecutionException.class)
-                    .hasCauseInstanceOf(IOException.class);
-        }
-    }
-
     /** Guards against a response without a length that is lost although its upstream has sent and closed all in order. */
     @Test
     void takesAnOrderlyCloseForTheEndOfAResponse() throws Exception {
@@ -130,18 +113,89 @@
         }
     }
 
-    /** Reads the beginning of a long request, answers with half of a body without a length, and resets the connection. */
-    private static void answerHalfAndReset(ServerSocket upstream, CompletableFuture<Void> received) {
-        try (Socket accepted = upstream.accept()) {
+    /** Guards against half of a response that counts as a whole one, however it states its end and its connection ends. */
+    @ParameterizedTest
+    @CsvSource({
+        "LENGTH, RESET",
+        "LENGTH, CLOSED_UNREAD",
+        "LENGTH, HALF_CLOSED",
+        "CHUNKS, RESET",
+        "CHUNKS, CLOSED_UNREAD",
+        "CHUNKS, HALF_CLOSED",
+        "NOTHING, RESET",
+        "NOTHING, CLOSED_UNREAD"
+    })
+    void takesNoHalfResponseForAWholeOneWhileTheRequestIsBeingWritten(StatedBy statedBy, Ending ending)
+            throws Exception {
+        RecordedExchange exchange = receiveHalf(statedBy, ending);
+        assertThatThrownBy(() -> exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .isInstanceOf(ExecutionException.class)
+                .hasCauseInstanceOf(IOException.class);
+    }
+
+    /** Guards against a response without a length that is lost, as its upstream closes in order before it has read all. */
+    @Test
+    void takesAnOrderlyCloseForTheEndOfAResponseWhileTheRequestIsBeingWritten() throws Exception {
+        RecordedExchange exchange = receiveHalf(StatedBy.NOTHING, Ending.HALF_CLOSED);
+        assertThat(exchange.body.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("half");
+    }
+
+    /** Sends a long request to an upstream that answers in the middle of it and ends the connection. */
+    private RecordedExchange receiveHalf(StatedBy statedBy, Ending ending) throws IOException {
+        try (ServerSocket upstream = new ServerSocket()) {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
+            exchange.open("127.0.0.1:" + upstream.getLocalPort());
+            Socket accepted = upstream.accept();
             accepted.getInputStream().readNBytes(SMALL_WINDOW_BYTES);
-            accepted.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
-            received.get(LIMIT_SECONDS, TimeUnit.SECONDS);
-            accepted.setSoLinger(true, 0);
-        } catch (IOException | InterruptedException | ExecutionException | TimeoutException exception) {
-            throw new IllegalStateException(exception);
+            accepted.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\n" + statedBy.half).getBytes(StandardCharsets.US_ASCII));
+            exchange.begun.orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join();
+            ending.end(accepted);
+            return exchange;
         }
     }
 
+    /** What states the end of a response of which half is sent. */
+    private enum StatedBy {
+        LENGTH("Content-Length: 8\r\n\r\nhalf"),
+        CHUNKS("Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+        NOTHING("\r\nhalf");
+
+        private final String half;
+
+        StatedBy(String half) {
+            this.half = half;
+        }
+    }
+
+    /** How an upstream ends a connection with a request that it hasn't read as a whole. */
+    private enum Ending {
+        RESET {
+            @Override
+            void end(Socket connection) throws IOException {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            }
+        },
+        /** The system resets a connection that is closed before all that has come is read. */
+        CLOSED_UNREAD {
+            @Override
+            void end(Socket connection) throws IOException {
+                connection.close();
+            }
+        },
+        HALF_CLOSED {
+            @Override
+            void end(Socket connection) throws IOException {
+                connection.shutdownOutput();
+            }
+        };
+
+        abstract void end(Socket connection) throws IOException;
+    }
+
     private static String refusingAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return "127.0.0.1:" + socket.getLocalPort();
