Close the test's upstream without an orderly end first

Java's Socket.close ends the output in order before it closes, so the entry may read an orderly end (traced by system calls: shutdown, the entry's read of 0 bytes, close), which is allowed to end such a response. The row had meant a reset alone, which a killed upstream sends.

Change: the upstream's socket belongs to a channel, which closes at once, and it waits until bytes are unread. A close after the end of the output gets rows of its own with a length and with chunks, where it must be recognised. The check is the same.

--- a/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/UpstreamConnectionsTest.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -119,9 +121,11 @@
         "LENGTH, RESET",
         "LENGTH, CLOSED_UNREAD",
         "LENGTH, HALF_CLOSED",
+        "LENGTH, CLOSED_UNREAD_AFTER_ITS_OUTPUT",
         "CHUNKS, RESET",
         "CHUNKS, CLOSED_UNREAD",
         "CHUNKS, HALF_CLOSED",
+        "CHUNKS, CLOSED_UNREAD_AFTER_ITS_OUTPUT",
         "NOTHING, RESET",
         "NOTHING, CLOSED_UNREAD"
     })
@@ -142,12 +146,12 @@
 
     /** Sends a long request to an upstream that answers in the middle of it and ends the connection. */
     private RecordedExchange receiveHalf(StatedBy statedBy, Ending ending) throws IOException {
-        try (ServerSocket upstream = new ServerSocket()) {
-            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+        try (ServerSocketChannel upstream = ServerSocketChannel.open()) {
+            upstream.setOption(StandardSocketOptions.SO_RCVBUF, SMALL_WINDOW_BYTES);
             upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             RecordedExchange exchange = exchange(UpstreamPaths.DirectOnly.INSTANCE, LONG_BODY_BYTES);
-            exchange.open("127.0.0.1:" + upstream.getLocalPort());
-            Socket accepted = upstream.accept();
+            exchange.open("127.0.0.1:" + upstream.socket().getLocalPort());
+            Socket accepted = upstream.accept().socket();
             accepted.getInputStream().readNBytes(SMALL_WINDOW_BYTES);
             accepted.getOutputStream()
                     .write(("HTTP/1.1 200 OK\r\n" + statedBy.half).getBytes(StandardCharsets.US_ASCII));
@@ -179,10 +183,14 @@
                 connection.close();
             }
         },
-        /** The system resets a connection that is closed before all that has come is read. */
+        /**
+         * The system resets a connection that is closed before all that has come is read. The socket of a channel closes at
+         * once, whereas one of a server socket ends its output in order first.
+         */
         CLOSED_UNREAD {
             @Override
             void end(Socket connection) throws IOException {
+                awaitUnread(connection);
                 connection.close();
             }
         },
@@ -191,9 +199,25 @@
             void end(Socket connection) throws IOException {
                 connection.shutdownOutput();
             }
+        },
+        CLOSED_UNREAD_AFTER_ITS_OUTPUT {
+            @Override
+            void end(Socket connection) throws IOException {
+                awaitUnread(connection);
+                connection.shutdownOutput();
+                connection.close();
+            }
         };
 
         abstract void end(Socket connection) throws IOException;
+
+        private static void awaitUnread(Socket connection) throws IOException {
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+            while (connection.getInputStream().available() == 0) {
+                assertThat(System.nanoTime()).isLessThan(deadline);
+                Thread.onSpinWait();
+            }
+        }
     }
 
     private static String refusingAddress() throws IOException {
