Send a rejected request on where its rejection is cut off

Callers saw, on the path of permits: a request whose upstream rejected it, and whose connection broke within the body of the rejection, was refused as one that may have run. Its idempotency key was stored with an unknown outcome, so that repeats were refused too, although the head says that nothing has run.

Cause: NodeExchange.onConnectionLost asked how far the request had got, but not what the response's head states.

Change: it goes on as after a complete rejection.

Evidence: requestIsSentOnWhereItsRejectionIsCutOff fails without the branch (the caller gets the refusal) and passes with it.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -615,14 +615,27 @@
             contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
             admission = UpstreamHeaders.INSTANCE.admissionOf(response);
             reportUpstreamStatus(response.headers());
-            if (admission == UpstreamHeaders.Admission.ADMITTED) {
-                tokens.begin(contentType);
-                if (!callerDone) {
-                    answer.writeHead(response, upstream);
-                }
+            if (isRejected()) {
+                return;
+            }
+            tokens.begin(contentType);
+            if (!callerDone) {
+                answer.writeHead(response, upstream);
             }
         }
 
+        /** Returns whether the upstream has stated that it doesn't run the request. */
+        private boolean isRejected() {
+            return admission != UpstreamHeaders.Admission.ADMITTED;
+        }
+
+        private void goOnAfterRejection() {
+            boolean draining = admission == UpstreamHeaders.Admission.DRAINING;
+            retryOrRefuse(
+                    draining ? RetryReason.DRAINING : RetryReason.NOT_ADMITTED,
+                    draining ? Ending.DRAINING : Ending.NOT_ADMITTED);
+        }
+
         private void reportUpstreamStatus(HttpHeaders headers) {
             int running = headers.getInt(UpstreamHeaders.LOAD_RUNNING, -1);
             long incarnation = UpstreamHeaders.INSTANCE.incarnationOf(headers);
@@ -643,7 +656,7 @@
         @Override
         public void onContent(ByteBuf content) {
             recordActivity();
-            if (admission != UpstreamHeaders.Admission.ADMITTED || !content.isReadable()) {
+            if (isRejected() || !content.isReadable()) {
                 content.release();
                 return;
             }
@@ -679,11 +692,8 @@
         /** {@inheritDoc} */
         @Override
         public void onResponseComplete(ResponseEnd end) {
-            if (admission != UpstreamHeaders.Admission.ADMITTED) {
-                boolean draining = admission == UpstreamHeaders.Admission.DRAINING;
-                retryOrRefuse(
-                        draining ? RetryReason.DRAINING : RetryReason.NOT_ADMITTED,
-                        draining ? Ending.DRAINING : Ending.NOT_ADMITTED);
+            if (isRejected()) {
+                goOnAfterRejection();
                 return;
             }
             boolean endStated = end == ResponseEnd.STATED;
@@ -709,6 +719,8 @@
             if (attempt == this && stage == Stage.CONNECTING) {
                 // An idle connection was closed before the request was written to it.
                 retryOrRefuse(RetryReason.CONNECT_FAILED, Ending.UNUSED);
+            } else if (attempt == this && stage == Stage.RUNNING && isRejected()) {
+                goOnAfterRejection();
             } else if (attempt == this && stage == Stage.RUNNING) {
                 abandon(
                         Refusal.outcomeUnknown(RefusalReason.UPSTREAM_FAILED, "The connection to the upstream broke."),
--- a/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
@@ -47,6 +47,7 @@
 
     private final CountDownLatch firstArrived = new CountDownLatch(1);
     private final AtomicInteger requests = new AtomicInteger();
+    private volatile Rejection rejection = Rejection.LATE;
 
     @TempDir
     Path folder;
@@ -69,17 +70,13 @@
         upstream.close();
     }
 
-    /** Refuses the first request after a while; sends the answers to the others in parts, then closes. */
+    /** Rejects the first request; sends the answers to the others in parts, then closes. */
     private void answer(Socket socket) throws IOException {
         readRequest(socket);
         OutputStream output = socket.getOutputStream();
         if (requests.getAndIncrement() == 0) {
             firstArrived.countDown();
-            pause(REFUSAL_DELAY_MILLIS);
-            write(
-                    output,
-                    "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n" + UpstreamHeaders.ADMISSION
-                            + ": refused\r\n\r\n");
+            rejection.send(output);
             return;
         }
         write(output, "HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\nConnection: close\r\n\r\n");
@@ -141,4 +138,35 @@
         assertThat(refusedOnce.join().body()).hasSize(PARTS);
         assertThat(requests).hasValue(3);
     }
+
+    /** Guards against a rejected request that counts as one that may have run, as its connection breaks. */
+    @Test
+    void requestIsSentOnWhereItsRejectionIsCutOff() throws InterruptedException {
+        rejection = Rejection.CUT_OFF;
+        assertThat(sendUntilItArrives().join().body()).hasSize(PARTS);
+        assertThat(requests).hasValue(2);
+    }
+
+    /** How the upstream rejects a request. */
+    private enum Rejection {
+        LATE {
+            @Override
+            void send(OutputStream output) throws IOException {
+                pause(REFUSAL_DELAY_MILLIS);
+                write(output, HEAD + "Content-Length: 0\r\n\r\n");
+            }
+        },
+        CUT_OFF {
+            @Override
+            void send(OutputStream output) throws IOException {
+                write(output, HEAD + HALF);
+            }
+        };
+
+        private static final String HEAD =
+                "HTTP/1.1 503 No\r\nConnection: close\r\n" + UpstreamHeaders.ADMISSION + ": refused\r\n";
+        private static final String HALF = "Content-Length: 8\r\n\r\nhalf";
+
+        abstract void send(OutputStream output) throws IOException;
+    }
 }
