Bound the wait for the rest of a rejection on the path of permits

Callers saw: a request whose upstream rejected it, and stalled within the body of the rejection, waited until its deadline and was refused as one that may have run.

Cause: the attempt ends with the rejection's last byte, so that the connection may be reused, and nothing bounded that wait but the deadline.

Change: 200 ms after the head the connection is closed, and the request goes on.

Evidence: requestIsSentOnWhereItsRejectionStalls fails after 66 s without the timer (a refusal at the deadline) and passes with it; all three tests of the class pass.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -51,6 +51,10 @@
 final class NodeExchange {
     private static final int MAX_ATTEMPTS = 3;
     private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** The maximum wait for the rest of a rejection, so that its connection may be reused, in milliseconds. */
+    private static final long MAX_REJECTION_MILLIS = 200;
+
     private static final int DEFAULT_OUTPUT_TOKENS = 256;
 
     private final CallerServices services;
@@ -616,6 +620,7 @@
             admission = UpstreamHeaders.INSTANCE.admissionOf(response);
             reportUpstreamStatus(response.headers());
             if (isRejected()) {
+                context.executor().schedule(this::endIncompleteRejection, MAX_REJECTION_MILLIS, TimeUnit.MILLISECONDS);
                 return;
             }
             tokens.begin(contentType);
@@ -629,6 +634,13 @@
             return admission != UpstreamHeaders.Admission.ADMITTED;
         }
 
+        private void endIncompleteRejection() {
+            if (attempt == this && stage == Stage.RUNNING) {
+                abort();
+                goOnAfterRejection();
+            }
+        }
+
         private void goOnAfterRejection() {
             boolean draining = admission == UpstreamHeaders.Admission.DRAINING;
             retryOrRefuse(
--- a/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/RefusedAdmissionTest.java
@@ -139,6 +139,14 @@
         assertThat(requests).hasValue(3);
     }
 
+    /** Guards against a rejected request that waits until its deadline for the rest of the rejection. */
+    @Test
+    void requestIsSentOnWhereItsRejectionStalls() throws InterruptedException {
+        rejection = Rejection.STALLED;
+        assertThat(sendUntilItArrives().join().body()).hasSize(PARTS);
+        assertThat(requests).hasValue(2);
+    }
+
     /** Guards against a rejected request that counts as one that may have run, as its connection breaks. */
     @Test
     void requestIsSentOnWhereItsRejectionIsCutOff() throws InterruptedException {
@@ -156,6 +164,13 @@
                 write(output, HEAD + "Content-Length: 0\r\n\r\n");
             }
         },
+        STALLED {
+            @Override
+            void send(OutputStream output) throws IOException {
+                write(output, HEAD + HALF);
+                pause(2 * LONG_DEADLINE_MILLIS);
+            }
+        },
         CUT_OFF {
             @Override
             void send(OutputStream output) throws IOException {
