Read what callers have sent between sends of a thread that is behind

Cause: a traffic thread reads what callers send, a close too, once a turn. Right after a restart its turns are long: when a scheduler falls silent, the entry schedules its waiting requests by itself, and one turn takes some 40 ms for each. The log of three entries shows gaps of 0.9 to 1.4 s after 21 to 31 requests, and after each the closes of callers whose requests had been sent meanwhile.

Change: 100 ms after the last read, sends wait for the next check, after everything that has arrived was read. A thread whose turns are short delays nothing.

--- a/node/src/main/java/org/radishspur/node/entry/EntryServices.java
+++ b/node/src/main/java/org/radishspur/node/entry/EntryServices.java
@@ -66,6 +66,7 @@
     private final BodyAdmission bodyAdmission;
     private final UnansweredBodies unansweredBodies = new UnansweredBodies();
     private final PauseDetector pauses = new PauseDetector(CHECK_INTERVAL_MILLIS);
+    private final PacedSends sends = new PacedSends(CHECK_INTERVAL_MILLIS, EntryServices::now);
     private volatile ConfirmedView view = ConfirmedView.EMPTY;
     private volatile boolean confirmationAwaited;
     private volatile boolean stopping;
@@ -149,6 +150,13 @@
 
     /** Schedules the next check of queued requests and of responses, unless one is scheduled already. */
     void scheduleCheck() {
+        if (!checkScheduled) {
+            sends.onIdle();
+            scheduleNextCheck();
+        }
+    }
+
+    private void scheduleNextCheck() {
         if (!checkScheduled) {
             checkScheduled = true;
             pauses.onStarted(now());
@@ -159,18 +167,24 @@
     /** Checks queued requests and responses at a time, and schedules the next check while there are any. */
     void check(long now) {
         checkScheduled = false;
+        sends.onRead();
         if (pauses.onFired(now)) {
-            scheduleCheck();
+            scheduleNextCheck();
             return;
         }
         links().check(now);
         slots.checkPending(now);
         checkSilence(now);
         if (slots.hasPending() || !running.isEmpty() || links().isCutOff()) {
-            scheduleCheck();
+            scheduleNextCheck();
         }
     }
 
+    /** Returns the sends that wait while this thread is behind. */
+    PacedSends sends() {
+        return sends;
+    }
+
     /** Checks whether the upstreams of requests in progress are silent, by the time that is given. */
     void checkSilence(long now) {
         Set.copyOf(running).forEach(exchange -> exchange.checkSilence(now));
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -134,9 +134,15 @@
         }
     }
 
-    /** Sends the request if the connection is established and nothing has been sent. */
+    /** Sends the request if the connection is established and nothing has been sent, as soon as the thread isn't behind. */
     void sendIfConnected() {
-        if (!connected || phase != Phase.CONNECTING) {
+        if (connected && phase == Phase.CONNECTING) {
+            services.sends().send(this::send);
+        }
+    }
+
+    private void send() {
+        if (phase != Phase.CONNECTING) {
             return;
         }
         if (!caller.maySend(this, viewAtGrant)) {
--- a/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/radishspur/node/entry/EntryFixture.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
@@ -67,6 +68,8 @@
     /** Longer than the time in which other upstreams may show that the links work, in milliseconds. */
     private static final long LOSS_AGE_MILLIS = 500;
 
+    private static final long TOO_LONG_UNREAD_MILLIS = 2 * PacedSends.MAX_UNREAD_MILLIS;
+
     private static final int PART_BYTES = 16 << 10;
     private static final String RESUME_AFTER = "resume-after";
     private static final HostPort UNUSED_ADDRESS = HostPort.parse("127.0.0.1:1");
@@ -87,6 +90,7 @@
     private final LinkMonitor linkMonitor =
             new LinkMonitor(events, changed -> reach = changed, () -> EntryServices.now() + linkClockOffsetMillis);
     private boolean connectsAutomatically = true;
+    private boolean behind;
     private int checks;
     private int entryCount = 1;
     private UpstreamProbe.Result checkResult = UpstreamProbe.Result.ACCEPTED;
@@ -325,6 +329,11 @@
         caller.runPendingTasks();
     }
 
+    /** Reads that the caller has closed its connection, before anything that waits is run. */
+    void readClose() {
+        caller.pipeline().fireChannelInactive();
+    }
+
     boolean isCallerConnected() {
         caller.runPendingTasks();
         return caller.isActive();
@@ -371,6 +380,21 @@
         caller.runScheduledPendingTasks();
     }
 
+    /** Lets the thread of this entry not read from now to the next check, which is too long to send. */
+    void fallBehind() {
+        behind = true;
+        long until = EntryServices.now() + TOO_LONG_UNREAD_MILLIS;
+        while (EntryServices.now() < until) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
+
+    private void readBeforeConnecting() {
+        if (!behind) {
+            services.sends().onIdle();
+        }
+    }
+
     /** Returns how often it was checked whether an upstream still runs. */
     int checks() {
         return checks;
@@ -395,10 +419,10 @@
     }
 
     private UpstreamExchange open(String address, UpstreamListener listener, boolean relayable) {
-        FakeExchange exchange = new FakeExchange(address, listener, relayable);
+        FakeExchange exchange = new FakeExchange(address, listener, relayable, this::readBeforeConnecting);
         exchanges.add(exchange);
         if (connectsAutomatically) {
-            caller.eventLoop().execute(listener::onConnected);
+            caller.eventLoop().execute(exchange::connect);
         }
         return exchange;
     }
@@ -435,6 +459,7 @@
         private final String address;
         private final UpstreamListener listener;
         private final boolean relayable;
+        private final Runnable beforeConnected;
         private boolean aborted;
         private boolean requestSent;
         private boolean begun;
@@ -444,10 +469,11 @@
         private int sentBytes;
         private ChannelPromise unwritten;
 
-        FakeExchange(String address, UpstreamListener listener, boolean relayable) {
+        FakeExchange(String address, UpstreamListener listener, boolean relayable, Runnable beforeConnected) {
             this.address = address;
             this.listener = listener;
             this.relayable = relayable;
+            this.beforeConnected = beforeConnected;
         }
 
         /** Returns whether the request may pass through another host. */
@@ -460,6 +486,7 @@
         }
 
         void connect() {
+            beforeConnected.run();
             listener.onConnected();
         }
 
--- a/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/UpstreamAttemptTest.java
@@ -2,11 +2,13 @@
 
 import java.util.Set;
 
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.model.catalogue.RequestKind;
+import org.radishspur.node.entry.EntryFixture.FakeExchange;
 import org.radishspur.node.entry.EntryFixture.ReceivedResponse;
 import org.radishspur.node.fleet.FleetMessage.UpstreamReach;
 import org.radishspur.node.fleet.Moment;
@@ -262,6 +264,56 @@
         }
     }
 
+    @Nested
+    class SendsOfAThreadThatIsBehind {
+        private final EntryFixture entry = new EntryFixture(RequestKind.UNSAFE, false, 1);
+
+        @AfterEach
+        void close() {
+            entry.close();
+        }
+
+        private FakeExchange connectWhileBehind() {
+            entry.delayConnections();
+            entry.request();
+            FakeExchange exchange = entry.exchange(0);
+            entry.fallBehind();
+            exchange.connect();
+            assertThat(exchange.isRequestSent()).isFalse();
+            return exchange;
+        }
+
+        /** Guards against a request that is sent long after its caller has left, as the close waits to be read. */
+        @Test
+        void areDroppedWhereTheCallerHasLeft() {
+            FakeExchange exchange = connectWhileBehind();
+            entry.readClose();
+            entry.checkAfter(0);
+            assertThat(exchange.isRequestSent()).isFalse();
+        }
+
+        /** Guards against a request that waits for good after its thread was behind. */
+        @Test
+        void followTheNextRead() {
+            FakeExchange exchange = connectWhileBehind();
+            entry.checkAfter(0);
+            assertThat(exchange.isRequestSent()).isTrue();
+        }
+
+        /** Guards against the first request after an idle time that waits, as nothing has been read for long. */
+        @Test
+        void areNotDelayedAfterAnIdleTime() {
+            entry.delayConnections();
+            entry.fallBehind();
+            long requestedAt = EntryServices.now();
+            entry.request();
+            FakeExchange exchange = entry.exchange(0);
+            exchange.connect();
+            assertThat(exchange.isRequestSent() || EntryServices.now() - requestedAt > PacedSends.MAX_UNREAD_MILLIS)
+                    .isTrue();
+        }
+    }
+
     @Nested
     class CutOffEntry {
         private EntryFixture withRequest() {
