Test floods that begin late in a silence of a scheduler

What callers saw: an organisation got more than its limit in a window (QUOTA). The property test of cuts had six schedulers in random groups, and its flood began 8 s before a cut to 4 s after its start. The new one has 2 to 7 schedulers, one of which is cut off or frozen, and a flood that begins within the silence. It fails on this code: 1,509,527 tokens in a window, 1,506,700 are the hard limit (4 schedulers, one frozen for 12 s, seed 4724).

--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -36,6 +36,9 @@
     /** When each scheduler has last received a report of each other one, by the receiver. */
     private final long[][] reportedAt;
 
+    /** Whether each scheduler stands still: it admits and reports nothing, and nothing that waits at it starts. */
+    private final boolean[] frozen;
+
     private int incarnation;
 
     private final PriorityQueue<Waiting> waiting =
@@ -61,6 +64,7 @@
         ledgers = new QuotaLedger[schedulers];
         groups = new int[schedulers];
         reportedAt = new long[schedulers][schedulers];
+        frozen = new boolean[schedulers];
         restart();
     }
 
@@ -82,15 +86,27 @@
         }
     }
 
-    /** Ends the cut. */
+    /** Cuts the first scheduler off from all others; it goes on admitting requests. */
+    void isolateFirst() {
+        groups[0] = 1;
+    }
+
+    /** Freezes the first scheduler, from which no report arrives and to which none is sent. */
+    void freezeFirst() {
+        isolateFirst();
+        frozen[0] = true;
+    }
+
+    /** Ends each cut and freeze. */
     void join() {
         Arrays.fill(groups, 0);
+        Arrays.fill(frozen, false);
     }
 
     /** Advances by a millisecond. */
     void advance(long now) {
         while (!waiting.isEmpty() && waiting.peek().at <= now) {
-            start(waiting.remove(), now);
+            startOrDelay(waiting.remove(), now);
         }
         while (!lastWindow.isEmpty() && lastWindow.peek().at <= now - tolerance.windowMillis()) {
             windowUse -= lastWindow.remove().cost;
@@ -104,6 +120,14 @@
         }
     }
 
+    private void startOrDelay(Waiting request, long now) {
+        if (frozen[request.scheduler]) {
+            waiting.add(new Waiting(now + 1, request.scheduler, request.cost));
+        } else {
+            start(request, now);
+        }
+    }
+
     private void start(Waiting request, long now) {
         ledgers[request.scheduler].recordGrant(rule, request.cost, now);
         waitingUse -= request.cost;
@@ -142,9 +166,12 @@
                 ledgers[report.to].recordPeerUse(peer, rule, total, report.waiting.getOrDefault(name, 0L), now));
     }
 
-    /** Offers a request to a random scheduler. */
+    /** Offers a request to a random scheduler that isn't frozen. */
     Optional<Long> offer(double cost, long waitMillis, long now) {
         int scheduler = random.nextInt(ledgers.length);
+        while (frozen[scheduler]) {
+            scheduler = random.nextInt(ledgers.length);
+        }
         Optional<Long> refused = ledgers[scheduler].tryCharge(rule, cost, false, now);
         if (refused.isEmpty()) {
             waitingUse += cost;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -172,4 +172,60 @@
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
     }
+
+    /** The ways in which one scheduler and the others receive nothing from each other. */
+    private enum Silence {
+        /** It is cut off, and goes on admitting requests. */
+        CUT {
+            @Override
+            void begin(QuotaFleet fleet) {
+                fleet.isolateFirst();
+            }
+        },
+        /** It stands still. */
+        FREEZE {
+            @Override
+            void begin(QuotaFleet fleet) {
+                fleet.freezeFirst();
+            }
+        };
+
+        abstract void begin(QuotaFleet fleet);
+    }
+
+    /**
+     * Guards against more than the hard limit at upstreams where an organisation begins to flood all schedulers late in a
+     * silence of one of them, so that what they learn of each other afterwards was used at the end of the silence.
+     */
+    @Property(tries = 300, seed = "4724")
+    void keepsTheHardLimitWhereAFloodBeginsLateInASilence(
+            @ForAll Silence silence,
+            @ForAll @IntRange(min = 2, max = 7) int schedulers,
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @LongRange(min = 500, max = 12_000) long silenceMillis,
+            @ForAll @DoubleRange(min = 0.2, max = 1) double floodAfterShare,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet = new QuotaFleet(RULE, TOLERANCE, schedulers, QuotaFleet.REPORT_MILLIS, 0, random);
+        Demand demand = new Demand(random, usualShare);
+        long joinedAt = CUT_AT_MILLIS + silenceMillis;
+        demand.floodFrom(CUT_AT_MILLIS + (long) (silenceMillis * floodAfterShare));
+        int refusedWithin = 0;
+        for (long now = 0; now < joinedAt + 2 * WINDOW_MILLIS; now++) {
+            if (now == CUT_AT_MILLIS) {
+                silence.begin(fleet);
+            } else if (now == joinedAt) {
+                fleet.join();
+            }
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                double cost = demand.cost();
+                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
+                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
+                refusedWithin += within && refused && now > joinedAt + WINDOW_MILLIS ? 1 : 0;
+            }
+        }
+        assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
+        assertThat(refusedWithin).isZero();
+    }
 }
