Log how schedulers count the use of organisations beyond their limits

Logs could not tell apart why a quota was exceeded: each scheduler's count, use that a report brings after a silence, changed limits and grants without a scheduler were in no log. QUOTA_USE, QUOTA_USE_AFTER_SILENCE, QUOTA_LIMIT and LOCAL_USE state them; no decision changes.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -1,6 +1,7 @@
 package org.radishspur.decision.dispatch;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -27,6 +28,7 @@
 
     private final Tolerance tolerance;
     private final QuotaCounts counts = new QuotaCounts();
+    private QuotaListener listener = QuotaListener.NoOp.INSTANCE;
     private long startedAt = NOT_STARTED;
     private long observesFrom = NOT_STARTED;
     private double reportingShare = 1;
@@ -43,6 +45,15 @@
         this.tolerance = tolerance;
     }
 
+    /**
+     * Sets what receives changes of limits and use that is learnt late; called before the first request.
+     *
+     * @param newListener the listener.
+     */
+    public void setListener(QuotaListener newListener) {
+        listener = newListener;
+    }
+
     /**
      * Sets from when on this scheduler would have received the reports of its peers; without it, that is its first event.
      * A limit over a window counts the time before as used, which would refuse requests that come long after the start.
@@ -163,6 +174,18 @@
         return counts;
     }
 
+    /**
+     * Returns what is counted for the organisations of which requests were refused, or exceeded the limit, since the last
+     * call.
+     *
+     * @return the use; organisations whose limits aren't measured over a window are left out.
+     */
+    public List<OrganisationUse> takeContendedUse() {
+        return limits.entrySet().stream()
+                .flatMap(limit -> limit.getValue().takeContendedUse(limit.getKey()).stream())
+                .toList();
+    }
+
     /**
      * Records the use that a peer has admitted since it started, none of which waits.
      *
@@ -189,6 +212,10 @@
         PeerUse latest = new PeerUse(total, waiting, now);
         PeerUse previous = peerUses.put(organisation.name(), latest);
         if (organisation.ratePerSecond() > 0) {
+            if (previous != null && now - previous.reportedAt() > PEER_SILENCE_MILLIS && total > previous.total()) {
+                listener.onUseAfterSilence(
+                        peer, organisation.name(), now - previous.reportedAt(), total - previous.total());
+            }
             boolean startingUp = previous == null && isStartingUp(now);
             limitOf(organisation, now).recordPeerUse(Optional.ofNullable(previous), latest, startingUp);
         }
@@ -215,7 +242,7 @@
         if (tolerance.windowMillis() > 0) {
             recordStart(now);
             long since = observesFrom == NOT_STARTED ? startedAt : observesFrom;
-            return new WindowLimit(organisation, tolerance, counts, since, now);
+            return new WindowLimit(organisation, tolerance, counts, listener, since, now);
         }
         return new TokenBucketLimit(organisation, tolerance, now);
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -70,6 +70,16 @@
      */
     double ownWaiting();
 
+    /**
+     * Returns what is counted at present, if anything was refused or exceeded the limit since the last call.
+     *
+     * @param organisation the name of the organisation.
+     * @return the use; empty also where the limit isn't measured over a window.
+     */
+    default Optional<OrganisationUse> takeContendedUse(String organisation) {
+        return Optional.empty();
+    }
+
     /**
      * Holds a report of a peer.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -35,6 +35,7 @@
 
     private final Tolerance tolerance;
     private final QuotaCounts counts;
+    private final QuotaListener listener;
     private final UsageWindow window;
 
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
@@ -48,6 +49,7 @@
     private double toleratedExcess;
     private double onTimeReserve;
     private double reportingShare = 1;
+    private boolean contended;
 
     /**
      * Creates a limit in which the time before this scheduler started counts as used at the rate of the limit and with
@@ -56,12 +58,20 @@
      * @param organisation the organisation with its limit.
      * @param tolerance the length of the window, and by how much the limit may be exceeded.
      * @param counts counts what is refused and what exceeds the limit.
+     * @param listener receives changes of the limit.
      * @param startedAt when this scheduler started, in milliseconds.
      * @param now the current time in milliseconds.
      */
-    WindowLimit(OrganisationRule organisation, Tolerance tolerance, QuotaCounts counts, long startedAt, long now) {
+    WindowLimit(
+            OrganisationRule organisation,
+            Tolerance tolerance,
+            QuotaCounts counts,
+            QuotaListener listener,
+            long startedAt,
+            long now) {
         this.tolerance = tolerance;
         this.counts = counts;
+        this.listener = listener;
         observedFrom = startedAt + tolerance.windowMillis();
         window = new UsageWindow(tolerance.windowMillis(), now);
         assumed = new UsageWindow(tolerance.windowMillis(), now);
@@ -85,6 +95,9 @@
         while (!scalings.isEmpty() && scalings.peekFirst().at() <= now - tolerance.windowMillis()) {
             scalings.removeFirst();
         }
+        if (newLimit != limit && limit > 0) {
+            listener.onLimitChanged(organisation.name(), limit, newLimit);
+        }
         limit = newLimit;
         toleratedExcess = rateOverWindow(organisation) * tolerance.rateShare() + tolerance.burstAmount();
         onTimeReserve = (organisation.burst() + tolerance.burstAmount()) * ON_TIME_RESERVE_SHARE;
@@ -119,6 +132,7 @@
         double counted = Math.min(cost / reportingShare, limit);
         double excess = use() + counted - limit;
         double missing = excess - maxExcess(late, small, now);
+        contended |= excess > 0;
         if (missing > ROUNDING) {
             counts.recordRefusal(excess <= 0);
             return Optional.of(window.millisUntilExpired(missing, now));
@@ -205,6 +219,17 @@
         return ownWaiting;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public Optional<OrganisationUse> takeContendedUse(String organisation) {
+        if (!contended) {
+            return Optional.empty();
+        }
+        contended = false;
+        return Optional.of(
+                new OrganisationUse(organisation, limit, window.total(), assumed.total(), ownWaiting, reportingShare));
+    }
+
     private double rateOverWindow(OrganisationRule organisation) {
         return organisation.ratePerSecond() * tolerance.windowMillis() / 1_000;
     }
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -58,6 +58,8 @@
     private final CrashLedger crashes;
     private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
+    private final QuotaLedger localQuotas = new QuotaLedger(QuotaLedger.Tolerance.NONE);
+    private final Map<String, Long> loggedLocalUse = new HashMap<>();
     private final SlotScheduler localScheduler;
     private final SchedulerFailover failover;
     private final EntryMetrics metrics;
@@ -84,7 +86,7 @@
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         pools.limitToShare();
         // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
-        localScheduler = new SlotScheduler(pools, new QuotaLedger(QuotaLedger.Tolerance.NONE), new LocalReplies());
+        localScheduler = new SlotScheduler(pools, localQuotas, new LocalReplies());
         failover = new SchedulerFailover(entry, settings.failureDomain(), new LinkContacts());
     }
 
@@ -289,6 +291,7 @@
         links.setWatchedAddress(next);
         events.emit(EventCode.SCHEDULER, next, previous, pending.size());
         if (chosen.isPresent()) {
+            logLocalUse();
             links.send(
                     next,
                     new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.strongestNotes(now)));
@@ -303,6 +306,15 @@
         return chosen;
     }
 
+    private void logLocalUse() {
+        localQuotas.ownUse().forEach((organisation, total) -> {
+            Long logged = loggedLocalUse.put(organisation, total);
+            if (!total.equals(logged)) {
+                events.emit(EventCode.LOCAL_USE, organisation, total - (logged == null ? 0 : logged));
+            }
+        });
+    }
+
     private void onSchedulerLost(String scheduler, String cause, long now) {
         List<UpstreamSlot> waiting = pendingAt(scheduler);
         long longestMillis = 0;
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -55,6 +55,17 @@
             "elapsedPercent"),
     /** A scheduler has stopped sending requests to a failure domain, or sends them again. */
     EVACUATION(false, "failureDomain", "state", "inProgress"),
+    /**
+     * What a scheduler counts as the use of an organisation in the present window, at most once a second while requests
+     * of it are beyond its limit.
+     */
+    QUOTA_USE(false, "organisation", "limit", "window", "assumed", "waiting", "reportingPercent", "ownTotal"),
+    /** The report of a peer that had been silent for longer than usual brought use of an organisation. */
+    QUOTA_USE_AFTER_SILENCE(false, "peer", "organisation", "silentMillis", "use"),
+    /** Another limit of an organisation is in force at this scheduler. */
+    QUOTA_LIMIT(false, "organisation", "before", "after"),
+    /** An entry has a scheduler again, and has admitted use of an organisation without one since it last had none. */
+    LOCAL_USE(false, "organisation", "use"),
     /** An operator's call was answered. */
     OPERATOR(false, "call", "status", "revision", "millis"),
     /**
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -65,6 +65,7 @@
     private final ViewPoller viewPoller;
     private final PoolSet pools;
     private final QuotaLedger quotas;
+    private final QuotaLog quotaLog;
     private final CrashLedger crashes = new CrashLedger();
     private final SlotScheduler slotScheduler;
     private final LoadReportExchange loadReports;
@@ -110,6 +111,8 @@
         pools = new PoolSet(self, settings.failureDomain(), settings.bounds().maxTrialShare());
         quotas = new QuotaLedger(settings.bounds().quotaTolerance());
         quotas.observeFrom(now());
+        quotaLog = new QuotaLog(quotas, events);
+        quotas.setListener(quotaLog);
         slotScheduler = new SlotScheduler(pools, quotas, new SchedulerListener());
         poolMetrics = new PoolMetrics(metrics);
         evacuationLog = new EvacuationLog(pools, events);
@@ -241,6 +244,7 @@
         }
         slotScheduler.advance(now());
         evacuationLog.logDrained();
+        quotaLog.logIfDue(now());
     }
 
     private long now() {
