Date use that is learnt after a silence by when it was started

What callers saw: an organisation got more than its limit in a window (QUOTA), where it began to send many times its usual late in a cut between schedulers.

Cause: a report holds a total. What was new in it was spread evenly over the time since the last report, though most of it may be from the end of that time. It left the receiver's window too early, by up to the length of the silence.

Change: a report over a new connection, and one after a pause of its sender, states, by slices of an eightieth of the window, when the scheduler has started its requests (UseHistory). The receiver divides what is new among them, the newest first. Reports of older builds count as before.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -165,6 +165,23 @@
         return waiting;
     }
 
+    /**
+     * Returns when this scheduler has started its requests, for peers that have missed reports.
+     *
+     * @param now the current time in milliseconds.
+     * @return the history by organisation; those whose limits aren't measured over a window are left out.
+     */
+    public Map<String, UseHistory> ownHistory(long now) {
+        Map<String, UseHistory> histories = new HashMap<>();
+        limits.forEach((name, limit) -> {
+            UseHistory history = limit.ownHistory(now);
+            if (history.isKnown()) {
+                histories.put(name, history);
+            }
+        });
+        return histories;
+    }
+
     /**
      * Returns the metrics of refusals and excess.
      *
@@ -208,6 +225,21 @@
      * @param now the current time in milliseconds.
      */
     public void recordPeerUse(String peer, OrganisationRule organisation, long total, long waiting, long now) {
+        recordPeerUse(peer, organisation, total, waiting, UseHistory.UNKNOWN, now);
+    }
+
+    /**
+     * Records the use that a peer has admitted since it started, and when.
+     *
+     * @param peer the run of the peer.
+     * @param organisation the organisation.
+     * @param total the total use that the peer reports, in the unit of the limit.
+     * @param waiting the part of it whose requests wait for a slot.
+     * @param history when the peer has started its requests, if it states that.
+     * @param now the current time in milliseconds.
+     */
+    public void recordPeerUse(
+            String peer, OrganisationRule organisation, long total, long waiting, UseHistory history, long now) {
         Map<String, PeerUse> peerUses = peerUse.computeIfAbsent(peer, key -> new HashMap<>());
         PeerUse latest = new PeerUse(total, waiting, now);
         PeerUse previous = peerUses.put(organisation.name(), latest);
@@ -217,7 +249,7 @@
                         peer, organisation.name(), now - previous.reportedAt(), total - previous.total());
             }
             boolean startingUp = previous == null && isStartingUp(now);
-            limitOf(organisation, now).recordPeerUse(Optional.ofNullable(previous), latest, startingUp);
+            limitOf(organisation, now).recordPeerUse(Optional.ofNullable(previous), latest, history, startingUp);
         }
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
@@ -114,7 +114,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, boolean startingUp) {
+    public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp) {
         long unseenTotal = latest.total() - previous.map(PeerUse::total).orElse(0L);
         if (previous.isPresent() && latest.reportedAt() - previous.get().reportedAt() <= PEER_SILENCE_MILLIS) {
             level -= unseenTotal;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -58,10 +58,21 @@
      *
      * @param previous the last report of the same run of the peer, or empty for its first one.
      * @param latest the new report.
+     * @param history when the use of the new report was started, if the peer states it.
      * @param startingUp whether it is the first report of the peer and this scheduler has just started, so that the use
      *     may be from before its start.
      */
-    void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, boolean startingUp);
+    void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp);
+
+    /**
+     * Returns when the requests that this scheduler has admitted were started.
+     *
+     * @param now the current time in milliseconds.
+     * @return the history; {@link UseHistory#UNKNOWN} where the time doesn't matter to the limit.
+     */
+    default UseHistory ownHistory(long now) {
+        return UseHistory.UNKNOWN;
+    }
 
     /**
      * Returns the cost of the requests that this scheduler has admitted and that wait.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
@@ -7,7 +7,7 @@
  * requests; use expires up to a slice late, never early.
  */
 final class UsageWindow {
-    /** The maximum number of slices in a window. */
+    /** The maximum number of slices in a window by which decisions are made. */
     private static final int MAX_SLICES = 400;
 
     private final long sliceMillis;
@@ -25,7 +25,18 @@
      * @param now the current time in milliseconds.
      */
     UsageWindow(long windowMillis, long now) {
-        sliceMillis = Math.max(1, divideUp(windowMillis, MAX_SLICES));
+        this(windowMillis, MAX_SLICES, now);
+    }
+
+    /**
+     * Creates a window without use that is less exact.
+     *
+     * @param windowMillis the length of the window in milliseconds.
+     * @param maxSlices the maximum number of slices.
+     * @param now the current time in milliseconds.
+     */
+    UsageWindow(long windowMillis, int maxSlices, long now) {
+        sliceMillis = Math.max(1, divideUp(windowMillis, maxSlices));
         slices = new double[(int) divideUp(windowMillis, sliceMillis) + 1];
         newest = sliceAt(now);
     }
@@ -44,6 +55,18 @@
         return sum;
     }
 
+    /** Returns when the use that has not expired was added; call {@link #advance} before. */
+    UseHistory history(long now) {
+        int[] amounts = new int[slices.length];
+        int count = 0;
+        for (int age = 0; age < amounts.length; age++) {
+            amounts[age] = (int) Math.min(Integer.MAX_VALUE, Math.round(slices[indexOf(newest - age)]));
+            count = amounts[age] > 0 ? age + 1 : count;
+        }
+        int newestMillis = (int) (now - newest * sliceMillis);
+        return new UseHistory(newestMillis, (int) sliceMillis, Arrays.copyOf(amounts, count));
+    }
+
     /** Removes all use. */
     void clear() {
         Arrays.fill(slices, 0);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -30,6 +30,9 @@
      */
     private static final double STARTUP_BURST_SHARE = 0.5;
 
+    /** The number of slices in which a scheduler states to others when it has started its requests. */
+    private static final int HISTORY_SLICES = 80;
+
     /** What rounding can leave of use that has expired, in the unit of the limit. */
     private static final double ROUNDING = 0.001;
 
@@ -38,6 +41,9 @@
     private final QuotaListener listener;
     private final UsageWindow window;
 
+    /** What this scheduler has started itself, by which others that missed reports can tell when that was. */
+    private final UsageWindow ownStarted;
+
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
     private final UsageWindow assumed;
 
@@ -75,6 +81,7 @@
         observedFrom = startedAt + tolerance.windowMillis();
         window = new UsageWindow(tolerance.windowMillis(), now);
         assumed = new UsageWindow(tolerance.windowMillis(), now);
+        ownStarted = new UsageWindow(tolerance.windowMillis(), HISTORY_SLICES, now);
         window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
         window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
     }
@@ -163,6 +170,8 @@
         ownWaiting -= cost;
         window.advance(now);
         window.add(cost, now);
+        ownStarted.advance(now);
+        ownStarted.add(cost, now);
         assumed.advance(now);
         assumed.add(assumedFor(cost, reportingShare), now);
     }
@@ -177,14 +186,22 @@
     @Override
     public void refundStarted(double cost, long startedAt) {
         window.remove(cost * scaleSince(startedAt), startedAt);
+        ownStarted.remove(cost, startedAt);
         assumed.remove(assumedFor(cost, reportingShare) * scaleSince(startedAt), startedAt);
     }
 
     /** {@inheritDoc} */
     @Override
-    public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, boolean startingUp) {
+    public UseHistory ownHistory(long now) {
+        ownStarted.advance(now);
+        return ownStarted.history(now);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp) {
         if (previous.isPresent()) {
-            addPeerUse(previous.get(), latest);
+            addPeerUse(previous.get(), latest, history);
         } else {
             // How much of the total since the peer's start is in the window is unknown; it can at most fill the limit.
             double unseen = Math.min(latest.total(), limit - use());
@@ -192,16 +209,22 @@
         }
     }
 
-    /** Spreads what a peer has started over the time since its last report, and counts what still waits as of now. */
-    private void addPeerUse(PeerUse previous, PeerUse latest) {
+    /** Adds what a peer has started since its last report, and counts what still waits as of now. */
+    private void addPeerUse(PeerUse previous, PeerUse latest, UseHistory history) {
         window.remove(previous.waiting() * scaleSince(previous.reportedAt()), previous.reportedAt());
         window.add(latest.waiting(), latest.reportedAt());
         long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
-        if (started > 0) {
+        if (started <= 0) {
+            window.remove(-started, latest.reportedAt());
+        } else if (history.isKnown()) {
+            // After a silence, most of it may have been started at its end.
+            history.divide(started, (part, ageMillis) -> {
+                window.add(part, latest.reportedAt() - ageMillis);
+                assumed.add(assumedFor(part, reportingShare), latest.reportedAt() - ageMillis);
+            });
+        } else {
             window.addEvenly(started, previous.reportedAt(), latest.reportedAt());
             assumed.addEvenly(assumedFor(started, reportingShare), previous.reportedAt(), latest.reportedAt());
-        } else {
-            window.remove(-started, latest.reportedAt());
         }
     }
 
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -36,6 +36,9 @@
     /** When each scheduler has last received a report of each other one, by the receiver. */
     private final long[][] reportedAt;
 
+    /** Whether each receiver has missed a report of each sender since the last one, by the sender. */
+    private final boolean[][] missed;
+
     /** Whether each scheduler stands still: it admits and reports nothing, and nothing that waits at it starts. */
     private final boolean[] frozen;
 
@@ -65,6 +68,7 @@
         groups = new int[schedulers];
         reportedAt = new long[schedulers][schedulers];
         frozen = new boolean[schedulers];
+        missed = new boolean[schedulers][schedulers];
         restart();
     }
 
@@ -142,9 +146,15 @@
             Map<String, Long> use = new HashMap<>(ledgers[from].ownUse());
             Map<String, Long> waitingPart = ledgers[from].ownWaitingUse();
             for (int to = 0; to < ledgers.length; to++) {
-                if (from != to && groups[from] == groups[to] && random.nextDouble() >= lostReportShare) {
-                    reports.add(new Report(now + reportDelayMillis, from, to, use, waitingPart));
+                if (from == to) {
+                    continue;
+                }
+                boolean received = groups[from] == groups[to] && random.nextDouble() >= lostReportShare;
+                if (received) {
+                    Map<String, UseHistory> history = missed[from][to] ? ledgers[from].ownHistory(now) : Map.of();
+                    reports.add(new Report(now + reportDelayMillis, from, to, use, waitingPart, history));
                 }
+                missed[from][to] = !received;
             }
         }
     }
@@ -162,8 +172,13 @@
     private void deliver(Report report, long now) {
         reportedAt[report.to][report.from] = now;
         String peer = report.from + "/" + incarnation;
-        report.use.forEach((name, total) ->
-                ledgers[report.to].recordPeerUse(peer, rule, total, report.waiting.getOrDefault(name, 0L), now));
+        report.use.forEach((name, total) -> ledgers[report.to].recordPeerUse(
+                peer,
+                rule,
+                total,
+                report.waiting.getOrDefault(name, 0L),
+                report.history.getOrDefault(name, UseHistory.UNKNOWN),
+                now));
     }
 
     /** Offers a request to a random scheduler that isn't frozen. */
@@ -214,5 +229,11 @@
     private record Arrival(long at, double cost) {}
 
     /** Holds a report on its way. */
-    private record Report(long at, int from, int to, Map<String, Long> use, Map<String, Long> waiting) {}
+    private record Report(
+            long at,
+            int from,
+            int to,
+            Map<String, Long> use,
+            Map<String, Long> waiting,
+            Map<String, UseHistory> history) {}
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -193,6 +193,48 @@
             assertThat(admit(200, OBSERVED + 16_400)).isTrue();
         }
 
+        /** Guards against use that leaves the window too early, because a peer used it at the end of its silence. */
+        @Test
+        void datesTheUseOfASilentPeerByItsHistory() {
+            useOfPeerBefore(OBSERVED);
+            long heard = OBSERVED + 6_000;
+            ledger.recordPeerUse(
+                    "peer/1", RULE, 10_000, 0, new UseHistory(40, 100, new int[] {4_000, 0, 6_000}), heard);
+            assertThat(admit(100, heard + WINDOW_MILLIS - 200)).isFalse();
+            assertThat(admit(6_000, heard + WINDOW_MILLIS - 100)).isTrue();
+            assertThat(admit(4_000, heard + WINDOW_MILLIS + 20)).isTrue();
+        }
+
+        /** Guards against use that is counted twice, because a history reaches back to before the silence. */
+        @Test
+        void countsOnlyWhatIsNewInAHistory() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse("peer/1", RULE, 5_000, OBSERVED + 40);
+            ledger.recordPeerUse(
+                    "peer/1", RULE, 8_000, 0, new UseHistory(40, 100, new int[] {3_000, 5_000}), OBSERVED + 1_000);
+            assertThat(admit(2_001, OBSERVED + 1_000)).isFalse();
+            assertThat(admit(2_000, OBSERVED + 1_000)).isTrue();
+        }
+
+        /** Guards against use that is held for longer than a window, because it is from before the window. */
+        @Test
+        void leavesOutWhatIsOlderThanAHistory() {
+            useOfPeerBefore(OBSERVED);
+            ledger.recordPeerUse(
+                    "peer/1", RULE, 50_000, 0, new UseHistory(40, 100, new int[] {1_000}), OBSERVED + 20_000);
+            assertThat(admit(9_000, OBSERVED + 20_000)).isTrue();
+        }
+
+        @Test
+        void statesWhenItsOwnRequestsWereStarted() {
+            admit(2_000, OBSERVED);
+            admit(3_000, OBSERVED + 400);
+            ledger.refundGranted(RULE, 1_000, OBSERVED);
+            UseHistory history = ledger.ownHistory(OBSERVED + 450).get("fleet");
+            assertThat(history.newestMillis()).isEqualTo(50);
+            assertThat(history.amounts()).containsExactly(3_000, 0, 0, 0, 1_000);
+        }
+
         /** Guards against use that is forgotten, or subtracted, when a peer restarts and counts from 0 again. */
         @Test
         void addsTheUseOfAnotherIncarnation() {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotReport;
@@ -147,6 +148,8 @@
      *     requests that the scheduler has sent to it since it started.
      * @param waitingUsage the part of the usage of each organisation whose requests wait for a slot; none of an
      *     organisation that isn't listed.
+     * @param history when the scheduler has started the requests of each organisation; only where the receiver may have
+     *     missed reports.
      */
     record LoadReport(
             String scheduler,
@@ -156,13 +159,15 @@
             Map<String, Long> organisations,
             List<CrashNote> crashes,
             int[] limits,
-            Map<String, Long> waitingUsage)
+            Map<String, Long> waitingUsage,
+            Map<String, UseHistory> history)
             implements FleetMessage {
-        /** Replaces notes, limits and waiting usage that an older build doesn't send. */
+        /** Replaces what an older build doesn't send. */
         public LoadReport {
             crashes = crashes == null ? List.of() : crashes;
             limits = limits == null ? new int[0] : limits;
             waitingUsage = waitingUsage == null ? Map.of() : waitingUsage;
+            history = history == null ? Map.of() : history;
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -13,6 +13,7 @@
 import org.radishspur.decision.dispatch.PoolDispatcher;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.fleet.FleetMessage;
 import org.radishspur.node.fleet.FleetSender;
@@ -89,6 +90,7 @@
     private final PauseDetector pauses = new PauseDetector(MIN_ROUND_MILLIS);
     private Map<Integer, UpstreamLoad> upstreams = Map.of();
     private long publishedCrashes;
+    private long lastRoundAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates the exchange of one scheduler, without peers.
@@ -142,13 +144,14 @@
         List<String> others = new ArrayList<>(publishRounds.peers());
         others.removeAll(reconnected);
         if (!reconnected.isEmpty()) {
-            links.send(reconnected, fullReport(current, crashes.strongestNotes(now), now));
+            links.send(reconnected, fullReport(current, crashes.strongestNotes(now), quotas.ownHistory(now), now));
         }
         boolean full = publishRounds.beginFullReport();
         if (!others.isEmpty()) {
+            Map<String, UseHistory> history = historySinceLastRound(now);
             FleetMessage.LoadReport report = full
-                    ? fullReport(current, newCrashes.notes(), now)
-                    : changeReport(current, newCrashes.notes(), now);
+                    ? fullReport(current, newCrashes.notes(), history, now)
+                    : changeReport(current, newCrashes.notes(), history, now);
             if (full || !isEmpty(report)) {
                 links.send(others, report);
             }
@@ -170,13 +173,23 @@
         return reconnected;
     }
 
-    private FleetMessage.LoadReport fullReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
-        return report(current, Map.of(), quotas.ownUse(), true, notes, limits.all(now));
+    /** Returns when this scheduler has started its requests, if it has paused so long that peers can't tell. */
+    private Map<String, UseHistory> historySinceLastRound(long now) {
+        boolean paused = now - lastRoundAt > publishRounds.peerTimeoutMillis(LOAD_TIMEOUT_MILLIS);
+        lastRoundAt = now;
+        return paused ? quotas.ownHistory(now) : Map.of();
     }
 
-    private FleetMessage.LoadReport changeReport(Map<Integer, int[]> current, List<CrashNote> notes, long now) {
+    private FleetMessage.LoadReport fullReport(
+            Map<Integer, int[]> current, List<CrashNote> notes, Map<String, UseHistory> history, long now) {
+        return report(current, Map.of(), quotas.ownUse(), true, notes, limits.all(now), history);
+    }
+
+    private FleetMessage.LoadReport changeReport(
+            Map<Integer, int[]> current, List<CrashNote> notes, Map<String, UseHistory> history, long now) {
         Map<String, Long> changedUsage = publishRounds.changedUsage(quotas.ownUse(), quotas.ownWaitingUse());
-        return report(current, publishRounds.publishedUpstreams(), changedUsage, false, notes, limits.changes(now));
+        return report(
+                current, publishRounds.publishedUpstreams(), changedUsage, false, notes, limits.changes(now), history);
     }
 
     private static boolean isEmpty(FleetMessage.LoadReport report) {
@@ -227,7 +240,8 @@
             OrganisationRule organisation = organisations.get(name);
             if (organisation != null) {
                 long waiting = report.waitingUsage().getOrDefault(name, 0L);
-                quotas.recordPeerUse(report.scheduler(), organisation, total, waiting, now);
+                UseHistory history = report.history().getOrDefault(name, UseHistory.UNKNOWN);
+                quotas.recordPeerUse(report.scheduler(), organisation, total, waiting, history, now);
             }
         });
         return slotFreed;
@@ -326,7 +340,8 @@
             Map<String, Long> usage,
             boolean full,
             List<CrashNote> notes,
-            int[] statedLimits) {
+            int[] statedLimits,
+            Map<String, UseHistory> history) {
         List<Integer> changed = new ArrayList<>();
         current.forEach((digest, counts) -> {
             if (!Arrays.equals(counts, published.get(digest))) {
@@ -341,8 +356,10 @@
         }
         Map<String, Long> waitingUsage = quotas.ownWaitingUse();
         waitingUsage.keySet().retainAll(usage.keySet());
+        Map<String, UseHistory> changedHistory = new HashMap<>(history);
+        changedHistory.keySet().retainAll(usage.keySet());
         return new FleetMessage.LoadReport(
-                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, waitingUsage);
+                self, full, digests, counts, new HashMap<>(usage), notes, statedLimits, waitingUsage, changedHistory);
     }
 
     private Map<Integer, UpstreamLoad> upstreamsByDigest() {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.RequestTerms;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.HeldSlot;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -42,7 +43,15 @@
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
         FleetMessage.LoadReport report = new FleetMessage.LoadReport(
-                "s", true, new int[] {1}, new int[5], Map.of("o", 2L), NOTES, new int[4], Map.of("o", 1L));
+                "s",
+                true,
+                new int[] {1},
+                new int[5],
+                Map.of("o", 2L),
+                NOTES,
+                new int[4],
+                Map.of("o", 1L),
+                Map.of("o", new UseHistory(20, 100, new int[] {2})));
         assertThat(reread(report, EarlierLoadReport.class).organisations()).isEqualTo(Map.of("o", 2L));
     }
 
@@ -77,6 +86,7 @@
         assertThat(reread(report, FleetMessage.LoadReport.class).crashes()).isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).limits()).isEmpty();
         assertThat(reread(report, FleetMessage.LoadReport.class).waitingUsage()).isEmpty();
+        assertThat(reread(report, FleetMessage.LoadReport.class).history()).isEmpty();
     }
 
     @Test
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -18,6 +18,7 @@
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.model.catalogue.CallerLimits;
 import org.radishspur.model.catalogue.Catalogue;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -79,6 +80,7 @@
                 Map.of(),
                 List.of(),
                 new int[0],
+                Map.of(),
                 Map.of());
     }
 
@@ -122,6 +124,69 @@
             assertThat(admit(4_000)).isFalse();
         }
 
+        /** Guards against use that others date wrongly, because the report after a silence doesn't state when it was. */
+        @Test
+        void receiveWhenUseWasStartedOnceTheyAreConnectedAgain() {
+            use(1_000);
+            exchange.publishIfDue(now);
+            assertThat(lastReport().history()).isEmpty();
+            now += 2_000;
+            use(500);
+            connectionCount++;
+            exchange.publishIfDue(now);
+            assertThat(lastReport().history().get("organisation").amounts()).startsWith(500, 0);
+            assertThat(lastReport().history().get("organisation").amounts()).endsWith(1_000);
+        }
+
+        /** Guards against the same after a pause of this scheduler, in which no connection is lost. */
+        @Test
+        void receiveWhenUseWasStartedAfterAPause() {
+            use(1_000);
+            exchange.publishIfDue(now);
+            now += 2_000;
+            use(500);
+            exchange.publishIfDue(now);
+            assertThat(lastReport().history().get("organisation").amounts()).startsWith(500, 0);
+        }
+
+        private void use(long cost) {
+            assertThat(admit(cost)).isTrue();
+            quotas.recordGrant(RULE, cost, now);
+        }
+
+        private FleetMessage.LoadReport lastReport() {
+            return sentReports.get(sentReports.size() - 1);
+        }
+
+        /** Guards against use of the end of a silence that leaves the window as if it were from its begin. */
+        @Test
+        void areCountedAsOfTheTimeThatTheirReportStates() {
+            quotas.observeFrom(0);
+            exchange.onReport(reportOfUse(0, UseHistory.UNKNOWN), Map.of("organisation", RULE), now);
+            now += WINDOW_MILLIS;
+            exchange.onReport(
+                    reportOfUse(9_000, new UseHistory(50, 100, new int[] {1_000, 8_000})),
+                    Map.of("organisation", RULE),
+                    now);
+            now += WINDOW_MILLIS - 500;
+            assertThat(admit(1_500)).isFalse();
+            now += 500;
+            assertThat(admit(9_000)).isTrue();
+        }
+
+        private FleetMessage.LoadReport reportOfUse(long total, UseHistory history) {
+            return new FleetMessage.LoadReport(
+                    "other-0/1",
+                    false,
+                    new int[0],
+                    new int[0],
+                    Map.of("organisation", total),
+                    List.of(),
+                    new int[0],
+                    Map.of(),
+                    Map.of("organisation", history));
+        }
+
         /** Guards against refusals within a quota at each start, before the first reports can have come. */
         @Test
         void countAsReportingUntilTheyCouldHaveReported() {
@@ -263,7 +328,15 @@
             publishFor(520);
             exchange.onReport(
                     new FleetMessage.LoadReport(
-                            "other-0/1", false, new int[0], new int[0], Map.of(), List.of(), new int[0], Map.of()),
+                            "other-0/1",
+                            false,
+                            new int[0],
+                            new int[0],
+                            Map.of(),
+                            List.of(),
+                            new int[0],
+                            Map.of(),
+                            Map.of()),
                     Map.of(),
                     530);
             assertThat(engine().inProgress()).isEqualTo(4);
