Count use before a lowered limit in full once the limit is as before

What callers saw: more than an organisation's limit in a window could be run after its limit had been lowered and raised again.

Cause: lowering a limit scaled the use in the window down, so that use which the higher limit allowed doesn't block requests within the lower one. Raising it again did not scale it back, and the window seemed emptier than it was.

Change: use is kept by the limit under which it was started (LimitedUsageWindow), and its share is computed from the present limit, in place of scaled sums.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
@@ -107,38 +107,46 @@
         }
     }
 
-    /** Removes use that was added for a moment; where less is left of that moment, use of the time before it. */
-    void remove(double amount, long at) {
+    /**
+     * Removes use that was added for a moment; where less is left of that moment, use of the time before it.
+     *
+     * @return how much was removed.
+     */
+    double remove(double amount, long at) {
         double remaining = amount;
         for (long slice = Math.min(newest, sliceAt(at)); slice >= oldest() && remaining > 0; slice--) {
             double removed = Math.min(remaining, slices[indexOf(slice)]);
             addTo(slice, -removed);
             remaining -= removed;
         }
+        return amount - remaining;
     }
 
-    /** Multiplies all use by a factor. */
-    void scale(double factor) {
-        for (int index = 0; index < slices.length; index++) {
-            slices[index] *= factor;
-        }
-        total *= factor;
-    }
-
-    /** Returns after how many milliseconds an amount of the use has expired, or all of it if there is less. */
-    long millisUntilExpired(double amount, long now) {
-        double expired = 0;
-        long slice = oldest();
-        while (slice < newest) {
-            expired += slices[indexOf(slice)];
-            if (expired >= amount) {
-                break;
-            }
-            slice++;
-        }
+    /** Returns the use of one slice that has not expired. */
+    double amountOf(long slice) {
+        return slices[indexOf(slice)];
+    }
+
+    /** Returns after how many milliseconds a slice has expired, at least 1. */
+    long millisUntilExpired(long slice, long now) {
         return Math.max(1, (slice + slices.length) * sliceMillis - now);
     }
 
+    /** Returns the begin of the oldest slice that has not expired, in milliseconds. */
+    long startMillis() {
+        return oldest() * sliceMillis;
+    }
+
+    /** Returns the number of the newest slice. */
+    long newest() {
+        return newest;
+    }
+
+    /** Returns the number of the oldest slice that has not expired. */
+    long oldest() {
+        return newest - slices.length + 1;
+    }
+
     private void addTo(long slice, double amount) {
         if (slice >= oldest()) {
             slices[indexOf(Math.min(newest, slice))] += amount;
@@ -146,10 +154,6 @@
         }
     }
 
-    private long oldest() {
-        return newest - slices.length + 1;
-    }
-
     private static long divideUp(long dividend, long divisor) {
         return (dividend + divisor - 1) / divisor;
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -1,7 +1,5 @@
 package org.radishspur.decision.dispatch;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 
 import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
@@ -39,19 +37,17 @@
     private final Tolerance tolerance;
     private final QuotaCounts counts;
     private final QuotaListener listener;
-    private final UsageWindow window;
+    private final LimitedUsageWindow window;
 
     /** What this scheduler has started itself, by which others that missed reports can tell when that was. */
     private final UsageWindow ownStarted;
 
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
-    private final UsageWindow assumed;
+    private final LimitedUsageWindow assumed;
 
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
-    private final Deque<Scaling> scalings = new ArrayDeque<>();
     private double ownWaiting;
-    private double limit;
     private double toleratedExcess;
     private double onTimeReserve;
     private double reportingShare = 1;
@@ -79,8 +75,9 @@
         this.counts = counts;
         this.listener = listener;
         observedFrom = startedAt + tolerance.windowMillis();
-        window = new UsageWindow(tolerance.windowMillis(), now);
-        assumed = new UsageWindow(tolerance.windowMillis(), now);
+        double limit = limitOf(organisation);
+        window = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
+        assumed = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
         ownStarted = new UsageWindow(tolerance.windowMillis(), HISTORY_SLICES, now);
         window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
         window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
@@ -92,20 +89,12 @@
         window.advance(now);
         assumed.advance(now);
         setReportingShare(newReportingShare, now);
-        double newLimit = rateOverWindow(organisation) + organisation.burst();
-        if (newLimit < limit) {
-            // The use before was allowed by the higher limit, so it must not block requests within the lower one.
-            window.scale(newLimit / limit);
-            assumed.scale(newLimit / limit);
-            scalings.addLast(new Scaling(now, newLimit / limit));
+        double newLimit = limitOf(organisation);
+        if (newLimit != window.limit()) {
+            listener.onLimitChanged(organisation.name(), window.limit(), newLimit);
+            window.setLimit(newLimit, now);
+            assumed.setLimit(newLimit, now);
         }
-        while (!scalings.isEmpty() && scalings.peekFirst().at() <= now - tolerance.windowMillis()) {
-            scalings.removeFirst();
-        }
-        if (newLimit != limit && limit > 0) {
-            listener.onLimitChanged(organisation.name(), limit, newLimit);
-        }
-        limit = newLimit;
         toleratedExcess = rateOverWindow(organisation) * tolerance.rateShare() + tolerance.burstAmount();
         onTimeReserve = (organisation.burst() + tolerance.burstAmount()) * ON_TIME_RESERVE_SHARE;
     }
@@ -136,8 +125,8 @@
         boolean small = sizes.isSmall(cost);
         sizes.add(cost);
         // A request that costs more than the limit is admitted when nothing else is in use, or it would never run.
-        double counted = Math.min(cost / reportingShare, limit);
-        double excess = use() + counted - limit;
+        double counted = Math.min(cost / reportingShare, window.limit());
+        double excess = use() + counted - window.limit();
         double missing = excess - maxExcess(late, small, now);
         contended |= excess > 0;
         if (missing > ROUNDING) {
@@ -185,9 +174,9 @@
     /** {@inheritDoc} */
     @Override
     public void refundStarted(double cost, long startedAt) {
-        window.remove(cost * scaleSince(startedAt), startedAt);
+        window.remove(cost, startedAt);
         ownStarted.remove(cost, startedAt);
-        assumed.remove(assumedFor(cost, reportingShare) * scaleSince(startedAt), startedAt);
+        assumed.remove(assumedFor(cost, reportingShare), startedAt);
     }
 
     /** {@inheritDoc} */
@@ -204,14 +193,14 @@
             addPeerUse(previous.get(), latest, history);
         } else {
             // How much of the total since the peer's start is in the window is unknown; it can at most fill the limit.
-            double unseen = Math.min(latest.total(), limit - use());
+            double unseen = Math.min(latest.total(), window.limit() - use());
             window.add(Math.max(unseen, latest.waiting()), latest.reportedAt());
         }
     }
 
     /** Adds what a peer has started since its last report, and counts what still waits as of now. */
     private void addPeerUse(PeerUse previous, PeerUse latest, UseHistory history) {
-        window.remove(previous.waiting() * scaleSince(previous.reportedAt()), previous.reportedAt());
+        window.remove(previous.waiting(), previous.reportedAt());
         window.add(latest.waiting(), latest.reportedAt());
         long started = latest.total() - latest.waiting() - (previous.total() - previous.waiting());
         if (started <= 0) {
@@ -228,14 +217,6 @@
         }
     }
 
-    /** Returns by which factor use that was added at a time has been scaled since. */
-    private double scaleSince(long addedAt) {
-        return scalings.stream()
-                .filter(scaling -> scaling.at() > addedAt)
-                .mapToDouble(Scaling::factor)
-                .reduce(1, (one, other) -> one * other);
-    }
-
     /** {@inheritDoc} */
     @Override
     public double ownWaiting() {
@@ -249,19 +230,15 @@
             return Optional.empty();
         }
         contended = false;
-        return Optional.of(
-                new OrganisationUse(organisation, limit, window.total(), assumed.total(), ownWaiting, reportingShare));
+        return Optional.of(new OrganisationUse(
+                organisation, window.limit(), window.total(), assumed.total(), ownWaiting, reportingShare));
+    }
+
+    private double limitOf(OrganisationRule organisation) {
+        return rateOverWindow(organisation) + organisation.burst();
     }
 
     private double rateOverWindow(OrganisationRule organisation) {
         return organisation.ratePerSecond() * tolerance.windowMillis() / 1_000;
     }
-
-    /**
-     * Records that the use in the window was scaled, because the limit was lowered.
-     *
-     * @param at when that was, in milliseconds.
-     * @param factor the factor, below 1.
-     */
-    private record Scaling(long at, double factor) {}
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -23,7 +23,9 @@
     /** The time without a report after which a scheduler counts as silent, in milliseconds. */
     private static final long SILENCE_MILLIS = 900;
 
-    private final OrganisationRule rule;
+    /** The rule of the organisation at each scheduler. */
+    private final OrganisationRule[] rules;
+
     private final QuotaLedger.Tolerance tolerance;
     private final Random random;
     private final long reportDelayMillis;
@@ -59,7 +61,8 @@
             long reportDelayMillis,
             double lostReportShare,
             Random random) {
-        this.rule = rule;
+        rules = new OrganisationRule[schedulers];
+        Arrays.fill(rules, rule);
         this.tolerance = tolerance;
         this.reportDelayMillis = reportDelayMillis;
         this.lostReportShare = lostReportShare;
@@ -101,6 +104,11 @@
         frozen[0] = true;
     }
 
+    /** Changes the rule of the organisation at one scheduler. */
+    void setRule(int scheduler, OrganisationRule rule) {
+        rules[scheduler] = rule;
+    }
+
     /** Ends each cut and freeze. */
     void join() {
         Arrays.fill(groups, 0);
@@ -133,7 +141,7 @@
     }
 
     private void start(Waiting request, long now) {
-        ledgers[request.scheduler].recordGrant(rule, request.cost, now);
+        ledgers[request.scheduler].recordGrant(rules[request.scheduler], request.cost, now);
         waitingUse -= request.cost;
         windowUse += request.cost;
         Arrival arrival = new Arrival(now, request.cost);
@@ -174,7 +182,7 @@
         String peer = report.from + "/" + incarnation;
         report.use.forEach((name, total) -> ledgers[report.to].recordPeerUse(
                 peer,
-                rule,
+                rules[report.to],
                 total,
                 report.waiting.getOrDefault(name, 0L),
                 report.history.getOrDefault(name, UseHistory.UNKNOWN),
@@ -187,7 +195,7 @@
         while (frozen[scheduler]) {
             scheduler = random.nextInt(ledgers.length);
         }
-        Optional<Long> refused = ledgers[scheduler].tryCharge(rule, cost, false, now);
+        Optional<Long> refused = ledgers[scheduler].tryCharge(rules[scheduler], cost, false, now);
         if (refused.isEmpty()) {
             waitingUse += cost;
             waiting.add(new Waiting(now + waitMillis, scheduler, cost));
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -228,4 +228,43 @@
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
     }
+
+    /**
+     * Guards against more than the hard limit where a limit is lowered for a moment, because the use before it counts less
+     * from then on, and against refusals within the limit once it is as before.
+     */
+    @Property(tries = 200, seed = "4725")
+    void keepsTheHardLimitWhereALimitIsLoweredAndRaisedAgain(
+            @ForAll @IntRange(min = 1, max = 7) int schedulers,
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @DoubleRange(min = 0.1, max = 0.9) double loweredTo,
+            @ForAll @LongRange(min = 100, max = 6_000) long loweredMillis,
+            @ForAll @LongRange(min = 0, max = 300) long spreadMillis,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet = new QuotaFleet(RULE, TOLERANCE, schedulers, QuotaFleet.REPORT_MILLIS, 0, random);
+        Demand demand = new Demand(random, usualShare);
+        demand.floodFrom(CUT_AT_MILLIS - 3_000);
+        long raisedAt = CUT_AT_MILLIS + loweredMillis;
+        int refusedWithin = 0;
+        for (long now = 0; now < raisedAt + 2 * WINDOW_MILLIS; now++) {
+            for (int scheduler = 0; scheduler < schedulers; scheduler++) {
+                long delayMillis = spreadMillis * scheduler / schedulers;
+                if (now == CUT_AT_MILLIS + delayMillis) {
+                    fleet.setRule(scheduler, RULE.withShare(loweredTo));
+                } else if (now == raisedAt + delayMillis) {
+                    fleet.setRule(scheduler, RULE);
+                }
+            }
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                double cost = demand.cost();
+                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
+                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
+                refusedWithin += within && refused && now > raisedAt + spreadMillis ? 1 : 0;
+            }
+        }
+        assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
+        assertThat(refusedWithin).isZero();
+    }
 }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -319,6 +319,33 @@
             assertThat(admit(ledger, lower, 1, OBSERVED + 2)).isFalse();
         }
 
+        /** Guards against room for use that the window has not, because a limit was lowered for a moment. */
+        @Test
+        void countsTheUseBeforeInFullOnceALimitIsAsBefore() {
+            admit(8_000, OBSERVED);
+            assertThat(admit(ledger, rule(100, 200), 100, OBSERVED + 500)).isTrue();
+            assertThat(admit(2_000, OBSERVED + 1_000)).isFalse();
+            assertThat(admit(1_900, OBSERVED + 1_000)).isTrue();
+        }
+
+        @Test
+        void countsTheUseUnderALowerLimitInFull() {
+            admit(ledger, rule(500, 1_000), 5_000, OBSERVED);
+            assertThat(admit(5_001, OBSERVED + 500)).isFalse();
+            assertThat(admit(5_000, OBSERVED + 500)).isTrue();
+        }
+
+        @Test
+        void returnsWhenEnoughOfTheUseBeforeHasExpired() {
+            admit(6_000, OBSERVED);
+            OrganisationRule lower = rule(500, 1_000);
+            admit(ledger, lower, 2_000, OBSERVED + 1_000);
+            assertThat(ledger.tryCharge(lower, 3_000, false, OBSERVED + 2_000).orElseThrow())
+                    .isBetween(6_000L, 6_020L);
+            assertThat(ledger.tryCharge(lower, 4_000, false, OBSERVED + 2_000).orElseThrow())
+                    .isBetween(7_000L, 7_020L);
+        }
+
         @Test
         void allowsMoreAtOnceWhenALimitIsRaised() {
             admit(10_000, OBSERVED);
