Report to schedulers what entries have admitted without one

What callers saw: an organisation got more than its limit in a window (QUOTA), after its entries had been without a scheduler for a moment.

Cause: an entry whose schedulers are silent schedules by itself, within its part of the quota. What it granted was in nobody's count afterwards, so that schedulers admitted the same use once more.

Change: an entry collects what it grants by itself, dated by slices of the window (UnreportedUse), and reports it to the next scheduler to which it is attached, also for single requests that two schedulers have failed. The scheduler counts it as use of its own, as of when it was started, and its peers by its reports. What is from before the start of the scheduler is left out, as that time counts as used.

The fixture of process settings measures quotas over a window, as users do.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -95,6 +95,20 @@
         return wait;
     }
 
+    /**
+     * Counts use that an entry has admitted without a scheduler, so that this scheduler and its peers leave room for it.
+     *
+     * @param organisation the organisation.
+     * @param history when the entry has started the requests.
+     * @param now the current time in milliseconds.
+     */
+    public void recordEntryUse(OrganisationRule organisation, UseHistory history, long now) {
+        if (organisation.ratePerSecond() > 0) {
+            long counted = limitOf(organisation, now).recordEntryUse(history, now);
+            ownUse.merge(organisation.name(), counted, Long::sum);
+        }
+    }
+
     /**
      * Records that a request whose cost was charged has received a slot.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -64,6 +64,17 @@
      */
     void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp);
 
+    /**
+     * Counts use that an entry has admitted without a scheduler as use of this scheduler.
+     *
+     * @param history when the use was started.
+     * @param now the current time in milliseconds.
+     * @return how much was counted; 0 where the limit isn't measured over a window.
+     */
+    default long recordEntryUse(UseHistory history, long now) {
+        return 0;
+    }
+
     /**
      * Returns when the requests that this scheduler has admitted were started.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UseHistory.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UseHistory.java
@@ -1,5 +1,7 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.Arrays;
+
 /**
  * States when use was started, by slices of time up to the moment of the statement. A scheduler sends it with a total,
  * so that a receiver which has missed earlier totals can tell when the use between them was started.
@@ -18,6 +20,15 @@
         return sliceMillis > 0;
     }
 
+    /**
+     * Returns the use of all slices.
+     *
+     * @return the sum, in the unit of the limit.
+     */
+    public long total() {
+        return Arrays.stream(amounts).asLongStream().sum();
+    }
+
     /**
      * Divides the latest use among the slices in which it was started. What exceeds all slices was started before them
      * and is left out.
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -1,6 +1,7 @@
 package org.radishspur.decision.dispatch;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -179,6 +180,22 @@
         assumed.remove(assumedFor(cost, reportingShare), startedAt);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public long recordEntryUse(UseHistory history, long now) {
+        ownStarted.advance(now);
+        AtomicLong counted = new AtomicLong();
+        history.divide(history.total(), (part, ageMillis) -> {
+            // The time before this scheduler's start counts as used already.
+            if (now - ageMillis >= observedFrom - tolerance.windowMillis()) {
+                addStarted(part, now - ageMillis);
+                ownStarted.add(part, now - ageMillis);
+                counted.addAndGet((long) part);
+            }
+        });
+        return counted.get();
+    }
+
     /** {@inheritDoc} */
     @Override
     public UseHistory ownHistory(long now) {
@@ -207,16 +224,18 @@
             window.remove(-started, latest.reportedAt());
         } else if (history.isKnown()) {
             // After a silence, most of it may have been started at its end.
-            history.divide(started, (part, ageMillis) -> {
-                window.add(part, latest.reportedAt() - ageMillis);
-                assumed.add(assumedFor(part, reportingShare), latest.reportedAt() - ageMillis);
-            });
+            history.divide(started, (part, ageMillis) -> addStarted(part, latest.reportedAt() - ageMillis));
         } else {
             window.addEvenly(started, previous.reportedAt(), latest.reportedAt());
             assumed.addEvenly(assumedFor(started, reportingShare), previous.reportedAt(), latest.reportedAt());
         }
     }
 
+    private void addStarted(double amount, long at) {
+        window.add(amount, at);
+        assumed.add(assumedFor(amount, reportingShare), at);
+    }
+
     /** {@inheritDoc} */
     @Override
     public double ownWaiting() {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -433,4 +433,36 @@
             assertThat(admit(ledger, rule(500, 1_000), 500, SILENT)).isTrue();
         }
     }
+
+    @Nested
+    class WithUseThatAnEntryReports {
+        private static final long REPORTED = OBSERVED + 3_000;
+        private static final UseHistory HISTORY = new UseHistory(0, 100, new int[] {0, 4_000, 0, 0, 0, 5_000});
+
+        /** Guards against a limit that is exceeded because no scheduler counts what entries admit without one. */
+        @Test
+        void countsItAsOfTheTimeOfItsStart() {
+            ledger.recordEntryUse(RULE, HISTORY, REPORTED);
+            assertThat(admit(1_001, REPORTED)).isFalse();
+            assertThat(admit(5_000, REPORTED + WINDOW_MILLIS - 380)).isTrue();
+            assertThat(admit(1_001, REPORTED + WINDOW_MILLIS - 380)).isFalse();
+            assertThat(admit(5_000, REPORTED + WINDOW_MILLIS + 20)).isTrue();
+        }
+
+        @Test
+        void reportsItToPeers() {
+            ledger.recordEntryUse(RULE, HISTORY, REPORTED);
+            assertThat(ledger.ownUse()).containsEntry("fleet", 9_000L);
+            assertThat(ledger.ownHistory(REPORTED).get("fleet").total()).isEqualTo(9_000);
+        }
+
+        /** Guards against use from before a start that counts twice, as the time before counts as used already. */
+        @Test
+        void leavesOutWhatIsFromBeforeItsOwnStart() {
+            QuotaLedger justStarted = new QuotaLedger(EXACT);
+            justStarted.observeFrom(REPORTED - 300);
+            justStarted.recordEntryUse(RULE, HISTORY, REPORTED);
+            assertThat(justStarted.ownUse()).containsEntry("fleet", 4_000L);
+        }
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -11,7 +11,9 @@
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
 import org.radishspur.decision.dispatch.QuotaLedger;
+import org.radishspur.decision.dispatch.UnreportedUse;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SchedulerFailover;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -52,6 +54,9 @@
     /** The number in a report that is about no slot. */
     private static final long NO_SLOT = 0;
 
+    /** The report in a message that is about no slot. */
+    private static final SlotReport NO_REPORT = new SlotReport.Ended(SlotOutcome.UNUSED);
+
     private final FleetSender links;
     private final EventLog events;
     private final String entry;
@@ -59,7 +64,7 @@
     private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
     private final QuotaLedger localQuotas = new QuotaLedger(QuotaLedger.Tolerance.NONE);
-    private final Map<String, Long> loggedLocalUse = new HashMap<>();
+    private final UnreportedUse unreportedUse;
     private final SlotScheduler localScheduler;
     private final SchedulerFailover failover;
     private final EntryMetrics metrics;
@@ -85,6 +90,7 @@
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         pools.limitToShare();
+        unreportedUse = new UnreportedUse(settings.bounds().quotaTolerance().windowMillis());
         // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
         localScheduler = new SlotScheduler(pools, localQuotas, new LocalReplies());
         failover = new SchedulerFailover(entry, settings.failureDomain(), new LinkContacts());
@@ -160,12 +166,11 @@
      * attached later gets all notes.
      */
     void publishCrashes(List<CrashNote> notes) {
-        SlotReport noReport = new SlotReport.Ended(SlotOutcome.UNUSED);
         Collection<String> receivers =
                 attachedScheduler.equals(LOCAL_ADDRESS) ? schedulerAddresses : List.of(attachedScheduler);
         receivers.stream()
                 .filter(address -> links.connectionCount(address) > 0)
-                .forEach(address -> links.send(address, new FleetMessage.ReportSlot(NO_SLOT, noReport, notes)));
+                .forEach(address -> links.send(address, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, notes)));
     }
 
     /** Handles a scheduler's reply; a slot granted to a request that is no longer pending is released. */
@@ -247,6 +252,7 @@
         if (attachedScheduler.equals(LOCAL_ADDRESS) && !pending.isEmpty()) {
             attach(now);
         }
+        reportLocalUse(now);
         for (UpstreamSlot slot : List.copyOf(pending.values())) {
             if (!slot.isPending() || slot.scheduler().equals(LOCAL_ADDRESS)) {
                 continue;
@@ -291,10 +297,10 @@
         links.setWatchedAddress(next);
         events.emit(EventCode.SCHEDULER, next, previous, pending.size());
         if (chosen.isPresent()) {
-            logLocalUse();
             links.send(
                     next,
                     new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.strongestNotes(now)));
+            reportLocalUse(now);
         }
         if (!previous.equals(LOCAL_ADDRESS)) {
             withdraw(previous);
@@ -306,13 +312,14 @@
         return chosen;
     }
 
-    private void logLocalUse() {
-        localQuotas.ownUse().forEach((organisation, total) -> {
-            Long logged = loggedLocalUse.put(organisation, total);
-            if (!total.equals(logged)) {
-                events.emit(EventCode.LOCAL_USE, organisation, total - (logged == null ? 0 : logged));
-            }
-        });
+    /** Reports what the local scheduler has admitted to the attached one, which counts it as its own use. */
+    private void reportLocalUse(long now) {
+        if (unreportedUse.isEmpty() || links.connectionCount(attachedScheduler) == 0) {
+            return;
+        }
+        Map<String, UseHistory> use = unreportedUse.take(now);
+        use.forEach((organisation, history) -> events.emit(EventCode.LOCAL_USE, organisation, history.total()));
+        links.send(attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, List.of(), use));
     }
 
     private void onSchedulerLost(String scheduler, String cause, long now) {
@@ -417,6 +424,7 @@
                         .find(granted.upstream().runId())
                         .orElseThrow();
                 metrics.countLocalGrant();
+                unreportedUse.add(slot.organisation(), slot.quotaCost(), EntryServices.now());
                 slot.grant(upstream, false);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 slot.reject(rejected);
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamSlot.java
@@ -34,6 +34,16 @@
         this.requestedAt = now;
     }
 
+    /** Returns the organisation whose quota the request is charged to, or an empty name. */
+    String organisation() {
+        return request.organisation();
+    }
+
+    /** Returns what the request costs of that quota. */
+    double quotaCost() {
+        return request.quotaCost();
+    }
+
     /** Returns the upstream of a granted slot, null before the grant. */
     UpstreamLoad upstream() {
         return upstream;
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -248,14 +248,29 @@
     /**
      * Reports to a scheduler how the use of a slot proceeds or has ended.
      *
-     * @param id the number of the request at its entry, 0 if the message only carries notes.
+     * @param id the number of the request at its entry, 0 if the message is about no slot.
      * @param report the report.
-     * @param crashes new notes on crashes. They aren't a message of their own, which an older build could not decode.
+     * @param crashes new notes on crashes. They aren't a message of their own, which an older build could not decode; nor
+     *     is the local use.
+     * @param localUse the use that the entry has admitted without a scheduler and has reported to none, by organisation.
      */
-    record ReportSlot(long id, SlotReport report, List<CrashNote> crashes) implements FleetMessage {
-        /** Replaces notes that an older build doesn't send. */
+    record ReportSlot(long id, SlotReport report, List<CrashNote> crashes, Map<String, UseHistory> localUse)
+            implements FleetMessage {
+        /** Replaces what an older build doesn't send. */
         public ReportSlot {
             crashes = crashes == null ? List.of() : crashes;
+            localUse = localUse == null ? Map.of() : localUse;
+        }
+
+        /**
+         * Creates a report without use that a scheduler doesn't know.
+         *
+         * @param id the number of the request at its entry, 0 if the message is about no slot.
+         * @param report the report.
+         * @param crashes new notes on crashes.
+         */
+        public ReportSlot(long id, SlotReport report, List<CrashNote> crashes) {
+            this(id, report, crashes, Map.of());
         }
     }
 
--- a/node/src/main/java/org/radishspur/node/log/EventCode.java
+++ b/node/src/main/java/org/radishspur/node/log/EventCode.java
@@ -64,7 +64,7 @@
     QUOTA_USE_AFTER_SILENCE(false, "peer", "organisation", "silentMillis", "use"),
     /** Another limit of an organisation is in force at this scheduler. */
     QUOTA_LIMIT(false, "organisation", "before", "after"),
-    /** An entry has a scheduler again, and has admitted use of an organisation without one since it last had none. */
+    /** An entry reports to a scheduler which use of an organisation it has admitted without one. */
     LOCAL_USE(false, "organisation", "use"),
     /** An operator's call was answered. */
     OPERATOR(false, "call", "status", "revision", "millis"),
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -16,8 +16,10 @@
 import org.radishspur.decision.dispatch.QuotaCounts;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotScheduler;
+import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.dialect.OperatorDialect;
 import org.radishspur.node.fleet.ControlHost;
@@ -177,6 +179,7 @@
         } else if (message instanceof FleetMessage.ReportSlot report) {
             crashes.merge(report.crashes(), now());
             slotScheduler.report(sender.peer(), report.id(), report.report(), now());
+            report.localUse().forEach(this::recordLocalUse);
         } else if (message instanceof FleetMessage.LoadReport loadReport) {
             if (loadReports.onReport(loadReport, view.organisations(), now())) {
                 slotScheduler.advance(now());
@@ -197,6 +200,13 @@
         slotScheduler.request(sender.peer(), request.id(), request.request(), now());
     }
 
+    private void recordLocalUse(String organisation, UseHistory history) {
+        OrganisationRule rule = view.organisations().get(organisation);
+        if (rule != null) {
+            quotas.recordEntryUse(rule, history, now());
+        }
+    }
+
     private void onAttach(Sender sender, FleetMessage.Attach attach) {
         String previous = connectionsByEntry.put(attach.entry(), sender.peer());
         if (previous != null && !previous.equals(sender.peer())) {
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.dispatch.RequestTerms;
+import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SchedulerFailover;
 import org.radishspur.decision.slot.SlotOutcome;
 import org.radishspur.decision.slot.SlotReply;
@@ -81,11 +82,15 @@
     }
 
     private static SlotRequest buildRequest() {
+        return buildRequest("", 0);
+    }
+
+    private static SlotRequest buildRequest(String organisation, double quotaCost) {
         return new SlotRequest(
                 "pool",
                 "",
-                "",
-                0,
+                organisation,
+                quotaCost,
                 0,
                 false,
                 true,
@@ -267,6 +272,33 @@
             assertThat(listener.granted).containsExactly(slot);
         }
 
+        /** Guards against a quota that is exceeded because no scheduler counts what entries admit without one. */
+        @Test
+        void reportsTheUseThatItHasAdmittedToTheNextScheduler() {
+            long now = EntryServices.now();
+            links.connected.clear();
+            client.send(client.request(buildRequest("organisation", 500), listener, now), now);
+            links.connected.put(FAR, 1);
+            requestSlot(now + 10);
+            client.checkPending(now + 20);
+            assertThat(links.localUse(FAR)).isEqualTo(500);
+        }
+
+        /** Guards against the same for a request that the entry admits while it is attached to a third scheduler. */
+        @Test
+        void reportsTheUseOfRequestsThatSchedulersHaveFailed() {
+            long now = EntryServices.now();
+            UpstreamSlot slot = client.request(buildRequest("organisation", 500), listener, now);
+            client.send(slot, now);
+            reply(NEAR, slot, new SlotReply.Rejected(SlotReply.Reason.UNREADY, 0), now + 1);
+            reply(FAR, slot, new SlotReply.Rejected(SlotReply.Reason.UNREADY, 0), now + 2);
+            assertThat(listener.granted).containsExactly(slot);
+            client.checkPending(now + 20);
+            requestSlot(now + 5_000);
+            client.checkPending(now + 5_010);
+            assertThat(links.localUse(NEAR) + links.localUse(FAR)).isEqualTo(500);
+        }
+
         @Test
         void reportsItsOwnGrantsToTheNextScheduler() {
             links.connected.clear();
@@ -313,10 +345,23 @@
             return last;
         }
 
+        long localUse(String address) {
+            long use = 0;
+            for (FleetMessage message : sentTo(address)) {
+                if (message instanceof FleetMessage.ReportSlot report) {
+                    use += report.localUse().values().stream()
+                            .mapToLong(UseHistory::total)
+                            .sum();
+                }
+            }
+            return use;
+        }
+
         List<SlotOutcome> outcomes(String address) {
             List<SlotOutcome> outcomes = new ArrayList<>();
             for (FleetMessage message : sentTo(address)) {
                 if (message instanceof FleetMessage.ReportSlot report
+                        && report.id() != 0
                         && report.report() instanceof SlotReport.Ended ended) {
                     outcomes.add(ended.outcome());
                 }
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -38,7 +38,8 @@
     void readsWhatThisBuildSends() {
         assertThat(reread(new FleetMessage.Attach("entry", List.of(HELD), NOTES), EarlierAttach.class))
                 .isEqualTo(new EarlierAttach("entry", List.of(HELD)));
-        assertThat(reread(new FleetMessage.ReportSlot(4, REPORT, NOTES), EarlierReportSlot.class))
+        Map<String, UseHistory> localUse = Map.of("o", new UseHistory(20, 100, new int[] {2}));
+        assertThat(reread(new FleetMessage.ReportSlot(4, REPORT, NOTES, localUse), EarlierReportSlot.class))
                 .isEqualTo(new EarlierReportSlot(4, REPORT));
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
--- a/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
+++ b/node/src/test/java/org/radishspur/node/settings/ProcessSettingsFixture.java
@@ -33,7 +33,7 @@
      */
     public static PlatformProcessSettings of(String node, HostPort address, RegionMap regions) {
         PlatformProcessSettings.Bounds bounds = new PlatformProcessSettings.Bounds(
-                5_000, 8_000, 0.2, 54, 0.1, QuotaLedger.Tolerance.NONE, 1, 125_000_000);
+                5_000, 8_000, 0.2, 54, 0.1, new QuotaLedger.Tolerance(0, 0, 8_000), 1, 125_000_000);
         return new PlatformProcessSettings(
                 node,
                 "a",
