Count use through schedulers against an entry's own share of a quota

What callers saw: an organisation got more than its limit in a window (QUOTA) where all schedulers were lost while it used up its quota.

Cause: an entry without a scheduler began with its part of a whole burst, whatever it had been granted before. All entries together added a burst to a limit that was used up already.

Change: an entry charges to its own bucket what schedulers grant to it (LocalQuotas). The debt is 2 s of its rate at most, and only for an organisation that schedulers have refused in the last window; one that is within its limit and sends most of its requests to one entry keeps that entry's part of the rate.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -95,6 +95,20 @@
         return wait;
     }
 
+    /**
+     * Counts use that another scheduler has admitted for the entry of this ledger, whose share of a quota it is part of.
+     *
+     * @param organisation the organisation with the entry's share of its limit.
+     * @param cost the cost in the unit of the limit.
+     * @param exhausted whether other schedulers refuse the organisation at present because of its limit.
+     * @param now the current time in milliseconds.
+     */
+    public void recordUseElsewhere(OrganisationRule organisation, double cost, boolean exhausted, long now) {
+        if (organisation.ratePerSecond() > 0) {
+            limitOf(organisation, now).recordUseElsewhere(cost, exhausted);
+        }
+    }
+
     /**
      * Counts use that an entry has admitted without a scheduler, so that this scheduler and its peers leave room for it.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
@@ -42,6 +42,12 @@
      */
     private static final long STARTUP_DEBT_MILLIS = 20;
 
+    /**
+     * Maximum debt for use that other schedulers have admitted, in milliseconds of the rate. Callers are told to return
+     * after it, and an entry is rarely without a scheduler for longer.
+     */
+    private static final long MAX_DEBT_ELSEWHERE_MILLIS = 2_000;
+
     private final Tolerance tolerance;
     private final RequestSizes sizes = new RequestSizes();
     private double ratePerSecond;
@@ -96,6 +102,14 @@
         return enough;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void recordUseElsewhere(double cost, boolean exhausted) {
+        // An organisation that is within its limit may send most of its requests to one entry, so this leaves no debt.
+        double maxDebt = exhausted ? ratePerSecond * MAX_DEBT_ELSEWHERE_MILLIS / 1_000 : 0;
+        level = Math.max(Math.min(level, -maxDebt), level - cost);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void recordStart(double cost, long now) {}
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -64,6 +64,14 @@
      */
     void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp);
 
+    /**
+     * Counts use that another scheduler has admitted for the same entry. Ignored where other schedulers report their use.
+     *
+     * @param cost the cost in the unit of the limit.
+     * @param exhausted whether other schedulers refuse the organisation at present because of its limit.
+     */
+    default void recordUseElsewhere(double cost, boolean exhausted) {}
+
     /**
      * Counts use that an entry has admitted without a scheduler as use of this scheduler.
      *
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -52,6 +52,45 @@
         }
     }
 
+    @Nested
+    class WithUseThroughOtherSchedulers {
+        private static final OrganisationRule SHARE = rule(1_000, 500);
+
+        private final QuotaLedger ledger = new QuotaLedger(QuotaLedger.Tolerance.NONE);
+
+        /** Guards against a whole burst on top of a limit that has been used up through other schedulers. */
+        @Test
+        void leavesNoBurstToWhatHasUsedItElsewhere() {
+            ledger.recordUseElsewhere(SHARE, 1_500, true, 0);
+            assertThat(ledger.tryCharge(SHARE, 100, false, 900)).isPresent();
+            assertThat(ledger.tryCharge(SHARE, 100, false, 1_100)).isEmpty();
+        }
+
+        @Test
+        void leavesTheBurstToWhatStaysBelowTheRate() {
+            for (long now = 0; now < 10_000; now += 100) {
+                ledger.recordUseElsewhere(SHARE, 100, true, now);
+            }
+            assertThat(ledger.tryCharge(SHARE, 500, false, 10_000)).isEmpty();
+        }
+
+        /** Guards against refusals for many seconds of callers whose requests came through one entry. */
+        @Test
+        void refusesForTwoSecondsAtMost() {
+            ledger.recordUseElsewhere(SHARE, 50_000, true, 0);
+            assertThat(ledger.tryCharge(SHARE, 100, false, 0).orElseThrow()).isLessThanOrEqualTo(2_100);
+            assertThat(ledger.tryCharge(SHARE, 100, false, 2_001)).isEmpty();
+        }
+
+        /** Guards against refusals of an organisation that is within its limit and sends most through one entry. */
+        @Test
+        void leavesTheRateToWhatOthersDontRefuse() {
+            ledger.recordUseElsewhere(SHARE, 50_000, false, 0);
+            assertThat(ledger.tryCharge(SHARE, 100, false, 1)).isEmpty();
+            assertThat(ledger.tryCharge(SHARE, 100, false, 1)).isPresent();
+        }
+    }
+
     @Nested
     class WithRetriesOfRefusedCallers {
         private static final int COST = 10;
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -10,8 +10,6 @@
 
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
-import org.radishspur.decision.dispatch.QuotaLedger;
-import org.radishspur.decision.dispatch.UnreportedUse;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SchedulerFailover;
@@ -63,8 +61,7 @@
     private final CrashLedger crashes;
     private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
-    private final QuotaLedger localQuotas = new QuotaLedger(QuotaLedger.Tolerance.NONE);
-    private final UnreportedUse unreportedUse;
+    private final LocalQuotas localQuotas;
     private final SlotScheduler localScheduler;
     private final SchedulerFailover failover;
     private final EntryMetrics metrics;
@@ -90,9 +87,8 @@
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         pools.limitToShare();
-        unreportedUse = new UnreportedUse(settings.bounds().quotaTolerance().windowMillis());
-        // No tolerance: other entries may use their local schedulers too, each granting its share of the quotas.
-        localScheduler = new SlotScheduler(pools, localQuotas, new LocalReplies());
+        localQuotas = new LocalQuotas(pools, settings.bounds().quotaTolerance().windowMillis());
+        localScheduler = new SlotScheduler(pools, localQuotas.ledger(), new LocalReplies());
         failover = new SchedulerFailover(entry, settings.failureDomain(), new LinkContacts());
     }
 
@@ -202,6 +198,7 @@
         if (upstream.isPresent()
                 && isUsable(upstream.get(), now)
                 && slot.allows(upstream.get().upstream())) {
+            localQuotas.recordGrantElsewhere(slot, now);
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
         }
@@ -229,6 +226,9 @@
             }
             send(slot, now);
         } else {
+            if (rejected.reason() == SlotReply.Reason.QUOTA) {
+                localQuotas.recordRefusalElsewhere(slot, now);
+            }
             slot.reject(rejected);
         }
     }
@@ -314,10 +314,10 @@
 
     /** Reports what the local scheduler has admitted to the attached one, which counts it as its own use. */
     private void reportLocalUse(long now) {
-        if (unreportedUse.isEmpty() || links.connectionCount(attachedScheduler) == 0) {
+        if (!localQuotas.hasUnreportedUse() || links.connectionCount(attachedScheduler) == 0) {
             return;
         }
-        Map<String, UseHistory> use = unreportedUse.take(now);
+        Map<String, UseHistory> use = localQuotas.takeUnreportedUse(now);
         use.forEach((organisation, history) -> events.emit(EventCode.LOCAL_USE, organisation, history.total()));
         links.send(attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, List.of(), use));
     }
@@ -424,7 +424,7 @@
                         .find(granted.upstream().runId())
                         .orElseThrow();
                 metrics.countLocalGrant();
-                unreportedUse.add(slot.organisation(), slot.quotaCost(), EntryServices.now());
+                localQuotas.recordLocalGrant(slot, EntryServices.now());
                 slot.grant(upstream, false);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 slot.reject(rejected);
