Count what a scheduler has used that was restarted during a silence

What callers saw: an organisation got more than its limit in a window (QUOTA) where a scheduler was restarted while others received nothing from it.

Cause: the first report of a run is a total of unknown times, and counted as much as fills the limit at most. While schedulers are silent, what is assumed for them fills the limit as well; it ends with their reports, and then neither was counted.

Change: the report of a new connection states when use was started, so it counts as that. A scheduler that has just started itself counts it as before.

Evidence: countsWhatTheOtherHasUsedSinceItsRestart failed before: half of the limit was admitted once more.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -208,6 +208,8 @@
     public void recordPeerUse(Optional<PeerUse> previous, PeerUse latest, UseHistory history, boolean startingUp) {
         if (previous.isPresent()) {
             addPeerUse(previous.get(), latest, history);
+        } else if (history.isKnown() && latest.reportedAt() >= observedFrom) {
+            addPeerUse(new PeerUse(0, 0, latest.reportedAt()), latest, history);
         } else {
             // How much of the total since the peer's start is in the window is unknown; it can at most fill the limit.
             double unseen = Math.min(latest.total(), window.limit() - use());
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -427,6 +427,17 @@
             assertThat(admit(5_000, SILENT + 100)).isTrue();
         }
 
+        /** Guards against use of a scheduler that was restarted while it was silent, and that nobody counts afterwards. */
+        @Test
+        void countsWhatTheOtherHasUsedSinceItsRestart() {
+            assertThat(admit(5_000, SILENT)).isTrue();
+            UseHistory history = new UseHistory(0, 100, new int[] {0, 5_000});
+            ledger.recordPeerUse("peer/2", RULE, 5_000, 0, history, SILENT + 100);
+            ledger.setReporting(2, 2);
+            assertThat(admit(100, SILENT + 100)).isFalse();
+            assertThat(admit(10_000, SILENT + 120 + WINDOW_MILLIS)).isTrue();
+        }
+
         @Test
         void scalesWhatItCountsForTheOtherWithALowerLimit() {
             assertThat(admit(4_000, SILENT)).isTrue();
