Leave silent schedulers their share of the limit that an upstream states

Cause: a scheduler that receives no reports took the silent ones for ended, and what they sent for nothing. Each side of a cut used the whole limit that an upstream states; what the others had sent meanwhile was in no count afterwards.

Change: while schedulers are silent, those that report use their share of the limit.

The retry budget is each entry's own and the evidence on trials is a total that entries send to the leader: neither is dated by a report.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/RequestLimiter.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/RequestLimiter.java
@@ -41,11 +41,23 @@
     private long refilledAt;
     private long availableSince = NEVER;
     private Turns turns = Turns.ALONE;
+    private double reportingShare = 1;
 
     void setTurns(Turns newTurns) {
         turns = newTurns;
     }
 
+    /**
+     * Sets the share of the schedulers that report what they send, this one included. The others may be cut off rather
+     * than have ended, and send requests as well; so those that report leave the others their share of the limit.
+     */
+    void setReportingShare(double share, long now) {
+        if (isLimited()) {
+            refill(now);
+        }
+        reportingShare = share;
+    }
+
     /**
      * Records what a response stated.
      *
@@ -150,7 +162,7 @@
     }
 
     private double ratePerMilli() {
-        return limit.requestsPerMinute() * turns.share() / MILLIS_PER_MINUTE;
+        return limit.requestsPerMinute() * turns.share() * reportingShare / MILLIS_PER_MINUTE;
     }
 
     /**
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UpstreamLoad.java
@@ -284,6 +284,17 @@
         limiter.forgetPeer(scheduler);
     }
 
+    /**
+     * Sets how many of the schedulers report what they send, so that those leave room for the others where the upstream
+     * states a limit.
+     *
+     * @param share the share of the schedulers that have reported lately, this one included, above 0.
+     * @param now the current time in milliseconds.
+     */
+    public void setReportingShare(double share, long now) {
+        limiter.setReportingShare(share, now);
+    }
+
     /**
      * Returns how many requests this scheduler has sent to the upstream since it started.
      *
@@ -325,8 +336,13 @@
         return limiter.isLimited();
     }
 
-    /** Returns whether one more request stays within the limit that the upstream states. */
-    boolean allowsLimitedRequest(long now) {
+    /**
+     * Returns whether one more request stays within the limit that the upstream states.
+     *
+     * @param now the current time in milliseconds.
+     * @return whether it does, or no limit is stated.
+     */
+    public boolean allowsLimitedRequest(long now) {
         return limiter.allows(now);
     }
 
--- a/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
+++ b/node/src/main/java/org/radishspur/node/schedule/LoadReportExchange.java
@@ -130,8 +130,7 @@
     void publishIfDue(long now) {
         if (!pauses.onFired(now)) {
             removeLostPeers(now);
-            quotas.setReporting(
-                    1 + countReportingPeers(now), 1 + publishRounds.peers().size());
+            setReporting(1 + countReportingPeers(now), 1 + publishRounds.peers().size(), now);
         }
         if (!publishRounds.beginRound(now)) {
             return;
@@ -160,6 +159,15 @@
         limits.recordPublished();
     }
 
+    /** Sets how many of all schedulers report, so that what is counted over all of them leaves room for the others. */
+    private void setReporting(int reporting, int all, long now) {
+        quotas.setReporting(reporting, all);
+        double share = (double) reporting / all;
+        upstreams.values().stream()
+                .filter(UpstreamLoad::wasEverLimited)
+                .forEach(upstream -> upstream.setReportingShare(share, now));
+    }
+
     /** Returns the peers to which a connection was made since the last call; they have none of the values. */
     private List<String> takeReconnectedPeers() {
         List<String> reconnected = new ArrayList<>();
--- a/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
+++ b/node/src/test/java/org/radishspur/node/schedule/LoadReportExchangeTest.java
@@ -91,6 +91,7 @@
                 new OrganisationRule("organisation", Set.of("key"), 0, 1_000, 2_000, true, 10);
 
         private long now;
+        private long limitedRequests;
 
         @BeforeEach
         void observeAWholeWindow() {
@@ -187,6 +188,33 @@
                     Map.of("organisation", history));
         }
 
+        /** Guards against a stated limit that is used twice, as two schedulers that are cut off take each other for ended. */
+        @Test
+        void keepTheirShareOfAStatedLimit() {
+            engine().recordStatedLimit(RequestLimit.ofRate(10), 0, now);
+            receiveReportsUntil(now + 1_000);
+            int whileReporting = 0;
+            for (long end = now + 4_000; now < end; ) {
+                receiveReportsUntil(now + TICK_MILLIS);
+                whileReporting += sendIfAllowed() ? 1 : 0;
+            }
+            receiveNothingUntil(now + 1_000);
+            int whileSilent = 0;
+            for (long end = now + 4_000; now < end; ) {
+                receiveNothingUntil(now + TICK_MILLIS);
+                whileSilent += sendIfAllowed() ? 1 : 0;
+            }
+            assertThat(whileSilent).isBetween(whileReporting / 2 - 2, whileReporting / 2 + 2);
+        }
+
+        private boolean sendIfAllowed() {
+            boolean allowed = engine().allowsLimitedRequest(now);
+            if (allowed) {
+                engine().recordPeerSent("self", ++limitedRequests, now);
+            }
+            return allowed;
+        }
+
         /** Guards against refusals within a quota at each start, before the first reports can have come. */
         @Test
         void countAsReportingUntilTheyCouldHaveReported() {
