Test what ledgers state to observers, and use that spans two limits

One call less: the use that an entry admitted by itself is reported by its periodic check alone, which runs while any request is pending or in progress.

--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -1,9 +1,12 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -91,6 +94,54 @@
         }
     }
 
+    @Nested
+    class Observed {
+        private static final OrganisationRule RULE = rule(1_000, 2_000);
+
+        private final QuotaLedger ledger = new QuotaLedger(new QuotaLedger.Tolerance(0, 0, 8_000));
+        private final List<String> observed = new ArrayList<>();
+
+        @BeforeEach
+        void listen() {
+            ledger.setListener(new QuotaListener() {
+                @Override
+                public void onLimitChanged(String organisation, double before, double after) {
+                    observed.add("limit " + (long) before + " " + (long) after);
+                }
+
+                @Override
+                public void onUseAfterSilence(String peer, String organisation, long silentMillis, long use) {
+                    observed.add(peer + " " + silentMillis + " " + use);
+                }
+            });
+            ledger.recordPeerUse("peer/1", RULE, 100, 0);
+        }
+
+        @Test
+        void statesUseThatAReportBringsAfterASilence() {
+            ledger.recordPeerUse("peer/1", RULE, 200, 800);
+            ledger.recordPeerUse("peer/1", RULE, 200, 2_000);
+            ledger.recordPeerUse("peer/1", RULE, 700, 4_000);
+            assertThat(observed).containsExactly("peer/1 2000 500");
+        }
+
+        @Test
+        void statesAnotherLimit() {
+            ledger.tryCharge(rule(500, 1_000), 1, false, 10);
+            assertThat(observed).containsExactly("limit 10000 5000");
+        }
+
+        @Test
+        void statesTheUseOfWhatWasBeyondItsLimitOnce() {
+            assertThat(ledger.takeContendedUse()).isEmpty();
+            ledger.tryCharge(RULE, 9_000, false, 10);
+            assertThat(ledger.takeContendedUse())
+                    .singleElement()
+                    .satisfies(use -> assertThat(use.organisation()).isEqualTo("fleet"));
+            assertThat(ledger.takeContendedUse()).isEmpty();
+        }
+    }
+
     @Nested
     class WithRetriesOfRefusedCallers {
         private static final int COST = 10;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -265,6 +265,31 @@
             assertThat(admit(100, OBSERVED + 60 + WINDOW_MILLIS)).isTrue();
         }
 
+        /** Guards against use that is lost where a limit was lowered between two reports. */
+        @Test
+        void dividesUseAmongTheLimitsOfItsTime() {
+            useOfPeerBefore(OBSERVED);
+            OrganisationRule lower = rule(500, 1_000);
+            admit(ledger, lower, 1, OBSERVED + 500);
+            ledger.recordPeerUse("peer/1", lower, 4_000, OBSERVED + 1_000);
+            assertThat(admit(ledger, lower, 2_001, OBSERVED + 1_000)).isFalse();
+            assertThat(admit(ledger, lower, 1_980, OBSERVED + 1_000)).isTrue();
+            assertThat(admit(ledger, RULE, 4_040, OBSERVED + 1_000)).isFalse();
+            assertThat(admit(ledger, RULE, 4_000, OBSERVED + 1_000)).isTrue();
+        }
+
+        /** Guards against use that both sides admit while one of three schedulers has reported again after a silence. */
+        @Test
+        void assumesAsMuchForSilentSchedulersAsForOneThatReports() {
+            useOfPeerBefore(OBSERVED);
+            ledger.setReporting(2, 4);
+            admit(10, OBSERVED + 2_000);
+            UseHistory history = new UseHistory(0, 100, new int[] {3_000});
+            ledger.recordPeerUse("peer/1", RULE, 3_000, 0, history, OBSERVED + 2_100);
+            assertThat(admit(2_100, OBSERVED + 2_100)).isFalse();
+            assertThat(admit(1_900, OBSERVED + 2_100)).isTrue();
+        }
+
         @Test
         void takesBackWhatAPeerRefunds() {
             useOfPeerBefore(OBSERVED);
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -300,7 +300,6 @@
             links.send(
                     next,
                     new FleetMessage.Attach(entry, localScheduler.heldSlots(LOCAL_ENTRY), crashes.strongestNotes(now)));
-            reportLocalUse(now);
         }
         if (!previous.equals(LOCAL_ADDRESS)) {
             withdraw(previous);
