Bound an entry's burst by what its share of the window leaves

What callers saw: more than an organisation's limit in a window (QUOTA) where a flood began while entries had no scheduler, after a time of much use that nobody refused.

Cause: a limit over a window allows more at once than a token bucket, so that the use through schedulers left each entry's bucket a burst that the window had not.

Change: after each grant the bucket holds at most what the entry's share of the window leaves. The part of the rate stays, as an organisation may send most to one entry. The quotas of entries are in the module of decisions now (EntryQuotas), so that a model of entries and schedulers can play them.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -100,12 +100,13 @@
      *
      * @param organisation the organisation with the entry's share of its limit.
      * @param cost the cost in the unit of the limit.
+     * @param room what the entry has not used of its share in the window.
      * @param exhausted whether other schedulers refuse the organisation at present because of its limit.
      * @param now the current time in milliseconds.
      */
-    public void recordUseElsewhere(OrganisationRule organisation, double cost, boolean exhausted, long now) {
+    void recordUseElsewhere(OrganisationRule organisation, double cost, double room, boolean exhausted, long now) {
         if (organisation.ratePerSecond() > 0) {
-            limitOf(organisation, now).recordUseElsewhere(cost, exhausted);
+            limitOf(organisation, now).recordUseElsewhere(cost, room, exhausted);
         }
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
@@ -104,10 +104,10 @@
 
     /** {@inheritDoc} */
     @Override
-    public void recordUseElsewhere(double cost, boolean exhausted) {
+    public void recordUseElsewhere(double cost, double room, boolean exhausted) {
         // An organisation that is within its limit may send most of its requests to one entry, so this leaves no debt.
         double maxDebt = exhausted ? ratePerSecond * MAX_DEBT_ELSEWHERE_MILLIS / 1_000 : 0;
-        level = Math.max(Math.min(level, -maxDebt), level - cost);
+        level = Math.max(Math.min(level, -maxDebt), Math.min(level - cost, room));
     }
 
     /** {@inheritDoc} */
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UnreportedUse.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UnreportedUse.java
@@ -6,7 +6,7 @@
 /**
  * Collects the use that an entry admits without a scheduler, until a scheduler receives it and counts it as its own.
  */
-public final class UnreportedUse {
+final class UnreportedUse {
     /** The number of slices in which the time of use is stated. */
     private static final int SLICES = 80;
 
@@ -19,7 +19,7 @@
      * @param windowMillis the window over which limits are measured, in milliseconds; 0 if they aren't, and nothing is
      *     collected.
      */
-    public UnreportedUse(long windowMillis) {
+    UnreportedUse(long windowMillis) {
         this.windowMillis = windowMillis;
     }
 
@@ -30,7 +30,7 @@
      * @param cost the cost in the unit of the limit.
      * @param now the current time in milliseconds.
      */
-    public void add(String organisation, double cost, long now) {
+    void add(String organisation, double cost, long now) {
         if (windowMillis > 0 && cost > 0) {
             UsageWindow window =
                     windows.computeIfAbsent(organisation, key -> new UsageWindow(windowMillis, SLICES, now));
@@ -44,7 +44,7 @@
      *
      * @return whether nothing was added since the last {@link #take}.
      */
-    public boolean isEmpty() {
+    boolean isEmpty() {
         return windows.isEmpty();
     }
 
@@ -54,7 +54,7 @@
      * @param now the current time in milliseconds.
      * @return when it was started, by organisation.
      */
-    public Map<String, UseHistory> take(long now) {
+    Map<String, UseHistory> take(long now) {
         Map<String, UseHistory> histories = new HashMap<>();
         windows.forEach((organisation, window) -> {
             window.advance(now);
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -68,9 +68,10 @@
      * Counts use that another scheduler has admitted for the same entry. Ignored where other schedulers report their use.
      *
      * @param cost the cost in the unit of the limit.
+     * @param room the maximum that the entry may use at once afterwards.
      * @param exhausted whether other schedulers refuse the organisation at present because of its limit.
      */
-    default void recordUseElsewhere(double cost, boolean exhausted) {}
+    default void recordUseElsewhere(double cost, double room, boolean exhausted) {}
 
     /**
      * Counts use that an entry has admitted without a scheduler as use of this scheduler.
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -143,10 +143,7 @@
     private void start(Waiting request, long now) {
         ledgers[request.scheduler].recordGrant(rules[request.scheduler], request.cost, now);
         waitingUse -= request.cost;
-        windowUse += request.cost;
-        Arrival arrival = new Arrival(now, request.cost);
-        arrivals.add(arrival);
-        lastWindow.add(arrival);
+        arrive(request.cost, now);
     }
 
     private void sendReports(long now) {
@@ -195,6 +192,11 @@
         while (frozen[scheduler]) {
             scheduler = random.nextInt(ledgers.length);
         }
+        return offerTo(scheduler, cost, waitMillis, now);
+    }
+
+    /** Offers a request to one scheduler. */
+    Optional<Long> offerTo(int scheduler, double cost, long waitMillis, long now) {
         Optional<Long> refused = ledgers[scheduler].tryCharge(rules[scheduler], cost, false, now);
         if (refused.isEmpty()) {
             waitingUse += cost;
@@ -203,6 +205,19 @@
         return refused;
     }
 
+    /** Lets a request arrive at an upstream that no scheduler has admitted. */
+    void arrive(double cost, long now) {
+        windowUse += cost;
+        Arrival arrival = new Arrival(now, cost);
+        arrivals.add(arrival);
+        lastWindow.add(arrival);
+    }
+
+    /** Reports to one scheduler what an entry has admitted by itself. */
+    void reportEntryUse(int scheduler, UseHistory history, long now) {
+        ledgers[scheduler].recordEntryUse(rules[scheduler], history, now);
+    }
+
     /** Returns what all schedulers together have admitted and what has not left the window, or has just left it. */
     double trueUse(long sinceLeftMillis, long now) {
         double justLeft = 0;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaLedgerTest.java
@@ -64,7 +64,7 @@
         /** Guards against a whole burst on top of a limit that has been used up through other schedulers. */
         @Test
         void leavesNoBurstToWhatHasUsedItElsewhere() {
-            ledger.recordUseElsewhere(SHARE, 1_500, true, 0);
+            ledger.recordUseElsewhere(SHARE, 1_500, 500, true, 0);
             assertThat(ledger.tryCharge(SHARE, 100, false, 900)).isPresent();
             assertThat(ledger.tryCharge(SHARE, 100, false, 1_100)).isEmpty();
         }
@@ -72,7 +72,7 @@
         @Test
         void leavesTheBurstToWhatStaysBelowTheRate() {
             for (long now = 0; now < 10_000; now += 100) {
-                ledger.recordUseElsewhere(SHARE, 100, true, now);
+                ledger.recordUseElsewhere(SHARE, 100, 500, true, now);
             }
             assertThat(ledger.tryCharge(SHARE, 500, false, 10_000)).isEmpty();
         }
@@ -80,15 +80,23 @@
         /** Guards against refusals for many seconds of callers whose requests came through one entry. */
         @Test
         void refusesForTwoSecondsAtMost() {
-            ledger.recordUseElsewhere(SHARE, 50_000, true, 0);
+            ledger.recordUseElsewhere(SHARE, 50_000, 500, true, 0);
             assertThat(ledger.tryCharge(SHARE, 100, false, 0).orElseThrow()).isLessThanOrEqualTo(2_100);
             assertThat(ledger.tryCharge(SHARE, 100, false, 2_001)).isEmpty();
         }
 
         /** Guards against refusals of an organisation that is within its limit and sends most through one entry. */
+        /** Guards against a burst on top of what the entry has used up of its share in the window. */
+        @Test
+        void leavesNoMoreThanTheWindowHas() {
+            ledger.recordUseElsewhere(SHARE, 1, 200, false, 0);
+            assertThat(ledger.tryCharge(SHARE, 200, false, 0)).isEmpty();
+            assertThat(ledger.tryCharge(SHARE, 1, false, 0)).isPresent();
+        }
+
         @Test
         void leavesTheRateToWhatOthersDontRefuse() {
-            ledger.recordUseElsewhere(SHARE, 50_000, false, 0);
+            ledger.recordUseElsewhere(SHARE, 50_000, 500, false, 0);
             assertThat(ledger.tryCharge(SHARE, 100, false, 1)).isEmpty();
             assertThat(ledger.tryCharge(SHARE, 100, false, 1)).isPresent();
         }
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -1,5 +1,6 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.Arrays;
 import java.util.Random;
 import java.util.Set;
 
@@ -267,4 +268,108 @@
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
     }
+
+    /** Entries that use the schedulers of a fleet in turn, and schedule by themselves while they reach none. */
+    private static final class Entries {
+        private static final int COUNT = 7;
+        private static final OrganisationRule SHARE = RULE.withShare(1.0 / COUNT);
+
+        private final QuotaFleet fleet;
+        private final int schedulers;
+        private final Random random;
+        private final EntryQuotas[] quotas = new EntryQuotas[COUNT];
+
+        Entries(QuotaFleet fleet, int schedulers, Random random) {
+            this.fleet = fleet;
+            this.schedulers = schedulers;
+            this.random = random;
+            Arrays.setAll(quotas, entry -> new EntryQuotas(WINDOW_MILLIS));
+        }
+
+        /** Sends a request to the scheduler of a random entry. */
+        void offer(double cost, long waitMillis, long now) {
+            int entry = random.nextInt(COUNT);
+            if (fleet.offerTo(entry % schedulers, cost, waitMillis, now).isPresent()) {
+                quotas[entry].recordRefusalElsewhere(SHARE.name(), now);
+            } else {
+                quotas[entry].recordGrantElsewhere(SHARE, cost, now);
+            }
+        }
+
+        /** Lets a random entry decide on a request by itself. */
+        void decideLocally(double cost, long now) {
+            EntryQuotas entry = quotas[random.nextInt(COUNT)];
+            if (entry.ledger().tryCharge(SHARE, cost, false, now).isEmpty()) {
+                entry.recordLocalGrant(SHARE.name(), cost, now);
+                fleet.arrive(cost, now);
+            }
+        }
+
+        /** Reports to the schedulers what the entries have decided by themselves. */
+        void report(long now) {
+            for (int entry = 0; entry < COUNT; entry++) {
+                if (quotas[entry].hasUnreportedUse()) {
+                    UseHistory history = quotas[entry].takeUnreportedUse(now).get(SHARE.name());
+                    fleet.reportEntryUse(entry % schedulers, history, now);
+                }
+            }
+        }
+    }
+
+    /**
+     * Guards against more than the hard limit where entries reach no scheduler for a moment of a flood, each schedules by
+     * itself, and schedulers don't know what it has admitted.
+     */
+    @Property(tries = 200, seed = "4726")
+    void keepsTheHardLimitWhereEntriesScheduleByThemselves(
+            @ForAll @IntRange(min = 1, max = 7) int schedulers,
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @LongRange(min = 100, max = 2_000) long localMillis,
+            @ForAll @LongRange(min = -2_000, max = 8_000) long floodMillis,
+            @ForAll long seed) {
+        double most = mostInAWindowWithoutSchedulers(schedulers, usualShare, localMillis, floodMillis, false, seed);
+        assertThat(most).isLessThanOrEqualTo(HARD_LIMIT);
+    }
+
+    /**
+     * Guards against the same where all schedulers have ended meanwhile, so that those that are started anew know nothing
+     * of what was used before.
+     */
+    @Property(tries = 200, seed = "4727")
+    void keepsTheHardLimitWhereAllSchedulersAreReplaced(
+            @ForAll @IntRange(min = 1, max = 7) int schedulers,
+            @ForAll @DoubleRange(min = 0.1, max = 1) double usualShare,
+            @ForAll @LongRange(min = 500, max = 3_000) long localMillis,
+            @ForAll @LongRange(min = -2_000, max = 8_000) long floodMillis,
+            @ForAll long seed) {
+        double most = mostInAWindowWithoutSchedulers(schedulers, usualShare, localMillis, floodMillis, true, seed);
+        assertThat(most).isLessThanOrEqualTo(HARD_LIMIT);
+    }
+
+    private static double mostInAWindowWithoutSchedulers(
+            int schedulers, double usualShare, long localMillis, long floodMillis, boolean restarted, long seed) {
+        Random random = new Random(seed);
+        QuotaFleet fleet = new QuotaFleet(RULE, TOLERANCE, schedulers, QuotaFleet.REPORT_MILLIS, 0, random);
+        Entries entries = new Entries(fleet, schedulers, random);
+        Demand demand = new Demand(random, usualShare);
+        demand.floodFrom(CUT_AT_MILLIS - floodMillis);
+        long endsAt = CUT_AT_MILLIS + localMillis;
+        for (long now = 0; now < endsAt + 2 * WINDOW_MILLIS; now++) {
+            if (now == endsAt) {
+                if (restarted) {
+                    fleet.restart();
+                }
+                entries.report(now);
+            }
+            fleet.advance(now);
+            for (int count = demand.count(now); count > 0; count--) {
+                if (now >= CUT_AT_MILLIS && now < endsAt) {
+                    entries.decideLocally(demand.cost(), now);
+                } else {
+                    entries.offer(demand.cost(), demand.waitMillis(), now);
+                }
+            }
+        }
+        return fleet.mostInAWindow();
+    }
 }
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -10,6 +10,7 @@
 
 import org.radishspur.decision.crash.CrashLedger;
 import org.radishspur.decision.crash.CrashNote;
+import org.radishspur.decision.dispatch.EntryQuotas;
 import org.radishspur.decision.dispatch.UpstreamLoad;
 import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SchedulerFailover;
@@ -61,7 +62,7 @@
     private final CrashLedger crashes;
     private final Consumer<List<CrashNote>> crashListener;
     private final PoolSet pools;
-    private final LocalQuotas localQuotas;
+    private final EntryQuotas localQuotas;
     private final SlotScheduler localScheduler;
     private final SchedulerFailover failover;
     private final EntryMetrics metrics;
@@ -87,7 +88,7 @@
         entry = settings.peerAddress().toString();
         pools = new PoolSet(entry, settings.failureDomain(), settings.bounds().maxTrialShare());
         pools.limitToShare();
-        localQuotas = new LocalQuotas(pools, settings.bounds().quotaTolerance().windowMillis());
+        localQuotas = new EntryQuotas(settings.bounds().quotaTolerance().windowMillis());
         localScheduler = new SlotScheduler(pools, localQuotas.ledger(), new LocalReplies());
         failover = new SchedulerFailover(entry, settings.failureDomain(), new LinkContacts());
     }
@@ -198,7 +199,8 @@
         if (upstream.isPresent()
                 && isUsable(upstream.get(), now)
                 && slot.allows(upstream.get().upstream())) {
-            localQuotas.recordGrantElsewhere(slot, now);
+            pools.organisationRule(slot.organisation())
+                    .ifPresent(rule -> localQuotas.recordGrantElsewhere(rule, slot.quotaCost(), now));
             slot.grant(upstream.get(), !granted.eventTimeKnown());
             return;
         }
@@ -227,7 +229,7 @@
             send(slot, now);
         } else {
             if (rejected.reason() == SlotReply.Reason.QUOTA) {
-                localQuotas.recordRefusalElsewhere(slot, now);
+                localQuotas.recordRefusalElsewhere(slot.organisation(), now);
             }
             slot.reject(rejected);
         }
@@ -423,7 +425,7 @@
                         .find(granted.upstream().runId())
                         .orElseThrow();
                 metrics.countLocalGrant();
-                localQuotas.recordLocalGrant(slot, EntryServices.now());
+                localQuotas.recordLocalGrant(slot.organisation(), slot.quotaCost(), EntryServices.now());
                 slot.grant(upstream, false);
             } else if (reply instanceof SlotReply.Rejected rejected) {
                 slot.reject(rejected);
