Hold what entries report to a scheduler that has no catalogue yet

A scheduler that has just started receives what entries have admitted without one before it knows any organisation, and dropped it. It is held until the first catalogue (EntryUseReports) and counts as of when it was received.

--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -16,10 +16,8 @@
 import org.radishspur.decision.dispatch.QuotaCounts;
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UpstreamLoad;
-import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.decision.slot.SlotReply;
 import org.radishspur.decision.slot.SlotScheduler;
-import org.radishspur.model.catalogue.OrganisationRule;
 import org.radishspur.node.control.ControlLoop;
 import org.radishspur.node.dialect.OperatorDialect;
 import org.radishspur.node.fleet.ControlHost;
@@ -68,6 +66,7 @@
     private final PoolSet pools;
     private final QuotaLedger quotas;
     private final QuotaLog quotaLog;
+    private final EntryUseReports entryUse;
     private final CrashLedger crashes = new CrashLedger();
     private final SlotScheduler slotScheduler;
     private final LoadReportExchange loadReports;
@@ -115,6 +114,7 @@
         quotas.observeFrom(now());
         quotaLog = new QuotaLog(quotas, events);
         quotas.setListener(quotaLog);
+        entryUse = new EntryUseReports(quotas);
         slotScheduler = new SlotScheduler(pools, quotas, new SchedulerListener());
         poolMetrics = new PoolMetrics(metrics);
         evacuationLog = new EvacuationLog(pools, events);
@@ -179,7 +179,7 @@
         } else if (message instanceof FleetMessage.ReportSlot report) {
             crashes.merge(report.crashes(), now());
             slotScheduler.report(sender.peer(), report.id(), report.report(), now());
-            report.localUse().forEach(this::recordLocalUse);
+            entryUse.onReport(report.localUse(), view.organisations(), now());
         } else if (message instanceof FleetMessage.LoadReport loadReport) {
             if (loadReports.onReport(loadReport, view.organisations(), now())) {
                 slotScheduler.advance(now());
@@ -200,13 +200,6 @@
         slotScheduler.request(sender.peer(), request.id(), request.request(), now());
     }
 
-    private void recordLocalUse(String organisation, UseHistory history) {
-        OrganisationRule rule = view.organisations().get(organisation);
-        if (rule != null) {
-            quotas.recordEntryUse(rule, history, now());
-        }
-    }
-
     private void onAttach(Sender sender, FleetMessage.Attach attach) {
         String previous = connectionsByEntry.put(attach.entry(), sender.peer());
         if (previous != null && !previous.equals(sender.peer())) {
@@ -241,6 +234,7 @@
             pools.apply(newer, others.size() + 1, now());
             pools.forEachPool(poolMetrics::add);
             loadReports.refresh(others);
+            entryUse.onOrganisations(newer.organisations());
             evacuationLog.onView(newer.evacuated());
             slotScheduler.advance(now());
         }
