State to schedulers that have just started what entries have used

Cause: a scheduler that has just started counts the time before as used at the rate and with half a burst. More may have been used, at the end of the window: no report of the schedulers that have ended exists, and the absence counted as the assumption.

Change: entries know what they were granted, whoever granted it. Over each new connection an entry states to the scheduler what it has used in the last window (EntryUse), and the scheduler counts what is from before its start, once for each entry, in place of the assumption where it is more. Running schedulers have no such time and count nothing.

--- a/decision/src/main/java/org/radishspur/decision/dispatch/EntryQuotas.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/EntryQuotas.java
@@ -13,6 +13,9 @@
 public final class EntryQuotas {
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    /** The number of slices in which an entry states what it has used. */
+    private static final int SLICES = 80;
+
     private final long windowMillis;
 
     /** Has no tolerance: other entries may schedule by themselves too, each granting its share of the quotas. */
@@ -63,7 +66,7 @@
 
     /** Records use and returns what was used in the window. */
     private double recordUse(String organisation, double cost, long now) {
-        UsageWindow window = used.computeIfAbsent(organisation, key -> new UsageWindow(windowMillis, now));
+        UsageWindow window = used.computeIfAbsent(organisation, key -> new UsageWindow(windowMillis, SLICES, now));
         window.advance(now);
         window.add(cost, now);
         return window.total();
@@ -93,6 +96,22 @@
         }
     }
 
+    /**
+     * Returns what requests of this entry have used lately, whoever has granted it.
+     *
+     * @param now the current time in milliseconds.
+     * @return when it was started, by organisation.
+     */
+    public Map<String, UseHistory> recentUse(long now) {
+        Map<String, UseHistory> histories = new HashMap<>();
+        used.forEach((organisation, window) -> {
+            window.advance(now);
+            histories.put(organisation, window.history(now));
+        });
+        histories.values().removeIf(history -> history.total() == 0);
+        return histories;
+    }
+
     /**
      * Returns whether the entry has granted anything by itself that no scheduler counts.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/LimitedUsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/LimitedUsageWindow.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 
 /**
  * Sums up use over the last seconds in which its limit may have changed. Use from the time of a higher limit counts in
@@ -106,14 +107,14 @@
         }
     }
 
-    /** Returns after how many milliseconds an amount of the use has expired, or all of it if there is less. */
-    long millisUntilExpired(double amount, long now) {
-        UsageWindow newest = phases.getFirst().use;
+    /** Returns after how many milliseconds an amount of the use of some windows has expired, or all if there is less. */
+    static long millisUntilExpired(List<LimitedUsageWindow> windows, double amount, long now) {
+        UsageWindow newest = windows.get(0).phases.getFirst().use;
         double expired = 0;
         long slice = newest.oldest();
         while (slice < newest.newest()) {
-            for (Phase phase : phases) {
-                expired += phase.use.amountOf(slice) * phase.share(limit());
+            for (LimitedUsageWindow window : windows) {
+                expired += window.amountOf(slice);
             }
             if (expired >= amount) {
                 break;
@@ -123,6 +124,14 @@
         return newest.millisUntilExpired(slice, now);
     }
 
+    private double amountOf(long slice) {
+        double sum = 0;
+        for (Phase phase : phases) {
+            sum += phase.use.amountOf(slice) * phase.share(limit());
+        }
+        return sum;
+    }
+
     private Phase phaseAt(long at) {
         return phases.stream().filter(phase -> phase.from <= at).findFirst().orElse(phases.getLast());
     }
--- a/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/QuotaLedger.java
@@ -124,6 +124,19 @@
         }
     }
 
+    /**
+     * Counts what an entry has used before this scheduler started. Each entry states it once.
+     *
+     * @param organisation the organisation.
+     * @param history when the entry has started the requests.
+     * @param now the current time in milliseconds.
+     */
+    public void recordUseBeforeStart(OrganisationRule organisation, UseHistory history, long now) {
+        if (organisation.ratePerSecond() > 0) {
+            limitOf(organisation, now).recordUseBeforeStart(history, now);
+        }
+    }
+
     /**
      * Records that a request whose cost was charged has received a slot.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageLimit.java
@@ -73,6 +73,15 @@
      */
     default void recordUseElsewhere(double cost, double room, boolean exhausted) {}
 
+    /**
+     * Counts what an entry has used before this scheduler started, whoever admitted it. Ignored where the limit isn't
+     * measured over a window.
+     *
+     * @param history when the use was started.
+     * @param now the current time in milliseconds.
+     */
+    default void recordUseBeforeStart(UseHistory history, long now) {}
+
     /**
      * Counts use that an entry has admitted without a scheduler as use of this scheduler.
      *
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -1,5 +1,6 @@
 package org.radishspur.decision.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -24,8 +25,9 @@
     private static final double SMALL_REQUEST_SHARE = 0.5;
 
     /**
-     * Share of the burst that counts as just used when a scheduler starts. It keeps the use in one window bounded when
-     * all schedulers restart during a burst, and leaves room for callers who have waited for the restart.
+     * Share of the burst that counts as just used when a scheduler starts, as long as entries state no more. It keeps the
+     * use in one window bounded when all schedulers restart during a burst, and leaves room for callers who have waited
+     * for the restart.
      */
     private static final double STARTUP_BURST_SHARE = 0.5;
 
@@ -43,6 +45,12 @@
     /** What this scheduler has started itself, by which others that missed reports can tell when that was. */
     private final UsageWindow ownStarted;
 
+    /** What counts as used before this scheduler started, because all schedulers may have restarted at once. */
+    private final LimitedUsageWindow assumedBeforeStart;
+
+    /** What entries have used before this scheduler started; it counts in place of the assumption where it is more. */
+    private final LimitedUsageWindow statedBeforeStart;
+
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
     private final LimitedUsageWindow assumed;
 
@@ -80,21 +88,21 @@
         window = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
         assumed = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
         ownStarted = new UsageWindow(tolerance.windowMillis(), HISTORY_SLICES, now);
-        window.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
-        window.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
+        statedBeforeStart = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
+        assumedBeforeStart = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
+        assumedBeforeStart.addEvenly(rateOverWindow(organisation), startedAt - tolerance.windowMillis(), startedAt);
+        assumedBeforeStart.add(organisation.burst() * STARTUP_BURST_SHARE, startedAt);
     }
 
     /** {@inheritDoc} */
     @Override
     public void refresh(OrganisationRule organisation, int schedulers, double newReportingShare, long now) {
-        window.advance(now);
-        assumed.advance(now);
+        windows().forEach(each -> each.advance(now));
         setReportingShare(newReportingShare, now);
         double newLimit = limitOf(organisation);
         if (newLimit != window.limit()) {
             listener.onLimitChanged(organisation.name(), window.limit(), newLimit);
-            window.setLimit(newLimit, now);
-            assumed.setLimit(newLimit, now);
+            windows().forEach(each -> each.setLimit(newLimit, now));
         }
         toleratedExcess = rateOverWindow(organisation) * tolerance.rateShare() + tolerance.burstAmount();
         onTimeReserve = (organisation.burst() + tolerance.burstAmount()) * ON_TIME_RESERVE_SHARE;
@@ -132,7 +140,7 @@
         contended |= excess > 0;
         if (missing > ROUNDING) {
             counts.recordRefusal(excess <= 0);
-            return Optional.of(window.millisUntilExpired(missing, now));
+            return Optional.of(LimitedUsageWindow.millisUntilExpired(List.of(window, beforeStart()), missing, now));
         }
         counts.recordExcess(Math.min(cost, excess));
         ownWaiting += cost;
@@ -151,7 +159,15 @@
     }
 
     private double use() {
-        return window.total() + assumed.total() + ownWaiting / reportingShare;
+        return window.total() + beforeStart().total() + assumed.total() + ownWaiting / reportingShare;
+    }
+
+    private LimitedUsageWindow beforeStart() {
+        return statedBeforeStart.total() > assumedBeforeStart.total() ? statedBeforeStart : assumedBeforeStart;
+    }
+
+    private List<LimitedUsageWindow> windows() {
+        return List.of(window, assumedBeforeStart, statedBeforeStart, assumed);
     }
 
     /** {@inheritDoc} */
@@ -187,7 +203,7 @@
         AtomicLong counted = new AtomicLong();
         history.divide(history.total(), (part, ageMillis) -> {
             // The time before this scheduler's start counts as used already.
-            if (now - ageMillis >= observedFrom - tolerance.windowMillis()) {
+            if (isSinceStart(now - ageMillis)) {
                 addStarted(part, now - ageMillis);
                 ownStarted.add(part, now - ageMillis);
                 counted.addAndGet((long) part);
@@ -196,6 +212,20 @@
         return counted.get();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void recordUseBeforeStart(UseHistory history, long now) {
+        history.divide(history.total(), (part, ageMillis) -> {
+            if (!isSinceStart(now - ageMillis)) {
+                statedBeforeStart.add(part, now - ageMillis);
+            }
+        });
+    }
+
+    private boolean isSinceStart(long at) {
+        return at >= observedFrom - tolerance.windowMillis();
+    }
+
     /** {@inheritDoc} */
     @Override
     public UseHistory ownHistory(long now) {
@@ -252,7 +282,12 @@
         }
         contended = false;
         return Optional.of(new OrganisationUse(
-                organisation, window.limit(), window.total(), assumed.total(), ownWaiting, reportingShare));
+                organisation,
+                window.limit(),
+                window.total() + beforeStart().total(),
+                assumed.total(),
+                ownWaiting,
+                reportingShare));
     }
 
     private double limitOf(OrganisationRule organisation) {
--- a/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/QuotaFleet.java
@@ -218,6 +218,13 @@
         ledgers[scheduler].recordEntryUse(rules[scheduler], history, now);
     }
 
+    /** States to all schedulers what an entry has used, whoever has admitted it. */
+    void stateRecentUse(UseHistory history, long now) {
+        for (int scheduler = 0; scheduler < ledgers.length; scheduler++) {
+            ledgers[scheduler].recordUseBeforeStart(rules[scheduler], history, now);
+        }
+    }
+
     /** Returns what all schedulers together have admitted and what has not left the window, or has just left it. */
     double trueUse(long sinceLeftMillis, long now) {
         double justLeft = 0;
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -305,9 +305,10 @@
             }
         }
 
-        /** Reports to the schedulers what the entries have decided by themselves. */
+        /** Reports to the schedulers what the entries have used, and what of it they have decided by themselves. */
         void report(long now) {
             for (int entry = 0; entry < COUNT; entry++) {
+                quotas[entry].recentUse(now).values().forEach(history -> fleet.stateRecentUse(history, now));
                 if (quotas[entry].hasUnreportedUse()) {
                     UseHistory history = quotas[entry].takeUnreportedUse(now).get(SHARE.name());
                     fleet.reportEntryUse(entry % schedulers, history, now);
--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -159,6 +159,57 @@
             assertThat(admit(100, 200)).isTrue();
         }
 
+        /** Guards against the same where peers state when they have used it, as the time before its start counts already. */
+        @Test
+        void allowsTheRateAfterHistoriesOfPeersThatRunForLong() {
+            UseHistory history = new UseHistory(40, 100, new int[] {0, 2_000, 0, 2_000});
+            ledger.recordPeerUse("peer/2", RULE, 500_000, 0, history, 40);
+            assertThat(admit(100, 40)).isFalse();
+            assertThat(admit(100, 200)).isTrue();
+        }
+
+        @Nested
+        class WithUseThatEntriesState {
+            private static final long STARTED = 20_000;
+
+            private final QuotaLedger restarted = new QuotaLedger(EXACT);
+
+            @BeforeEach
+            void start() {
+                restarted.observeFrom(STARTED);
+            }
+
+            private void state(int amount, long ageMillis) {
+                int slice = (int) (ageMillis / 100) + 1;
+                int[] amounts = new int[slice + 1];
+                amounts[slice] = amount;
+                restarted.recordUseBeforeStart(RULE, new UseHistory(50, 100, amounts), STARTED + 10);
+            }
+
+            /** Guards against a limit that is exceeded because more was used before than is assumed. */
+            @Test
+            void countsMoreThanItAssumes() {
+                state(9_900, 1_000);
+                assertThat(admit(restarted, RULE, 200, STARTED + 10)).isFalse();
+                assertThat(admit(restarted, RULE, 1_900, STARTED + 5_000)).isFalse();
+                assertThat(admit(restarted, RULE, 8_000, STARTED + 7_200)).isTrue();
+            }
+
+            @Test
+            void assumesAsBeforeWhereLessIsStated() {
+                state(500, 1_000);
+                assertThat(admit(restarted, RULE, 1_001, STARTED + 10)).isFalse();
+                assertThat(admit(restarted, RULE, 1_000, STARTED + 10)).isTrue();
+            }
+
+            @Test
+            void returnsWhenEnoughOfTheStatedUseHasExpired() {
+                state(9_500, 1_000);
+                assertThat(restarted.tryCharge(RULE, 5_000, false, STARTED + 10).orElseThrow())
+                        .isBetween(6_900L, 7_100L);
+            }
+        }
+
         @Test
         void assumesNoUseOfAnOrganisationThatIsSeenLater() {
             OrganisationRule other = new OrganisationRule("other", Set.of("key"), 0, 1_000, 2_000, true, 10);
--- a/node/src/main/java/org/radishspur/node/entry/SlotClient.java
+++ b/node/src/main/java/org/radishspur/node/entry/SlotClient.java
@@ -68,6 +68,7 @@
     private final EntryMetrics metrics;
     private final Map<Long, UpstreamSlot> pending = new HashMap<>();
     private final UpstreamRests rests = new UpstreamRests();
+    private final Map<String, Integer> statedOverConnection = new HashMap<>();
     private Collection<String> schedulerAddresses = List.of();
     private String attachedScheduler = LOCAL_ADDRESS;
     private int attachedConnection;
@@ -254,6 +255,7 @@
         if (attachedScheduler.equals(LOCAL_ADDRESS) && !pending.isEmpty()) {
             attach(now);
         }
+        stateRecentUse(now);
         reportLocalUse(now);
         for (UpstreamSlot slot : List.copyOf(pending.values())) {
             if (!slot.isPending() || slot.scheduler().equals(LOCAL_ADDRESS)) {
@@ -313,6 +315,21 @@
         return chosen;
     }
 
+    /** States to schedulers over each new connection what this entry has used, as they may have just started. */
+    private void stateRecentUse(long now) {
+        for (String address : schedulerAddresses) {
+            int connection = links.connectionCount(address);
+            Integer previous = statedOverConnection.put(address, connection);
+            Map<String, UseHistory> use = connection == 0 || (previous != null && previous == connection)
+                    ? Map.of()
+                    : localQuotas.recentUse(now);
+            if (!use.isEmpty()) {
+                Optional<FleetMessage.EntryUse> stated = Optional.of(new FleetMessage.EntryUse(entry, use));
+                links.send(address, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, List.of(), Map.of(), stated));
+            }
+        }
+    }
+
     /** Reports what the local scheduler has admitted to the attached one, which counts it as its own use. */
     private void reportLocalUse(long now) {
         if (!localQuotas.hasUnreportedUse() || links.connectionCount(attachedScheduler) == 0) {
@@ -320,7 +337,8 @@
         }
         Map<String, UseHistory> use = localQuotas.takeUnreportedUse(now);
         use.forEach((organisation, history) -> events.emit(EventCode.LOCAL_USE, organisation, history.total()));
-        links.send(attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, List.of(), use));
+        links.send(
+                attachedScheduler, new FleetMessage.ReportSlot(NO_SLOT, NO_REPORT, List.of(), use, Optional.empty()));
     }
 
     private void onSchedulerLost(String scheduler, String cause, long now) {
--- a/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
+++ b/node/src/main/java/org/radishspur/node/fleet/FleetMessage.java
@@ -253,13 +253,20 @@
      * @param crashes new notes on crashes. They aren't a message of their own, which an older build could not decode; nor
      *     is the local use.
      * @param localUse the use that the entry has admitted without a scheduler and has reported to none, by organisation.
+     * @param recentUse all that the entry has used lately, for a scheduler that may have just started.
      */
-    record ReportSlot(long id, SlotReport report, List<CrashNote> crashes, Map<String, UseHistory> localUse)
+    record ReportSlot(
+            long id,
+            SlotReport report,
+            List<CrashNote> crashes,
+            Map<String, UseHistory> localUse,
+            Optional<EntryUse> recentUse)
             implements FleetMessage {
         /** Replaces what an older build doesn't send. */
         public ReportSlot {
             crashes = crashes == null ? List.of() : crashes;
             localUse = localUse == null ? Map.of() : localUse;
+            recentUse = recentUse == null ? Optional.empty() : recentUse;
         }
 
         /**
@@ -270,10 +277,18 @@
          * @param crashes new notes on crashes.
          */
         public ReportSlot(long id, SlotReport report, List<CrashNote> crashes) {
-            this(id, report, crashes, Map.of());
+            this(id, report, crashes, Map.of(), Optional.empty());
         }
     }
 
+    /**
+     * States what the requests of one entry have used, whoever has admitted them.
+     *
+     * @param entry the address of the entry.
+     * @param use when they were started, by organisation.
+     */
+    record EntryUse(String entry, Map<String, UseHistory> use) {}
+
     /**
      * Carries a newer catalogue, and precedes the {@link ViewResponse} that confirms it on the same connection.
      *
--- a/node/src/main/java/org/radishspur/node/schedule/EntryUseReports.java
+++ b/node/src/main/java/org/radishspur/node/schedule/EntryUseReports.java
@@ -1,16 +1,21 @@
 package org.radishspur.node.schedule;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
 
 import org.radishspur.decision.dispatch.QuotaLedger;
 import org.radishspur.decision.dispatch.UseHistory;
 import org.radishspur.model.catalogue.OrganisationRule;
+import org.radishspur.node.fleet.FleetMessage;
 
 /**
- * Counts at a scheduler what entries have admitted without one. A scheduler that has just started receives it before it
- * has a catalogue; it is held until the organisations are known.
+ * Counts at a scheduler what entries report of their use: what they have admitted without a scheduler, and what they had
+ * used before this scheduler started. A scheduler that has just started receives it before it has a catalogue; it is held
+ * until the organisations are known.
  */
 final class EntryUseReports {
     /** The maximum number of reports that are held, far more than there are entries. */
@@ -19,43 +24,55 @@
     private final QuotaLedger quotas;
     private final List<HeldReport> held = new ArrayList<>();
 
+    /** The entries that have stated what they had used before this scheduler started. */
+    private final Set<String> stated = new HashSet<>();
+
+    private Map<String, OrganisationRule> organisations = Map.of();
+
     EntryUseReports(QuotaLedger quotas) {
         this.quotas = quotas;
     }
 
-    /** Counts what an entry has admitted, or holds it as long as there are no organisations. */
-    void onReport(Map<String, UseHistory> use, Map<String, OrganisationRule> organisations, long now) {
-        if (use.isEmpty()) {
-            return;
-        }
-        if (organisations.isEmpty() && held.size() < MAX_HELD) {
-            held.add(new HeldReport(use, now));
+    /** Sets the organisations, and counts the held reports once there are any. */
+    void setOrganisations(Map<String, OrganisationRule> current) {
+        organisations = current;
+        if (!organisations.isEmpty()) {
+            held.forEach(report -> count(report.use(), report.counter()));
+            held.clear();
         }
-        count(use, organisations, now);
     }
 
-    /** Counts the held reports once organisations are known. */
-    void onOrganisations(Map<String, OrganisationRule> organisations) {
+    /** Counts what the report of an entry states. */
+    void onReport(FleetMessage.ReportSlot report, long now) {
+        countOrHold(report.localUse(), (rule, history) -> quotas.recordEntryUse(rule, history, now));
+        report.recentUse()
+                .filter(recent -> stated.add(recent.entry()))
+                .ifPresent(recent ->
+                        countOrHold(recent.use(), (rule, history) -> quotas.recordUseBeforeStart(rule, history, now)));
+    }
+
+    private void countOrHold(Map<String, UseHistory> use, BiConsumer<OrganisationRule, UseHistory> counter) {
         if (!organisations.isEmpty()) {
-            held.forEach(report -> count(report.use(), organisations, report.receivedAt()));
-            held.clear();
+            count(use, counter);
+        } else if (!use.isEmpty() && held.size() < MAX_HELD) {
+            held.add(new HeldReport(use, counter));
         }
     }
 
-    private void count(Map<String, UseHistory> use, Map<String, OrganisationRule> organisations, long at) {
+    private void count(Map<String, UseHistory> use, BiConsumer<OrganisationRule, UseHistory> counter) {
         use.forEach((name, history) -> {
             OrganisationRule organisation = organisations.get(name);
             if (organisation != null) {
-                quotas.recordEntryUse(organisation, history, at);
+                counter.accept(organisation, history);
             }
         });
     }
 
     /**
-     * Holds a report.
+     * Holds what was reported before there were organisations.
      *
-     * @param use when the entry has started the requests, by organisation.
-     * @param receivedAt when the report was received, in milliseconds.
+     * @param use when requests were started, by organisation.
+     * @param counter counts the use of one organisation as of when it was received.
      */
-    private record HeldReport(Map<String, UseHistory> use, long receivedAt) {}
+    private record HeldReport(Map<String, UseHistory> use, BiConsumer<OrganisationRule, UseHistory> counter) {}
 }
--- a/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
+++ b/node/src/main/java/org/radishspur/node/schedule/SlotSchedulerService.java
@@ -179,7 +179,7 @@
         } else if (message instanceof FleetMessage.ReportSlot report) {
             crashes.merge(report.crashes(), now());
             slotScheduler.report(sender.peer(), report.id(), report.report(), now());
-            entryUse.onReport(report.localUse(), view.organisations(), now());
+            entryUse.onReport(report, now());
         } else if (message instanceof FleetMessage.LoadReport loadReport) {
             if (loadReports.onReport(loadReport, view.organisations(), now())) {
                 slotScheduler.advance(now());
@@ -234,7 +234,7 @@
             pools.apply(newer, others.size() + 1, now());
             pools.forEachPool(poolMetrics::add);
             loadReports.refresh(others);
-            entryUse.onOrganisations(newer.organisations());
+            entryUse.setOrganisations(newer.organisations());
             evacuationLog.onView(newer.evacuated());
             slotScheduler.advance(now());
         }
--- a/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
+++ b/node/src/test/java/org/radishspur/node/entry/SlotClientTest.java
@@ -311,6 +311,31 @@
             return slot;
         }
 
+        /** Guards against a scheduler that was started anew and knows nothing of what was used before. */
+        @Test
+        void statesItsUseToEachSchedulerOnceOverANewConnection() {
+            long now = EntryServices.now();
+            UpstreamSlot slot = client.request(buildRequest("organisation", 500), listener, now);
+            client.send(slot, now);
+            reply(NEAR, slot, granted(ENGINE), now);
+            client.checkPending(now + 1);
+            links.sent.clear();
+            links.connected.put(FAR, 2);
+            client.checkPending(now + 2);
+            client.checkPending(now + 3);
+            assertThat(links.sentTo(NEAR)).isEmpty();
+            assertThat(links.sentTo(FAR))
+                    .singleElement()
+                    .isInstanceOfSatisfying(
+                            FleetMessage.ReportSlot.class,
+                            report -> assertThat(report.recentUse()
+                                            .orElseThrow()
+                                            .use()
+                                            .get("organisation")
+                                            .total())
+                                    .isEqualTo(500));
+        }
+
         /** Guards against a quota that is exceeded because no scheduler counts what entries admit without one. */
         @Test
         void reportsTheUseThatItHasAdmittedToTheNextScheduler() {
--- a/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
+++ b/node/src/test/java/org/radishspur/node/fleet/EarlierBuildTest.java
@@ -39,7 +39,10 @@
         assertThat(reread(new FleetMessage.Attach("entry", List.of(HELD), NOTES), EarlierAttach.class))
                 .isEqualTo(new EarlierAttach("entry", List.of(HELD)));
         Map<String, UseHistory> localUse = Map.of("o", new UseHistory(20, 100, new int[] {2}));
-        assertThat(reread(new FleetMessage.ReportSlot(4, REPORT, NOTES, localUse), EarlierReportSlot.class))
+        assertThat(reread(
+                        new FleetMessage.ReportSlot(
+                                4, REPORT, NOTES, localUse, Optional.of(new FleetMessage.EntryUse("e", localUse))),
+                        EarlierReportSlot.class))
                 .isEqualTo(new EarlierReportSlot(4, REPORT));
         assertThat(reread(new FleetMessage.Reply(4, new SlotReply.Queued(9), NOTES), EarlierReply.class))
                 .isEqualTo(new EarlierReply(4, new SlotReply.Queued(9)));
@@ -80,7 +83,7 @@
         assertThat(reread(new EarlierAttach("entry", List.of(HELD)), FleetMessage.Attach.class))
                 .isEqualTo(new FleetMessage.Attach("entry", List.of(HELD), List.of()));
         assertThat(reread(new EarlierReportSlot(4, REPORT), FleetMessage.ReportSlot.class))
-                .isEqualTo(new FleetMessage.ReportSlot(4, REPORT, List.of()));
+                .isEqualTo(new FleetMessage.ReportSlot(4, REPORT, List.of(), Map.of(), Optional.empty()));
         assertThat(reread(new EarlierReply(4, new SlotReply.Queued(9)), FleetMessage.Reply.class))
                 .isEqualTo(new FleetMessage.Reply(4, new SlotReply.Queued(9), List.of()));
         EarlierLoadReport report = new EarlierLoadReport("s", true, new int[] {1}, new int[5], Map.of());
