--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitPropertyTest.java
@@ -82,6 +82,18 @@
         }
     }
 
+    /** Offers the requests of a millisecond, and returns how many are refused though all use leaves room for them. */
+    private static int offer(QuotaFleet fleet, Demand demand, long staleMillis, long now) {
+        int refusedWithin = 0;
+        for (int count = demand.count(now); count > 0; count--) {
+            double cost = demand.cost();
+            boolean within = fleet.trueUse(staleMillis, now) + cost <= LIMIT;
+            boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
+            refusedWithin += within && refused ? 1 : 0;
+        }
+        return refusedWithin;
+    }
+
     /**
      * Guards against more than the hard limit at upstreams in some window, and against refusals of requests that all
      * use of the window leaves room for, while an organisation floods all schedulers at once and reports are late.
@@ -99,12 +111,8 @@
         int refusedWithin = 0;
         for (long now = 0; now < 40_000; now++) {
             fleet.advance(now);
-            for (int count = demand.count(now); count > 0; count--) {
-                double cost = demand.cost();
-                boolean within = fleet.trueUse(staleMillis, now) + cost <= LIMIT;
-                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
-                refusedWithin += within && refused && now > OBSERVED_FROM_MILLIS ? 1 : 0;
-            }
+            int refused = offer(fleet, demand, staleMillis, now);
+            refusedWithin += now > OBSERVED_FROM_MILLIS ? refused : 0;
         }
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
@@ -163,12 +171,8 @@
                 fleet.join();
             }
             fleet.advance(now);
-            for (int count = demand.count(now); count > 0; count--) {
-                double cost = demand.cost();
-                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
-                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
-                refusedWithin += within && refused && now > joinedAt + WINDOW_MILLIS ? 1 : 0;
-            }
+            int refused = offer(fleet, demand, STALE_MILLIS, now);
+            refusedWithin += now > joinedAt + WINDOW_MILLIS ? refused : 0;
         }
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
@@ -219,12 +223,8 @@
                 fleet.join();
             }
             fleet.advance(now);
-            for (int count = demand.count(now); count > 0; count--) {
-                double cost = demand.cost();
-                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
-                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
-                refusedWithin += within && refused && now > joinedAt + WINDOW_MILLIS ? 1 : 0;
-            }
+            int refused = offer(fleet, demand, STALE_MILLIS, now);
+            refusedWithin += now > joinedAt + WINDOW_MILLIS ? refused : 0;
         }
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
@@ -258,12 +258,8 @@
                 }
             }
             fleet.advance(now);
-            for (int count = demand.count(now); count > 0; count--) {
-                double cost = demand.cost();
-                boolean within = fleet.trueUse(STALE_MILLIS, now) + cost <= LIMIT;
-                boolean refused = fleet.offer(cost, demand.waitMillis(), now).isPresent();
-                refusedWithin += within && refused && now > raisedAt + spreadMillis ? 1 : 0;
-            }
+            int refused = offer(fleet, demand, STALE_MILLIS, now);
+            refusedWithin += now > raisedAt + spreadMillis ? refused : 0;
         }
         assertThat(fleet.mostInAWindow()).isLessThanOrEqualTo(HARD_LIMIT);
         assertThat(refusedWithin).isZero();
