--- a/decision/src/main/java/org/radishspur/decision/dispatch/LimitedUsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/LimitedUsageWindow.java
@@ -121,7 +121,7 @@
             }
             slice++;
         }
-        return newest.millisUntilExpired(slice, now);
+        return newest.millisUntilSliceExpired(slice, now);
     }
 
     private double amountOf(long slice) {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UsageWindow.java
@@ -128,7 +128,7 @@
     }
 
     /** Returns after how many milliseconds a slice has expired, at least 1. */
-    long millisUntilExpired(long slice, long now) {
+    long millisUntilSliceExpired(long slice, long now) {
         return Math.max(1, (slice + slices.length) * sliceMillis - now);
     }
 
--- a/decision/src/main/java/org/radishspur/decision/dispatch/UseHistory.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/UseHistory.java
@@ -41,12 +41,25 @@
         for (int slice = 0; slice < amounts.length && remaining > 0; slice++) {
             double part = Math.min(remaining, amounts[slice]);
             if (part > 0) {
-                parts.accept(part, slice == 0 ? 0 : newestMillis + (slice - 1L) * sliceMillis);
+                parts.accept(part, ageMillis(slice));
             }
             remaining -= part;
         }
     }
 
+    /** Returns the slices that ended at most some time before the statement. */
+    UseHistory newest(long maxAgeMillis) {
+        int count = 0;
+        while (count < amounts.length && ageMillis(count) <= maxAgeMillis) {
+            count++;
+        }
+        return new UseHistory(newestMillis, sliceMillis, Arrays.copyOf(amounts, count));
+    }
+
+    private long ageMillis(int slice) {
+        return slice == 0 ? 0 : newestMillis + (slice - 1L) * sliceMillis;
+    }
+
     /** Receives the parts into which use is divided. */
     @FunctionalInterface
     interface PartConsumer {
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.radishspur.decision.dispatch.QuotaLedger.Tolerance;
 import org.radishspur.model.catalogue.OrganisationRule;
@@ -54,6 +53,7 @@
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
     private final LimitedUsageWindow assumed;
 
+    private final long startedAt;
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
     private double ownWaiting;
@@ -83,6 +83,7 @@
         this.tolerance = tolerance;
         this.counts = counts;
         this.listener = listener;
+        this.startedAt = startedAt;
         observedFrom = startedAt + tolerance.windowMillis();
         double limit = limitOf(organisation);
         window = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
@@ -200,32 +201,25 @@
     @Override
     public long recordEntryUse(UseHistory history, long now) {
         ownStarted.advance(now);
-        AtomicLong counted = new AtomicLong();
-        history.divide(history.total(), (part, ageMillis) -> {
-            // The time before this scheduler's start counts as used already.
-            if (isSinceStart(now - ageMillis)) {
-                addStarted(part, now - ageMillis);
-                ownStarted.add(part, now - ageMillis);
-                counted.addAndGet((long) part);
-            }
+        // The time before this scheduler's start counts as used already.
+        UseHistory sinceStart = history.newest(now - startedAt);
+        sinceStart.divide(sinceStart.total(), (part, ageMillis) -> {
+            addStarted(part, now - ageMillis);
+            ownStarted.add(part, now - ageMillis);
         });
-        return counted.get();
+        return sinceStart.total();
     }
 
     /** {@inheritDoc} */
     @Override
     public void recordUseBeforeStart(UseHistory history, long now) {
         history.divide(history.total(), (part, ageMillis) -> {
-            if (!isSinceStart(now - ageMillis)) {
+            if (now - ageMillis < startedAt) {
                 statedBeforeStart.add(part, now - ageMillis);
             }
         });
     }
 
-    private boolean isSinceStart(long at) {
-        return at >= observedFrom - tolerance.windowMillis();
-    }
-
     /** {@inheritDoc} */
     @Override
     public UseHistory ownHistory(long now) {
