--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -53,7 +53,7 @@
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
     private final LimitedUsageWindow assumed;
 
-    private final long startedAt;
+    private final long schedulerStartedAt;
     private final long observedFrom;
     private final RequestSizes sizes = new RequestSizes();
     private double ownWaiting;
@@ -83,7 +83,7 @@
         this.tolerance = tolerance;
         this.counts = counts;
         this.listener = listener;
-        this.startedAt = startedAt;
+        schedulerStartedAt = startedAt;
         observedFrom = startedAt + tolerance.windowMillis();
         double limit = limitOf(organisation);
         window = new LimitedUsageWindow(tolerance.windowMillis(), limit, now);
@@ -202,7 +202,7 @@
     public long recordEntryUse(UseHistory history, long now) {
         ownStarted.advance(now);
         // The time before this scheduler's start counts as used already.
-        UseHistory sinceStart = history.newest(now - startedAt);
+        UseHistory sinceStart = history.newest(now - schedulerStartedAt);
         sinceStart.divide(sinceStart.total(), (part, ageMillis) -> {
             addStarted(part, now - ageMillis);
             ownStarted.add(part, now - ageMillis);
@@ -214,7 +214,7 @@
     @Override
     public void recordUseBeforeStart(UseHistory history, long now) {
         history.divide(history.total(), (part, ageMillis) -> {
-            if (now - ageMillis < startedAt) {
+            if (now - ageMillis < schedulerStartedAt) {
                 statedBeforeStart.add(part, now - ageMillis);
             }
         });
--- a/decision/src/test/java/org/radishspur/decision/dispatch/LimitedUsageWindowTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/LimitedUsageWindowTest.java
@@ -36,6 +36,15 @@
                 .isEqualTo(7_020);
     }
 
+    @Test
+    void countsRecentUseInProportionToALoweredLimitToo() {
+        window.add(4, 0);
+        window.setLimit(5, 100);
+        window.add(1, 100);
+        assertThat(window.totalSince(0)).isEqualTo(3);
+        assertThat(window.totalSince(100)).isEqualTo(1);
+    }
+
     /** Guards against limits that are kept for as long as the process runs. */
     @Test
     void forgetsALimitOnceItsUseHasExpired() {
