--- a/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/WindowLimitTest.java
@@ -248,12 +248,12 @@
         @Test
         void datesTheUseOfASilentPeerByItsHistory() {
             useOfPeerBefore(OBSERVED);
-            long heard = OBSERVED + 6_000;
+            long reported = OBSERVED + 6_000;
             ledger.recordPeerUse(
-                    "peer/1", RULE, 10_000, 0, new UseHistory(40, 100, new int[] {4_000, 0, 6_000}), heard);
-            assertThat(admit(100, heard + WINDOW_MILLIS - 200)).isFalse();
-            assertThat(admit(6_000, heard + WINDOW_MILLIS - 100)).isTrue();
-            assertThat(admit(4_000, heard + WINDOW_MILLIS + 20)).isTrue();
+                    "peer/1", RULE, 10_000, 0, new UseHistory(40, 100, new int[] {4_000, 0, 6_000}), reported);
+            assertThat(admit(100, reported + WINDOW_MILLIS - 200)).isFalse();
+            assertThat(admit(6_000, reported + WINDOW_MILLIS - 100)).isTrue();
+            assertThat(admit(4_000, reported + WINDOW_MILLIS + 20)).isTrue();
         }
 
         /** Guards against use that is counted twice, because a history reaches back to before the silence. */
