--- a/decision/src/test/java/org/radishspur/decision/dispatch/RequestLimiterTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/RequestLimiterTest.java
@@ -79,4 +79,18 @@
         assertThat(RequestLimiterPropertyTest.worstPeriod(sentAt))
                 .isLessThanOrEqualTo((long) RequestLimiterPropertyTest.maxRequests(requestsPerSecond));
     }
+
+    /** Guards against requests of the time before that are lost when a scheduler falls silent. */
+    @Test
+    void countsTheTimeBeforeASilenceAtTheWholeLimit() {
+        RequestLimiter limiter = new RequestLimiter();
+        limiter.recordStatement(RequestLimit.ofRate(10), 0, 0);
+        limiter.setReportingShare(0.5, 320);
+        int allowed = 0;
+        while (limiter.allows(320)) {
+            limiter.recordSent(320);
+            allowed++;
+        }
+        assertThat(allowed).isEqualTo(3);
+    }
 }
