--- a/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/TokenBucketLimit.java
@@ -43,7 +43,7 @@
     private static final long STARTUP_DEBT_MILLIS = 20;
 
     /**
-     * Maximum debt for use that other schedulers have admitted, in milliseconds of the rate. Callers are told to return
+     * Maximum debt for use that other schedulers have admitted, in milliseconds of the rate. Callers are asked to return
      * after it, and an entry is rarely without a scheduler for longer.
      */
     private static final long MAX_DEBT_ELSEWHERE_MILLIS = 2_000;
--- a/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
+++ b/decision/src/main/java/org/radishspur/decision/dispatch/WindowLimit.java
@@ -47,7 +47,7 @@
     /** What counts as used before this scheduler started, because all schedulers may have restarted at once. */
     private final LimitedUsageWindow assumedBeforeStart;
 
-    /** What entries have used before this scheduler started; it counts in place of the assumption where it is more. */
+    /** What entries have used before this scheduler started; it replaces the assumption where it is more. */
     private final LimitedUsageWindow statedBeforeStart;
 
     /** What schedulers that have fallen silent may have admitted since, if each admits no more than its share. */
