Pass no response on whose status line is none

What callers saw: an upstream answered with the status 000, and its caller got "HTTP/1.1 0", with the seal, as an answer. So with 001, 99, 2000, 0200, +200, 999, with HTTP/2.0, with two blanks or a tab in the line and with a control byte in the text; a "not run" under status 000 was believed: the request ran four times and its caller was told 503, not run.

Cause: the response decoder of the library takes any number for a status, any version, any blanks, and skips control bytes before the line. Behind it nothing of that can be seen.

Anything else is a malformed response, as before: its connection is closed, the request may have run, and it is sent again only where the route allows it. The log names the fault: FAILED and RETRIED of the entry, LIST_FAILED, and a line of [upstream] on the path of permits. The library's own messages repeat bytes of the upstream, so the log has a code in their place.

--- a/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
+++ b/node/src/main/java/org/radishspur/node/caller/NodeExchange.java
@@ -32,6 +32,7 @@
 import org.radishspur.model.request.PermitId;
 import org.radishspur.model.table.PoolKind;
 import org.radishspur.node.control.PermitListener;
+import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.peer.PeerMessage;
 import org.radishspur.node.peer.PeerMessage.ControlResult;
 import org.radishspur.node.upstream.RequestIdentity;
@@ -740,6 +741,14 @@
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void onMalformedResponse(Throwable cause) {
+            ComponentLog.UPSTREAM.warn("Closed a connection to the upstream " + upstream + " during the attempt "
+                    + id.text() + ": " + cause.getMessage() + '.');
+            onConnectionLost(cause);
+        }
+
         private void recordActivity() {
             lastActivityNanos = System.nanoTime();
             reportSilence(false);
--- a/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
+++ b/node/src/main/java/org/radishspur/node/entry/UpstreamAttempt.java
@@ -590,7 +590,7 @@
         }
         // Counted as a lost connection, several at a time would count once, and the path would be suspected.
         endAnswered(false);
-        caller.onAttemptFailed(this, "malformed response");
+        caller.onAttemptFailed(this, "malformed response: " + cause.getMessage());
     }
 
     /** Returns whether the request was sent and a response to it may still be passed on. */
--- /dev/null
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -0,0 +1,38 @@
+package org.radishspur.node.http;
+
+/**
+ * Lists why bytes are no message of HTTP/1.1.
+ */
+public enum MessageFault {
+    /** The line doesn't begin with HTTP/1, a minor version and one blank. */
+    VERSION("version"),
+    /** The status isn't a number of three digits from 100 to 599 that a blank or the end of the line follows. */
+    STATUS("status"),
+    /** The text behind the status holds a control byte. */
+    REASON("reason"),
+    /** A line ends otherwise than with a carriage return and a line feed. */
+    LINE_END("line-end"),
+    /** The connection ended within the head. */
+    INCOMPLETE("incomplete"),
+    /** The head is longer than any that is read. */
+    TOO_LONG("too-long"),
+    /** The head consists of two: a status line, or another identifier of a request, stands within it. */
+    JOINED("joined"),
+    /** The decoder has refused the fields, the length, the codings or the chunks. */
+    REFUSED_BY_DECODER("refused-by-decoder");
+
+    private final String code;
+
+    MessageFault(String code) {
+        this.code = code;
+    }
+
+    /**
+     * Returns the text of this fault for logs.
+     *
+     * @return the text.
+     */
+    public String code() {
+        return code;
+    }
+}
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.radishspur.node.http.MalformedMessageException;
+import org.radishspur.node.http.MessageFault;
 import org.radishspur.node.upstream.UpstreamConnections.Target;
 
 /**
@@ -206,7 +208,7 @@
             onUnexpectedBytes();
         } else if (part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(part);
-            failMalformed();
+            failMalformed(part.decoderResult().cause());
         } else {
             receive(part);
         }
@@ -246,7 +248,7 @@
     private void receiveHead(HttpResponse response) {
         RequestIdentity.Owner owner = identity.ownerOf(response);
         if (owner == RequestIdentity.Owner.SEVERAL_REQUESTS || UpstreamResponseDecoder.isJoined(response)) {
-            failMalformed();
+            failMalformed(new MalformedMessageException(MessageFault.JOINED));
             return;
         }
         if (owner == RequestIdentity.Owner.OTHER_REQUEST) {
@@ -324,12 +326,12 @@
     }
 
     /** Ends the exchange after bytes that are no response; they show that the path to the upstream works. */
-    private void failMalformed() {
+    private void failMalformed(Throwable cause) {
         UpstreamListener receiver = listener;
         listener = null;
         recordEnded();
         channel.close();
-        receiver.onMalformedResponse(new ProtocolException("unexpected bytes from the upstream"));
+        receiver.onMalformedResponse(cause);
     }
 
     /** Ends the exchange without a response, unless that is complete. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -1,21 +1,37 @@
 package org.radishspur.node.upstream;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.radishspur.node.http.HeadReader;
+import org.radishspur.node.http.MalformedMessageException;
+import org.radishspur.node.http.MessageFault;
 
 /**
  * Decodes the responses on one connection, on which one request at a time is in progress.
+ *
+ * <p>Netty's decoder takes lines for a head that are none. So it gets the bytes of a head only once all of them have come
+ * and a {@link HeadReader} has found nothing wrong with them. Bytes that are no head are reported as an invalid response,
+ * and nothing behind them is decoded.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
     /** The beginning of a status line, which a head contains only at its own beginning. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
     private HttpMethod method = HttpMethod.GET;
+    private HeadReader head = new HeadReader();
+    private boolean failed;
 
     /** Sets the method of the request that is being sent, which decides whether its response has a body. */
     void setMethod(HttpMethod newMethod) {
@@ -27,6 +43,53 @@
         return actualReadableBytes() > 0;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts) throws Exception {
+        if (failed) {
+            bytes.skipBytes(bytes.readableBytes());
+            return;
+        }
+        Optional<MessageFault> fault = head.read(bytes);
+        if (fault.isPresent()) {
+            fail(fault.get(), parts);
+        } else if (head.isComplete()) {
+            int decoded = parts.size();
+            super.decode(context, bytes, parts);
+            parts.subList(decoded, parts.size()).forEach(this::onDecoded);
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts) throws Exception {
+        super.decodeLast(context, bytes, parts);
+        if (head.isBegun() && !failed) {
+            fail(MessageFault.INCOMPLETE, parts);
+        }
+    }
+
+    private void fail(MessageFault fault, List<Object> parts) {
+        HttpMessage invalid = createInvalidMessage();
+        fail(fault, invalid);
+        parts.add(invalid);
+    }
+
+    private void fail(MessageFault fault, HttpObject part) {
+        failed = true;
+        part.setDecoderResult(DecoderResult.failure(new MalformedMessageException(fault)));
+    }
+
+    private void onDecoded(Object part) {
+        if (part instanceof HttpObject object && object.decoderResult().isFailure()) {
+            // The decoder's own message repeats bytes of the upstream, and so has no bounds.
+            fail(MessageFault.REFUSED_BY_DECODER, object);
+        }
+        if (part instanceof LastHttpContent) {
+            head = new HeadReader();
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
