Pass no response on with a field whose name is none

What callers saw: "X Foo: 1" reached them as "X: 1". Where the name that was left is one that the entry reads, more followed. "Content-Length X: 9" cut the body to 9 bytes, a complete answer for the caller. "X-Response-Seal Y: forged" was the seal. "X-Not-Executed Y: 1", also with a blank before the colon, was believed though the request had run: it was sent four times, and its caller was told 503, not run. A line that begins with a blank became part of the identifier before it, so that the response was discarded as another request's and the caller waited until its deadline (504).

Cause: the library's decoder of responses, unlike that of requests, ends a name at the first blank, drops what stands before the colon, and joins a line that begins with a blank to the one before.

Change: HeadLine.FIELD states what a field is (RFC 9112, 5: a token, a colon, a value without control bytes), and HeadReader checks each line of a head by it. The RFC lets a proxy remove the blank before the colon and replace a fold; neither is done, as the upstream is in trouble and the field may be the one that states "not run". The fields behind the last chunk are checked by the hook that splits them.

--- a/node/src/main/java/org/radishspur/node/http/HeadLine.java
+++ b/node/src/main/java/org/radishspur/node/http/HeadLine.java
@@ -40,6 +40,27 @@
             }
             return Optional.empty();
         }
+    },
+    /**
+     * A name, a colon and a value (RFC 9112, 5). No blank may stand between the name and the colon, and no line may go on
+     * with the value of the one before: a proxy may mend both, but then passes on what the upstream didn't send.
+     */
+    FIELD {
+        /** {@inheritDoc} */
+        @Override
+        public Optional<MessageFault> check(ByteBuf bytes, int start, int end) {
+            if (bytes.getByte(start) == ' ' || bytes.getByte(start) == '\t') {
+                return Optional.of(MessageFault.FOLDED_LINE);
+            }
+            int colon = start;
+            while (colon < end && isTokenByte(bytes.getByte(colon))) {
+                colon++;
+            }
+            if (colon == start || colon == end || bytes.getByte(colon) != ':') {
+                return Optional.of(MessageFault.FIELD_NAME);
+            }
+            return isText(bytes, colon + 1, end) ? Optional.empty() : Optional.of(MessageFault.FIELD_VALUE);
+        }
     };
 
     /** The first bytes of a status line, in which {@link #ANY_DIGIT} stands for the minor version. */
@@ -50,6 +71,9 @@
     private static final int STATUS_DIGITS = 3;
     private static final byte DELETE = 0x7f;
 
+    /** The bytes of a token that are neither letters nor digits (RFC 9110, 5.6.2). */
+    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
+
     /**
      * Checks a line.
      *
@@ -82,6 +106,13 @@
         return found >= '0' && found <= '9';
     }
 
+    private static boolean isTokenByte(byte found) {
+        return found >= 'a' && found <= 'z'
+                || found >= 'A' && found <= 'Z'
+                || isDigit(found)
+                || TOKEN_MARKS.indexOf(found) >= 0;
+    }
+
     /** Returns whether some bytes are visible ones, blanks, tabs and such as other charsets use (RFC 9110, 5.5). */
     private static boolean isText(ByteBuf bytes, int start, int end) {
         for (int index = start; index < end; index++) {
--- a/node/src/main/java/org/radishspur/node/http/HeadReader.java
+++ b/node/src/main/java/org/radishspur/node/http/HeadReader.java
@@ -73,6 +73,6 @@
             complete = true;
             return Optional.empty();
         }
-        return first ? HeadLine.STATUS.check(bytes, start, end) : Optional.empty();
+        return (first ? HeadLine.STATUS : HeadLine.FIELD).check(bytes, start, end);
     }
 }
--- a/node/src/main/java/org/radishspur/node/http/MessageFault.java
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -10,6 +10,12 @@
     STATUS("status"),
     /** The text behind the status holds a control byte. */
     REASON("reason"),
+    /** A field has no name, or one with a byte that isn't part of a token, such as a blank or a control byte. */
+    FIELD_NAME("field-name"),
+    /** The value of a field holds a control byte. */
+    FIELD_VALUE("field-value"),
+    /** A line begins with a blank, so that it would go on with the value of the one before. */
+    FOLDED_LINE("folded-line"),
     /** A line ends otherwise than with a carriage return and a line feed. */
     LINE_END("line-end"),
     /** The connection ended within the head. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import org.radishspur.node.http.HeadReader;
 import org.radishspur.node.http.MalformedMessageException;
 import org.radishspur.node.http.MessageFault;
@@ -90,6 +91,18 @@
         }
     }
 
+    /**
+     * Checks the names of the fields behind the last chunk as well, where the decoder would drop what stands between a blank
+     * and the colon. Those of heads are checked before.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("no colon behind the name of a field");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     /** {@inheritDoc} */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
@@ -109,11 +109,26 @@
         }
     }
 
+    /** Guards against a field that the upstream didn't send, and against a second run of a request that has run. */
+    @Test
+    void fieldWhoseNameIsNoneIsALoss() throws IOException {
+        for (String broken : List.of(
+                "X Foo: 1",
+                "X-Foo : 1",
+                "X-Foo <\u0001>: 1",
+                "Content-Length X: 2",
+                UpstreamHeaders.REQUEST + " Y: other")) {
+            assertLost(OK, broken + "\r\n");
+        }
+        assertLost("HTTP/1.1 503 Full", UpstreamHeaders.ADMISSION + " Y: refused\r\n");
+        assertLost("HTTP/1.1 503 Full", UpstreamHeaders.ADMISSION + " : refused\r\n");
+    }
+
     /** Guards against a connection that carries further requests behind bytes that were no answer. */
     @Test
     void connectionOfABrokenHeadIsNotUsedAgain() throws IOException {
         assertThat(send()).startsWith(OK).endsWith("done");
-        assertLost("HTTP/1.1 000 Zero", "");
+        assertLost(OK, "X Foo: 1\r\n");
         line = "";
         statusLine = OK;
         assertThat(send()).startsWith(OK).endsWith("done");
