Pass no response on whose body is in a coding that wasn't asked for

What callers saw: with "Transfer-Encoding: identity" (also gzip, chunked; xchunked; chunked;q=1; an empty one) they got the bytes of the coding as the body, since the field with the coding goes no further than one connection. A 101 that nobody had asked for left the request waiting until its deadline.

Cause: the decoder takes any list of codings that ends in chunks for chunks, any other for a body that ends with its connection, and gives up decoding behind a 101.

Change: after the decoding of a head, the decoder of UpstreamConnection refuses all codings but chunks, once, and 101; the requests ask for neither (RFC 9112, 6.1; RFC 9110, 15.2.2). The check for two heads in one moves to the same place.

--- a/node/src/main/java/org/radishspur/node/http/MessageFault.java
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -18,6 +18,10 @@
     FOLDED_LINE("folded-line"),
     /** A line ends otherwise than with a carriage return and a line feed. */
     LINE_END("line-end"),
+    /** The body is in a coding that wasn't asked for: any but chunks, once (RFC 9112, 6.1). */
+    TRANSFER_CODING("transfer-coding"),
+    /** The response changes to a protocol that wasn't asked for (RFC 9110, 15.2.2). */
+    PROTOCOL_CHANGE("protocol-change"),
     /** The connection ended within the head. */
     INCOMPLETE("incomplete"),
     /** The head is longer than any that is read. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -247,7 +247,7 @@
 
     private void receiveHead(HttpResponse response) {
         RequestIdentity.Owner owner = identity.ownerOf(response);
-        if (owner == RequestIdentity.Owner.SEVERAL_REQUESTS || UpstreamResponseDecoder.isJoined(response)) {
+        if (owner == RequestIdentity.Owner.SEVERAL_REQUESTS) {
             failMalformed(new MalformedMessageException(MessageFault.JOINED));
             return;
         }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -8,11 +8,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import org.radishspur.node.http.HeadReader;
@@ -86,11 +89,28 @@
             // The decoder's own message repeats bytes of the upstream, and so has no bounds.
             fail(MessageFault.REFUSED_BY_DECODER, object);
         }
+        if (part instanceof HttpResponse response && !failed) {
+            checkDecoded(response).ifPresent(fault -> fail(fault, response));
+        }
         if (part instanceof LastHttpContent) {
             head = new HeadReader();
         }
     }
 
+    /** Checks what can be seen only in the fields of a head together. */
+    private static Optional<MessageFault> checkDecoded(HttpResponse response) {
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            return Optional.of(MessageFault.PROTOCOL_CHANGE);
+        }
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean known = codings.isEmpty()
+                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+        if (!known) {
+            return Optional.of(MessageFault.TRANSFER_CODING);
+        }
+        return isJoined(response) ? Optional.of(MessageFault.JOINED) : Optional.empty();
+    }
+
     /**
      * Checks the names of the fields behind the last chunk as well, where the decoder would drop what stands between a blank
      * and the colon. Those of heads are checked before.
@@ -116,7 +136,7 @@
      * @param response the decoded head.
      * @return whether a status line stands within it.
      */
-    static boolean isJoined(HttpResponse response) {
+    private static boolean isJoined(HttpResponse response) {
         if (containsStatusLine(response.status().reasonPhrase())) {
             return true;
         }
--- a/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
@@ -129,6 +129,12 @@
             assertThat(listener.malformed).isTrue();
         }
 
+        /** Guards against a repeat of a request that its upstream is certain to run, as the first response is interim. */
+        @Test
+        void ofAChangeOfProtocolIsMalformedAsNoneWasAskedFor() {
+            assertMalformed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n\r\n" + OK + BODY);
+        }
+
         /** Guards against a status that is none in a response which comes before the final one. */
         @Test
         void withoutAStatusIsMalformedBehindAnInterimResponse() {
@@ -272,6 +278,24 @@
 
     @Nested
     class Framing {
+        /** Guards against a body in a coding that the caller doesn't know of, as the field with the coding isn't passed on. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "gzip, chunked",
+                    "identity",
+                    "xchunked",
+                    "chunked;q=1",
+                    "chunked, gzip",
+                    "chunked, chunked",
+                    "chunked\r\nTransfer-Encoding: chunked",
+                    "chunked\r\nContent-Length: 4",
+                    ""
+                })
+        void byAnotherCodingThanChunksIsMalformed(String codings) {
+            assertMalformed(OK + "Id: r1\r\nTransfer-Encoding: " + codings + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+        }
+
         /** Guards against a part of a body that is taken for the whole. */
         @ParameterizedTest
         @ValueSource(
