Take the end of the input for the end of an answer only behind a read request

What callers saw: an upstream answered a long upload at once, without a length, sent half of the answer, ended its output and closed the connection with bytes of the request unread; that resets it. The entry met the end of the output first and took the half for a whole answer.

Cause: the end of the input proves an orderly end only where nothing can follow it. While bytes of the request are unread, the reset of the same close follows, and no read shows it: behind the end of the input a read reports that end for ever. Nor does a write, where the request has been handed to the system as a whole, which takes some 2 MB for an upstream that reads nothing.

Change: where an answer ends with its connection, the end counts once the request has been written, which fails behind a reset, and, where the body is longer than an upstream reads together with the head (8 KiB), once no reset has come for 20 ms. The second is asked of a selector, which reports a pending error for the interest in a connect (ResetSensingChannel); reads, writes and options of the runtime don't. All bytes up to the end go on at once, as before. The wait costs answers without a length to bodies of more than 8 KiB 20 ms at their end. Whoever ends the output and then neither reads nor closes makes its caller wait until the deadline.

--- a/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
+++ b/node/src/main/java/org/radishspur/node/transport/ClientSocket.java
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.radishspur.node.settings.HostPort;
 
 /**
@@ -75,7 +74,7 @@
     private static Bootstrap bootstrap(EventLoopGroup group, int connectMillis, Consumer<SocketChannel> initializer) {
         return new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channelFactory(ResetSensingChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -38,9 +38,16 @@
     /** How long before its timeout an idle connection is no longer reused, in milliseconds; covers network delay. */
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
 
+    /**
+     * The size of a body, in bytes, up to which an upstream reads it together with the head, so that no bytes of the request
+     * are unread when it responds.
+     */
+    private static final int READ_WITH_HEAD_BYTES = 8 << 10;
+
     private final UpstreamConnections connections;
     private final int number;
     private final SentRequests sentRequests = new SentRequests();
+    private final InputGuard inputGuard = new InputGuard(this);
     private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
     private int exchanges;
     private Target target;
@@ -53,6 +60,7 @@
     private boolean unanswered;
     private boolean requestComplete;
     private boolean requestWritten;
+    private long requestBytes;
     private boolean reusable;
     private boolean inputEnded;
     private boolean paused;
@@ -70,7 +78,7 @@
     void install(Channel connected) {
         connected
                 .pipeline()
-                .addLast(new InputGuard(this))
+                .addLast(inputGuard)
                 .addLast(decoder)
                 .addLast(new HttpRequestEncoder())
                 .addLast(this);
@@ -90,6 +98,7 @@
         phase = Phase.UNSENT;
         requestComplete = false;
         requestWritten = false;
+        requestBytes = 0;
         reusable = true;
         paused = false;
         wasPaused = false;
@@ -109,15 +118,23 @@
                 connections.paths().recordSent(target.address());
             }
         }
+        if (part instanceof HttpContent content) {
+            requestBytes += content.content().readableBytes();
+        }
         boolean last = part instanceof LastHttpContent;
         requestComplete |= last;
         ChannelFuture written = channel.writeAndFlush(part);
         if (last) {
-            written.addListener(future -> requestWritten = future.isSuccess());
+            written.addListener(future -> onRequestWritten(future.isSuccess()));
         }
         return written;
     }
 
+    private void onRequestWritten(boolean succeeded) {
+        requestWritten = succeeded;
+        inputGuard.endIfRequestWritten();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void read() {
@@ -230,6 +247,23 @@
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean isEndUnproved() {
+        return endsWithInput() && !requestWritten;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean mayBeResetAfterEnd() {
+        // A relaying host reports the end of the input only after it has waited itself.
+        return isDirect() && endsWithInput() && requestBytes > READ_WITH_HEAD_BYTES;
+    }
+
+    private boolean endsWithInput() {
+        return phase == Phase.RECEIVING && responseEnd == ResponseEnd.CONNECTION_CLOSED;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onOrderlyEnd() {
