--- a/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/UnframedAnswerTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,6 +28,8 @@
  * Sends requests through a cluster to a plain service whose answers have neither a length nor chunks.
  */
 class UnframedAnswerTest {
+    private static final int LONG_BODY_BYTES = 600_000;
+    private static final long ARRIVAL_MILLIS = 200;
     private static final String WHOLE_EVENT = "id: 1\ndata: a\n\n";
     private static final String PARTIAL_EVENT = "id: 2\nda";
 
@@ -36,6 +40,7 @@
     private ServerSocket upstream;
     private volatile String answer = "";
     private volatile int runs;
+    private volatile boolean readsBodies = true;
 
     @BeforeEach
     void start() throws IOException {
@@ -69,11 +74,17 @@
                             length = Integer.parseInt(line.substring(15).strip());
                         }
                     }
-                    for (int read = 0; read < length; read++) {
+                    for (int read = 0; read < length && readsBodies; read++) {
                         reader.read();
                     }
+                    if (!readsBodies) {
+                        // Lets the whole request arrive at the sockets of this host.
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ARRIVAL_MILLIS));
+                    }
                     runs++;
                     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    // A close with bytes unread resets the connection behind that.
+                    socket.shutdownOutput();
                 }
             }
         } catch (IOException exception) {
@@ -82,10 +93,14 @@
     }
 
     private HttpResponse<String> send(String key) {
+        return send(key, "hello");
+    }
+
+    private HttpResponse<String> send(String key, String body) {
         HttpRequest request = HttpRequest.newBuilder(cluster.callerUri("a", "/record"))
                 .header("Radishspur-Organisation", "crew")
                 .header("Idempotency-Key", key)
-                .POST(HttpRequest.BodyPublishers.ofString("hello"))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return cluster.client()
                 .sendAsync(request, HttpResponse.BodyHandlers.ofString())
@@ -138,6 +153,26 @@
         assertThat(runs).isEqualTo(1);
     }
 
+    /** Guards against half an answer that its caller gets as a whole one, as it came before the request was read. */
+    @Test
+    void answerToAnUnreadRequestIsNotComplete() {
+        answer = "HTTP/1.1 200 OK\r\n\r\nhalf";
+        readsBodies = false;
+        HttpResponse<String> response = send("unread", "x".repeat(LONG_BODY_BYTES));
+        assertThat(response.statusCode())
+                .as("status with body %s", response.body())
+                .isNotEqualTo(200);
+        assertThat(response.body()).doesNotContain("not-run");
+        assertThat(runs).isEqualTo(1);
+    }
+
+    @Test
+    void answerToALongRequestThatIsReadIsComplete() {
+        answer = "HTTP/1.1 200 OK\r\n\r\nwhole";
+        HttpResponse<String> response = send("read", "x".repeat(LONG_BODY_BYTES));
+        assertThat(response.body()).isEqualTo("whole");
+    }
+
     /**
      * Guards against a broken answer that looks complete to a caller of HTTP 1.0, whose answers end with the connection.
      */
