Report the end of an upstream's output to other hosts only behind a read request

And a whole answer was lost whose upstream ends its output and reads the rest of the request afterwards: the relaying host closed its connections as soon as the output had ended.

Cause: RelayServer passed the end of the input on at once, and closed the connection to the other host with it, which also ended the request.

Neither host closes at the report: the entry does, once it has written its request and the answer has ended. The messages are the same. A host of an earlier build that relays closes at its report; an entry that is still writing then counts the answer as lost.

Seen before, on: 2 of 3 rows of reportsAResetBehindTheEndOfTheInputAsALoss and passesTheRestOfARequestOnBehindTheEndOfTheInput (RelayTest) failed. After: none fails, and AnsweredTwiceTest, CutEntryTest and BrokenHeadTest, with relays, pass.

--- a/node/src/main/java/org/radishspur/node/relay/RelayServer.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayServer.java
@@ -1,5 +1,6 @@
 package org.radishspur.node.relay;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -20,6 +21,7 @@
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
 import org.radishspur.node.transport.ClientSocket;
+import org.radishspur.node.transport.ResetSensingChannel;
 import org.radishspur.node.transport.ServerSocketBinder;
 
 /**
@@ -114,8 +116,10 @@
      */
     private final class Relay extends SimpleChannelInboundHandler<RelayMessage> {
         private final Channel host;
+        private final UpstreamSide upstreamSide = new UpstreamSide();
         private Channel upstream;
         private boolean awaitsResponse;
+        private int pendingWrites;
 
         Relay(Channel host) {
             this.host = host;
@@ -134,10 +138,16 @@
                 open(open.upstream());
             } else if (message instanceof RelayMessage.Data data && upstream != null) {
                 setAwaitsResponse(true);
-                upstream.writeAndFlush(Unpooled.wrappedBuffer(data.bytes()), upstream.voidPromise());
+                pendingWrites++;
+                upstream.writeAndFlush(Unpooled.wrappedBuffer(data.bytes())).addListener(written -> onWritten());
             }
         }
 
+        private void onWritten() {
+            pendingWrites--;
+            upstreamSide.endIfRequestWritten();
+        }
+
         /** Counts this connection while the last bytes were those of a request. */
         private void setAwaitsResponse(boolean awaits) {
             if (awaits != awaitsResponse) {
@@ -154,7 +164,7 @@
             ClientSocket.INSTANCE
                     .connect(target, loop, connectMillis, connected -> {
                         connected.config().setAllowHalfClosure(true);
-                        connected.pipeline().addLast(new UpstreamSide());
+                        connected.pipeline().addLast(upstreamSide);
                     })
                     .addListener((ChannelFuture future) -> onConnected(target, future));
         }
@@ -203,7 +213,7 @@
 
         /** Handles the connection to the upstream. */
         private final class UpstreamSide extends ChannelInboundHandlerAdapter {
-            private boolean ended;
+            private boolean inputEnded;
 
             /** {@inheritDoc} */
             @Override
@@ -231,21 +241,43 @@
                 host.config().setAutoRead(context.channel().isWritable());
             }
 
-            /** Passes on that the upstream has closed the connection in order, which a close alone doesn't show. */
+            /** {@inheritDoc} */
             @Override
             public void userEventTriggered(ChannelHandlerContext context, Object event) {
                 if (event instanceof ChannelInputShutdownEvent) {
-                    ended = true;
-                    host.writeAndFlush(new RelayMessage.End()).addListener(ChannelFutureListener.CLOSE);
+                    inputEnded = true;
+                    endIfRequestWritten();
+                }
+            }
+
+            /**
+             * Reports the end of the input once all that has come of the request is written and no reset follows, as a close
+             * alone doesn't show that no byte is missing.
+             */
+            private void endIfRequestWritten() {
+                if (inputEnded && pendingWrites == 0) {
+                    inputEnded = false;
+                    upstream.eventLoop()
+                            .schedule(
+                                    this::endUnlessReset,
+                                    ResetSensingChannel.RESET_DELAY_MILLIS,
+                                    TimeUnit.MILLISECONDS);
+                }
+            }
+
+            /** Leaves the connection to the other host, which may still send the rest of the request, open. */
+            private void endUnlessReset() {
+                if (ResetSensingChannel.isReset(upstream)) {
+                    upstream.close();
+                } else {
+                    host.writeAndFlush(new RelayMessage.End(), host.voidPromise());
                 }
             }
 
             /** {@inheritDoc} */
             @Override
             public void channelInactive(ChannelHandlerContext context) {
-                if (!ended) {
-                    host.close();
-                }
+                host.close();
             }
 
             /** {@inheritDoc} */
--- a/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
+++ b/node/src/main/java/org/radishspur/node/relay/RelayTunnel.java
@@ -62,8 +62,8 @@
             source.fireChannelRead(Unpooled.wrappedBuffer(data.bytes()));
         } else if (message instanceof RelayMessage.End && state == State.OPEN) {
             state = State.ENDED;
+            // The handlers behind this close the connection, as they may still be writing the request.
             source.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
-            source.close();
         }
     }
 
@@ -110,7 +110,7 @@
         OPENING,
         /** Bytes are passed on. */
         OPEN,
-        /** The connection has ended. */
+        /** The input or the connection has ended. */
         ENDED
     }
 
--- a/node/src/test/java/org/radishspur/node/relay/RelayTest.java
+++ b/node/src/test/java/org/radishspur/node/relay/RelayTest.java
@@ -26,10 +26,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.radishspur.node.peer.PeerCodec;
 import org.radishspur.node.relay.RelayMessage.Result;
 import org.radishspur.node.settings.HostPort;
@@ -228,6 +231,38 @@
             assertThat(received.lost).isTrue();
         }
 
+        /** Guards against half a response that looks complete, as its reset follows the end of the upstream's output. */
+        @ParameterizedTest
+        @ValueSource(ints = {100_000, 400_000, LONG_BODY_BYTES})
+        void reportsAResetBehindTheEndOfTheInputAsALoss(int requestBytes) throws IOException {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            connect(relay(true));
+            channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[requestBytes]));
+            readExactly(SMALL_WINDOW_BYTES);
+            upstreamSide.getOutputStream().write("half".getBytes(StandardCharsets.US_ASCII));
+            get(received.begun);
+            upstreamSide.setSoLinger(true, 0);
+            upstreamSide.shutdownOutput();
+            upstreamSide.close();
+            get(received.ended);
+            assertThat(received.lost).isTrue();
+            assertThat(received.inputEnded).isNotDone();
+        }
+
+        /** Guards against a whole response that is lost, as its upstream ends its output before it has read all. */
+        @Test
+        void passesTheRestOfARequestOnBehindTheEndOfTheInput() throws IOException {
+            upstream.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+            connect(relay(true));
+            received.closesAtEnd = false;
+            channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+            upstreamSide.getOutputStream().write("whole".getBytes(StandardCharsets.US_ASCII));
+            upstreamSide.shutdownOutput();
+            assertThat(readExactly(LONG_BODY_BYTES)).hasSize(LONG_BODY_BYTES);
+            get(received.inputEnded);
+            assertThat(received.lost).isFalse();
+        }
+
         /** Guards against a response without a length that looks complete although the relaying host has ended. */
         @Test
         void reportsTheEndOfTheRelayingHostAsALoss() throws IOException {
@@ -287,7 +322,9 @@
         private final CompletableFuture<Void> begun = new CompletableFuture<>();
         private final CompletableFuture<Result> failed = new CompletableFuture<>();
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
+        private final CompletableFuture<Void> inputEnded = new CompletableFuture<>();
         private final ByteBuf body = Unpooled.buffer();
+        private volatile boolean closesAtEnd = true;
         private volatile boolean lost;
 
         byte[] bytes() {
@@ -303,6 +340,16 @@
                     begun.complete(null);
                 }
 
+                @Override
+                public void userEventTriggered(ChannelHandlerContext context, Object event) {
+                    if (event instanceof ChannelInputShutdownEvent) {
+                        inputEnded.complete(null);
+                        if (closesAtEnd) {
+                            context.close();
+                        }
+                    }
+                }
+
                 @Override
                 public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                     lost = true;
