Refuse requests that can't be passed on as they were sent

The library's decoder of requests is strict about names, values, lengths, chunks and ends of lines, but an entry sent a target with a control byte on as it was, a byte of Latin-1 as two bytes (another target), HTTP/2.0 and HTTP/0.9 as HTTP/1.1, and a body in "gzip, chunked" without the field that says so.

Change: RequestHeadCheck behind the decoder of the four servers that read requests of callers and operators marks these as malformed, which each answers as before: 400, not run, or a close by the operators' API of the platform. Its rules are RFC 9112, 3.2 and 6.1, and RFC 9110, 2.5; the codings are the same ones as for responses.

--- a/node/src/main/java/org/radishspur/node/admin/AdminServer.java
+++ b/node/src/main/java/org/radishspur/node/admin/AdminServer.java
@@ -28,6 +28,7 @@
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
 import org.radishspur.node.control.NodeCore;
+import org.radishspur.node.http.RequestHeadCheck;
 import org.radishspur.node.metrics.NodeMetrics;
 import org.radishspur.node.settings.NodeSettings;
 import org.radishspur.node.supervise.Child;
@@ -84,6 +85,7 @@
                         accepted.pipeline()
                                 .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                                 .addLast(new HttpServerCodec())
+                                .addLast(new RequestHeadCheck())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(new ConnectionHandler());
                     }
--- a/node/src/main/java/org/radishspur/node/caller/CallerServer.java
+++ b/node/src/main/java/org/radishspur/node/caller/CallerServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.http.RequestHeadCheck;
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.settings.Limits;
 import org.radishspur.node.supervise.Child;
@@ -105,6 +106,7 @@
                 .addLast(new IdleStateHandler(
                         services.settings().timeouts().callerIdleMillis(), 0, 0, TimeUnit.MILLISECONDS))
                 .addLast(new HttpServerCodec(limits.headerBytes(), limits.headerBytes(), MAX_CHUNK_BYTES))
+                .addLast(new RequestHeadCheck())
                 .addLast(new CallerHandler(services));
     }
 }
--- a/node/src/main/java/org/radishspur/node/entry/FrontServer.java
+++ b/node/src/main/java/org/radishspur/node/entry/FrontServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import org.radishspur.node.http.RequestHeadCheck;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
 import org.radishspur.node.transport.ServerSocketBinder;
@@ -67,6 +68,7 @@
         accepted.pipeline()
                 .addLast(new ByteCounter())
                 .addLast(new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                .addLast(new RequestHeadCheck())
                 .addLast(new FrontConnection(services, FrontServer.this));
     }
 
--- a/node/src/main/java/org/radishspur/node/group/OperatorServer.java
+++ b/node/src/main/java/org/radishspur/node/group/OperatorServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.radishspur.model.error.ErrorCode;
 import org.radishspur.model.error.RadishspurException;
+import org.radishspur.node.http.RequestHeadCheck;
 import org.radishspur.node.log.ComponentLog;
 import org.radishspur.node.settings.HostPort;
 import org.radishspur.node.supervise.Child;
@@ -47,7 +48,11 @@
     public void start(FailureListener listener) {
         channel = ServerSocketBinder.INSTANCE.bind(address, group, accepted -> {
             CallReader reader = new CallReader(budget, OperatorService.MAX_DOCUMENT_BYTES);
-            accepted.pipeline().addLast(new HttpServerCodec()).addLast(reader).addLast(new CallHandler(reader));
+            accepted.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new RequestHeadCheck())
+                    .addLast(reader)
+                    .addLast(new CallHandler(reader));
         });
         channel.closeFuture()
                 .addListener(future -> listener.onFailure(
--- a/node/src/main/java/org/radishspur/node/http/MessageFault.java
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -4,8 +4,10 @@
  * Lists why bytes are no message of HTTP/1.1.
  */
 public enum MessageFault {
-    /** The line doesn't begin with HTTP/1, a minor version and one blank. */
+    /** The version isn't 1.x, or a status line doesn't begin with it and one blank. */
     VERSION("version"),
+    /** The target of a request holds a byte that isn't a visible one of ASCII (RFC 9112, 3.2). */
+    TARGET("target"),
     /** The status isn't a number of three digits from 100 to 599 that a blank or the end of the line follows. */
     STATUS("status"),
     /** The text behind the status holds a control byte. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -8,8 +8,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -21,6 +19,7 @@
 import org.radishspur.node.http.HeadReader;
 import org.radishspur.node.http.MalformedMessageException;
 import org.radishspur.node.http.MessageFault;
+import org.radishspur.node.http.TransferCodings;
 
 /**
  * Decodes the responses on one connection, on which one request at a time is in progress.
@@ -102,10 +101,7 @@
         if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             return Optional.of(MessageFault.PROTOCOL_CHANGE);
         }
-        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean known = codings.isEmpty()
-                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
-        if (!known) {
+        if (!TransferCodings.INSTANCE.areKnown(response)) {
             return Optional.of(MessageFault.TRANSFER_CODING);
         }
         return isJoined(response) ? Optional.of(MessageFault.JOINED) : Optional.empty();
--- a/testkit/src/test/java/org/radishspur/testkit/process/BadInputTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/BadInputTest.java
@@ -96,6 +96,12 @@
                 "POST /stream HTTP/1.1;Host: h;Radishspur-Organisation: o;Content-Length: x | malformed-request",
                 "POST /stream HTTP/1.1;Host: h;Radishspur-Organisation: o;Content-Length: 1;Content-Length: 2"
                         + " | malformed-request",
+                "GET /str\u0001eam HTTP/1.1;Host: h;Radishspur-Organisation: o | malformed-request",
+                "GET /stream?\u00e9 HTTP/1.1;Host: h;Radishspur-Organisation: o | malformed-request",
+                "GET /stream HTTP/2.0;Host: h;Radishspur-Organisation: o | malformed-request",
+                "POST /stream HTTP/1.1;Host: h;Radishspur-Organisation: o;Transfer-Encoding: gzip, chunked"
+                        + " | malformed-request",
+                "GET /stream HTTP/1.1;Host: h;Radishspur-Organisation: o;X Foo: 1 | malformed-request",
             })
     void anInvalidRequestIsAnsweredWithATypedProblem(String lines, String code) throws IOException {
         String request = lines.replace(";", "\r\n") + "\r\n\r\n";
