Give every malformed response a code of its own in the log

A response that was cut within its chunks or its length had the library's text as its cause, and the target of each request was checked with a stream of its characters. Both are plain now; the texts of causes, which are also names of metrics, are those of MessageFault. MalformedResponseTest checks that each refused row has one.

--- a/node/src/main/java/org/radishspur/node/http/MalformedMessageException.java
+++ b/node/src/main/java/org/radishspur/node/http/MalformedMessageException.java
@@ -16,7 +16,7 @@
      * @param fault what is wrong with the message.
      */
     public MalformedMessageException(MessageFault fault) {
-        super("malformed message: " + fault.code());
+        super("not HTTP/1.1: " + fault.code());
         this.fault = fault;
     }
 
--- a/node/src/main/java/org/radishspur/node/http/MessageFault.java
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -24,7 +24,7 @@
     TRANSFER_CODING("transfer-coding"),
     /** The response changes to a protocol that wasn't asked for (RFC 9110, 15.2.2). */
     PROTOCOL_CHANGE("protocol-change"),
-    /** The connection ended within the head. */
+    /** The connection ended within the message. */
     INCOMPLETE("incomplete"),
     /** The head is longer than any that is read. */
     TOO_LONG("too-long"),
--- a/node/src/main/java/org/radishspur/node/http/RequestHeadCheck.java
+++ b/node/src/main/java/org/radishspur/node/http/RequestHeadCheck.java
@@ -48,11 +48,21 @@
             return Optional.of(MessageFault.VERSION);
         }
         // Other bytes than visible ones of ASCII would be sent on as they are, or as two bytes each.
-        if (!request.uri().chars().allMatch(found -> found >= FIRST_VISIBLE && found <= LAST_VISIBLE)) {
+        if (!isVisible(request.uri())) {
             return Optional.of(MessageFault.TARGET);
         }
         return TransferCodings.INSTANCE.areKnown(request)
                 ? Optional.empty()
                 : Optional.of(MessageFault.TRANSFER_CODING);
     }
+
+    private static boolean isVisible(String text) {
+        for (int index = 0; index < text.length(); index++) {
+            char found = text.charAt(index);
+            if (found < FIRST_VISIBLE || found > LAST_VISIBLE) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -66,7 +67,9 @@
     /** {@inheritDoc} */
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts) throws Exception {
+        int decoded = parts.size();
         super.decodeLast(context, bytes, parts);
+        parts.subList(decoded, parts.size()).forEach(this::onDecoded);
         if (head.isBegun() && !failed) {
             fail(MessageFault.INCOMPLETE, parts);
         }
@@ -86,7 +89,7 @@
     private void onDecoded(Object part) {
         if (part instanceof HttpObject object && object.decoderResult().isFailure()) {
             // The decoder's own message repeats bytes of the upstream, and so has no bounds.
-            fail(MessageFault.REFUSED_BY_DECODER, object);
+            fail(faultOf(object.decoderResult().cause()), object);
         }
         if (part instanceof HttpResponse response && !failed) {
             checkDecoded(response).ifPresent(fault -> fail(fault, response));
@@ -96,6 +99,15 @@
         }
     }
 
+    private static MessageFault faultOf(Throwable cause) {
+        if (cause instanceof MalformedMessageException malformed) {
+            return malformed.fault();
+        }
+        return cause instanceof PrematureChannelClosureException
+                ? MessageFault.INCOMPLETE
+                : MessageFault.REFUSED_BY_DECODER;
+    }
+
     /** Checks what can be seen only in the fields of a head together. */
     private static Optional<MessageFault> checkDecoded(HttpResponse response) {
         if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
--- a/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
@@ -61,6 +61,7 @@
         assertThat(listener.body.toString()).isEmpty();
         assertThat(listener.complete).isFalse();
         assertThat(listener.malformed).isTrue();
+        assertThat(listener.cause).as("what a log says").contains("not HTTP/1.1: ");
         assertThat(channel.isActive()).isFalse();
     }
 
