Ignore that the request of an ended exchange was written

A connection that is handed over before the last bytes of a request have left would have counted the next request as written. Not seen; found by reading the fix afresh.

--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamConnection.java
@@ -125,14 +125,18 @@
         requestComplete |= last;
         ChannelFuture written = channel.writeAndFlush(part);
         if (last) {
-            written.addListener(future -> onRequestWritten(future.isSuccess()));
+            int exchange = exchanges;
+            written.addListener(future -> onRequestWritten(exchange, future.isSuccess()));
         }
         return written;
     }
 
-    private void onRequestWritten(boolean succeeded) {
-        requestWritten = succeeded;
-        inputGuard.endIfRequestWritten();
+    /** Records that the request of an exchange has been written, or not; the response may have ended that exchange before. */
+    private void onRequestWritten(int exchange, boolean succeeded) {
+        if (exchange == exchanges) {
+            requestWritten = succeeded;
+            inputGuard.endIfRequestWritten();
+        }
     }
 
     /** {@inheritDoc} */
