Test the reason on the path of permits, and lengths where there is no body

Each loss of BrokenHeadTest (path of permits) now needs its line of [upstream], and three more heads: "refused" in a folded line, leaving and load under names that are none.

--- a/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
@@ -192,7 +192,10 @@
                     "Id Y: r1",
                     "Id : r1",
                     "Radishspur-Admission Y: refused",
-                    "Content-Encoding X: gzip"
+                    "Content-Encoding X: gzip",
+                    "Retry-After X: 600",
+                    "Server-Limit X: 1",
+                    "Keep-Alive X: timeout=9"
                 })
         void withoutANameIsMalformed(String line) {
             assertMalformed(OK + line + "\r\n" + BODY);
@@ -375,6 +378,29 @@
             assertThat(channel.isActive()).isTrue();
         }
 
+        /** Guards against a body, or the next response, that is made of bytes for which a status without a body has no place. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "204 No Content\r\nContent-Length: 4",
+                    "204 No Content\r\nTransfer-Encoding: chunked",
+                    "304 Not Modified\r\nContent-Length: 4",
+                    "304 Not Modified\r\nTransfer-Encoding: chunked"
+                })
+        void byTheStatusEndsWithTheHeadWhateverLengthItStates(String head) {
+            receive("HTTP/1.1 " + head + "\r\nId: r1\r\n\r\nbody");
+            assertThat(listener.complete).isTrue();
+            assertThat(listener.body.toString()).isEmpty();
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        /** Guards against a final response that is made of the body of an interim one, which has none. */
+        @ParameterizedTest
+        @ValueSource(strings = {"Content-Length: 4", "Transfer-Encoding: chunked"})
+        void byALengthOfAnInterimResponseIsMalformed(String length) {
+            assertMalformed("HTTP/1.1 103 Early Hints\r\n" + length + "\r\n\r\nbody" + OK + BODY);
+        }
+
         @Test
         void byTheMethodHeadIsPassedOn() {
             release();
--- a/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
@@ -3,8 +3,10 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -37,6 +39,7 @@
     private volatile String statusLine = OK;
     private volatile String line = "";
     private int lastKey;
+    private int losses;
 
     @BeforeEach
     void start() throws IOException {
@@ -99,6 +102,19 @@
                 .contains("\"run\":\"unknown\"")
                 .doesNotContain("done");
         assertThat(runs).as("runs").hasValue(1);
+        losses++;
+        ProcessCluster.await(() -> reasonsInLog() == losses);
+    }
+
+    /** Returns how many lines of the node say that its upstream sent what is no answer. */
+    private long reasonsInLog() {
+        try {
+            return Files.readAllLines(folder.resolve("a.out")).stream()
+                    .filter(text -> text.contains("[upstream]") && text.contains("not HTTP/1.1: "))
+                    .count();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
     }
 
     /** Guards against a caller that gets a status which is none. */
@@ -122,6 +138,9 @@
         }
         assertLost("HTTP/1.1 503 Full", UpstreamHeaders.ADMISSION + " Y: refused\r\n");
         assertLost("HTTP/1.1 503 Full", UpstreamHeaders.ADMISSION + " : refused\r\n");
+        assertLost("HTTP/1.1 503 Full", "X-Text: a\r\n " + UpstreamHeaders.ADMISSION + ": refused\r\n");
+        assertLost(OK, UpstreamHeaders.LEAVING + " Y: 1\r\n");
+        assertLost(OK, UpstreamHeaders.LOAD_RUNNING + " Y: 9000\r\n");
     }
 
     /** Guards against a connection that carries further requests behind bytes that were no answer. */
