--- a/decision/src/test/java/org/radishspur/decision/dispatch/FirstByteBeforeCallersLeaveTest.java
+++ b/decision/src/test/java/org/radishspur/decision/dispatch/FirstByteBeforeCallersLeaveTest.java
@@ -27,7 +27,7 @@
     private UpstreamLoad fast;
     private UpstreamLoad slow;
 
-    /** Returns a request whose answer is late, as that of a caller that comes back in a burst. */
+    /** Returns a request that is answered late, as the retry of a caller in a burst. */
     private static QueuedRequest late(long callerWaitsMillis) {
         return new QueuedRequest(
                 "late",
--- a/node/src/main/java/org/radishspur/node/http/HeadLine.java
+++ b/node/src/main/java/org/radishspur/node/http/HeadLine.java
@@ -9,7 +9,7 @@
  */
 public enum HeadLine {
     /**
-     * The version, the status and a text, each behind one blank; the last blank may be missing where the text is (RFC
+     * The version, the status and a text, each behind one space; the last space may be missing where the text is (RFC
      * 9112, 4). A higher minor version is read as HTTP/1.1 (RFC 9110, 2.5).
      */
     STATUS {
@@ -42,7 +42,7 @@
         }
     },
     /**
-     * A name, a colon and a value (RFC 9112, 5). No blank may stand between the name and the colon, and no line may go on
+     * A name, a colon and a value (RFC 9112, 5). No space may stand between the name and the colon, and no line may go on
      * with the value of the one before: a proxy may mend both, but then passes on what the upstream didn't send.
      */
     FIELD {
@@ -113,7 +113,7 @@
                 || TOKEN_MARKS.indexOf(found) >= 0;
     }
 
-    /** Returns whether some bytes are visible ones, blanks, tabs and such as other charsets use (RFC 9110, 5.5). */
+    /** Returns whether some bytes are visible ones, spaces, tabs and such as other charsets use (RFC 9110, 5.5). */
     private static boolean isText(ByteBuf bytes, int start, int end) {
         for (int index = start; index < end; index++) {
             byte found = bytes.getByte(index);
--- a/node/src/main/java/org/radishspur/node/http/MessageFault.java
+++ b/node/src/main/java/org/radishspur/node/http/MessageFault.java
@@ -4,19 +4,19 @@
  * Lists why bytes are no message of HTTP/1.1.
  */
 public enum MessageFault {
-    /** The version isn't 1.x, or a status line doesn't begin with it and one blank. */
+    /** The version isn't 1.x, or a status line doesn't begin with it and one space. */
     VERSION("version"),
     /** The target of a request holds a byte that isn't a visible one of ASCII (RFC 9112, 3.2). */
     TARGET("target"),
-    /** The status isn't a number of three digits from 100 to 599 that a blank or the end of the line follows. */
+    /** The status isn't a number of three digits from 100 to 599 that a space or the end of the line follows. */
     STATUS("status"),
     /** The text behind the status holds a control byte. */
     REASON("reason"),
-    /** A field has no name, or one with a byte that isn't part of a token, such as a blank or a control byte. */
+    /** A field has no name, or one with a byte that isn't part of a token, such as a space or a control byte. */
     FIELD_NAME("field-name"),
     /** The value of a field holds a control byte. */
     FIELD_VALUE("field-value"),
-    /** A line begins with a blank, so that it would go on with the value of the one before. */
+    /** A line begins with a space, so that it would go on with the value of the one before. */
     FOLDED_LINE("folded-line"),
     /** A line ends otherwise than with a carriage return and a line feed. */
     LINE_END("line-end"),
--- a/node/src/main/java/org/radishspur/node/http/TransferCodings.java
+++ b/node/src/main/java/org/radishspur/node/http/TransferCodings.java
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 
 /**
- * Tells which codings of a body can be decoded: chunks, once. The field that states a coding holds for one connection, so a
- * body in another one would lose it on its way.
+ * Checks the transfer codings of a body; only chunked, once, is decoded. Transfer-Encoding is a hop-by-hop header, so a body in
+ * another coding would be forwarded without it.
  */
 public enum TransferCodings {
     /** The only instance; it has no state. */
--- a/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
+++ b/node/src/main/java/org/radishspur/node/upstream/UpstreamResponseDecoder.java
@@ -25,7 +25,7 @@
 /**
  * Decodes the responses on one connection, on which one request at a time is in progress.
  *
- * <p>Netty's decoder takes lines for a head that are none. So it gets the bytes of a head only once all of them have come
+ * <p>Netty's decoder accepts malformed heads. So it gets the bytes of a head only once all of them have come
  * and a {@link HeadReader} has found nothing wrong with them. Bytes that are no head are reported as an invalid response,
  * and nothing behind them is decoded.
  */
@@ -120,7 +120,7 @@
     }
 
     /**
-     * Checks the names of the fields behind the last chunk as well, where the decoder would drop what stands between a blank
+     * Checks the names of the fields behind the last chunk as well, where the decoder would drop what stands between a space
      * and the colon. Those of heads are checked before.
      */
     @Override
--- a/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/MalformedResponseTest.java
@@ -54,7 +54,7 @@
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
-    /** Receives a response, which is no response, and checks that nothing of it is passed on and its connection closed. */
+    /** Receives a malformed response, and checks that nothing of it is passed on and its connection closed. */
     private void assertMalformed(String response) {
         receive(response);
         assertThat(listener.status).as("status that was passed on").isZero();
@@ -75,7 +75,7 @@
 
     @Nested
     class StatusLine {
-        /** Guards against a caller that gets a status which is none, or another one than its upstream sent. */
+        /** Guards against an invalid status that reaches a caller, or another one than its upstream sent. */
         @ParameterizedTest
         @ValueSource(
                 strings = {
@@ -86,7 +86,7 @@
             assertMalformed("HTTP/1.1 " + status + " Text\r\n" + BODY);
         }
 
-        /** Guards against a status that is none and has no text behind it. */
+        /** Guards against an invalid status without a reason phrase. */
         @Test
         void withoutAStatusAndWithoutATextIsMalformed() {
             assertMalformed("HTTP/1.1 000\r\n" + BODY);
@@ -136,7 +136,7 @@
             assertMalformed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n\r\n" + OK + BODY);
         }
 
-        /** Guards against a status that is none in a response which comes before the final one. */
+        /** Guards against an invalid status after an interim response. */
         @Test
         void withoutAStatusIsMalformedBehindAnInterimResponse() {
             assertMalformed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Text\r\n" + BODY);
@@ -150,7 +150,7 @@
                     "HTTP/1.1 200 OK",
                     "HTTP/1.0 200 OK",
                     "HTTP/1.1 200 Very well",
-                    "HTTP/1.1 200 two  blanks",
+                    "HTTP/1.1 200 two  spaces",
                     "HTTP/1.1 200 a\ttab",
                     "HTTP/1.1 200 \u00e9\u00ff",
                     "HTTP/1.1 299 Custom",
--- a/node/src/test/java/org/radishspur/node/upstream/ResponseHeadFuzzTest.java
+++ b/node/src/test/java/org/radishspur/node/upstream/ResponseHeadFuzzTest.java
@@ -54,7 +54,7 @@
                 .ofMaxSize(4);
     }
 
-    /** Guards against a head that is passed on as another one than was sent, or that is none. */
+    /** Guards against a malformed head that is passed on, and a sound one that is changed. */
     @Property(tries = TRIES, seed = "92")
     void passesOnWhatWasSent(
             @ForAll @IntRange(max = 5) int sound,
--- a/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
+++ b/testkit/src/test/java/org/radishspur/testkit/process/BrokenHeadTest.java
@@ -22,7 +22,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Sends requests through a cluster to a plain service whose answers have heads that are none.
+ * Sends requests through a cluster to a plain service whose answers have malformed heads.
  */
 class BrokenHeadTest {
     private static final int TIMEOUT_MILLIS = 20_000;
@@ -106,7 +106,7 @@
         ProcessCluster.await(() -> reasonsInLog() == losses);
     }
 
-    /** Returns how many lines of the node say that its upstream sent what is no answer. */
+    /** Returns how many lines of the log name a malformed response. */
     private long reasonsInLog() {
         try {
             return Files.readAllLines(folder.resolve("a.out")).stream()
@@ -117,7 +117,7 @@
         }
     }
 
-    /** Guards against a caller that gets a status which is none. */
+    /** Guards against a caller that gets an invalid status. */
     @Test
     void statusThatIsNoneIsALoss() throws IOException {
         for (String broken : List.of("HTTP/1.1 000 Zero", "HTTP/1.1 99", "HTTP/1.1 +200 OK", "HTTP/2.0 200 OK")) {
