Review: show that a version that was taken back acts again

review/7: a bad version is rolled back, and the operator orders the next one while the workers of the bad one are still listed, as they drain some seconds later. The bad version then gets more requests than EXPOSURE allows.

--- a/review/harness-2/review2/CaseMain.java
+++ b/review/harness-2/review2/CaseMain.java
@@ -29,6 +29,7 @@
             case "last-tenant" -> new LastTenantCase(repository, record, trouble).run();
             case "next-rollout" -> NextRolloutCase.run(repository, record, trouble);
             case "slow-under-load" -> SlowUnderLoadCase.run(repository, record, trouble);
+            case "bad-manifest" -> BadManifestCase.run(repository, record, trouble);
             default -> throw new IllegalArgumentException(name);
         };
     }
--- a/review/harness-2/review2/NextRolloutCase.java
+++ b/review/harness-2/review2/NextRolloutCase.java
@@ -9,7 +9,7 @@
  */
 final class NextRolloutCase {
     /** The share of its answers on the second route that the bad version fails. */
-    private static final double BAD_SHARE = 0.5;
+    private static final double BAD_SHARE = 0.7;
 
     private static final long DRAIN_AFTER_MILLIS = 5_000;
 
