Review: show that a version that fails with 4xx completes

review/10: a bad version answers half of its requests with 422, where the old one answers none so. It completes and gets more requests before its deadline than EXPOSURE allows.

--- a/review/harness-2/review2/Worker.java
+++ b/review/harness-2/review2/Worker.java
@@ -73,7 +73,7 @@
         }
         headers.put("X-Response-Seal", id + '.' + requestId);
         byte[] body = ("answer of " + id + " to " + requestId).getBytes(StandardCharsets.UTF_8);
-        out.write(Http.encodeAnswer(failed ? 500 : 200, headers, body));
+        out.write(Http.encodeAnswer(failed ? behaviour.failureStatus() : 200, headers, body));
     }
 
     @Override
@@ -88,6 +88,10 @@
         default boolean fails(Http.Message request, int running) {
             return false;
         }
+
+        default int failureStatus() {
+            return 500;
+        }
     }
 
     /** Is told of each request that a worker begins to run. */
