--- a/review/harness-2/review2/CaseMain.java
+++ b/review/harness-2/review2/CaseMain.java
@@ -30,7 +30,8 @@
             case "next-rollout" -> NextRolloutCase.run(repository, record, trouble);
             case "slow-under-load" -> SlowUnderLoadCase.run(repository, record, trouble);
             case "bad-manifest" -> BadManifestCase.run(repository, record, trouble);
-            case "client-errors" -> ClientErrorsCase.run(repository, record, trouble);
+            case "list-moves" -> ListMovesCase.run(repository, record, trouble);
+            case "deadly-request" -> DeadlyRequestCase.run(repository, record, trouble);
             default -> throw new IllegalArgumentException(name);
         };
     }
--- a/review/harness-2/review2/Deployment.java
+++ b/review/harness-2/review2/Deployment.java
@@ -155,6 +155,17 @@
         throw new IOException("the deploy file has no role " + role);
     }
 
+    /** Changes a field in the settings files of all processes, and tells them by SIGHUP. */
+    void changeSetting(String field, String value) throws IOException, InterruptedException {
+        for (String name : processes.keySet()) {
+            Path file = folder.resolve(name + ".conf");
+            List<String> lines = new ArrayList<>(Files.readAllLines(file));
+            lines.replaceAll(line -> line.startsWith(field + '=') ? field + '=' + value : line);
+            Files.write(file, lines);
+            signal(name, "HUP");
+        }
+    }
+
     /** Sends a signal to one process of the system. */
     void signal(String name, String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid())).start().waitFor();
--- a/review/harness-2/review2/Worker.java
+++ b/review/harness-2/review2/Worker.java
@@ -31,6 +31,10 @@
         server = new Server(ip, this::handle);
     }
 
+    String id() {
+        return id;
+    }
+
     String version() {
         return version;
     }
