Review: show that an added route of low rank is never served

review/6: a manifest adds a route with priority 30 beside one with priority 0. Its requests are held until their deadline and refused on an idle service, for good (CONFIG).

--- a/review/harness-2/review2/CaseMain.java
+++ b/review/harness-2/review2/CaseMain.java
@@ -32,6 +32,7 @@
             case "bad-manifest" -> BadManifestCase.run(repository, record, trouble);
             case "list-moves" -> ListMovesCase.run(repository, record, trouble);
             case "deadly-request" -> DeadlyRequestCase.run(repository, record, trouble);
+            case "added-route" -> AddedRouteCase.run(repository, record, trouble);
             default -> throw new IllegalArgumentException(name);
         };
     }
