--- a/review/harness-2/review2/NextRolloutCase.java
+++ b/review/harness-2/review2/NextRolloutCase.java
@@ -1,13 +1,17 @@
 package review2;
 
 import java.nio.file.Path;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * A bad version is rolled back, and the operator at once orders the next version, while the workers of the bad one are
  * still listed as ready, as they drain some seconds later.
  */
 final class NextRolloutCase {
-    private static final long DRAIN_AFTER_MILLIS = 5_000;
+    /** The share of its answers on the second route that the bad version fails. */
+    private static final double BAD_SHARE = 0.5;
+
+    private static final long DRAIN_AFTER_MILLIS = 3_500;
 
     private NextRolloutCase() {}
 
@@ -30,7 +34,7 @@
         }
     }
 
-    /** A bad version: its answers on one route are failures. */
+    /** A bad version: half of its answers on one route are failures. */
     private static final class FailsOnSecondRoute implements Worker.Behaviour {
         @Override
         public long workMillis(int running) {
@@ -39,7 +43,8 @@
 
         @Override
         public boolean fails(Http.Message request, int running) {
-            return request.target().startsWith(RolloutScene.SECOND_ROUTE);
+            return request.target().startsWith(RolloutScene.SECOND_ROUTE)
+                    && ThreadLocalRandom.current().nextDouble() < BAD_SHARE;
         }
     }
 }
--- a/review/harness-2/review2/RolloutScene.java
+++ b/review/harness-2/review2/RolloutScene.java
@@ -26,7 +26,7 @@
     private static final int PER_SECOND = 190;
 
     /** Every so many requests, one is on the second route. */
-    private static final int SECOND_ROUTE_EVERY = 12;
+    private static final int SECOND_ROUTE_EVERY = 6;
 
     private static final double EXPOSE_SHARE = 0.1;
     private static final int EXPOSURE_SLACK = 50;
